--- /dev/null
+++ b/cmd/check.go
@@ -0,0 +1,49 @@
+package cmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"cranberryrail/core/conf/field"
+	"cranberryrail/io/opts"
+)
+
+// FaultsError tells that the faults of a document were printed.
+type FaultsError struct {
+	What   string
+	Faults int
+}
+
+// Error implements the error interface.
+func (e *FaultsError) Error() string {
+	return fmt.Sprintf("%s has %d faults; mend them and try again", e.What, e.Faults)
+}
+
+func (a *App) check() command {
+	var path string
+	sub := newSub("check", "check settings without starting", "check --config settings.toml")
+	sub.String(&path, "c", "config", "File with the settings, in TOML.")
+	return command{sub, func(context.Context) error {
+		if path == "" {
+			return &UsageError{Problem: "--config is missing", Path: []string{sub.Name}}
+		}
+		if _, err := opts.Load(path); err != nil {
+			return a.faults(err)
+		}
+		a.printf("%s: settings are in order\n", path)
+		return nil
+	}}
+}
+
+// faults prints the faults of a document one a line.
+func (a *App) faults(err error) error {
+	var e *field.FaultError
+	if !errors.As(err, &e) {
+		return err
+	}
+	for _, f := range e.Faults {
+		_, _ = fmt.Fprintln(a.Stderr, f)
+	}
+	return &FaultsError{What: e.What, Faults: len(e.Faults)}
+}
--- /dev/null
+++ b/cmd/fake.go
@@ -0,0 +1,109 @@
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"cranberryrail/core/roster"
+)
+
+const (
+	// fakeListen lets the system choose a local port.
+	fakeListen = "127.0.0.1:0"
+	// registerTimeout is the longest time for a stand-in to register.
+	registerTimeout = 5 * time.Second
+)
+
+// listening prints the line that tells that a stand-in is ready.
+func (a *App) listening(addr string) { a.printf("listening on %s\n", addr) }
+
+func (a *App) log() zerolog.Logger { return zerolog.New(a.Stderr).With().Timestamp().Logger() }
+
+// fakeTarget is a stand-in for a target and how the platform's list shows it.
+type fakeTarget struct {
+	app      *App
+	listen   string
+	register string
+	entry    roster.Target
+}
+
+func (a *App) newFakeTarget(sub *flaggy.Subcommand, kind roster.Kind, id string) *fakeTarget {
+	f := &fakeTarget{app: a, listen: fakeListen, entry: roster.Target{ID: id, Kind: kind, State: roster.Live}}
+	sub.String(&f.listen, "l", "listen", "Address to listen on; port 0 takes a free one.")
+	sub.String(&f.entry.ID, "", "id", "Id in the platform's list.")
+	sub.String(&f.entry.Zone, "z", "zone", "Availability zone in the platform's list.")
+	sub.String(&f.register, "r", "register", "URL of the stand-in platform whose list shows this target.")
+	return f
+}
+
+// serve runs the stand-in until the context ends. Addr waits until it listens, and is
+// empty when it does not.
+func (f *fakeTarget) serve(ctx context.Context, run func(context.Context) error, addr func() string) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return run(ctx) })
+	g.Go(func() error {
+		f.entry.Addr = addr()
+		if f.entry.Addr == "" {
+			return nil
+		}
+		if f.register != "" {
+			if err := f.enlist(ctx); err != nil {
+				return fmt.Errorf("register %s; is --register the stand-in platform?: %w", f.entry.ID, err)
+			}
+		}
+		f.app.listening(f.entry.Addr)
+		return nil
+	})
+	return g.Wait()
+}
+
+// enlist puts the stand-in into the platform's list.
+func (f *fakeTarget) enlist(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	var load roster.Load
+	data, err := exchange(ctx, http.MethodGet, "http://"+f.entry.Addr+"/v1/load", nil)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, &load); err != nil {
+		return err
+	}
+	f.entry.Incarnation = load.Incarnation
+	body, err := json.Marshal(f.entry)
+	if err != nil {
+		return err
+	}
+	_, err = exchange(ctx, http.MethodPut, strings.TrimRight(f.register, "/")+"/control/targets/"+url.PathEscape(f.entry.ID), body)
+	return err
+}
+
+// exchange sends a request and returns the body of a good answer.
+func exchange(ctx context.Context, method, to string, body []byte) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, to, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err == nil && resp.StatusCode/100 != 2 {
+		err = errors.New(method + " " + to + ": " + resp.Status)
+	}
+	return data, err
+}
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -1,5 +1,195 @@
 // Package cmd holds the command line, one file a subcommand.
 package cmd
 
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+)
+
+// name is the name of the program.
+const name = "cranberryrail"
+
+// Exit statuses.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// App is the command line. Exported fields are set before Main; one App serves one call.
+type App struct {
+	// Stdout takes results.
+	Stdout io.Writer
+	// Stderr takes errors and logs.
+	Stderr io.Writer
+	// Getenv reads the environment.
+	Getenv func(key string) string
+}
+
+// command is a subcommand with what it runs.
+type command struct {
+	sub *flaggy.Subcommand
+	run func(ctx context.Context) error
+}
+
 // Main runs the command line and returns the exit status.
-func Main(_ []string) int { return 0 }
+func Main(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return (&App{}).Main(ctx, args)
+}
+
+// commands returns every subcommand; a new one is a new line here.
+func (a *App) commands() []command {
+	return []command{
+		a.serve(),
+		a.check(),
+		a.publish(),
+		a.set(),
+		a.remove(),
+		a.templates(),
+		a.topUp(),
+		a.budgets(),
+		a.usage(),
+		a.targets(),
+		a.instances(),
+		a.report(),
+	}
+}
+
+// groups returns the subcommands that have subcommands of their own.
+func (a *App) groups() map[string][]command {
+	return map[string][]command{
+		"fake": {a.fakePlatform(), a.fakeEngine(), a.fakeService()},
+	}
+}
+
+// String names the command line for logs.
+func (a *App) String() string { return name }
+
+// Default fills fields that were left empty.
+func (a *App) Default() {
+	if a.Stdout == nil {
+		a.Stdout = os.Stdout
+	}
+	if a.Stderr == nil {
+		a.Stderr = os.Stderr
+	}
+	if a.Getenv == nil {
+		a.Getenv = os.Getenv
+	}
+}
+
+// Main runs one subcommand until it is done or the context ends, and returns the exit
+// status.
+func (a *App) Main(ctx context.Context, args []string) int {
+	a.Default()
+	err := a.dispatch(ctx, args)
+	if err == nil {
+		return exitOK
+	}
+	_, _ = fmt.Fprintf(a.Stderr, "%s: %v\n", name, err)
+	var usage *UsageError
+	if errors.As(err, &usage) {
+		return exitUsage
+	}
+	return exitFailed
+}
+
+func (a *App) dispatch(ctx context.Context, args []string) error {
+	p, commands := a.parser()
+	l, err := readLine(p, args)
+	if err != nil {
+		return err
+	}
+	switch {
+	case l.version:
+		a.printf("%s %s\n", name, version())
+		return nil
+	case l.help:
+		return a.help(p, l)
+	}
+	if err := p.ParseArgs(args); err != nil {
+		return &UsageError{Problem: "a flag has a value of the wrong kind: " + err.Error(), Path: l.path}
+	}
+	for _, c := range commands {
+		if c.sub == l.sub {
+			return c.run(ctx)
+		}
+	}
+	return &UsageError{Problem: "a subcommand is missing", Path: l.path}
+}
+
+// parser returns a parser and all commands that run.
+func (a *App) parser() (*flaggy.Parser, []command) {
+	p := flaggy.NewParser(name)
+	p.Description = "routes requests for organisations that buy token budgets in advance"
+	p.AdditionalHelpAppend = examples("check --config settings.toml", "help publish")
+	p.ShowHelpOnUnexpected = false
+	p.ShowHelpWithHFlag = false
+	p.ShowVersionWithVersionFlag = false
+	p.ShowCompletion = false
+	var help, version bool // readLine looks at them
+	p.Bool(&help, "h", helpFlag, "Show this help.")
+	p.Bool(&version, "", versionFlag, "Show the version.")
+	all := a.commands()
+	for _, c := range all {
+		p.AttachSubcommand(c.sub, 1)
+	}
+	for group, commands := range a.groups() {
+		sub := newSub(group, "run a stand-in for tests and load runs", group+" "+commands[0].sub.Name)
+		p.AttachSubcommand(sub, 1)
+		for _, c := range commands {
+			sub.AttachSubcommand(c.sub, 1)
+		}
+		all = append(all, commands...)
+	}
+	return p, all
+}
+
+// newSub returns a subcommand with examples, which stand without the program's name.
+func newSub(sub, description string, lines ...string) *flaggy.Subcommand {
+	s := flaggy.NewSubcommand(sub)
+	s.Description = description
+	s.AdditionalHelpAppend = examples(lines...)
+	return s
+}
+
+// examples returns the examples of a help text.
+func examples(lines ...string) string {
+	text := "  Examples:"
+	for _, line := range lines {
+		text += "\n    " + name + " " + line
+	}
+	return text
+}
+
+// help writes the help of the subcommand that the line names.
+func (a *App) help(p *flaggy.Parser, l line) error {
+	for _, v := range l.sub.PositionalFlags {
+		v.Found = true // or the parser ends the process
+	}
+	if err := p.ParseArgs(l.path); err != nil {
+		return err
+	}
+	var h flaggy.Help
+	h.ExtractValues(p, "")
+	return p.HelpTemplate.Execute(a.Stdout, h)
+}
+
+// version returns the version that the build recorded.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok || info.Main.Version == "" {
+		return "(devel)"
+	}
+	return info.Main.Version
+}
--- /dev/null
+++ b/cmd/root_test.go
@@ -0,0 +1,62 @@
+package cmd_test
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// subcommands returns the subcommands, as the help lists them.
+func subcommands() []string {
+	return []string{
+		"", "check", "publish", "set", "remove", "templates", "topup", "budgets", "usage", "targets", "instances",
+		"report", "fake", "fake platform", "fake engine", "fake service",
+	}
+}
+
+func TestHelpAndVersion(t *testing.T) {
+	for _, sub := range subcommands() {
+		t.Run("cranberryrail "+sub, func(t *testing.T) {
+			args := strings.Fields(sub)
+			help := run(t, append(args, "--help")...)
+			assertDone(t, help, "Examples:\n    cranberryrail "+sub)
+			assert.Equal(t, run(t, append([]string{"help"}, args...)...), help)
+			assertDone(t, run(t, append(args, "--version")...), "cranberryrail ")
+			assertFailed(t, run(t, append(args, "--colour")...), 2, "unknown flag --colour")
+		})
+	}
+	t.Run("the key is not shown", func(t *testing.T) {
+		assert.Assert(t, !strings.Contains(run(t, "budgets", "--help").out, operatorKey))
+	})
+}
+
+func TestUsageErrors(t *testing.T) {
+	for args, text := range map[string]string{
+		"":                              "a subcommand is missing",
+		"fake":                          "a subcommand is missing",
+		"sow":                           `unknown subcommand "sow"`,
+		"fake sow":                      `unknown subcommand "sow"`,
+		"check":                         "--config is missing",
+		"publish":                       "FILE is missing",
+		"set a priority":                "VALUE is missing",
+		"budgets a b":                   `unexpected argument "b"`,
+		"budgets --instance":            "--instance needs a value",
+		"publish f --based-on x":        "wrong kind",
+		"topup a -5":                    "unknown flag -5",
+		"topup a 1.5":                   "no positive whole number",
+		"fake engine --model draft":     "name:version",
+		"usage a --budget=main --json1": "unknown flag --json1; see cranberryrail help usage",
+	} {
+		t.Run(args, func(t *testing.T) { assertFailed(t, run(t, strings.Fields(args)...), 2, text) })
+	}
+}
+
+func TestCheck(t *testing.T) {
+	good := "[instance]\nid = \"i-1\"\nzone = \"a\"\n[operator]\nkey_sha256 = \"" + strings.Repeat("0", 64) +
+		"\"\n[platform]\nlog_url = \"http://127.0.0.1:1\"\nlist_url = \"http://127.0.0.1:1\"\n"
+	assertDone(t, run(t, "check", "--config", write(t, good)), "in order")
+	bad := run(t, "check", "--config="+write(t, good+"colour = 1\n[ledger]\nshards = 0\n"))
+	assertFailed(t, bad, 1, "platform.colour", "ledger.shards: 0 is not allowed", "2 faults")
+	assertFailed(t, run(t, "check", "--config", "missing.toml"), 1, "missing.toml")
+}
--- /dev/null
+++ b/cmd/targets.go
@@ -0,0 +1,21 @@
+package cmd
+
+import (
+	"context"
+	"net/http"
+)
+
+func (a *App) targets() command {
+	sub := newSub("targets", "list the targets as the instance sees them", "targets")
+	c := a.newClient(sub)
+	return command{sub, func(ctx context.Context) error {
+		var all []map[string]any
+		if err := c.call(ctx, http.MethodGet, "/v1/targets", nil, &all); err != nil {
+			return err
+		}
+		if c.json {
+			return a.printJSON(all)
+		}
+		return a.printObjects(all)
+	}}
+}
--- /dev/null
+++ b/cmd/usage.go
@@ -0,0 +1,84 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+
+	"cranberryrail/core/conf"
+	"cranberryrail/core/ledger"
+	"cranberryrail/io/oper"
+)
+
+// MismatchError tells that bills and what was spent do not agree.
+type MismatchError struct {
+	Budget        string
+	Billed, Spent int64
+}
+
+// Error implements the error interface.
+func (e *MismatchError) Error() string {
+	return fmt.Sprintf("%s: %d tokens are billed and %d spent, which differ by %d; requests settled between the two counts can be the reason: ask again, and report it when it stays",
+		e.Budget, e.Billed, e.Spent, e.Billed-e.Spent)
+}
+
+func (a *App) usage() command {
+	var organisation string
+	budget := conf.MainBudget
+	sub := newSub("usage", "list the bills of a budget and hold them against what was spent",
+		"usage ndukwe", "usage ndukwe --budget claims --json")
+	sub.AddPositionalValue(&organisation, "ORG", 1, true, "Organisation.")
+	sub.String(&budget, "b", "budget", "Budget.")
+	c := a.newClient(sub)
+	return command{sub, func(ctx context.Context) error {
+		var u oper.Usage
+		query := url.Values{"budget": {ledger.BudgetKey(organisation, budget)}}
+		if err := c.call(ctx, http.MethodGet, "/v1/usage?"+query.Encode(), nil, &u); err != nil {
+			return err
+		}
+		if c.json {
+			if err := a.printJSON(u); err != nil {
+				return err
+			}
+		} else if err := a.printBills(u); err != nil {
+			return err
+		}
+		return reconcile(u)
+	}}
+}
+
+func billed(u oper.Usage) int64 {
+	sum := u.Earlier
+	for _, b := range u.Bills {
+		sum += b.Tokens
+	}
+	return sum
+}
+
+// printBills prints the bills and, where the balance is known, whether they agree.
+func (a *App) printBills(u oper.Usage) error {
+	rows := make([][]any, 0, len(u.Bills))
+	for _, b := range u.Bills {
+		rows = append(rows, []any{b.Request, b.Tokens})
+	}
+	rows = append(rows, []any{"(earlier)", u.Earlier}, []any{"(sum)", billed(u)})
+	if err := a.printTable([]string{"request", "tokens"}, rows); err != nil {
+		return err
+	}
+	switch {
+	case u.Balance == nil:
+		a.printf("%s: the instance does not tell what was spent\n", u.Budget)
+	case u.Balance.Spent == billed(u):
+		a.printf("%s: bills and spent agree to the token: %d\n", u.Budget, u.Balance.Spent)
+	}
+	return nil
+}
+
+// reconcile returns a *MismatchError when bills and what was spent differ.
+func reconcile(u oper.Usage) error {
+	if u.Balance == nil || u.Balance.Spent == billed(u) {
+		return nil
+	}
+	return &MismatchError{Budget: u.Budget, Billed: billed(u), Spent: u.Balance.Spent}
+}
--- a/core/codes/table.go
+++ b/core/codes/table.go
@@ -31,6 +31,7 @@
 	ClaimUnavailable = Code{4004, "claim_unavailable", http.StatusServiceUnavailable, "The claim could not be recorded in the platform's log."}
 	KeyMissing       = Code{4005, "idempotency_key_missing", http.StatusBadRequest, "The call needs an idempotency key."}
 	ClaimVoided      = Code{4006, "claim_voided", http.StatusConflict, "The claim was voided before dispatch; use a new idempotency key."}
+	AnswerNotKept    = Code{4007, "answer_not_kept", http.StatusGone, "The call ran once, but its answer is no longer kept."}
 	Internal         = Code{5001, "internal", http.StatusInternalServerError, "An unexpected failure inside the instance."}
 	Stopping         = Code{5002, "stopping", http.StatusServiceUnavailable, "The instance is stopping and takes no new requests."}
 	NotReady         = Code{5003, "not_ready", http.StatusServiceUnavailable, "The instance has not yet read the configuration."}
@@ -49,7 +50,7 @@
 		BodyTimeout, RequestIDReused, RequestIDActive,
 		BudgetExhausted, BudgetUnknown, BudgetElsewhere, LedgerStale,
 		NoTarget, Overloaded, TargetFailed, TargetSilent, AnswerCut,
-		OutcomeUnknown, KeyReused, ClaimLost, ClaimUnavailable, KeyMissing, ClaimVoided,
+		OutcomeUnknown, KeyReused, ClaimLost, ClaimUnavailable, KeyMissing, ClaimVoided, AnswerNotKept,
 		Internal, Stopping, NotReady, LogUnavailable,
 		VersionConflict, BadTemplate, BadOperatorKey, TopUpReused, AcceptTimeout,
 	}
--- /dev/null
+++ b/core/conf/fold.go
@@ -0,0 +1,358 @@
+package conf
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"cranberryrail/core/codes"
+	"cranberryrail/core/tail"
+)
+
+// Kinds of items in the configuration stream.
+const (
+	// KindPublish carries a Publish with a template.
+	KindPublish = "conf_publish"
+	// KindRemove carries a Publish without a body; it removes the organisation.
+	KindRemove = "conf_remove"
+)
+
+// Format numbers. A build that accepts other templates than the one before it, be it by
+// a new key or another range, counts PublishFormat up, so that no two builds that fold
+// the same record decide differently.
+const (
+	// PublishFormat is the format of items.
+	PublishFormat = 1
+	// SaveFormat is the format of a saved fold.
+	SaveFormat = 1
+)
+
+// OutcomeLimit is the number of recent changes whose outcome is kept for retries.
+const OutcomeLimit = 1024
+
+// Publish asks for a change of one organisation's template.
+type Publish struct {
+	_ struct{} `cbor:",toarray"`
+	// Format is set by Item and RemoveItem.
+	Format int
+	// ID is the same in every retry of one change.
+	ID           string
+	Organisation string
+	// BasedOn is the version that the change was made from; 0 for a new organisation.
+	BasedOn int64
+	// Body is the template in TOML.
+	Body []byte
+	// By names the operator.
+	By string
+}
+
+// Item returns the item that publishes the template.
+func (p Publish) Item() tail.Item {
+	p.Format = PublishFormat
+	return tail.NewItem(KindPublish, p)
+}
+
+// RemoveItem returns the item that removes the organisation.
+func (p Publish) RemoveItem() tail.Item {
+	p.Format, p.Body = PublishFormat, nil
+	return tail.NewItem(KindRemove, p)
+}
+
+// Outcome is the decision on one change.
+type Outcome struct {
+	_            struct{} `cbor:",toarray"`
+	ID           string   `json:"id"`
+	Organisation string   `json:"organisation"`
+	// Code is the number of a result code, or 0 when the change was accepted.
+	Code int `json:"code"`
+	// Version is the version that the change got, or the current one if it was refused.
+	Version int64 `json:"version"`
+	// Detail says why the change was refused and how to mend it.
+	Detail string `json:"detail,omitempty"`
+	// Digest is the SHA-256 of the item, to tell a retry from another change with its id.
+	Digest []byte `json:"-"`
+}
+
+// Accepted reports whether the change was accepted.
+func (o Outcome) Accepted() bool { return o.Code == 0 }
+
+// Err returns a refusal as a *codes.Error, and nil for an accepted change.
+func (o Outcome) Err() error {
+	for _, c := range codes.All() {
+		if c.Number == o.Code {
+			return codes.Refuse(c, 0, "organisation %s is at version %d: %s", o.Organisation, o.Version, o.Detail)
+		}
+	}
+	return nil
+}
+
+// Published is a template that is in force.
+type Published struct {
+	Template Template `json:"template"`
+	// Version is the version of the template.
+	Version int64 `json:"version"`
+	// PublishID is the id of the change that was accepted.
+	PublishID string `json:"publish_id"`
+}
+
+// Fold is the state of the configuration stream. The zero value is the state before the
+// first record. It is not safe for concurrent use.
+type Fold struct {
+	// Version is the version of the last accepted change, or 0.
+	Version int64
+
+	entries  map[string]entry
+	outcomes []Outcome
+	// templates and keys are computed from entries.
+	templates map[string]Template
+	keys      map[string]string
+}
+
+// entry is the saved state of one organisation. That of a removed one stays without a
+// body, so that its versions only grow and a late change can't bring it back.
+type entry struct {
+	_         struct{} `cbor:",toarray"`
+	Version   int64
+	PublishID string
+	Body      []byte
+}
+
+// saved is the encoding of a fold.
+type saved struct {
+	_        struct{} `cbor:",toarray"`
+	Format   int
+	Version  int64
+	Entries  map[string]entry
+	Outcomes []Outcome
+}
+
+// FormatError tells that an item or a saved fold has a format that this build can't read.
+type FormatError struct {
+	What   string
+	Format int
+}
+
+// Error implements the error interface.
+func (e *FormatError) Error() string {
+	return fmt.Sprintf("%s has format %d, which is not known to this build; upgrade the instance", e.What, e.Format)
+}
+
+// StaleError tells that a saved fold is older than the one it was to replace.
+type StaleError struct {
+	Have  int64
+	Saved int64
+}
+
+// Error implements the error interface.
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("saved configuration of version %d ignored: version %d is in force", e.Saved, e.Have)
+}
+
+// change is a decoded item.
+type change struct {
+	Publish
+	remove bool
+	digest []byte
+}
+
+// Default makes the empty state.
+func (f *Fold) Default() {
+	if f.entries == nil {
+		f.entries, f.templates, f.keys = map[string]entry{}, map[string]Template{}, map[string]string{}
+	}
+}
+
+// Apply folds the items of the record at the offset and returns the outcome of each
+// change. Items of an unknown kind are skipped. After an error the state is unchanged.
+func (f *Fold) Apply(offset int64, _ string, items []tail.Item) ([]Outcome, error) {
+	f.Default()
+	changes, err := decodeChanges(items)
+	if err != nil {
+		return nil, fmt.Errorf("fold configuration record at offset %d: %w", offset, err)
+	}
+	outcomes := make([]Outcome, 0, len(changes))
+	for _, c := range changes {
+		outcomes = append(outcomes, f.fold(offset+1, c))
+	}
+	return outcomes, nil
+}
+
+func decodeChanges(items []tail.Item) ([]change, error) {
+	changes := make([]change, 0, len(items))
+	for _, item := range items {
+		if item.Kind != KindPublish && item.Kind != KindRemove {
+			continue
+		}
+		digest := sha256.Sum256(append([]byte(item.Kind), item.Body...))
+		c := change{remove: item.Kind == KindRemove, digest: digest[:]}
+		if err := decode(item.Kind, PublishFormat, item.Body, &c.Publish); err != nil {
+			return nil, err
+		}
+		changes = append(changes, c)
+	}
+	return changes, nil
+}
+
+// decode reads an array into v. Its first element is the format, which is read before the
+// others because they depend on it.
+func decode(what string, format int, data []byte, v any) error {
+	var parts []cbor.RawMessage
+	if err := tail.Decode(data, &parts); err != nil {
+		return err
+	}
+	got := 0
+	if len(parts) > 0 {
+		if err := tail.Decode(parts[0], &got); err != nil {
+			return err
+		}
+	}
+	if got != format {
+		return &FormatError{What: what, Format: got}
+	}
+	return tail.Decode(data, v)
+}
+
+// fold decides one change, or returns the earlier decision on it.
+func (f *Fold) fold(version int64, c change) Outcome {
+	i := slices.IndexFunc(f.outcomes, func(o Outcome) bool { return o.ID == c.ID })
+	switch {
+	case i < 0:
+		o := f.decide(version, c)
+		f.outcomes = append(f.outcomes, o)
+		f.outcomes = f.outcomes[max(0, len(f.outcomes)-OutcomeLimit):]
+		return o
+	case bytes.Equal(f.outcomes[i].Digest, c.digest):
+		return f.outcomes[i]
+	default:
+		return f.refuse(c, codes.VersionConflict, "the id was used before for another change; use a new one")
+	}
+}
+
+// decide accepts or refuses a change that was not seen before.
+func (f *Fold) decide(version int64, c change) Outcome {
+	old := f.entries[c.Organisation]
+	// A version of this very record can't have been known to the operator.
+	if c.BasedOn != old.Version || old.Version >= version {
+		return f.refuse(c, codes.VersionConflict, fmt.Sprintf("the change is based on version %d; read the current template and repeat it", c.BasedOn))
+	}
+	next := entry{Version: version, PublishID: c.ID}
+	var t Template
+	if c.remove {
+		if old.Body == nil {
+			return f.refuse(c, codes.BadTemplate, "there is no such organisation to remove")
+		}
+	} else {
+		var problem string
+		if t, problem = f.readTemplate(c); problem != "" {
+			return f.refuse(c, codes.BadTemplate, problem)
+		}
+		next.Body = c.Body
+	}
+	f.entries[c.Organisation] = next
+	f.Version = version
+	f.index(c.Organisation, t, !c.remove)
+	return Outcome{ID: c.ID, Organisation: c.Organisation, Version: version, Digest: c.digest}
+}
+
+func (f *Fold) refuse(c change, code codes.Code, detail string) Outcome {
+	return Outcome{
+		ID: c.ID, Organisation: c.Organisation, Code: code.Number,
+		Version: f.Current(c.Organisation), Detail: detail, Digest: c.digest,
+	}
+}
+
+// readTemplate returns the template of a change, or what is wrong with it.
+func (f *Fold) readTemplate(c change) (Template, string) {
+	t, err := Parse(c.Body)
+	if err != nil {
+		return Template{}, err.Error()
+	}
+	if t.Organisation != c.Organisation {
+		return Template{}, fmt.Sprintf("organisation: the template is that of %q", t.Organisation)
+	}
+	for i, key := range t.KeysSHA256 {
+		if owner, taken := f.keys[key]; taken && owner != c.Organisation {
+			return Template{}, fmt.Sprintf("keys_sha256[%d]: the key belongs to another organisation; use a new key", i)
+		}
+	}
+	return t, ""
+}
+
+// index replaces what is computed from the entry of an organisation.
+func (f *Fold) index(organisation string, t Template, present bool) {
+	for _, key := range f.templates[organisation].KeysSHA256 {
+		delete(f.keys, key)
+	}
+	delete(f.templates, organisation)
+	if !present {
+		return
+	}
+	f.templates[organisation] = t
+	for _, key := range t.KeysSHA256 {
+		f.keys[key] = organisation
+	}
+}
+
+// Current returns the version of an organisation that a change has to be based on. It is
+// 0 for one that never was; a removed one keeps the version of its removal.
+func (f *Fold) Current(organisation string) int64 { return f.entries[organisation].Version }
+
+// Organisation returns the template of an organisation.
+func (f *Fold) Organisation(name string) (Published, bool) {
+	t, ok := f.templates[name]
+	e := f.entries[name]
+	return Published{Template: t, Version: e.Version, PublishID: e.PublishID}, ok
+}
+
+// ByKey returns the template of the organisation that has a key with this hex SHA-256.
+func (f *Fold) ByKey(keySHA256 string) (Template, bool) {
+	t, ok := f.templates[f.keys[keySHA256]]
+	return t, ok
+}
+
+// All returns the templates in force, sorted by organisation.
+func (f *Fold) All() []Published {
+	all := make([]Published, 0, len(f.templates))
+	for _, name := range slices.Sorted(maps.Keys(f.templates)) {
+		p, _ := f.Organisation(name)
+		all = append(all, p)
+	}
+	return all
+}
+
+// Save returns the state; equal states have equal bytes.
+func (f *Fold) Save() ([]byte, error) {
+	f.Default()
+	return tail.Encode(saved{Format: SaveFormat, Version: f.Version, Entries: f.entries, Outcomes: f.outcomes})
+}
+
+// Load replaces the state by a saved one. It returns a *StaleError when the saved one has
+// a lower version. After an error the state is unchanged.
+func (f *Fold) Load(data []byte) error {
+	var s saved
+	if err := decode("saved configuration", SaveFormat, data, &s); err != nil {
+		return fmt.Errorf("load configuration: %w", err)
+	}
+	if s.Version < f.Version {
+		return &StaleError{Have: f.Version, Saved: s.Version}
+	}
+	next := Fold{Version: s.Version, outcomes: s.Outcomes}
+	next.Default()
+	for name, e := range s.Entries {
+		next.entries[name] = e
+		if e.Body == nil {
+			continue
+		}
+		t, err := Parse(e.Body)
+		if err != nil {
+			return fmt.Errorf("load configuration of %s: %w", name, err)
+		}
+		next.index(name, t, true)
+	}
+	*f = next
+	return nil
+}
--- /dev/null
+++ b/core/conf/fold_test.go
@@ -0,0 +1,196 @@
+package conf_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"reflect"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"cranberryrail/core/codes"
+	"cranberryrail/core/conf"
+	"cranberryrail/core/tail"
+)
+
+func publish(id, organisation string, basedOn int64, body string) conf.Publish {
+	return conf.Publish{
+		ID: id, Organisation: organisation, BasedOn: basedOn, By: "op",
+		Body: fmt.Appendf(nil, "organisation = %q\n%s", organisation, body),
+	}
+}
+
+// apply folds one item and returns its outcome.
+func apply(t testing.TB, f *conf.Fold, offset int64, item tail.Item) conf.Outcome {
+	t.Helper()
+	outcomes, err := f.Apply(offset, "inc", []tail.Item{item})
+	assert.NilError(t, err)
+	assert.Equal(t, len(outcomes), 1)
+	return outcomes[0]
+}
+
+func assertRefused(t *testing.T, o conf.Outcome, code codes.Code, current int64) {
+	t.Helper()
+	var e *codes.Error
+	assert.Assert(t, errors.As(o.Err(), &e), "accepted")
+	assert.Equal(t, e.Code, code)
+	assert.Equal(t, o.Version, current)
+}
+
+func save(t rapid.TB, f *conf.Fold) []byte {
+	t.Helper()
+	data, err := f.Save()
+	assert.NilError(t, err)
+	return data
+}
+
+func TestRacingOperators(t *testing.T) {
+	var f conf.Fold
+	first := apply(t, &f, 0, publish("p1", "a", 0, "").Item())
+	assert.NilError(t, first.Err())
+	assert.Equal(t, first.Version, int64(1))
+	outcomes, err := f.Apply(1, "inc", []tail.Item{
+		publish("p2", "a", 1, "priority = 2").Item(), publish("p3", "a", 1, "priority = 3").Item(),
+		publish("p4", "a", 2, "priority = 4").Item(),
+	})
+	assert.NilError(t, err)
+	assert.NilError(t, outcomes[0].Err())
+	assertRefused(t, outcomes[1], codes.VersionConflict, 2)
+	assertRefused(t, outcomes[2], codes.VersionConflict, 2)
+	got, _ := f.Organisation("a")
+	assert.Equal(t, got.Template.Priority, 2)
+	assert.Equal(t, got.PublishID, "p2")
+}
+
+func TestLostReplyRetried(t *testing.T) {
+	var f conf.Fold
+	item := publish("p1", "a", 0, "").Item()
+	first := apply(t, &f, 0, item)
+	apply(t, &f, 1, publish("p2", "a", 1, "priority = 9").Item())
+	assert.DeepEqual(t, apply(t, &f, 2, item), first)
+	got, _ := f.Organisation("a")
+	assert.Equal(t, got.Template.Priority, 9)
+	t.Run("another change with its id is refused", func(t *testing.T) {
+		assertRefused(t, apply(t, &f, 3, publish("p1", "a", 2, "priority = 1").Item()), codes.VersionConflict, 2)
+	})
+}
+
+func TestStaleSnapshotIgnored(t *testing.T) {
+	var f conf.Fold
+	apply(t, &f, 0, publish("p1", "a", 0, "").Item())
+	old := save(t, &f)
+	apply(t, &f, 1, publish("p2", "a", 1, "priority = 9").Item())
+	before := save(t, &f)
+	var stale *conf.StaleError
+	assert.Assert(t, errors.As(f.Load(old), &stale))
+	assert.Equal(t, *stale, conf.StaleError{Have: 2, Saved: 1})
+	assert.DeepEqual(t, save(t, &f), before)
+}
+
+func TestKeys(t *testing.T) {
+	var f conf.Fold
+	key := fmt.Sprintf("%064d", 7)
+	body := fmt.Sprintf("keys_sha256 = [%q]", key)
+	apply(t, &f, 0, publish("p1", "a", 0, body).Item())
+	assertRefused(t, apply(t, &f, 1, publish("p2", "b", 0, body).Item()), codes.BadTemplate, 0)
+	owner, ok := f.ByKey(key)
+	assert.Assert(t, ok && owner.Organisation == "a")
+	assert.NilError(t, apply(t, &f, 2, publish("p3", "a", 1, "").Item()).Err())
+	_, ok = f.ByKey(key)
+	assert.Assert(t, !ok)
+	assert.NilError(t, apply(t, &f, 3, publish("p4", "b", 0, body).Item()).Err())
+	assert.Equal(t, len(f.All()), 2)
+}
+
+func TestRemove(t *testing.T) {
+	var f conf.Fold
+	assertRefused(t, apply(t, &f, 0, publish("r0", "a", 0, "").RemoveItem()), codes.BadTemplate, 0)
+	apply(t, &f, 1, publish("p1", "a", 0, "").Item())
+	assert.NilError(t, apply(t, &f, 2, publish("r1", "a", 2, "").RemoveItem()).Err())
+	_, ok := f.Organisation("a")
+	assert.Assert(t, !ok)
+	assertRefused(t, apply(t, &f, 3, publish("late", "a", 0, "").Item()), codes.VersionConflict, 3)
+	assert.NilError(t, apply(t, &f, 4, publish("p2", "a", f.Current("a"), "").Item()).Err())
+}
+
+func TestBadItems(t *testing.T) {
+	good := publish("p1", "a", 0, "").Item()
+	t.Run("a body that is not a template is refused", func(t *testing.T) {
+		o := apply(t, &conf.Fold{}, 0, publish("p1", "a", 0, "priority = 12").Item())
+		assertRefused(t, o, codes.BadTemplate, 0)
+		assert.ErrorContains(t, o.Err(), "priority: 12")
+	})
+	t.Run("a template of another organisation is refused", func(t *testing.T) {
+		p := publish("p1", "a", 0, "")
+		p.Organisation = "b"
+		assertRefused(t, apply(t, &conf.Fold{}, 0, p.Item()), codes.BadTemplate, 0)
+	})
+	t.Run("an unknown kind is skipped", func(t *testing.T) {
+		outcomes, err := (&conf.Fold{}).Apply(0, "inc", []tail.Item{tail.NewItem("other", 1), good})
+		assert.NilError(t, err)
+		assert.Equal(t, len(outcomes), 1)
+	})
+	t.Run("an unknown format stops the fold and changes nothing", func(t *testing.T) {
+		var f conf.Fold
+		_, err := f.Apply(0, "inc", []tail.Item{good, tail.NewItem(conf.KindPublish, []any{9, "a field of a newer build"})})
+		var format *conf.FormatError
+		assert.Assert(t, errors.As(err, &format))
+		assert.DeepEqual(t, save(t, &f), save(t, &conf.Fold{}))
+	})
+	t.Run("an undecodable body is an error", func(t *testing.T) {
+		_, err := (&conf.Fold{}).Apply(4, "inc", []tail.Item{tail.NewItem(conf.KindRemove, "x")})
+		assert.ErrorContains(t, err, "offset 4")
+	})
+}
+
+func TestOutcomesAreBounded(t *testing.T) {
+	var f conf.Fold
+	first := publish("first", "a", 0, "").Item()
+	apply(t, &f, 0, first)
+	for i := range int64(conf.OutcomeLimit) {
+		apply(t, &f, i+1, publish(fmt.Sprint(i), "a", 0, "").Item())
+	}
+	size := len(save(t, &f))
+	assertRefused(t, apply(t, &f, conf.OutcomeLimit+1, first), codes.VersionConflict, 1)
+	apply(t, &f, conf.OutcomeLimit+2, publish("0123", "a", 0, "").Item())
+	assert.Assert(t, len(save(t, &f)) < size+100)
+}
+
+// drawItem draws a change that is often based on the current version.
+func drawItem(t *rapid.T, f *conf.Fold) tail.Item {
+	org := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "organisation")
+	basedOn := f.Current(org) - int64(rapid.IntRange(0, 1).Draw(t, "behind"))
+	body := fmt.Sprintf("priority = %d\nkeys_sha256 = [\"%064d\"]", rapid.IntRange(0, 11).Draw(t, "priority"), rapid.IntRange(0, 3).Draw(t, "key"))
+	p := publish(fmt.Sprint(rapid.IntRange(0, 60).Draw(t, "id")), org, basedOn, body)
+	if rapid.IntRange(0, 5).Draw(t, "remove") == 0 {
+		return p.RemoveItem()
+	}
+	return p.Item()
+}
+
+func TestSamePrefixSameState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var whole, resumed conf.Fold
+		cut := rapid.IntRange(0, 20).Draw(t, "cut")
+		for offset := range 20 {
+			if offset == cut {
+				resumed = conf.Fold{}
+				assert.NilError(t, resumed.Load(save(t, &whole)))
+			}
+			before, version := whole.All(), whole.Version
+			items := []tail.Item{drawItem(t, &whole), drawItem(t, &whole)}
+			for _, f := range []*conf.Fold{&whole, &resumed} {
+				_, err := f.Apply(int64(offset), "inc", items)
+				assert.NilError(t, err)
+			}
+			assert.Assert(t, whole.Version >= version)
+			for _, p := range before {
+				assert.Assert(t, whole.Current(p.Template.Organisation) >= p.Version)
+			}
+			assert.Assert(t, bytes.Equal(save(t, &whole), save(t, &resumed)))
+			assert.Assert(t, reflect.DeepEqual(whole.All(), resumed.All()))
+		}
+	})
+}
--- /dev/null
+++ b/core/events/events.go
@@ -0,0 +1,46 @@
+// Package events defines the numbered events of the log. The table in
+// docs/EVENTS.md is held to this package by a test.
+package events
+
+import (
+	"fmt"
+
+	"github.com/rs/zerolog"
+)
+
+// Level is the level at which an event is logged.
+type Level string
+
+// Levels of events.
+const (
+	Debug Level = "debug"
+	Info  Level = "info"
+	Warn  Level = "warn"
+	Error Level = "error"
+)
+
+// Event is one kind of log line.
+type Event struct {
+	// Number is stable across releases; its thousands group events by subject.
+	Number int
+	// Name is the snake case name of the event.
+	Name string
+	// Level is the level at which the event is logged.
+	Level Level
+	// Text says in one sentence what happened.
+	Text string
+}
+
+// String returns the number and the name of the event.
+func (e Event) String() string { return fmt.Sprintf("%d %s", e.Number, e.Name) }
+
+// Log starts a log line with the number, name and text of the event. The caller adds
+// fields and ends it with Send.
+func Log(l zerolog.Logger, e Event) *zerolog.Event {
+	level, err := zerolog.ParseLevel(string(e.Level))
+	if err != nil {
+		level = zerolog.ErrorLevel
+	}
+	line := l.WithLevel(level) //nolint:zerologlint // the caller sends the line
+	return line.Int("event", e.Number).Str("name", e.Name).Str(zerolog.MessageFieldName, e.Text)
+}
--- /dev/null
+++ b/core/ledger/book.go
@@ -0,0 +1,681 @@
+package ledger
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"cranberryrail/core/codes"
+	"cranberryrail/core/tail"
+)
+
+// Times of the book.
+const (
+	// IdleReturn is the time without use after which an allowance above its target is given back.
+	IdleReturn = 30 * time.Second
+	// RetryLogDown is when to come back to a budget whose rest can't be drawn now.
+	RetryLogDown = 2 * time.Second
+	// RetryHeld is when to come back to a budget whose rest is held for requests in flight.
+	RetryHeld = time.Second
+)
+
+// Need is what one request needs of a budget before it is dispatched.
+type Need struct {
+	// Budget is the key of the budget.
+	Budget string
+	// Request and Digest identify the request for billing.
+	Request string
+	Digest  uint64
+	// Tokens is the most that the request may use; Least is the fewest that are of use to it.
+	Tokens, Least int64
+}
+
+// Grant is what a request may use. It is settled or freed exactly once.
+type Grant struct {
+	Need
+	// ID identifies the grant within the book.
+	ID int64
+	// From tells whose holdings cover the grant.
+	From []Part
+}
+
+// Covers returns the tokens that the request may use.
+func (g Grant) Covers() int64 {
+	var sum int64
+	for _, p := range g.From {
+		sum += p.Tokens
+	}
+	return sum
+}
+
+// Answer is the decision on a need: a grant, or the refusal.
+type Answer struct {
+	ID      int64
+	Grant   Grant
+	Refused *codes.Error
+}
+
+// Loan is a request to peers for a part of their allowance.
+type Loan struct {
+	Budget        string
+	Tokens, Least int64
+	// Holders are incarnations that hold tokens of the budget, the largest first.
+	Holders []string
+}
+
+// account is the local state of one budget.
+type account struct {
+	// lent is the part of the own holding that peers may spend.
+	lent int64
+	// reserved is the part of the own holding that grants cover.
+	reserved int64
+	// settling is the part of the own holding that charges and returns not yet read back cover.
+	settling int64
+	// loans are tokens of other holders that this instance may spend.
+	loans map[string]int64
+	// drawing is when the outstanding draw was sent; zero when there is none.
+	drawing time.Time
+	// borrowing is whether peers are being asked.
+	borrowing bool
+	waiting   []wait
+	use       meter
+	lastUse   time.Time
+}
+
+// wait is a need that waits for tokens.
+type wait struct {
+	id       int64
+	need     Need
+	deadline time.Time
+	// drawn and asked tell what was tried for this need.
+	drawn, asked bool
+}
+
+// sentItem is an item that was sent and not yet read back.
+type sentItem struct {
+	kind   string
+	budget string
+	from   []Part
+}
+
+// Book is the instance's side of a ledger stream: what its incarnation may spend,
+// what is reserved for requests in flight, and how much to draw, lend and return.
+// It is not safe for concurrent use. Exported fields are set before the first call.
+type Book struct {
+	// Inc is the incarnation of this process.
+	Inc string
+	// Fold is the folded stream.
+	Fold *Fold
+	// Now returns the time; it only ever steers, no promise depends on it.
+	Now func() time.Time
+	// Send writes items to the stream.
+	Send func(items ...tail.Item)
+	// Borrow asks peers for a loan; the answer comes back through Borrowed. Optional.
+	Borrow func(l Loan)
+	// Decided is told of the decision on a need that had to wait.
+	Decided func(a Answer)
+	// Policy returns the policy of a budget.
+	Policy func(budget string) Policy
+	// Instances returns the number of live instances, a hint.
+	Instances func() int
+	// Wait is how long a need may wait for a draw or a loan.
+	Wait time.Duration
+
+	accounts map[string]*account
+	grants   map[int64]Grant
+	pending  []sentItem
+	done     uint64
+	nextID   int64
+	logDown  bool
+	stopping bool
+	closed   bool
+	ready    bool
+}
+
+// String names the book for logs.
+func (b *Book) String() string { return "book of " + b.Inc }
+
+// Default fills fields that were left empty.
+func (b *Book) Default() {
+	if b.Fold == nil {
+		b.Fold = New()
+	}
+	if b.Policy == nil {
+		b.Policy = func(string) Policy { return DefaultPolicy() }
+	}
+	if b.Instances == nil {
+		b.Instances = func() int { return 1 }
+	}
+	if b.Decided == nil {
+		b.Decided = func(Answer) {}
+	}
+	if b.Wait == 0 {
+		b.Wait = 400 * time.Millisecond
+	}
+	b.accounts = map[string]*account{}
+	b.grants = map[int64]Grant{}
+}
+
+// SetReady tells whether the folded state is usable.
+func (b *Book) SetReady(ready bool) { b.ready = ready }
+
+// SetLog tells whether the platform's log is in reach.
+func (b *Book) SetLog(reached bool) { b.logDown = !reached }
+
+func (b *Book) account(budget string) *account {
+	a := b.accounts[budget]
+	if a == nil {
+		a = &account{loans: map[string]int64{}}
+		b.accounts[budget] = a
+	}
+	return a
+}
+
+// own returns the tokens of the own holding that are not bound.
+func (b *Book) own(budget string, a *account) int64 {
+	folded := b.Fold.Budgets[budget]
+	if folded == nil {
+		return 0
+	}
+	return folded.HeldBy(b.Inc) - a.lent - a.reserved - a.settling
+}
+
+// Spendable returns the tokens of a budget that a request could be granted now.
+func (b *Book) Spendable(budget string) int64 {
+	a := b.account(budget)
+	return b.own(budget, a) + a.borrowed()
+}
+
+func (a *account) borrowed() int64 {
+	var sum int64
+	for _, tokens := range a.loans {
+		sum += tokens
+	}
+	return sum
+}
+
+// Reserve decides on a need. It returns false when the decision has to wait; it then
+// comes through Decided with the same id.
+func (b *Book) Reserve(n Need) (Answer, bool) {
+	b.nextID++
+	id := b.nextID
+	if refused := b.refuseAtOnce(n); refused != nil {
+		return Answer{ID: id, Refused: refused}, true
+	}
+	a := b.account(n.Budget)
+	a.lastUse = b.Now()
+	if len(a.waiting) == 0 {
+		if g, ok := b.grant(id, n, n.Tokens); ok {
+			b.refill(n.Budget, a)
+			return Answer{ID: id, Grant: g}, true
+		}
+	}
+	a.waiting = append(a.waiting, wait{id: id, need: n, deadline: b.Now().Add(b.Wait)})
+	if answer, decided := b.serve(n.Budget, a, id); decided {
+		return answer, true
+	}
+	return Answer{ID: id}, false
+}
+
+// refuseAtOnce returns the refusal of a need that no draw or loan can meet.
+func (b *Book) refuseAtOnce(n Need) *codes.Error {
+	folded := b.Fold.Budgets[n.Budget]
+	switch {
+	case !b.ready:
+		return codes.Refuse(codes.LedgerStale, RetryLogDown, "the ledger is still being read; try another instance")
+	case b.stopping:
+		return codes.Refuse(codes.Stopping, RetryHeld, "send the request again; another instance takes it")
+	case n.Tokens <= 0 || n.Least <= 0 || n.Least > n.Tokens:
+		return codes.Refuse(codes.BadRequest, 0, "a request needs at least one token, not %d of %d", n.Least, n.Tokens)
+	case folded == nil:
+		return codes.Refuse(codes.BudgetUnknown, 0, "budget %s was never topped up", n.Budget)
+	}
+	return nil
+}
+
+// grant reserves between need.Least and tokens from the own holding and from loans.
+func (b *Book) grant(id int64, n Need, least int64) (Grant, bool) {
+	a := b.account(n.Budget)
+	own := max(b.own(n.Budget, a), 0)
+	if own+a.borrowed() < least {
+		return Grant{}, false
+	}
+	g := Grant{Need: n, ID: id}
+	rest := n.Tokens
+	if take := min(own, rest); take > 0 {
+		a.reserved += take
+		rest -= take
+		g.From = append(g.From, Part{Holder: b.Inc, Tokens: take})
+	}
+	for _, holder := range sortedKeys(a.loans) {
+		take := min(a.loans[holder], rest)
+		if take <= 0 {
+			continue
+		}
+		a.loans[holder] -= take
+		rest -= take
+		g.From = append(g.From, Part{Holder: holder, Tokens: take})
+	}
+	b.grants[id] = g
+	return g, true
+}
+
+// serve grants what waits as far as tokens are there, and gets more for the rest. It
+// returns the answer for the need with the id own instead of telling Decided.
+func (b *Book) serve(budget string, a *account, own int64) (Answer, bool) {
+	var answer Answer
+	found := false
+	for len(a.waiting) > 0 {
+		decided, ok := b.decide(budget, a, &a.waiting[0])
+		if !ok {
+			break
+		}
+		a.waiting = slices.Delete(a.waiting, 0, 1)
+		if decided.ID == own {
+			answer, found = decided, true
+			continue
+		}
+		b.Decided(decided)
+	}
+	return answer, found
+}
+
+// decide returns the answer to the first need that waits, or gets tokens for it.
+func (b *Book) decide(budget string, a *account, w *wait) (Answer, bool) {
+	if g, ok := b.grant(w.id, w.need, w.need.Tokens); ok {
+		return Answer{ID: w.id, Grant: g}, true
+	}
+	late := b.Now().After(w.deadline)
+	if !late && b.getMore(budget, a, w) {
+		return Answer{}, false
+	}
+	if g, ok := b.grant(w.id, w.need, w.need.Least); ok {
+		return Answer{ID: w.id, Grant: g}, true
+	}
+	return Answer{ID: w.id, Refused: b.refusal(budget, w.need)}, true
+}
+
+// getMore draws or borrows for a need and reports whether there is something to wait for.
+func (b *Book) getMore(budget string, a *account, w *wait) bool {
+	missing := w.need.Tokens - b.Spendable(budget)
+	folded := b.Fold.Budgets[budget]
+	if !w.drawn && !b.logDown && folded.Free() > 0 {
+		if a.drawing.IsZero() {
+			w.drawn = true
+			b.draw(budget, a, max(missing, b.shortfall(budget, a)))
+		}
+		return true
+	}
+	if w.drawn && !a.drawing.IsZero() && !b.logDown {
+		return true
+	}
+	if a.borrowing {
+		return true
+	}
+	if w.asked || b.Borrow == nil {
+		return false
+	}
+	holders := b.lenders(budget)
+	if len(holders) == 0 {
+		return false
+	}
+	w.asked, a.borrowing = true, true
+	b.Borrow(Loan{Budget: budget, Tokens: missing, Least: max(w.need.Least-b.Spendable(budget), 1), Holders: holders})
+	return true
+}
+
+// lenders returns the other holders of a budget, the largest holding first.
+func (b *Book) lenders(budget string) []string {
+	holdings := slices.Clone(b.Fold.Budgets[budget].Holdings)
+	slices.SortStableFunc(holdings, func(x, y Holding) int { return int(min(max(y.Tokens-x.Tokens, -1), 1)) })
+	holders := make([]string, 0, len(holdings))
+	for _, h := range holdings {
+		if h.Inc != b.Inc {
+			holders = append(holders, h.Inc)
+		}
+	}
+	return holders
+}
+
+// refusal tells whether a need is refused for good or for now.
+func (b *Book) refusal(budget string, n Need) *codes.Error {
+	folded := b.Fold.Budgets[budget]
+	left := folded.Free() + folded.Held
+	switch {
+	case left < n.Least:
+		return codes.Refuse(codes.BudgetExhausted, 0, "%d tokens are left, the request may use %d; top up the budget", left, n.Tokens)
+	case b.logDown:
+		return codes.Refuse(codes.BudgetElsewhere, RetryLogDown, "%d tokens are left but the log is out of reach", left)
+	default:
+		return codes.Refuse(codes.BudgetElsewhere, RetryHeld, "%d tokens are left, held by other instances or requests in flight", left)
+	}
+}
+
+// Settle bills a granted request for the tokens it used and frees the rest.
+func (b *Book) Settle(id, used int64) {
+	g, ok := b.grants[id]
+	if !ok {
+		return
+	}
+	used = min(max(used, 0), g.Covers())
+	if used == 0 {
+		b.Free(id)
+		return
+	}
+	delete(b.grants, id)
+	a := b.account(g.Budget)
+	a.use.add(used, b.Now())
+	from := b.bind(a, g, used)
+	b.send(sentItem{kind: KindCharge, budget: g.Budget, from: from},
+		Charge{Budget: g.Budget, Request: g.Request, Digest: g.Digest, Tokens: used, From: from})
+	b.serve(g.Budget, a, 0)
+}
+
+// bind moves used tokens of a grant to what is being settled and frees the rest.
+func (b *Book) bind(a *account, g Grant, used int64) []Part {
+	var from []Part
+	for _, p := range g.From {
+		take := min(p.Tokens, used)
+		used -= take
+		if take > 0 {
+			from = append(from, Part{Holder: p.Holder, Tokens: take})
+		}
+		if p.Holder == b.Inc {
+			a.reserved -= p.Tokens
+			a.settling += take
+			continue
+		}
+		a.loans[p.Holder] += p.Tokens - take
+	}
+	return from
+}
+
+// Free gives back the tokens of a granted request that did not run.
+func (b *Book) Free(id int64) {
+	g, ok := b.grants[id]
+	if !ok {
+		return
+	}
+	delete(b.grants, id)
+	a := b.account(g.Budget)
+	b.bind(a, g, 0)
+	b.serve(g.Budget, a, 0)
+}
+
+// send writes an item and remembers it until it was read back. After Bye it does
+// nothing, because the stream takes nothing more from this incarnation.
+func (b *Book) send(item sentItem, body any) {
+	if b.closed {
+		return
+	}
+	b.pending = append(b.pending, item)
+	b.Send(tail.NewItem(item.kind, body))
+}
+
+// TopUp sends a top-up; its result comes with the batch that carries it.
+func (b *Book) TopUp(m TopUp) { b.send(sentItem{kind: KindTopUp, budget: m.Budget}, m) }
+
+// Apply folds one batch and takes note of what it means for this instance.
+func (b *Book) Apply(batch tail.Batch) ([]Result, error) {
+	results, err := b.Fold.Apply(batch.Inc, batch.Items)
+	if err != nil {
+		return nil, err
+	}
+	touched := map[string]bool{}
+	for _, r := range results {
+		if batch.Inc == b.Inc {
+			b.noteOwn(r)
+		} else {
+			b.noteOther(r)
+		}
+		touched[r.Budget] = true
+	}
+	for _, budget := range sortedKeys(touched) {
+		if a := b.accounts[budget]; a != nil {
+			b.serve(budget, a, 0)
+		}
+	}
+	return results, nil
+}
+
+// noteOther takes into account what a peer took from tokens that it was lent.
+func (b *Book) noteOther(r Result) {
+	a := b.accounts[r.Budget]
+	if a == nil {
+		return
+	}
+	for _, p := range r.Taken {
+		if p.Holder == b.Inc {
+			a.lent -= p.Tokens
+		}
+	}
+}
+
+// noteOwn takes the result of the oldest pending item into account.
+func (b *Book) noteOwn(r Result) {
+	item := b.pop()
+	for _, p := range r.Taken {
+		if p.Holder != b.Inc && item.kind == KindCharge {
+			b.account(item.budget).loans[p.Holder] -= p.Tokens
+		}
+	}
+}
+
+// pop removes the oldest pending item and unbinds what it had bound. What it took
+// from the own holding is already gone from the fold.
+func (b *Book) pop() sentItem {
+	item := b.pending[0]
+	b.pending = b.pending[1:]
+	b.done++
+	if item.kind == KindBye {
+		return item
+	}
+	a := b.account(item.budget)
+	if item.kind == KindDraw {
+		a.drawing = time.Time{}
+	}
+	for _, p := range item.from {
+		if p.Holder == b.Inc {
+			a.settling -= p.Tokens
+			continue
+		}
+		a.loans[p.Holder] += p.Tokens
+	}
+	return item
+}
+
+// Restore replaces the folded state by a later one. Own items that it contains are
+// taken as done; where their result is not known, the tokens count as spent.
+func (b *Book) Restore(state []byte) error {
+	if err := b.Fold.Load(state); err != nil {
+		return err
+	}
+	for b.done < b.Fold.Applied[b.Inc] && len(b.pending) > 0 {
+		item := b.pop()
+		for _, p := range item.from {
+			if p.Holder != b.Inc {
+				b.account(item.budget).loans[p.Holder] -= p.Tokens
+			}
+		}
+	}
+	for budget, a := range b.accounts {
+		b.capLent(budget, a)
+	}
+	return nil
+}
+
+// capLent lowers what counts as lent to what the holding has room for. Peers took the
+// difference in records that were never read.
+func (b *Book) capLent(budget string, a *account) {
+	var held int64
+	if folded := b.Fold.Budgets[budget]; folded != nil {
+		held = folded.HeldBy(b.Inc)
+	}
+	a.lent = min(a.lent, max(held-a.reserved-a.settling, 0))
+}
+
+// draw sends a draw of the tokens; the fold grants what the budget covers of it.
+func (b *Book) draw(budget string, a *account, tokens int64) {
+	tokens = min(tokens, b.Fold.Budgets[budget].Free())
+	if tokens <= 0 || b.stopping {
+		return
+	}
+	a.drawing = b.Now()
+	b.send(sentItem{kind: KindDraw, budget: budget}, Draw{Budget: budget, Tokens: tokens, Least: 1})
+}
+
+// shortfall returns by how much the allowance is below its target.
+func (b *Book) shortfall(budget string, a *account) int64 {
+	return b.target(budget, a) - b.own(budget, a) - a.reserved
+}
+
+func (b *Book) target(budget string, a *account) int64 {
+	folded := b.Fold.Budgets[budget]
+	if folded == nil {
+		return 0
+	}
+	return b.Policy(budget).target(view{
+		rate: a.use.decay(b.Now()), paid: folded.Paid, free: folded.Free(),
+		own: folded.HeldBy(b.Inc), instances: b.Instances(),
+	})
+}
+
+// refill draws when the allowance fell below half of its target.
+func (b *Book) refill(budget string, a *account) {
+	if !a.drawing.IsZero() || b.logDown || !b.ready {
+		return
+	}
+	target := b.target(budget, a)
+	if short := b.shortfall(budget, a); short > target/2 && short > 0 {
+		b.draw(budget, a, short)
+	}
+}
+
+// Lend gives a peer a part of the own allowance without a record in the log. The log
+// still holds it against this incarnation, so it is never spent twice. It returns 0
+// when less than least can be spared.
+func (b *Book) Lend(budget string, tokens, least int64) int64 {
+	folded := b.Fold.Budgets[budget]
+	if folded == nil || b.stopping || tokens <= 0 {
+		return 0
+	}
+	a := b.account(budget)
+	own := max(b.own(budget, a), 0)
+	lend := min(tokens, max(own/2, min(least, own)))
+	if lend < least || lend <= 0 {
+		return 0
+	}
+	a.lent += lend
+	return lend
+}
+
+// Borrowed takes in the answer of a holder to a loan: its incarnation and the tokens,
+// or 0 when nobody lent.
+func (b *Book) Borrowed(budget, holder string, tokens int64) {
+	a := b.account(budget)
+	a.borrowing = false
+	if tokens > 0 {
+		a.loans[holder] += tokens
+	}
+	b.serve(budget, a, 0)
+}
+
+// Keep makes sure that an allowance of the budget is held ready.
+func (b *Book) Keep(budget string) {
+	if b.Fold.Budgets[budget] != nil {
+		b.account(budget)
+	}
+}
+
+// Tick answers needs that waited too long, draws, and returns what idles.
+func (b *Book) Tick() {
+	now := b.Now()
+	for _, budget := range sortedKeys(b.accounts) {
+		a := b.accounts[budget]
+		if b.Fold.Budgets[budget] == nil {
+			continue
+		}
+		b.serve(budget, a, 0)
+		if b.stopping {
+			continue
+		}
+		b.refill(budget, a)
+		if now.Sub(a.lastUse) > IdleReturn {
+			b.returnIdle(budget, a)
+		}
+	}
+}
+
+// returnIdle gives back loans and the own holding above twice the target.
+func (b *Book) returnIdle(budget string, a *account) {
+	if b.logDown {
+		return
+	}
+	target := b.target(budget, a)
+	if own := b.own(budget, a); own > 2*target && a.drawing.IsZero() {
+		b.giveBack(budget, a, own-target)
+	}
+	b.returnLoans(budget, a)
+}
+
+func (b *Book) returnLoans(budget string, a *account) {
+	for _, holder := range sortedKeys(a.loans) {
+		if tokens := a.loans[holder]; tokens > 0 {
+			b.send(sentItem{kind: KindReturn, budget: budget}, Return{Budget: budget, Holder: holder, Tokens: tokens})
+		}
+		delete(a.loans, holder)
+	}
+}
+
+func (b *Book) giveBack(budget string, a *account, tokens int64) {
+	if tokens <= 0 {
+		return
+	}
+	a.settling += tokens
+	from := []Part{{Holder: b.Inc, Tokens: tokens}}
+	b.send(sentItem{kind: KindReturn, budget: budget, from: from}, Return{Budget: budget, Holder: b.Inc, Tokens: tokens})
+}
+
+// Stop refuses new needs and returns whatever is not bound to a request in flight. It
+// may be called again while requests finish; Bye closes the incarnation.
+func (b *Book) Stop() {
+	b.stopping = true
+	if b.closed {
+		return
+	}
+	for _, budget := range sortedKeys(b.accounts) {
+		a := b.accounts[budget]
+		b.serve(budget, a, 0)
+		b.giveBack(budget, a, b.own(budget, a))
+		b.returnLoans(budget, a)
+	}
+}
+
+// Bye sends the last item of the incarnation. It is called once InFlight is 0.
+func (b *Book) Bye() {
+	b.send(sentItem{kind: KindBye}, Bye{})
+	b.closed = true
+}
+
+// InFlight returns the number of grants that are neither settled nor freed, of needs
+// that wait and of loans that were asked for.
+func (b *Book) InFlight() int {
+	count := len(b.grants)
+	for _, a := range b.accounts {
+		count += len(a.waiting)
+		if a.borrowing {
+			count++
+		}
+	}
+	return count
+}
+
+// Check asserts that nothing is spent beyond the holding.
+func (b *Book) Check() error {
+	for budget, a := range b.accounts {
+		if own := b.own(budget, a); own < 0 {
+			return &InvariantError{Budget: budget, Detail: fmt.Sprintf("%s has bound %d tokens more than it holds", b.Inc, -own)}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/ledger/keeper.go
@@ -0,0 +1,303 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+
+	"cranberryrail/core/codes"
+	"cranberryrail/core/shard"
+	"cranberryrail/core/tail"
+)
+
+// StopPoll is how often a stopping keeper looks whether its returns were read back.
+const StopPoll = 20 * time.Millisecond
+
+// Balance is what a budget looks like from one instance.
+type Balance struct {
+	Budget string `json:"budget"`
+	// Paid, Spent, Held and Free are in tokens, as the log has them.
+	Paid  int64 `json:"paid"`
+	Spent int64 `json:"spent"`
+	Held  int64 `json:"held"`
+	Free  int64 `json:"free"`
+	// Own is what this instance holds, and Spendable what of it and of loans is not bound.
+	Own       int64 `json:"own"`
+	Spendable int64 `json:"spendable"`
+}
+
+// Keeper keeps one ledger stream: its folded state and the book of this instance.
+// Exported fields are set before Run.
+type Keeper struct {
+	// System runs the actor.
+	System *actor.ActorSystem
+	// Feed follows and writes the stream.
+	Feed *tail.Feed
+	// Book decides; its Send, Decided and Now are set by Default where empty.
+	Book *Book
+	// Violated is told of a broken invariant; optional.
+	Violated func(err error)
+	// Folded is told of the results of each batch; optional.
+	Folded func(inc string, results []Result)
+	// Failed is told when the actor panicked; the process should end.
+	Failed func(reason any)
+
+	shard  *shard.Shard
+	askers map[int64]*actor.PID
+	topUps map[string][]*actor.PID
+}
+
+// String names the keeper for logs.
+func (k *Keeper) String() string { return "ledger keeper of " + k.Feed.Stream }
+
+// Default fills fields that were left empty and starts the actor.
+func (k *Keeper) Default() {
+	if k.Violated == nil {
+		k.Violated = func(error) {}
+	}
+	if k.Folded == nil {
+		k.Folded = func(string, []Result) {}
+	}
+	k.askers = map[int64]*actor.PID{}
+	k.topUps = map[string][]*actor.PID{}
+	k.Book.Inc = k.Feed.Inc
+	k.Book.Send = k.Feed.Add
+	k.Book.Decided = k.decided
+	if k.Book.Now == nil {
+		k.Book.Now = time.Now
+	}
+	k.Book.Default()
+	k.shard = &shard.Shard{
+		System: k.System, Feed: k.Feed, Failed: k.Failed,
+		Apply: k.apply, Restore: k.Book.Restore, Save: k.Book.Fold.Save, Receive: k.receive, Tick: k.tick,
+	}
+	k.shard.Default()
+}
+
+// Run keeps the stream until the context ends.
+func (k *Keeper) Run(ctx context.Context) error { return k.shard.Run(ctx) }
+
+// receive handles one message at a time.
+func (k *Keeper) receive(ctx actor.Context) {
+	switch m := ctx.Message().(type) {
+	case reserveMsg:
+		k.reserve(ctx, m)
+	case settleMsg:
+		k.Book.Settle(m.id, m.used)
+	case freeMsg:
+		k.Book.Free(m.id)
+	case logMsg:
+		k.Book.SetLog(m.reached)
+	case lendMsg:
+		ctx.Respond(k.Book.Lend(m.budget, m.tokens, m.least))
+	case borrowedMsg:
+		k.Book.Borrowed(m.budget, m.holder, m.tokens)
+	case keepMsg:
+		for _, budget := range m.budgets {
+			k.Book.Keep(budget)
+		}
+	default:
+		k.receiveOperator(ctx)
+	}
+}
+
+// receiveOperator handles messages from operators.
+func (k *Keeper) receiveOperator(ctx actor.Context) {
+	switch m := ctx.Message().(type) {
+	case topUpMsg:
+		k.topUps[m.topUp.ID] = append(k.topUps[m.topUp.ID], ctx.Sender())
+		k.Book.TopUp(m.topUp)
+	case listMsg:
+		ctx.Respond(k.balances())
+	case usageMsg:
+		ctx.Respond(k.Book.Fold.Usage(m.budget))
+	case stopMsg:
+		k.Book.Stop()
+		if m.bye {
+			k.Book.Bye()
+		}
+		ctx.Respond(k.Book.InFlight())
+	}
+}
+
+func (k *Keeper) reserve(ctx actor.Context, m reserveMsg) {
+	k.Book.SetReady(k.Feed.Ready())
+	answer, decided := k.Book.Reserve(m.need)
+	if decided {
+		ctx.Respond(answer)
+		return
+	}
+	k.askers[answer.ID] = ctx.Sender()
+}
+
+// decided tells the asker of a need that had to wait; it runs within receive.
+func (k *Keeper) decided(a Answer) {
+	who, ok := k.askers[a.ID]
+	delete(k.askers, a.ID)
+	if !ok {
+		k.Book.Free(a.ID)
+		return
+	}
+	k.shard.Answer(who, a)
+}
+
+// apply folds one batch.
+func (k *Keeper) apply(offset int64, batch tail.Batch) error {
+	results, err := k.Book.Apply(batch)
+	if err != nil {
+		return err
+	}
+	for i, r := range results {
+		k.answerTopUp(batch, i, r)
+		if r.Kind == KindBye {
+			k.Feed.Close(offset, batch.Inc)
+		}
+		k.check(r)
+	}
+	k.Folded(batch.Inc, results)
+	return nil
+}
+
+// answerTopUp tells whoever waits for a top-up that it was read back.
+func (k *Keeper) answerTopUp(batch tail.Batch, i int, r Result) {
+	if r.Kind != KindTopUp || batch.Inc != k.Book.Inc {
+		return
+	}
+	var m TopUp
+	if tail.Decode(batch.Items[i].Body, &m) != nil {
+		return
+	}
+	for _, who := range k.topUps[m.ID] {
+		k.shard.Answer(who, r)
+	}
+	delete(k.topUps, m.ID)
+}
+
+// check asserts the invariants of the budget that an item touched.
+func (k *Keeper) check(r Result) {
+	if r.Refused == RefusedHolder {
+		k.Violated(&InvariantError{Budget: r.Budget, Detail: fmt.Sprintf("a %s took more than its holder had", r.Kind)})
+	}
+	if b := k.Book.Fold.Budgets[r.Budget]; b != nil {
+		if err := b.Check(r.Budget); err != nil {
+			k.Violated(err)
+		}
+	}
+}
+
+// tick drives what depends on time.
+func (k *Keeper) tick(ready bool) {
+	k.Book.SetReady(ready)
+	k.Book.Tick()
+	if err := k.Book.Check(); err != nil {
+		k.Violated(err)
+	}
+}
+
+func (k *Keeper) balances() []Balance {
+	out := make([]Balance, 0, len(k.Book.Fold.Budgets))
+	for _, key := range sortedKeys(k.Book.Fold.Budgets) {
+		b := k.Book.Fold.Budgets[key]
+		out = append(out, Balance{
+			Budget: key, Paid: b.Paid, Spent: b.Spent, Held: b.Held, Free: b.Free(),
+			Own: b.HeldBy(k.Book.Inc), Spendable: k.Book.Spendable(key),
+		})
+	}
+	return out
+}
+
+// Reserve obtains a grant for a request, or an error of type *codes.Error.
+func (k *Keeper) Reserve(n Need) (Grant, error) {
+	response, err := k.shard.Ask(reserveMsg{need: n})
+	if err != nil {
+		return Grant{}, codes.From(err, codes.NotRun)
+	}
+	answer := response.(Answer)
+	if answer.Refused != nil {
+		return Grant{}, answer.Refused
+	}
+	return answer.Grant, nil
+}
+
+// Settle bills a grant for the tokens used and frees the rest.
+func (k *Keeper) Settle(id, used int64) { k.shard.Tell(settleMsg{id: id, used: used}) }
+
+// Free gives back a grant whose request did not run.
+func (k *Keeper) Free(id int64) { k.shard.Tell(freeMsg{id: id}) }
+
+// Reached tells whether the platform's log is in reach.
+func (k *Keeper) Reached(reached bool) { k.shard.Tell(logMsg{reached: reached}) }
+
+// Lend gives a peer a part of the own allowance and returns the tokens lent.
+func (k *Keeper) Lend(budget string, tokens, least int64) (int64, error) {
+	response, err := k.shard.Ask(lendMsg{budget: budget, tokens: tokens, least: least})
+	if err != nil {
+		return 0, err
+	}
+	return response.(int64), nil
+}
+
+// Borrowed brings the answer to a loan.
+func (k *Keeper) Borrowed(budget, holder string, tokens int64) {
+	k.shard.Tell(borrowedMsg{budget: budget, holder: holder, tokens: tokens})
+}
+
+// TopUp adds paid tokens to a budget and waits until the record was read back.
+func (k *Keeper) TopUp(m TopUp) (Result, error) {
+	response, err := k.shard.Ask(topUpMsg{topUp: m})
+	if err != nil {
+		return Result{}, &codes.Error{Code: codes.AcceptTimeout, Run: codes.Unknown, RetryAfter: RetryLogDown,
+			Detail: "repeat the top-up with the same id; it is counted once", Err: err}
+	}
+	return response.(Result), nil
+}
+
+// Balances returns all budgets.
+func (k *Keeper) Balances() ([]Balance, error) {
+	response, err := k.shard.Ask(listMsg{})
+	if err != nil {
+		return nil, err
+	}
+	return response.([]Balance), nil
+}
+
+// Usage returns the bills of a budget.
+func (k *Keeper) Usage(budget string) (Usage, error) {
+	response, err := k.shard.Ask(usageMsg{budget: budget})
+	if err != nil {
+		return Usage{}, err
+	}
+	return response.(Usage), nil
+}
+
+// Keep names the budgets whose allowances are held ready before the first request.
+func (k *Keeper) Keep(budgets []string) { k.shard.Tell(keepMsg{budgets: budgets}) }
+
+// Stop returns what is not bound, waits for the grants in flight and for all records to
+// be read back, and closes the incarnation. It returns the context's error when
+// that takes too long; what is left then counts as spent.
+func (k *Keeper) Stop(ctx context.Context) error {
+	if err := k.awaitStop(ctx); err != nil {
+		return fmt.Errorf("return allowances of %s: %w", k.Feed.Stream, err)
+	}
+	return nil
+}
+
+// awaitStop polls until all is returned and the farewell was read back.
+func (k *Keeper) awaitStop(ctx context.Context) error {
+	said := false
+	return shard.Settle(ctx, StopPoll, func() (bool, error) {
+		inFlight, err := k.shard.Ask(stopMsg{})
+		if err != nil || !k.Feed.Idle() {
+			return false, err
+		}
+		if said || inFlight.(int) > 0 {
+			return said, nil
+		}
+		said = true
+		_, err = k.shard.Ask(stopMsg{bye: true})
+		return false, err
+	})
+}
--- /dev/null
+++ b/core/route/actor_test.go
@@ -0,0 +1,88 @@
+package route_test
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"gotest.tools/v3/assert"
+
+	"cranberryrail/core/codes"
+	"cranberryrail/core/roster"
+	"cranberryrail/core/route"
+)
+
+func newSystem() *actor.ActorSystem {
+	quiet := func(*actor.ActorSystem) *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+	return actor.NewActorSystem(actor.WithLoggerFactory(quiet))
+}
+
+// An embedder gives the actor the list of targets and asks for one for each dispatch.
+func ExampleClient() {
+	system := newSystem()
+	defer system.Shutdown()
+	decisions := &route.Actor{}
+	client := &route.Client{Root: system.Root, PID: system.Root.Spawn(decisions.Props())}
+
+	client.SetTargets([]roster.Target{{
+		ID: "runner-1", Incarnation: "5f", Addr: "127.0.0.1:9000", Kind: roster.ModelEngine,
+		Models: []roster.Model{{Model: "drafts", Version: "3"}},
+	}}, 1)
+	if err := client.Enter("agency", 50); err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer client.Leave("agency")
+	choice, err := client.Pick(route.Request{Organisation: "agency", Model: "drafts", Prefix: "You draft claim letters."})
+	fmt.Println(choice.Target.Addr, err)
+	client.Done(choice.Token, route.OK)
+
+	client.Leaving("5f")
+	_, err = client.Pick(route.Request{Organisation: "agency", Model: "drafts"})
+	fmt.Println(codes.From(err, codes.NotRun).Code)
+	// Output:
+	// 127.0.0.1:9000 <nil>
+	// 3001 no_target
+}
+
+func TestClient(t *testing.T) {
+	system := newSystem()
+	defer system.Shutdown()
+	now := time.Unix(1000, 0)
+	held := make(chan struct{})
+	hold := false
+	a := &route.Actor{Table: route.Table{Capacity: 1, Queue: 0.1, Now: func() time.Time {
+		if hold {
+			<-held
+		}
+		return now
+	}}, Limits: route.Limits{Global: 1}, Retries: route.Retries{Min: 1}}
+	client := &route.Client{Root: system.Root, PID: system.Root.Spawn(a.Props()), Timeout: 10 * time.Second}
+	client.SetTargets([]roster.Target{engine("e0", "first")}, 1)
+	t.Run("passes on limits and retries", func(t *testing.T) {
+		assert.NilError(t, client.Enter("a", 1))
+		assertRefused(t, client.Enter("a", 1), codes.TooManyInFlight)
+		client.Leave("a")
+		assert.NilError(t, client.Enter("a", 1))
+		assert.Assert(t, client.Retry("a"))
+		assert.Assert(t, !client.Retry("a"))
+	})
+	t.Run("passes on reports and leaving incarnations", func(t *testing.T) {
+		client.Report("e1", roster.Load{Incarnation: "e1/first", State: roster.Leaving})
+		got, err := client.LeavingIncarnations()
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, []string{"e1/first"})
+	})
+	t.Run("takes back a choice that came too late", func(t *testing.T) {
+		hold = true
+		impatient := &route.Client{Root: client.Root, PID: client.PID, Timeout: time.Millisecond}
+		_, err := impatient.Pick(route.Request{Model: modelName})
+		assertRefused(t, err, codes.Internal)
+		close(held)
+		_, err = client.Pick(route.Request{Model: modelName})
+		assert.NilError(t, err, "the late choice holds the only place")
+	})
+}
--- /dev/null
+++ b/core/route/route_test.go
@@ -0,0 +1,298 @@
+package route_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"cranberryrail/core/codes"
+	"cranberryrail/core/roster"
+	"cranberryrail/core/route"
+)
+
+const modelName = "drafts"
+
+type fixture struct {
+	*route.Table
+	now  time.Time
+	list []roster.Target
+}
+
+func newFixture(targets int) *fixture {
+	f := &fixture{now: time.Unix(1000, 0)}
+	f.Table = &route.Table{Capacity: 4, Seed: 1, Now: func() time.Time { return f.now }}
+	f.Default()
+	for i := range targets {
+		f.list = append(f.list, engine(fmt.Sprintf("e%d", i), "first"))
+	}
+	f.SetTargets(f.list)
+	return f
+}
+
+func engine(id, incarnation string) roster.Target {
+	return roster.Target{
+		ID: id, Incarnation: id + "/" + incarnation, Kind: roster.ModelEngine, State: roster.Live,
+		Models: []roster.Model{{Model: modelName, Version: "1"}},
+	}
+}
+
+func (f *fixture) pick(t *testing.T, r route.Request) route.Choice {
+	t.Helper()
+	r.Model = modelName
+	c, err := f.Pick(r)
+	assert.NilError(t, err)
+	return c
+}
+
+func (f *fixture) end(t *testing.T, o route.Outcome, times int) {
+	t.Helper()
+	for range times {
+		f.Done(f.pick(t, route.Request{}).Token, o)
+	}
+}
+
+func assertRefused(t *testing.T, err error, want codes.Code) {
+	t.Helper()
+	var refusal *codes.Error
+	assert.Assert(t, errors.As(err, &refusal), "got %v", err)
+	assert.Equal(t, refusal.Code, want)
+	assert.Equal(t, refusal.Run, codes.NotRun)
+	assert.Assert(t, refusal.RetryAfter > 0)
+}
+
+// assertUsed checks whether the first target gets work.
+func assertUsed(t *testing.T, f *fixture, want bool) {
+	t.Helper()
+	used := false
+	for range 2 * len(f.list) {
+		c := f.pick(t, route.Request{})
+		used = used || c.Target.ID == "e0"
+		defer f.Done(c.Token, route.Cancelled)
+	}
+	assert.Equal(t, used, want)
+}
+
+func TestLeaving(t *testing.T) {
+	t.Run("stays against a stale list until a new incarnation", func(t *testing.T) {
+		f := newFixture(2)
+		f.Leaving("e0/first")
+		f.SetTargets(f.list)
+		f.Report("e0", roster.Load{Incarnation: "e0/first", State: roster.Live, Capacity: 4}, f.now)
+		assertUsed(t, f, false)
+		assert.DeepEqual(t, f.LeavingIncarnations(), []string{"e0/first"})
+		f.SetTargets([]roster.Target{engine("e0", "second"), f.list[1]})
+		assertUsed(t, f, true)
+	})
+	t.Run("stays when a list goes back to an earlier incarnation", func(t *testing.T) {
+		f := newFixture(2)
+		f.SetTargets([]roster.Target{engine("e0", "second"), f.list[1]})
+		f.Leaving("e0/second")
+		f.SetTargets(f.list)
+		assertUsed(t, f, false)
+	})
+	t.Run("is learned from the list", func(t *testing.T) {
+		f := newFixture(2)
+		gone := f.list[0]
+		gone.State = roster.Leaving
+		f.SetTargets([]roster.Target{gone, f.list[1]})
+		f.SetTargets(f.list)
+		assertUsed(t, f, false)
+	})
+	t.Run("is learned from the report and refuses when no other serves", func(t *testing.T) {
+		f := newFixture(1)
+		f.Report("e0", roster.Load{Incarnation: "e0/first", State: roster.Leaving}, f.now)
+		_, err := f.Pick(route.Request{Model: modelName})
+		assertRefused(t, err, codes.NoTarget)
+	})
+}
+
+func TestCandidates(t *testing.T) {
+	f := newFixture(2)
+	f.list[1].Models[0].Version = "2"
+	f.list[1].Zone = "b"
+	desk := roster.Target{ID: "desk", Incarnation: "d", Kind: roster.PlainService, Service: "booking"}
+	f.SetTargets(append(f.list, desk))
+	t.Run("serve the version", func(t *testing.T) {
+		assert.Equal(t, f.pick(t, route.Request{Version: "2"}).Target.ID, "e1")
+	})
+	t.Run("serve the service", func(t *testing.T) {
+		c, err := f.Pick(route.Request{Service: "booking"})
+		assert.NilError(t, err)
+		assert.Equal(t, c.Target.ID, "desk")
+	})
+	t.Run("were not tried", func(t *testing.T) {
+		assert.Equal(t, f.pick(t, route.Request{Avoid: []string{"e1"}}).Target.ID, "e0")
+	})
+	t.Run("match a share", func(t *testing.T) {
+		got := map[string]int{}
+		for range 400 {
+			c := f.pick(t, route.Request{Shares: []route.Share{{Version: "1", Weight: 3}, {Zone: "b", Weight: 1}}})
+			got[c.Target.ID]++
+			f.Done(c.Token, route.OK)
+		}
+		assert.Assert(t, got["e0"] > 260 && got["e1"] > 60, "got %v", got)
+		_, err := f.Pick(route.Request{Model: modelName, Shares: []route.Share{{Target: "e0"}}})
+		assertRefused(t, err, codes.NoTarget)
+	})
+}
+
+func TestEstimate(t *testing.T) {
+	report := func(f *fixture, id string, running int, age time.Duration) {
+		f.Report(id, roster.Load{Incarnation: id + "/first", Running: running, Capacity: 4, AgeMS: age.Milliseconds()}, f.now)
+	}
+	t.Run("adds own dispatches since the measurement", func(t *testing.T) {
+		f := newFixture(2)
+		f.now = f.now.Add(time.Second)
+		for range 3 {
+			f.pick(t, route.Request{Avoid: []string{"e1"}})
+		}
+		report(f, "e0", 3, 500*time.Millisecond)
+		report(f, "e1", 4, 500*time.Millisecond)
+		assert.Equal(t, f.pick(t, route.Request{Priority: route.TopPriority}).Target.ID, "e1")
+	})
+	t.Run("takes off own completions since the measurement", func(t *testing.T) {
+		f := newFixture(2)
+		first := f.pick(t, route.Request{Avoid: []string{"e1"}})
+		second := f.pick(t, route.Request{Avoid: []string{"e1"}})
+		f.now = f.now.Add(time.Second)
+		report(f, "e0", 4, 0)
+		report(f, "e1", 3, 0)
+		f.now = f.now.Add(time.Second)
+		f.Done(first.Token, route.OK)
+		f.Done(second.Token, route.OK)
+		assert.Equal(t, f.pick(t, route.Request{}).Target.ID, "e0")
+	})
+	t.Run("expects the same of other instances in part", func(t *testing.T) {
+		f := newFixture(2)
+		f.Instances = 5
+		f.now = f.now.Add(time.Second)
+		report(f, "e0", 0, 0)
+		report(f, "e1", 2, 0)
+		f.now = f.now.Add(time.Second)
+		assert.Equal(t, f.pick(t, route.Request{}).Target.ID, "e0")
+		assert.Equal(t, f.pick(t, route.Request{}).Target.ID, "e1", "e0 counts 3 by now")
+	})
+	t.Run("leaves out a target that said it is full for a while", func(t *testing.T) {
+		f := newFixture(1)
+		f.Done(f.pick(t, route.Request{}).Token, route.Full)
+		_, err := f.Pick(route.Request{Model: modelName})
+		assertRefused(t, err, codes.Overloaded)
+		f.now = f.now.Add(route.FullHold)
+		f.pick(t, route.Request{})
+	})
+}
+
+func TestPriorities(t *testing.T) {
+	for _, c := range []struct{ priority, want int }{{0, 4}, {4, 6}, {9, 8}} {
+		t.Run(fmt.Sprintf("priority %d is admitted up to %d requests", c.priority, c.want), func(t *testing.T) {
+			f := newFixture(1)
+			for range c.want {
+				f.pick(t, route.Request{Priority: c.priority})
+			}
+			_, err := f.Pick(route.Request{Model: modelName, Priority: c.priority})
+			assertRefused(t, err, codes.Overloaded)
+		})
+	}
+}
+
+func TestHealth(t *testing.T) {
+	t.Run("consecutive failures eject until a probe succeeds", func(t *testing.T) {
+		f := newFixture(1)
+		f.end(t, route.Failed, route.FailuresToEject)
+		f.list = append(f.list, engine("e1", "first"))
+		f.SetTargets(f.list)
+		assertUsed(t, f, false)
+		f.now = f.now.Add(route.EjectFirst)
+		probe := f.pick(t, route.Request{Avoid: []string{"e1"}})
+		assert.Equal(t, probe.Target.ID, "e0")
+		assertUsed(t, f, false)
+		f.Done(probe.Token, route.OK)
+		assertUsed(t, f, true)
+	})
+	t.Run("a silent outcome ejects at once and a failed probe doubles the time", func(t *testing.T) {
+		f := newFixture(1)
+		f.end(t, route.Silent, 1)
+		f.now = f.now.Add(route.EjectFirst)
+		f.end(t, route.Failed, 1)
+		f.list = append(f.list, engine("e1", "first"))
+		f.SetTargets(f.list)
+		f.now = f.now.Add(2*route.EjectFirst - 1)
+		assertUsed(t, f, false)
+		f.now = f.now.Add(1)
+		assertUsed(t, f, true)
+	})
+	t.Run("dispatches from before the ejection change nothing", func(t *testing.T) {
+		f := newFixture(1)
+		f.Capacity = 40
+		tokens := make([]int64, 0, f.Capacity)
+		for range f.Capacity {
+			tokens = append(tokens, f.pick(t, route.Request{}).Token)
+		}
+		for _, token := range tokens {
+			f.Done(token, route.Silent)
+		}
+		f.list = append(f.list, engine("e1", "first"))
+		f.SetTargets(f.list)
+		f.now = f.now.Add(route.EjectFirst)
+		assertUsed(t, f, true)
+	})
+	t.Run("a new incarnation starts healthy", func(t *testing.T) {
+		f := newFixture(1)
+		f.end(t, route.Silent, 1)
+		f.list = []roster.Target{engine("e0", "second"), engine("e1", "first")}
+		f.SetTargets(f.list)
+		assertUsed(t, f, true)
+	})
+	t.Run("the least bad is used when all are ejected", func(t *testing.T) {
+		f := newFixture(2)
+		for _, id := range []string{"e0", "e1", "e0"} {
+			other := map[string]string{"e0": "e1", "e1": "e0"}[id]
+			f.Done(f.pick(t, route.Request{Avoid: []string{other}}).Token, route.Silent)
+		}
+		assert.Equal(t, f.pick(t, route.Request{}).Target.ID, "e1")
+	})
+}
+
+// The load is counted here again from the choices, so that the check does not rest on the estimate.
+func TestPrefixBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFixture(rapid.IntRange(1, 8).Draw(t, "targets"))
+		f.Capacity = 1000
+		var open []route.Choice
+		loads := map[string]int{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			f.now = f.now.Add(time.Millisecond)
+			if len(open) > 0 && rapid.IntRange(0, 3).Draw(t, "step") == 0 {
+				i := rapid.IntRange(0, len(open)-1).Draw(t, "ended")
+				f.Done(open[i].Token, route.OK)
+				loads[open[i].Target.ID]--
+				open = append(open[:i], open[i+1:]...)
+				continue
+			}
+			bound := route.DefaultBound*float64(len(open))/float64(len(f.list)) + 1
+			c, err := f.Pick(route.Request{Model: modelName, Prefix: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "prefix")})
+			assert.NilError(t, err)
+			loads[c.Target.ID]++
+			open = append(open, c)
+			assert.Assert(t, float64(loads[c.Target.ID]) < bound+1, "loads %v, bound %v", loads, bound)
+		}
+	})
+	t.Run("a prefix keeps its target when another one goes", func(t *testing.T) {
+		f := newFixture(5)
+		first := f.pick(t, route.Request{Prefix: "p"})
+		f.Done(first.Token, route.OK)
+		for _, gone := range f.list {
+			if gone.ID == first.Target.ID {
+				continue
+			}
+			f.Leaving(gone.Incarnation)
+			again := f.pick(t, route.Request{Prefix: "p"})
+			f.Done(again.Token, route.OK)
+			assert.Equal(t, again.Target.ID, first.Target.ID)
+		}
+	})
+}
--- /dev/null
+++ b/core/tail/feed.go
@@ -0,0 +1,461 @@
+package tail
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/errgroup"
+)
+
+// KindSnapshot is the kind of items that carry a part of a snapshot.
+const KindSnapshot = "snapshot"
+
+// SnapshotPartBytes is the most state that one snapshot record carries.
+const SnapshotPartBytes = 256 << 10
+
+// SnapshotPart is one part of the state of a fold at an offset. Parts of equal
+// states are equal, whoever wrote them.
+type SnapshotPart struct {
+	_ struct{} `cbor:",toarray"`
+	// At is the offset of the last record that the state contains.
+	At int64
+	// Part counts from 0 to Parts-1.
+	Part, Parts int
+	// Sum is the xxhash of the whole state.
+	Sum uint64
+	// Data is the part.
+	Data []byte
+}
+
+// State is the state of a fold with what guards it.
+type State struct {
+	_ struct{} `cbor:",toarray"`
+	// At is the offset of the last record that the state contains.
+	At int64
+	// Incs is the content of the gate.
+	Incs map[string]Seen
+	// Fold is what Save returned.
+	Fold []byte
+}
+
+// StalledError tells that a fold stopped at a record that this build can't read.
+type StalledError struct {
+	Stream string
+	Offset int64
+	Err    error
+}
+
+// Error implements the error interface.
+func (e *StalledError) Error() string {
+	return fmt.Sprintf("stream %s: fold stopped at offset %d: %v", e.Stream, e.Offset, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *StalledError) Unwrap() error { return e.Err }
+
+// Feed keeps the folded state of one stream: it follows the stream, drops what was
+// seen, writes own items, writes snapshots, and starts again from a snapshot or
+// from a peer when records were trimmed. Exported fields are set before Run.
+type Feed struct {
+	// Log reaches the platform's log.
+	Log Log
+	// Stream is the stream to keep.
+	Stream string
+	// Inc is the incarnation of this process.
+	Inc string
+	// Linger is how long a batch waits for further items.
+	Linger time.Duration
+	// SnapshotEvery is the number of records after which a snapshot is due.
+	SnapshotEvery int64
+	// SnapshotTurn returns how long this instance leaves a due snapshot to others.
+	SnapshotTurn func() time.Duration
+	// Fold takes the batches that the gate admits, in order.
+	Fold func(offset int64, b Batch) error
+	// Save returns the state of the fold.
+	Save func() ([]byte, error)
+	// Restore replaces the state of the fold by what Save returned.
+	Restore func(offset int64, state []byte) error
+	// Fetch gets a State from a peer; optional.
+	Fetch func(ctx context.Context, stream string) (State, error)
+	// Contact is told of each read and append; optional.
+	Contact func(err error)
+	// Stalled is told when the fold stopped for good; optional.
+	Stalled func(err *StalledError)
+	// SnapshotDone is told of each snapshot written (true) or loaded (false); optional.
+	SnapshotDone func(at int64, written bool)
+
+	mu       sync.Mutex
+	gate     *Gate
+	next     int64
+	head     int64
+	ready    atomic.Bool
+	lastSnap int64
+	parts    map[snapKey]*assembly
+	writer   *Writer
+}
+
+type snapKey struct {
+	at  int64
+	sum uint64
+}
+
+type assembly struct {
+	have  int
+	parts [][]byte
+}
+
+// String names the feed for logs.
+func (f *Feed) String() string { return "feed of " + f.Stream }
+
+// Default fills fields that were left empty and makes the feed ready for Add.
+func (f *Feed) Default() {
+	if f.SnapshotEvery == 0 {
+		f.SnapshotEvery = 10_000
+	}
+	if f.SnapshotTurn == nil {
+		f.SnapshotTurn = func() time.Duration { return 0 }
+	}
+	if f.Contact == nil {
+		f.Contact = func(error) {}
+	}
+	if f.Stalled == nil {
+		f.Stalled = func(*StalledError) {}
+	}
+	if f.SnapshotDone == nil {
+		f.SnapshotDone = func(int64, bool) {}
+	}
+	f.gate = NewGate()
+	f.lastSnap = -1
+	f.writer = &Writer{Log: f.Log, Stream: f.Stream, Inc: f.Inc, Linger: f.Linger, Base: f.Next, Failed: f.Contact}
+	f.writer.Default()
+}
+
+// Add queues items for the stream.
+func (f *Feed) Add(items ...Item) { f.writer.Add(items...) }
+
+// Idle reports whether everything that was added has been read back.
+func (f *Feed) Idle() bool { return f.writer.Idle() }
+
+// Appends returns the number of appends that were tried.
+func (f *Feed) Appends() int64 { return f.writer.Appends() }
+
+// Next returns the offset of the next record to fold.
+func (f *Feed) Next() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.next
+}
+
+// Ready reports whether the state has caught up with the head of the stream once.
+func (f *Feed) Ready() bool { return f.ready.Load() }
+
+// State returns the state for a peer.
+func (f *Feed) State() (State, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state()
+}
+
+func (f *Feed) state() (State, error) {
+	fold, err := f.Save()
+	if err != nil {
+		return State{}, fmt.Errorf("save the state of %s: %w", f.Stream, err)
+	}
+	incs := make(map[string]Seen, len(f.gate.Incs))
+	for inc, seen := range f.gate.Incs {
+		incs[inc] = seen
+	}
+	return State{At: f.next - 1, Incs: incs, Fold: fold}, nil
+}
+
+// Run keeps the stream until the context ends.
+func (f *Feed) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	follower := &Follower{Log: f.watched(), Stream: f.Stream, Deliver: f.deliver, Trimmed: f.trimmed, Contact: f.Contact}
+	follower.Default()
+	g.Go(func() error { return f.writer.Run(ctx) })
+	g.Go(func() error { return f.follow(ctx, follower) })
+	g.Go(func() error { return f.snapshots(ctx) })
+	return g.Wait()
+}
+
+// follow runs the follower; a fold that stopped for good leaves the process running.
+func (f *Feed) follow(ctx context.Context, follower *Follower) error {
+	err := follower.Run(ctx)
+	var stalled *StalledError
+	if errors.As(err, &stalled) {
+		f.Stalled(stalled)
+		<-ctx.Done()
+		return nil
+	}
+	return err
+}
+
+// watched returns the log with reads that also note the head of the stream.
+func (f *Feed) watched() Log {
+	log := f.Log
+	log.Read = func(ctx context.Context, stream string, from int64, wait time.Duration) (Page, error) {
+		if !f.Ready() {
+			wait = 0
+		}
+		page, err := f.Log.Read(ctx, stream, from, wait)
+		if err == nil {
+			f.noteHead(from, page)
+		}
+		return page, err
+	}
+	return log
+}
+
+// noteHead marks the feed as ready when there is nothing left to read.
+func (f *Feed) noteHead(from int64, page Page) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.head = page.Head
+	if len(page.Entries) == 0 && from == f.next && from >= page.Head {
+		f.ready.Store(true)
+	}
+}
+
+// deliver folds one record.
+func (f *Feed) deliver(_ context.Context, e Entry) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b, err := DecodeBatch(e.Data)
+	var format *FormatError
+	switch {
+	case errors.As(err, &format):
+		return &StalledError{Stream: f.Stream, Offset: e.Offset, Err: err}
+	case err != nil:
+		// A record that is no batch concerns no fold; every instance skips it alike.
+		f.next = e.Offset + 1
+		return nil
+	}
+	if err := f.fold(e.Offset, b); err != nil {
+		return &StalledError{Stream: f.Stream, Offset: e.Offset, Err: err}
+	}
+	f.next = e.Offset + 1
+	return nil
+}
+
+func (f *Feed) fold(offset int64, b Batch) error {
+	if b.Seq == 0 {
+		f.noteSnapshot(b)
+		return nil
+	}
+	if offset%GateWindow == 0 {
+		f.gate.Prune(offset)
+	}
+	if f.gate.Admit(offset, b) {
+		if err := f.Fold(offset, b); err != nil {
+			return err
+		}
+	}
+	if b.Inc == f.Inc {
+		f.writer.Seen(f.gate.Incs[f.Inc].Seq)
+	}
+	return nil
+}
+
+// Close marks an incarnation as stopped; it is called by Fold only.
+func (f *Feed) Close(offset int64, inc string) { f.gate.Close(offset, inc) }
+
+// noteSnapshot remembers how far the newest whole snapshot reaches.
+func (f *Feed) noteSnapshot(b Batch) {
+	if at, _, ok := f.assemble(b); ok {
+		f.lastSnap = max(f.lastSnap, at)
+	}
+}
+
+// assemble collects parts and returns the state once all parts of one are there.
+func (f *Feed) assemble(b Batch) (int64, []byte, bool) {
+	for _, item := range b.Items {
+		var p SnapshotPart
+		if item.Kind != KindSnapshot || Decode(item.Body, &p) != nil || p.Part < 0 || p.Part >= p.Parts {
+			continue
+		}
+		if whole := f.collect(p); whole != nil {
+			return p.At, whole, true
+		}
+	}
+	return 0, nil, false
+}
+
+// collect adds one part and returns the whole state when it was the last one missing.
+func (f *Feed) collect(p SnapshotPart) []byte {
+	if p.At <= f.lastSnap {
+		return nil
+	}
+	if f.parts == nil {
+		f.parts = map[snapKey]*assembly{}
+	}
+	key := snapKey{at: p.At, sum: p.Sum}
+	a := f.parts[key]
+	if a == nil {
+		a = &assembly{parts: make([][]byte, p.Parts)}
+		f.parts[key] = a
+	}
+	if p.Part >= len(a.parts) || a.parts[p.Part] != nil {
+		return nil
+	}
+	a.parts[p.Part] = p.Data
+	if a.have++; a.have < len(a.parts) {
+		return nil
+	}
+	f.parts = nil
+	var whole []byte
+	for _, part := range a.parts {
+		whole = append(whole, part...)
+	}
+	if xxhash.Sum64(whole) != p.Sum {
+		return nil
+	}
+	return whole
+}
+
+// trimmed finds a state to go on from: a snapshot in the log whose tail is kept, or
+// that of a peer. It tries until the context ends.
+func (f *Feed) trimmed(ctx context.Context, err *TrimmedError) (int64, error) {
+	f.ready.Store(false)
+	earliest := err.Earliest
+	for {
+		if next, ok := f.fromLog(ctx, earliest); ok {
+			return next, nil
+		}
+		if next, ok := f.fromPeer(ctx); ok {
+			return next, nil
+		}
+		if sleep(ctx, RetryLongest) != nil {
+			return f.Next(), nil
+		}
+	}
+}
+
+// fromLog scans the kept records for a whole snapshot whose tail is kept.
+func (f *Feed) fromLog(ctx context.Context, earliest int64) (int64, bool) {
+	from := earliest
+	for ctx.Err() == nil {
+		page, err := f.Log.Read(ctx, f.Stream, from, 0)
+		var trimmed *TrimmedError
+		if errors.As(err, &trimmed) {
+			earliest, from = trimmed.Earliest, trimmed.Earliest
+			continue
+		}
+		f.Contact(err)
+		if err != nil || len(page.Entries) == 0 {
+			return 0, false
+		}
+		for _, e := range page.Entries {
+			if f.loadFrom(e, earliest) {
+				return f.Next(), true
+			}
+			from = e.Offset + 1
+		}
+	}
+	return 0, false
+}
+
+// loadFrom takes the state from a record that completes a snapshot.
+func (f *Feed) loadFrom(e Entry, earliest int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b, err := DecodeBatch(e.Data)
+	if err != nil || b.Seq != 0 {
+		return false
+	}
+	at, whole, ok := f.assemble(b)
+	if !ok || at < earliest-1 || at < f.next-1 {
+		return false
+	}
+	var st State
+	if Decode(whole, &st) != nil {
+		return false
+	}
+	return f.restore(st) == nil
+}
+
+// fromPeer takes the state of a peer when it is ahead of the own one.
+func (f *Feed) fromPeer(ctx context.Context) (int64, bool) {
+	if f.Fetch == nil {
+		return 0, false
+	}
+	st, err := f.Fetch(ctx, f.Stream)
+	if err != nil {
+		return 0, false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if st.At < f.next || f.restore(st) != nil {
+		return 0, false
+	}
+	return f.next, true
+}
+
+// restore replaces the state; the caller holds the lock.
+func (f *Feed) restore(st State) error {
+	if err := f.Restore(st.At, st.Fold); err != nil {
+		return fmt.Errorf("restore the state of %s at offset %d: %w", f.Stream, st.At, err)
+	}
+	f.gate = &Gate{Incs: st.Incs}
+	if f.gate.Incs == nil {
+		f.gate.Incs = map[string]Seen{}
+	}
+	f.next = st.At + 1
+	f.lastSnap = max(f.lastSnap, st.At)
+	f.writer.Seen(f.gate.Incs[f.Inc].Seq)
+	f.SnapshotDone(st.At, false)
+	return nil
+}
+
+// snapshotCheck is how often a due snapshot is looked for.
+const snapshotCheck = time.Second
+
+// snapshots writes a snapshot when one is due and nobody else wrote it in time.
+func (f *Feed) snapshots(ctx context.Context) error {
+	for sleep(ctx, snapshotCheck) == nil {
+		if !f.snapshotDue() || sleep(ctx, f.SnapshotTurn()) != nil || !f.snapshotDue() {
+			continue
+		}
+		if err := f.WriteSnapshot(ctx); err != nil {
+			f.Contact(err)
+		}
+	}
+	return nil
+}
+
+func (f *Feed) snapshotDue() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ready.Load() && f.next-1-f.lastSnap >= f.SnapshotEvery
+}
+
+// WriteSnapshot appends the present state to the stream in parts.
+func (f *Feed) WriteSnapshot(ctx context.Context) error {
+	st, err := f.State()
+	if err != nil {
+		return err
+	}
+	whole, err := Encode(st)
+	if err != nil {
+		return err
+	}
+	sum, parts := xxhash.Sum64(whole), (len(whole)+SnapshotPartBytes-1)/SnapshotPartBytes
+	for i := range parts {
+		data := whole[i*SnapshotPartBytes : min((i+1)*SnapshotPartBytes, len(whole))]
+		item := NewItem(KindSnapshot, SnapshotPart{At: st.At, Part: i, Parts: parts, Sum: sum, Data: data})
+		record, err := Encode(Batch{Format: BatchFormat, Inc: f.Inc, Items: []Item{item}})
+		if err != nil {
+			return err
+		}
+		if _, err := f.Log.Append(ctx, f.Stream, record); err != nil {
+			return fmt.Errorf("append part %d of %d of a snapshot of %s: %w", i, parts, f.Stream, err)
+		}
+	}
+	f.SnapshotDone(st.At, true)
+	return nil
+}
--- /dev/null
+++ b/fake/engine/batch.go
@@ -0,0 +1,95 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+)
+
+var errFull = errors.New("full")
+
+// batch bounds how many requests run at once; the others wait by priority.
+type batch struct {
+	capacity   int
+	maxWaiting int
+
+	mu      sync.Mutex
+	running int
+	waiting []*waiter
+}
+
+type waiter struct {
+	priority int
+	ready    chan struct{}
+}
+
+// admit waits until the request may run. The caller then owes a release.
+func (b *batch) admit(ctx context.Context, priority int) error {
+	w, err := b.enter(priority)
+	if w == nil {
+		return err
+	}
+	select {
+	case <-w.ready:
+		return nil
+	case <-ctx.Done():
+		b.withdraw(w)
+		return ctx.Err()
+	}
+}
+
+// enter takes a free place or queues the request; the waiter is nil when it took a place.
+func (b *batch) enter(priority int) (*waiter, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.running < b.capacity {
+		b.running++
+		return nil, nil
+	}
+	if len(b.waiting) >= b.maxWaiting {
+		return nil, errFull
+	}
+	w := &waiter{priority: priority, ready: make(chan struct{})}
+	i := slices.IndexFunc(b.waiting, func(o *waiter) bool { return o.priority < priority })
+	if i < 0 {
+		i = len(b.waiting)
+	}
+	b.waiting = slices.Insert(b.waiting, i, w)
+	return w, nil
+}
+
+// withdraw takes back a waiting request, or releases its place when it just got one.
+func (b *batch) withdraw(w *waiter) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if i := slices.Index(b.waiting, w); i >= 0 {
+		b.waiting = slices.Delete(b.waiting, i, i+1)
+		return
+	}
+	b.handOver()
+}
+
+// release frees a place.
+func (b *batch) release() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.handOver()
+}
+
+// handOver gives a place to the first waiter; b.mu is held.
+func (b *batch) handOver() {
+	if len(b.waiting) == 0 {
+		b.running--
+		return
+	}
+	close(b.waiting[0].ready)
+	b.waiting = slices.Delete(b.waiting, 0, 1)
+}
+
+// size returns the numbers of running and waiting requests.
+func (b *batch) size() (running, waiting int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.running, len(b.waiting)
+}
--- /dev/null
+++ b/fake/engine/stream.go
@@ -0,0 +1,248 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cranberryrail/core/roster"
+	"cranberryrail/fake/engine/host"
+)
+
+// request is the body of /v1/generate; /v1/cancel has its first two fields.
+type request struct {
+	RequestID  string `json:"request_id"`
+	Attempt    int    `json:"attempt"`
+	Model      string `json:"model"`
+	Version    string `json:"version"`
+	Priority   int    `json:"priority"`
+	Prompt     string `json:"prompt"`
+	MaxTokens  int    `json:"max_tokens"`
+	ResumeFrom int    `json:"resume_from"`
+}
+
+// frame is one event of a stream.
+type frame struct {
+	RequestID        string `json:"request_id"`
+	Attempt          int    `json:"attempt"`
+	Position         int    `json:"position"`
+	Text             string `json:"text,omitempty"`
+	Final            bool   `json:"final,omitempty"`
+	FinishReason     string `json:"finish_reason,omitempty"`
+	PromptTokens     int    `json:"prompt_tokens,omitempty"`
+	CompletionTokens int    `json:"completion_tokens,omitempty"`
+}
+
+type attemptKey struct {
+	id      string
+	attempt int
+}
+
+// attempt is one request in the engine, waiting or running.
+type attempt struct {
+	request
+	total    int
+	plan     plan
+	first    time.Duration
+	gap      time.Duration
+	cancelFn context.CancelFunc
+	out      http.ResponseWriter
+}
+
+func (s *Server) generate(w http.ResponseWriter, r *http.Request) {
+	var q request
+	if !host.ReadJSON(w, r, &q) {
+		return
+	}
+	faults := s.faults.Get()
+	a := s.newAttempt(q, faults)
+	switch {
+	case faults.Leaving:
+		host.Refuse(w, http.StatusServiceUnavailable, "leaving")
+		return
+	case !s.serves(roster.Model{Model: q.Model, Version: q.Version}):
+		host.Refuse(w, http.StatusNotFound, "unknown model")
+		return
+	case q.MaxTokens <= 0 || q.ResumeFrom < 0 || q.ResumeFrom > a.total:
+		host.Refuse(w, http.StatusBadRequest, "max_tokens or resume_from out of range")
+		return
+	case a.plan.fail:
+		host.Refuse(w, http.StatusInternalServerError, "failed")
+		return
+	}
+	a.out = w
+	ctx, end := s.begin(r.Context(), a)
+	defer end()
+	if err := s.batch.admit(ctx, q.Priority); err != nil {
+		s.turnAway(w, err)
+		return
+	}
+	defer s.batch.release()
+	s.run(ctx, a)
+}
+
+// newAttempt decides the length, the faults and the pace of an attempt.
+func (s *Server) newAttempt(q request, f Faults) *attempt {
+	a := &attempt{request: q, total: Length(q.Prompt, q.MaxTokens)}
+	if s.FixedLength {
+		a.total = q.MaxTokens
+	}
+	a.plan = f.plan(host.Draw(s.Seed, fmt.Sprintf("%s/%d", q.RequestID, q.Attempt)), q.ResumeFrom, a.total)
+	slow := time.Duration(f.SlowMS) * time.Millisecond
+	a.first, a.gap = s.FirstToken+slow, s.TokenGap+slow
+	return a
+}
+
+// begin makes the attempt known to cancel.
+func (s *Server) begin(ctx context.Context, a *attempt) (context.Context, func()) {
+	ctx, a.cancelFn = context.WithCancel(ctx)
+	key := attemptKey{id: a.RequestID, attempt: a.Attempt}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running[key] = a
+	n, _ := s.attempts.Peek(a.RequestID)
+	s.attempts.Add(a.RequestID, n+1)
+	return ctx, func() {
+		a.cancelFn()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.running[key] == a {
+			delete(s.running, key)
+		}
+	}
+}
+
+// turnAway answers a request that was not admitted.
+func (s *Server) turnAway(w http.ResponseWriter, err error) {
+	if errors.Is(err, errFull) {
+		host.Refuse(w, http.StatusTooManyRequests, "full")
+		return
+	}
+	s.count(func(c *Counts) { c.Cancelled++ })
+	host.Refuse(w, http.StatusConflict, "cancelled")
+}
+
+func (s *Server) cancel(w http.ResponseWriter, r *http.Request) {
+	var q request
+	if !host.ReadJSON(w, r, &q) {
+		return
+	}
+	s.mu.Lock()
+	a := s.running[attemptKey{id: q.RequestID, attempt: q.Attempt}]
+	s.mu.Unlock()
+	if a != nil {
+		a.cancelFn()
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// run sends the stream of an admitted attempt and counts how it ended.
+func (s *Server) run(ctx context.Context, a *attempt) {
+	if a.ResumeFrom > 0 {
+		s.count(func(c *Counts) { c.Resumed++ })
+	} else {
+		s.count(func(c *Counts) { c.Started++ })
+	}
+	prefix := a.Prompt[:min(len(a.Prompt), prefixBytes)]
+	if s.prefixes.Contains(prefix) || a.ResumeFrom > 0 {
+		a.first -= s.FirstToken / 2
+	}
+	s.prefixes.Add(prefix, struct{}{})
+	a.out.Header().Set("Content-Type", "text/event-stream")
+	finished := s.stream(ctx, a)
+	switch {
+	case finished:
+		s.count(func(c *Counts) { c.Finished++ })
+	case ctx.Err() != nil:
+		s.count(func(c *Counts) { c.Cancelled++ })
+	}
+}
+
+// stream sends the frames and reports whether the final one was sent.
+func (s *Server) stream(ctx context.Context, a *attempt) bool {
+	seed := xxhash.Sum64String(a.Prompt)
+	delay := a.first
+	for i := a.ResumeFrom; i < a.total; i++ {
+		if wait(ctx, delay) != nil || !a.before(ctx, i) {
+			return false
+		}
+		delay = a.gap
+		s.count(func(c *Counts) { c.Tokens++ })
+		f := frame{RequestID: a.RequestID, Attempt: a.Attempt, Position: i, Text: token(seed, i)}
+		if i != a.plan.skip && a.send(f) != nil {
+			return false
+		}
+		if i == a.plan.double && a.send(f) != nil {
+			return false
+		}
+	}
+	return a.before(ctx, a.total) && a.send(a.last()) == nil
+}
+
+// before applies the faults that come before a position; it is false when the stream ends there.
+func (a *attempt) before(ctx context.Context, i int) bool {
+	switch i {
+	case a.plan.truncate:
+		return false
+	case a.plan.stall:
+		_ = http.NewResponseController(a.out).Flush()
+		<-ctx.Done()
+		return false
+	case a.plan.cross:
+		return a.send(frame{RequestID: "other-" + a.RequestID, Attempt: a.Attempt, Position: i, Text: "other "}) == nil
+	}
+	return true
+}
+
+func (a *attempt) last() frame {
+	f := frame{
+		RequestID:        a.RequestID,
+		Attempt:          a.Attempt,
+		Position:         a.total,
+		Final:            true,
+		FinishReason:     "stop",
+		PromptTokens:     promptTokens(a.Prompt),
+		CompletionTokens: a.total,
+	}
+	if a.total == a.MaxTokens {
+		f.FinishReason = "length"
+	}
+	return f
+}
+
+func (a *attempt) send(f frame) error {
+	data, err := json.Marshal(f)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(a.out, "data: %s\n\n", data); err != nil {
+		return err
+	}
+	return http.NewResponseController(a.out).Flush()
+}
+
+func (s *Server) count(update func(*Counts)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	update(&s.counts)
+}
+
+// wait returns after d, or with an error when the context ends before.
+func wait(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/fake/fleet/fleet.go
@@ -0,0 +1,307 @@
+// Package fleet runs a platform, targets and instances in one process, on free ports of
+// the loopback address. The demo, tests and measurements use it.
+package fleet
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"cranberryrail/core/conf"
+	"cranberryrail/core/ledger"
+	"cranberryrail/core/roster"
+	"cranberryrail/fake/engine"
+	"cranberryrail/fake/plain"
+	"cranberryrail/fake/platf"
+	"cranberryrail/io/node"
+	"cranberryrail/io/opts"
+)
+
+// Model and Service are what the stand-in targets serve.
+const (
+	Model   = "draft"
+	Version = "1"
+	Service = "claims"
+)
+
+// OperatorKey is the operators' key of every instance.
+const OperatorKey = "operator-key"
+
+// OperatorKeySHA256 returns the hash of the operators' key for settings.
+func OperatorKeySHA256() string { return keyHash(OperatorKey) }
+
+func keyHash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// Fleet is a platform with targets and instances. Exported fields are set before Start.
+type Fleet struct {
+	// Instances, Engines and Services are how many of each are started.
+	Instances, Engines, Services int
+	// Platform is the stand-in of the platform; made by Start when empty.
+	Platform *platf.Server
+	// FirstToken, TokenGap and Capacity parameterise the engines.
+	FirstToken, TokenGap time.Duration
+	Capacity             int
+	// Change alters the settings of an instance before it is made; optional.
+	Change func(i int, s *opts.Settings)
+	// Log takes the events of the instances.
+	Log zerolog.Logger
+
+	// Nodes, EngineServers and ServiceServers are what runs.
+	Nodes          []*Member
+	EngineServers  []*engine.Server
+	ServiceServers []*plain.Server
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	group  *errgroup.Group
+}
+
+// Member is one running instance.
+type Member struct {
+	*node.Node
+	cancel context.CancelFunc
+	done   chan struct{}
+	err    error
+}
+
+// String names the fleet.
+func (f *Fleet) String() string {
+	return fmt.Sprintf("fleet of %d instances, %d engines and %d services", f.Instances, f.Engines, f.Services)
+}
+
+// Default fills fields that were left empty.
+func (f *Fleet) Default() {
+	if f.Platform == nil {
+		f.Platform = &platf.Server{Seed: 1}
+	}
+	if f.Change == nil {
+		f.Change = func(int, *opts.Settings) {}
+	}
+	if f.Capacity == 0 {
+		f.Capacity = 64
+	}
+}
+
+// Start starts everything and waits until all instances are ready.
+func (f *Fleet) Start(ctx context.Context) error {
+	f.ctx, f.cancel = context.WithCancel(ctx)
+	f.group, f.ctx = errgroup.WithContext(f.ctx)
+	f.Platform.Default()
+	if err := f.Platform.Listen(f.ctx); err != nil {
+		return err
+	}
+	f.group.Go(func() error { return f.Platform.Run(f.ctx) })
+	for i := range f.Engines {
+		f.startEngine(i)
+	}
+	for i := range f.Services {
+		f.startService(i)
+	}
+	for range f.Instances {
+		if _, err := f.StartInstance(); err != nil {
+			return err
+		}
+	}
+	return f.AwaitReady(ctx)
+}
+
+func (f *Fleet) startEngine(i int) {
+	e := &engine.Server{
+		ID: fmt.Sprintf("engine-%d", i), Models: []roster.Model{{Model: Model, Version: Version}}, Capacity: f.Capacity,
+		FirstToken: f.FirstToken, TokenGap: f.TokenGap, Seed: uint64(i) + 1, Log: zerolog.Nop(),
+	}
+	e.Default()
+	f.group.Go(func() error { return e.Run(f.ctx) })
+	f.EngineServers = append(f.EngineServers, e)
+	f.Platform.SetTarget(roster.Target{
+		ID: e.ID, Incarnation: e.ID + "/1", Zone: "zone-a", Kind: roster.ModelEngine, Addr: e.Addr(), State: roster.Live,
+		Models: e.Models,
+	})
+}
+
+func (f *Fleet) startService(i int) {
+	s := &plain.Server{ID: fmt.Sprintf("service-%d", i), Seed: uint64(i) + 1, Log: zerolog.Nop()}
+	s.Default()
+	f.group.Go(func() error { return s.Run(f.ctx) })
+	f.ServiceServers = append(f.ServiceServers, s)
+	f.Platform.SetTarget(roster.Target{
+		ID: s.ID, Incarnation: s.ID + "/1", Zone: "zone-a", Kind: roster.PlainService, Addr: s.Addr(), State: roster.Live,
+		Service: Service,
+	})
+}
+
+// StartInstance starts one more instance.
+func (f *Fleet) StartInstance() (*Member, error) {
+	i := len(f.Nodes)
+	settings, err := f.settings(i)
+	if err != nil {
+		return nil, err
+	}
+	m := &Member{Node: &node.Node{Settings: settings, Log: f.Log.With().Str("instance", settings.Instance.ID).Logger()}, done: make(chan struct{})}
+	m.Default()
+	if err := m.Listen(f.ctx); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(f.ctx)
+	m.cancel = cancel
+	f.group.Go(func() error {
+		defer close(m.done)
+		m.err = m.Run(ctx)
+		return nil
+	})
+	f.Nodes = append(f.Nodes, m)
+	f.Platform.SetInstance(m.Listed())
+	return m, nil
+}
+
+func (f *Fleet) settings(i int) (opts.Settings, error) {
+	text := fmt.Sprintf(`
+[instance]
+id = "instance-%d"
+zone = "zone-a"
+[caller]
+listen = "127.0.0.1:0"
+[peer]
+listen = "127.0.0.1:0"
+[operator]
+listen = "127.0.0.1:0"
+key_sha256 = "%s"
+[platform]
+log_url = "http://%s"
+list_url = "http://%s"
+[stop]
+timeout_ms = 20000
+notice_ms = 50
+`, i, OperatorKeySHA256(), f.Platform.Addr(), f.Platform.Addr())
+	s, err := opts.Parse([]byte(text))
+	if err != nil {
+		return s, fmt.Errorf("settings of instance %d: %w", i, err)
+	}
+	f.Change(i, &s)
+	return s, nil
+}
+
+// readyPoll is how often readiness is looked at.
+const readyPoll = 10 * time.Millisecond
+
+// AwaitReady waits until all instances that run are ready.
+func (f *Fleet) AwaitReady(ctx context.Context) error {
+	return f.Await(ctx, func() bool {
+		for _, m := range f.Nodes {
+			if !m.Stopped() && !m.Ready() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Await polls until the condition holds.
+func (f *Fleet) Await(ctx context.Context, holds func() bool) error {
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for !holds() {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("wait for the fleet: %w", ctx.Err())
+		case <-f.ctx.Done():
+			return errors.New("the fleet was stopped")
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// Stopped reports whether the instance has ended.
+func (m *Member) Stopped() bool {
+	select {
+	case <-m.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// Stop stops the instance gracefully and returns its error.
+func (m *Member) Stop() error {
+	m.cancel()
+	<-m.done
+	return m.err
+}
+
+// Kill ends the instance as the death of its process would.
+func (m *Member) Kill() {
+	m.Node.Kill()
+	<-m.done
+	m.cancel()
+}
+
+// Close ends everything at once.
+func (f *Fleet) Close() {
+	for _, m := range f.Nodes {
+		if !m.Stopped() {
+			m.Kill()
+		}
+	}
+	f.cancel()
+	_ = f.group.Wait()
+}
+
+// Publish publishes a template through an instance and waits until it is in force at all
+// instances that run.
+func (f *Fleet) Publish(ctx context.Context, via *Member, id, template string) error {
+	t, err := conf.Parse([]byte(template))
+	if err != nil {
+		return err
+	}
+	outcome, err := via.Conf.Publish(conf.Publish{ID: id, Organisation: t.Organisation, Body: []byte(template)}, false)
+	if err != nil {
+		return err
+	}
+	if err := outcome.Err(); err != nil {
+		return err
+	}
+	return f.Await(ctx, func() bool {
+		for _, m := range f.Nodes {
+			if !m.Stopped() && m.Conf.Version() < outcome.Version {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TopUp adds tokens to a budget through an instance.
+func (f *Fleet) TopUp(via *Member, id, organisation string, tokens int64) error {
+	budget := ledger.BudgetKey(organisation, conf.MainBudget)
+	r, err := via.LedgerOf(budget).TopUp(ledger.TopUp{ID: id, Budget: budget, Tokens: tokens})
+	if err != nil {
+		return err
+	}
+	if r.Refused != "" {
+		return fmt.Errorf("top up %s: %s", budget, r.Refused)
+	}
+	return nil
+}
+
+// Template returns the template of an organisation whose key is its name and "-key".
+func Template(organisation string) string {
+	return fmt.Sprintf(`organisation = %q
+keys_sha256 = [%q]
+services = [%q]
+[[models]]
+model = %q
+`, organisation, keyHash(Key(organisation)), Service, Model)
+}
+
+// Key returns the key of an organisation with a Template.
+func Key(organisation string) string { return organisation + "-key" }
--- /dev/null
+++ b/fake/routs/model.go
@@ -0,0 +1,240 @@
+package routs
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"cranberryrail/core/roster"
+	"cranberryrail/core/route"
+)
+
+const (
+	// zipfSkew is the exponent of the distribution of prefixes.
+	zipfSkew = 1.1
+	// maxTries is the number of targets that a request is sent to while they answer that they are full.
+	maxTries = 3
+	// histogramMaxMS and histogramDigits size the histogram of first tokens.
+	histogramMaxMS  = int64(10 * time.Minute / time.Millisecond)
+	histogramDigits = 3
+	// slowEngine is the index of the slow engine.
+	slowEngine = 0
+	modelName  = "assistant"
+)
+
+type event struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if e[i].at.Equal(e[j].at) {
+		return e[i].seq < e[j].seq
+	}
+	return e[i].at.Before(e[j].at)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	*e = (*e)[:last]
+	return x
+}
+
+type engine struct {
+	id      string
+	running int
+	waiting []*request
+	cache   *simplelru.LRU[string, struct{}]
+	slower  float64
+}
+
+type request struct {
+	prefix   string
+	priority int
+	arrived  time.Time
+	decode   time.Duration
+	router   *route.Table
+	token    int64
+	tried    []string
+	measured bool
+}
+
+type model struct {
+	bench   *Bench
+	result  *Result
+	now     time.Time
+	start   time.Time
+	seq     int
+	events  events
+	rand    *rand.Rand
+	zipf    *rand.Zipf
+	engines []*engine
+	routers []*route.Table
+	first   *hdrhistogram.Histogram
+}
+
+func newModel(b *Bench, r *Result) *model {
+	m := &model{bench: b, result: r, now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(b.Seed, 1))}
+	m.start = m.now
+	m.zipf = rand.NewZipf(m.rand, zipfSkew, 1, uint64(b.Prefixes-1))
+	m.first = hdrhistogram.New(1, histogramMaxMS, histogramDigits)
+	list := make([]roster.Target, 0, b.Engines)
+	for i := range b.Engines {
+		e := &engine{id: fmt.Sprintf("engine-%02d", i), slower: 1}
+		e.cache, _ = simplelru.NewLRU[string, struct{}](b.Cache, nil)
+		if r.SlowOne && i == slowEngine {
+			e.slower = b.Slowdown
+		}
+		m.engines = append(m.engines, e)
+		list = append(list, roster.Target{ID: e.id, Incarnation: e.id, Kind: roster.ModelEngine, Models: []roster.Model{{Model: modelName}}})
+	}
+	for i := range b.Routers {
+		t := &route.Table{
+			Policy: r.Policy, Bound: r.Bound, Queue: 1, Capacity: b.Slots, Instances: b.Routers,
+			Seed: b.Seed + uint64(i), Now: func() time.Time { return m.now },
+		}
+		t.Default()
+		t.SetTargets(list)
+		m.routers = append(m.routers, t)
+	}
+	return m
+}
+
+func (m *model) after(d time.Duration, do func()) {
+	m.seq++
+	heap.Push(&m.events, event{at: m.now.Add(d), seq: m.seq, do: do})
+}
+
+func (m *model) run() {
+	end := m.start.Add(m.bench.WarmUp + m.bench.Length)
+	m.after(0, m.arrive)
+	for _, e := range m.engines {
+		m.after(time.Duration(m.rand.Int64N(int64(m.bench.Lag))), func() { m.measure(e) })
+	}
+	for len(m.events) > 0 && m.now.Before(end) {
+		next := heap.Pop(&m.events).(event)
+		m.now = next.at
+		next.do()
+	}
+	m.result.P50 = m.quantile(50)
+	m.result.P95 = m.quantile(95)
+	m.result.P99 = m.quantile(99)
+}
+
+func (m *model) quantile(q float64) time.Duration {
+	return time.Duration(m.first.ValueAtQuantile(q)) * time.Millisecond
+}
+
+// arrive makes one request and plans the next. The load is a multiple of what all engines
+// complete at their normal speed when every prefix is in the cache.
+func (m *model) arrive() {
+	b := m.bench
+	capacity := float64(b.Engines*b.Slots) / (b.PrefillHit + b.Decode).Seconds()
+	gap := m.rand.ExpFloat64() / (m.result.Load * capacity)
+	r := &request{
+		prefix:   fmt.Sprintf("prefix-%d", m.zipf.Uint64()),
+		priority: m.rand.IntN(route.TopPriority + 1),
+		arrived:  m.now,
+		decode:   time.Duration(m.rand.ExpFloat64() * float64(b.Decode)),
+		router:   m.routers[m.rand.IntN(len(m.routers))],
+		measured: m.now.Sub(m.start) >= b.WarmUp,
+	}
+	if r.measured {
+		m.result.Offered++
+		if r.priority == route.TopPriority {
+			m.result.Urgent++
+		}
+	}
+	m.place(r)
+	m.after(time.Duration(gap*float64(time.Second)), m.arrive)
+}
+
+func (m *model) place(r *request) {
+	for len(r.tried) < maxTries {
+		choice, err := r.router.Pick(route.Request{Model: modelName, Prefix: r.prefix, Priority: r.priority, Avoid: r.tried})
+		if err != nil {
+			break
+		}
+		r.token = choice.Token
+		e := m.engine(choice.Target.ID)
+		if e.running < m.bench.Slots {
+			m.begin(e, r)
+			return
+		}
+		if len(e.waiting) < m.bench.Slots {
+			e.waiting = append(e.waiting, r)
+			return
+		}
+		r.tried = append(r.tried, e.id)
+		r.router.Done(r.token, route.Full)
+	}
+	if !r.measured {
+		return
+	}
+	m.result.Refused++
+	if r.priority == route.TopPriority {
+		m.result.UrgentRefused++
+	}
+}
+
+func (m *model) engine(id string) *engine {
+	for _, e := range m.engines {
+		if e.id == id {
+			return e
+		}
+	}
+	panic("router chose an engine that does not exist: " + id)
+}
+
+func (m *model) begin(e *engine, r *request) {
+	e.running++
+	prefill := m.bench.PrefillMiss
+	_, hit := e.cache.Get(r.prefix)
+	if hit {
+		prefill = m.bench.PrefillHit
+	}
+	e.cache.Add(r.prefix, struct{}{})
+	prefill = time.Duration(float64(prefill) * e.slower)
+	if r.measured {
+		m.result.Started++
+		if hit {
+			m.result.Hits++
+		}
+		_ = m.first.RecordValue((m.now.Sub(r.arrived) + prefill).Milliseconds())
+	}
+	m.after(prefill+time.Duration(float64(r.decode)*e.slower), func() { m.finish(e, r) })
+}
+
+func (m *model) finish(e *engine, r *request) {
+	e.running--
+	r.router.Done(r.token, route.OK)
+	if len(e.waiting) > 0 {
+		next := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		m.begin(e, next)
+	}
+}
+
+// measure takes an engine's load, which reaches the routers one lag later, and plans the next.
+func (m *model) measure(e *engine) {
+	l := roster.Load{
+		Incarnation: e.id, State: roster.Live, Running: e.running, Waiting: len(e.waiting),
+		Capacity: m.bench.Slots, CachedPrefixes: e.cache.Len(), AgeMS: m.bench.Lag.Milliseconds(),
+	}
+	m.after(m.bench.Lag, func() {
+		for _, t := range m.routers {
+			t.Report(e.id, l, m.now)
+		}
+	})
+	m.after(m.bench.Lag, func() { m.measure(e) })
+}
--- /dev/null
+++ b/fake/routs/routs_test.go
@@ -0,0 +1,35 @@
+package routs_test
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cranberryrail/core/route"
+	"cranberryrail/fake/routs"
+)
+
+func TestBench(t *testing.T) {
+	short := func(out *bytes.Buffer) *routs.Bench {
+		return &routs.Bench{Seed: 7, WarmUp: 20 * time.Second, Length: 20 * time.Second, Loads: []float64{0.8}, Bounds: []float64{1.25}, Out: out}
+	}
+	t.Run("the same seed gives the same table", func(t *testing.T) {
+		var one, two bytes.Buffer
+		assert.NilError(t, short(&one).Run(t.Context()))
+		assert.NilError(t, short(&two).Run(t.Context()))
+		assert.Equal(t, one.String(), two.String())
+	})
+	t.Run("affinity hits more prefixes than random choice", func(t *testing.T) {
+		results, err := short(nil).Results(t.Context())
+		assert.NilError(t, err)
+		hits := map[route.Policy]int{}
+		for _, r := range results {
+			if !r.SlowOne {
+				hits[r.Policy] = r.Hits
+			}
+		}
+		assert.Assert(t, hits[route.PrefixBounded] > hits[route.Random], "hits: %v", hits)
+	})
+}
--- /dev/null
+++ b/io/front/front.go
@@ -0,0 +1,193 @@
+// Package front is the edge towards callers: it checks requests, streams answers in
+// the shapes that clients of model services know, and writes refusals with their
+// numbered codes.
+package front
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"cranberryrail/core/codes"
+	"cranberryrail/core/conf"
+	"cranberryrail/core/ledger"
+	"cranberryrail/core/once"
+	"cranberryrail/core/roster"
+	"cranberryrail/core/route"
+	"cranberryrail/core/serve"
+	"cranberryrail/io/opts"
+)
+
+// Served is what became of one request, for the report on service levels.
+type Served struct {
+	Organisation string
+	// FirstToken is the time to the first token; 0 when there was none.
+	FirstToken time.Duration
+	// Gap is the mean time between tokens; 0 with fewer than two.
+	Gap time.Duration
+	// Err is the refusal or failure; nil for a whole answer.
+	Err *codes.Error
+}
+
+// Server serves callers. Exported fields are set before Default.
+type Server struct {
+	// Settings bound what a caller may send and how long it may take.
+	Settings opts.Caller
+	// AnswerBytes is the largest answer of a plain service that is kept for retries.
+	AnswerBytes int64
+	// Ready tells whether the instance takes requests.
+	Ready func() bool
+	// ByKey returns the template of the organisation that a key belongs to.
+	ByKey func(sha256 string) (conf.Template, bool)
+	// Ledger returns the keeper of a budget.
+	Ledger func(budget string) *ledger.Keeper
+	// Once returns the keeper of an idempotency key.
+	Once func(key string) *once.Keeper
+	// Route chooses targets and counts requests in flight.
+	Route *route.Client
+	// Generate serves model requests.
+	Generate *serve.Server
+	// Call makes one call to a plain service.
+	Call func(ctx context.Context, t roster.Target, c Call) (Reply, error)
+	// Served is told of each request that was parsed; optional.
+	Served func(s Served)
+
+	listener net.Listener
+	server   *http.Server
+	active   activeSet
+	inFlight atomic.Int64
+	stopping atomic.Bool
+}
+
+// String names the server for logs.
+func (s *Server) String() string { return "callers' edge on " + s.Settings.Listen }
+
+// Default fills fields that were left empty.
+func (s *Server) Default() {
+	if s.Served == nil {
+		s.Served = func(Served) {}
+	}
+	if s.Ready == nil {
+		s.Ready = func() bool { return true }
+	}
+	s.active.ids = map[string]struct{}{}
+	s.server = &http.Server{
+		Handler:           s.handler(),
+		ReadHeaderTimeout: s.Settings.HeaderTimeoutMS.Duration(),
+		IdleTimeout:       s.Settings.IdleTimeoutMS.Duration(),
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// maxHeaderBytes bounds the headers of a request.
+const maxHeaderBytes = 32 << 10
+
+// Listen opens the listener; Addr is known afterwards.
+func (s *Server) Listen(ctx context.Context) error {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Settings.Listen)
+	if err != nil {
+		return fmt.Errorf("listen for callers; change caller.listen: %w", err)
+	}
+	s.listener = l
+	return nil
+}
+
+// Addr returns the address that callers reach.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Run serves until the context ends. Requests in flight are then cut off; Drain before
+// lets them finish.
+func (s *Server) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("serve callers: %w", err)
+		}
+		return nil
+	})
+	g.Go(func() error {
+		<-ctx.Done()
+		return s.server.Close()
+	})
+	return g.Wait()
+}
+
+// Drain withdraws readiness, leaves the balancer the time of notice to move on, and
+// waits for the requests in flight.
+func (s *Server) Drain(ctx context.Context, notice time.Duration) error {
+	s.stopping.Store(true)
+	timer := time.NewTimer(notice)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	if err := s.server.Shutdown(ctx); err != nil {
+		return fmt.Errorf("wait for %d requests in flight: %w", s.inFlight.Load(), err)
+	}
+	return nil
+}
+
+// InFlight returns the number of requests in flight.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+func (s *Server) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", s.readyz)
+	mux.HandleFunc("POST /v1/completions", s.counted(s.generate))
+	mux.HandleFunc("POST /v1/chat/completions", s.counted(s.generate))
+	mux.HandleFunc("POST /v1/services/{service}/{operation}", s.counted(s.service))
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		writeError(w, r.Header.Get(headerRequestID), codes.Refuse(codes.UnknownRoute, 0, "%s %s; see docs/PROTOCOLS.md", r.Method, r.URL.Path))
+	})
+	return mux
+}
+
+func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
+	if s.stopping.Load() || !s.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// counted counts requests in flight and refuses them while the instance is not ready.
+// A stopping instance still serves what reaches it before its listener closes.
+func (s *Server) counted(serve http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.inFlight.Add(1)
+		defer s.inFlight.Add(-1)
+		if !s.Ready() {
+			writeError(w, r.Header.Get(headerRequestID), codes.Refuse(codes.NotReady, retryNotReady, "try another instance"))
+			return
+		}
+		serve(w, r)
+	}
+}
+
+// retryNotReady is when to come back to an instance that is starting.
+const retryNotReady = time.Second
+
+// authenticate returns the template of the caller's organisation.
+func (s *Server) authenticate(r *http.Request) (conf.Template, *codes.Error) {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return conf.Template{}, codes.Refuse(codes.BadKey, 0, "send the header Authorization: Bearer KEY")
+	}
+	sum := sha256.Sum256([]byte(key))
+	t, ok := s.ByKey(hex.EncodeToString(sum[:]))
+	if !ok {
+		return conf.Template{}, codes.Refuse(codes.BadKey, 0, "the key belongs to no organisation")
+	}
+	return t, nil
+}
--- /dev/null
+++ b/io/front/parse.go
@@ -0,0 +1,203 @@
+package front
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"cranberryrail/core/codes"
+	"cranberryrail/core/conf"
+)
+
+// Headers of requests.
+const (
+	headerRequestID    = "X-Request-Id"
+	headerPriority     = "X-Priority"
+	headerBudget       = "X-Budget"
+	headerAllowShorter = "X-Allow-Shorter"
+	headerKey          = "Idempotency-Key"
+)
+
+// Bounds of a request.
+const (
+	// defaultMaxTokens applies when a request names no max_tokens.
+	defaultMaxTokens = 1024
+	// maxIDBytes bounds request ids and idempotency keys.
+	maxIDBytes = 128
+	// shorterLeast is the fewest tokens of an answer that is worth while when a shorter one is
+	// welcome.
+	shorterLeast = 16
+)
+
+// message is one turn of a chat.
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// body is the body of a model request. Fields of other clients that change nothing here
+// are accepted and not used.
+type body struct {
+	Model               string    `json:"model"`
+	Prompt              *string   `json:"prompt"`
+	Messages            []message `json:"messages"`
+	MaxTokens           *int      `json:"max_tokens"`
+	MaxCompletionTokens *int      `json:"max_completion_tokens"`
+	Stream              bool      `json:"stream"`
+}
+
+// request is a model request that was checked.
+type request struct {
+	id           string
+	organisation string
+	budget       string
+	model        string
+	version      string
+	prompt       string
+	priority     int
+	maxTokens    int
+	allowShorter bool
+	stream       bool
+	chat         bool
+	digest       uint64
+}
+
+// readBody reads the whole body within its bounds of size and time.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *codes.Error) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(s.Settings.BodyTimeoutMS.Duration()))
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.Settings.BodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, codes.Refuse(codes.BodyTooLarge, 0, "the body may have %d bytes", s.Settings.BodyBytes)
+	case err != nil:
+		return nil, codes.Refuse(codes.BodyTimeout, time.Second, "the body did not arrive whole within %s", s.Settings.BodyTimeoutMS.Duration())
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return data, nil
+}
+
+// parse checks a model request against the template of its organisation.
+func parse(r *http.Request, data []byte, t conf.Template) (request, *codes.Error) {
+	var b body
+	if err := json.Unmarshal(data, &b); err != nil {
+		return request{}, codes.Refuse(codes.BadRequest, 0, "the body is no JSON of the expected shape: %v", err)
+	}
+	req := request{
+		organisation: t.Organisation, priority: t.Priority, stream: b.Stream,
+		chat: strings.HasSuffix(r.URL.Path, "/chat/completions"), digest: xxhash.Sum64(data),
+	}
+	checks := []func() *codes.Error{
+		func() *codes.Error { return req.takePrompt(b) },
+		func() *codes.Error { return req.takeTokens(b, t) },
+		func() *codes.Error { return req.takeModel(b, t) },
+		func() *codes.Error { return req.takeHeaders(r, t) },
+	}
+	for _, check := range checks {
+		if err := check(); err != nil {
+			return req, err
+		}
+	}
+	return req, nil
+}
+
+func (req *request) takePrompt(b body) *codes.Error {
+	switch {
+	case req.chat && len(b.Messages) == 0:
+		return codes.Refuse(codes.BadRequest, 0, "messages must hold at least one message")
+	case req.chat:
+		lines := make([]string, 0, len(b.Messages))
+		for _, m := range b.Messages {
+			lines = append(lines, m.Role+": "+m.Content)
+		}
+		req.prompt = strings.Join(lines, "\n")
+	case b.Prompt == nil || *b.Prompt == "":
+		return codes.Refuse(codes.BadRequest, 0, "prompt must be a text that is not empty")
+	default:
+		req.prompt = *b.Prompt
+	}
+	return nil
+}
+
+func (req *request) takeTokens(b body, t conf.Template) *codes.Error {
+	req.maxTokens = min(defaultMaxTokens, t.MaxTokensLimit)
+	if b.MaxCompletionTokens != nil {
+		req.maxTokens = *b.MaxCompletionTokens
+	}
+	if b.MaxTokens != nil {
+		req.maxTokens = *b.MaxTokens
+	}
+	if req.maxTokens < 1 || req.maxTokens > t.MaxTokensLimit {
+		return codes.Refuse(codes.BadRequest, 0, "max_tokens is %d and must be from 1 to %d", req.maxTokens, t.MaxTokensLimit)
+	}
+	return nil
+}
+
+func (req *request) takeModel(b body, t conf.Template) *codes.Error {
+	model, version, _ := strings.Cut(b.Model, ":")
+	req.model, req.version = model, version
+	i := slices.IndexFunc(t.Models, func(m conf.Model) bool { return m.Model == model })
+	if model == "" || i < 0 {
+		return codes.Refuse(codes.UnknownModel, 0, "model %q is not offered to organisation %s", b.Model, t.Organisation)
+	}
+	versions := t.Models[i].Versions
+	switch {
+	case slices.Contains(versions, conf.AnyVersion):
+	case version == "" && len(versions) > 0:
+		req.version = versions[0]
+	case !slices.Contains(versions, version):
+		return codes.Refuse(codes.NotAllowed, 0, "organisation %s may reach versions %v of model %s", t.Organisation, versions, model)
+	}
+	return nil
+}
+
+func (req *request) takeHeaders(r *http.Request, t conf.Template) *codes.Error {
+	req.id = r.Header.Get(headerRequestID)
+	if req.id == "" {
+		req.id = uuid.NewString()
+	}
+	if err := checkID(headerRequestID, req.id); err != nil {
+		return err
+	}
+	if p := r.Header.Get(headerPriority); p != "" {
+		n, err := strconv.Atoi(p)
+		if err != nil || n < 0 || n > 9 {
+			return codes.Refuse(codes.BadRequest, 0, "%s is %q and must be from 0 to 9", headerPriority, p)
+		}
+		req.priority = n
+	}
+	req.allowShorter = r.Header.Get(headerAllowShorter) == "1"
+	req.budget = conf.MainBudget
+	if b := r.Header.Get(headerBudget); b != "" {
+		req.budget = b
+	}
+	if !slices.ContainsFunc(t.Budgets, func(b conf.Budget) bool { return b.Name == req.budget }) {
+		return codes.Refuse(codes.BudgetUnknown, 0, "organisation %s has no budget %q", t.Organisation, req.budget)
+	}
+	return nil
+}
+
+// checkID bounds an id that callers choose.
+func checkID(name, id string) *codes.Error {
+	plain := func(c rune) bool { return c > ' ' && c < 0x7f }
+	if len(id) > maxIDBytes || strings.IndexFunc(id, func(c rune) bool { return !plain(c) }) >= 0 {
+		return codes.Refuse(codes.BadRequest, 0, "%s must have at most %d printable ASCII characters without spaces", name, maxIDBytes)
+	}
+	return nil
+}
+
+// engineID returns the id under which engines know the request; it is the same for
+// every attempt, and no other organisation's or other content's.
+func (req *request) engineID() string {
+	return fmt.Sprintf("%s/%s/%016x", req.organisation, req.id, req.digest)
+}
--- /dev/null
+++ b/io/front/service.go
@@ -0,0 +1,170 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cranberryrail/core/codes"
+	"cranberryrail/core/conf"
+	"cranberryrail/core/once"
+	"cranberryrail/core/route"
+	"cranberryrail/core/serve"
+)
+
+// Call is one call to a plain service.
+type Call struct {
+	Operation string
+	Key       string
+	Header    http.Header
+	Body      []byte
+}
+
+// Reply is the whole answer of a plain service.
+type Reply struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// service makes a non-idempotent call, at most once for its key.
+func (s *Server) service(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
+	t, refused := s.authenticate(r)
+	if refused == nil {
+		refused = s.callOnce(w, r, t)
+	}
+	if refused != nil {
+		writeError(w, r.Header.Get(headerRequestID), refused)
+	}
+	s.Served(Served{Organisation: t.Organisation, Err: refused, FirstToken: time.Since(started)})
+}
+
+// callOnce checks a call, claims its key and dispatches it when the claim was won.
+func (s *Server) callOnce(w http.ResponseWriter, r *http.Request, t conf.Template) *codes.Error {
+	name := r.PathValue("service")
+	key := r.Header.Get(headerKey)
+	if key == "" {
+		return codes.Refuse(codes.KeyMissing, 0, "send the header %s with a key of your choice, the same in every retry", headerKey)
+	}
+	if err := checkID(headerKey, key); err != nil {
+		return err
+	}
+	if !slices.Contains(t.Services, name) {
+		return codes.Refuse(codes.NotAllowed, 0, "organisation %s may not call service %q", t.Organisation, name)
+	}
+	data, refused := s.readBody(w, r)
+	if refused != nil {
+		return refused
+	}
+	if err := s.Route.Enter(t.Organisation, t.MaxInFlight); err != nil {
+		return codes.From(err, codes.NotRun)
+	}
+	defer s.Route.Leave(t.Organisation)
+	call := Call{Operation: r.PathValue("operation"), Key: t.Organisation + "/" + key, Header: serviceHeader(r), Body: data}
+	keeper := s.Once(call.Key)
+	ruling, err := keeper.Claim(call.Key, callDigest(name, call))
+	switch {
+	case err != nil:
+		return codes.From(err, codes.NotRun)
+	case ruling.Refused != nil:
+		return ruling.Refused
+	case ruling.Replay != nil:
+		c := ruling.Replay
+		writeReply(w, Reply{Status: c.Status, ContentType: c.ContentType, Body: c.Body}, true)
+		return nil
+	}
+	return s.dispatchCall(w, r, keeper, t, name, call)
+}
+
+// serviceHeader returns the headers that are passed on to a plain service.
+func serviceHeader(r *http.Request) http.Header {
+	h := http.Header{}
+	if ct := r.Header.Get("Content-Type"); ct != "" {
+		h.Set("Content-Type", ct)
+	}
+	return h
+}
+
+// callDigest is a hash of what is called with what.
+func callDigest(service string, c Call) uint64 {
+	d := xxhash.New()
+	_, _ = fmt.Fprintf(d, "%s\x00%s\x00", service, c.Operation)
+	_, _ = d.Write(c.Body)
+	return d.Sum64()
+}
+
+// dispatchCall dispatches a call whose claim was won here, and ends the claim.
+func (s *Server) dispatchCall(w http.ResponseWriter, r *http.Request, k *once.Keeper, t conf.Template, name string, call Call) *codes.Error {
+	if r.Context().Err() != nil {
+		k.GiveUp(call.Key)
+		return codes.Refuse(codes.ClaimVoided, 0, "the caller is gone")
+	}
+	// A dispatched call is seen to its end, also when the caller goes away.
+	reply, failed := s.tryTargets(context.WithoutCancel(r.Context()), t, name, call)
+	switch {
+	case failed == nil:
+		s.finish(k, call, reply)
+		writeReply(w, reply, false)
+		return nil
+	case failed.Run == codes.NotRun:
+		k.GiveUp(call.Key)
+	default:
+		k.Doubt(call.Key)
+	}
+	return failed
+}
+
+// tryTargets makes the call at one target after another until one may have run it.
+func (s *Server) tryTargets(ctx context.Context, t conf.Template, name string, call Call) (Reply, *codes.Error) {
+	request := route.Request{Organisation: t.Organisation, Service: name, Priority: t.Priority}
+	var last error
+	for range serve.MaxAttempts {
+		choice, err := s.Route.Pick(request)
+		if err != nil {
+			return Reply{}, codes.From(err, codes.NotRun)
+		}
+		reply, err := s.Call(ctx, choice.Target, call)
+		if err == nil {
+			s.Route.Done(choice.Token, route.OK)
+			return reply, nil
+		}
+		failed := serve.AsAttempt(err)
+		s.Route.Done(choice.Token, failed.Outcome())
+		if !failed.NotRun {
+			return Reply{}, &codes.Error{Code: codes.OutcomeUnknown, Run: codes.Unknown, Err: err,
+				Detail: "ask the service whether the call took effect; it will not be sent again"}
+		}
+		if failed.Kind == serve.Leaving {
+			s.Route.Leaving(choice.Target.Incarnation)
+		}
+		request.Avoid = append(request.Avoid, choice.Target.ID)
+		last = err
+	}
+	return Reply{}, &codes.Error{Code: codes.TargetFailed, Run: codes.NotRun, RetryAfter: time.Second, Err: last,
+		Detail: "no target took the call; send it again with the same key"}
+}
+
+// finish records the answer, as far as it is small enough to be kept.
+func (s *Server) finish(k *once.Keeper, call Call, reply Reply) {
+	m := once.Result{Key: call.Key, Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body}
+	if int64(len(m.Body)) > s.AnswerBytes {
+		m.Body, m.TooLarge = nil, true
+	}
+	k.Finish(m)
+}
+
+func writeReply(w http.ResponseWriter, reply Reply, replayed bool) {
+	if reply.ContentType != "" {
+		w.Header().Set("Content-Type", reply.ContentType)
+	}
+	if replayed {
+		w.Header().Set("X-Replayed", "1")
+	}
+	w.WriteHeader(reply.Status)
+	_, _ = w.Write(reply.Body)
+}
--- /dev/null
+++ b/io/front/wire.go
@@ -0,0 +1,127 @@
+package front
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cranberryrail/core/codes"
+	"cranberryrail/core/serve"
+)
+
+// refusalBody is the JSON of a refusal.
+type refusalBody struct {
+	Error refusal `json:"error"`
+}
+
+type refusal struct {
+	Code         int       `json:"code"`
+	Name         string    `json:"name"`
+	Message      string    `json:"message"`
+	Run          codes.Run `json:"run"`
+	RetryAfterMS int64     `json:"retry_after_ms,omitempty"`
+	RequestID    string    `json:"request_id,omitempty"`
+}
+
+func errorBody(requestID string, e *codes.Error) refusalBody {
+	return refusalBody{Error: refusal{
+		Code: e.Code.Number, Name: e.Code.Name, Message: e.Code.Text + " " + e.Detail, Run: e.Run,
+		RetryAfterMS: e.RetryAfter.Milliseconds(), RequestID: requestID,
+	}}
+}
+
+// writeError writes a refusal with its numbered code.
+func writeError(w http.ResponseWriter, requestID string, e *codes.Error) {
+	if e.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	}
+	if requestID != "" {
+		w.Header().Set(headerRequestID, requestID)
+	}
+	writeJSON(w, e.Code.Status, errorBody(requestID, e))
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(marshal(v)))
+}
+
+// marshal encodes a value of this package, all of which JSON can carry.
+func marshal(v any) string {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return string(data)
+}
+
+// completion is an answer, or a part of one, in the shape of model services.
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Text         *string  `json:"text,omitempty"`
+	Delta        *message `json:"delta,omitempty"`
+	Message      *message `json:"message,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// chunk returns one event of a stream.
+func chunk(req request, text, finish string) string {
+	return marshal(completionOf(req, text, finish, true))
+}
+
+// last returns the event that ends a stream, with the usage.
+func last(req request, u serve.Usage) string {
+	c := completionOf(req, "", u.FinishReason, true)
+	c.Usage = usageOf(u)
+	return marshal(c)
+}
+
+// whole returns an answer in one piece.
+func whole(req request, text string, u serve.Usage) completion {
+	c := completionOf(req, text, u.FinishReason, false)
+	c.Usage = usageOf(u)
+	return c
+}
+
+func usageOf(u serve.Usage) *usage {
+	return &usage{PromptTokens: u.PromptTokens, CompletionTokens: u.CompletionTokens, TotalTokens: int(u.Tokens())}
+}
+
+func completionOf(req request, text, finish string, part bool) completion {
+	c := completion{ID: req.id, Object: "text_completion", Created: time.Now().Unix(), Model: req.model}
+	ch := choice{Text: &text}
+	if req.chat {
+		ch.Text = nil
+		m := &message{Role: "assistant", Content: text}
+		c.Object = "chat.completion"
+		if part {
+			c.Object = "chat.completion.chunk"
+			ch.Delta = m
+		} else {
+			ch.Message = m
+		}
+	}
+	if finish != "" {
+		ch.FinishReason = &finish
+	}
+	c.Choices = []choice{ch}
+	return c
+}
--- /dev/null
+++ b/io/node/node.go
@@ -0,0 +1,362 @@
+// Package node puts the parts of one instance together: the streams of the platform's
+// log, the edges, and the order in which they start and stop.
+package node
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"cranberryrail/core/agent"
+	"cranberryrail/core/conf"
+	"cranberryrail/core/events"
+	"cranberryrail/core/ledger"
+	"cranberryrail/core/once"
+	"cranberryrail/core/route"
+	"cranberryrail/core/serve"
+	"cranberryrail/core/tail"
+	"cranberryrail/io/front"
+	"cranberryrail/io/oper"
+	"cranberryrail/io/opts"
+	"cranberryrail/io/plat"
+	"cranberryrail/io/target"
+)
+
+// backgroundLimit is the number of orders to targets that run at the same time.
+const backgroundLimit = 256
+
+// Node is one instance. Exported fields are set before Default.
+type Node struct {
+	// Settings are the checked settings of the process.
+	Settings opts.Settings
+	// Log takes the numbered events.
+	Log zerolog.Logger
+	// Hurry waits until a graceful shutdown is to be cut short, and returns false when done is
+	// closed first; optional.
+	Hurry func(done <-chan struct{}) bool
+
+	// Inc is the incarnation, made by Default.
+	Inc string
+	// Front, Oper, Route and the keepers are the parts, made by Default.
+	Front  *front.Server
+	Oper   *oper.Server
+	Route  *route.Client
+	Conf   *conf.Keeper
+	Ledger []*ledger.Keeper
+	Once   []*once.Keeper
+
+	system  *actor.ActorSystem
+	plat    *plat.Client
+	log     tail.Log
+	target  *target.Client
+	reach   *reach
+	current current
+	members members
+	failed  chan error
+	killed  chan struct{}
+	// background holds short orders to targets that nobody waits for.
+	background errgroup.Group
+}
+
+// String names the instance for logs.
+func (n *Node) String() string { return "instance " + n.Settings.Instance.ID }
+
+// Default makes the parts of the instance.
+func (n *Node) Default() {
+	n.Inc = uuid.NewString()
+	n.failed = make(chan error, 1)
+	n.killed = make(chan struct{})
+	n.background.SetLimit(backgroundLimit)
+	n.system = agent.Quiet()
+	n.reach = &reach{now: time.Now, changed: n.reached}
+	n.plat = &plat.Client{LogURL: n.Settings.Platform.LogURL, ListURL: n.Settings.Platform.ListURL, Timeout: n.Settings.Platform.TimeoutMS.Duration()}
+	n.plat.Default()
+	n.log = n.plat.Log()
+	n.makeTarget()
+	n.makeStreams()
+	n.makeRoute()
+	n.makeFront()
+	n.makeOper()
+}
+
+func (n *Node) makeTarget() {
+	s := n.Settings.Target
+	n.target = &target.Client{
+		FrameTimeout: s.FrameTimeoutMS.Duration(), FirstFrameTimeout: s.FirstFrameTimeoutMS.Duration(),
+		DialTimeout: s.DialTimeoutMS.Duration(), CallTimeout: s.CallTimeoutMS.Duration(),
+	}
+	n.target.Default()
+}
+
+// feed returns the feed of one stream.
+func (n *Node) feed(stream string) *tail.Feed {
+	return &tail.Feed{
+		Log: n.log, Stream: stream, Inc: n.Inc, Linger: n.Settings.Ledger.LingerMS.Duration(),
+		SnapshotEvery: n.Settings.Ledger.SnapshotEvery, SnapshotTurn: n.snapshotTurn, Contact: n.reach.contact,
+		Stalled: func(err *tail.StalledError) {
+			events.Log(n.Log, events.FormatUnknown).Str("stream", err.Stream).Int64("offset", err.Offset).Err(err).Send()
+		},
+		SnapshotDone: func(at int64, written bool) {
+			e := events.SnapshotLoaded
+			if written {
+				e = events.SnapshotWritten
+			}
+			events.Log(n.Log, e).Str("stream", stream).Int64("at", at).Send()
+		},
+	}
+}
+
+// snapshotSpread is the longest time that an instance leaves a due snapshot to others.
+const snapshotSpread = 5 * time.Second
+
+// snapshotTurn returns a time that differs between instances.
+func (n *Node) snapshotTurn() time.Duration {
+	return time.Duration(xxhash.Sum64String(n.Inc) % uint64(snapshotSpread))
+}
+
+func (n *Node) makeStreams() {
+	n.Conf = &conf.Keeper{System: n.system, Feed: n.feed(conf.Stream), Applied: n.applied, Failed: n.panicked}
+	n.Conf.Default()
+	for i := range n.Settings.Ledger.Shards {
+		n.Ledger = append(n.Ledger, n.makeLedger(i))
+	}
+	for i := range n.Settings.Once.Shards {
+		book := &once.Book{Fold: once.New(), Wait: n.Settings.Once.ClaimWaitMS.Duration()}
+		k := &once.Keeper{System: n.system, Feed: n.feed(fmt.Sprintf("once/%d", i)), Book: book, Failed: n.panicked}
+		k.Default()
+		n.Once = append(n.Once, k)
+	}
+}
+
+func (n *Node) makeLedger(shard int) *ledger.Keeper {
+	book := &ledger.Book{
+		Fold: ledger.New(), Wait: n.Settings.Ledger.ReserveWaitMS.Duration(),
+		Policy: n.policy, Instances: n.members.instances,
+	}
+	k := &ledger.Keeper{
+		System: n.system, Feed: n.feed(fmt.Sprintf("ledger/%d", shard)), Book: book, Failed: n.panicked,
+		Violated: func(err error) { events.Log(n.Log, events.Overspend).Err(err).Send() },
+	}
+	k.Default()
+	return k
+}
+
+// policy returns the allowance policy of a budget.
+func (n *Node) policy(budget string) ledger.Policy {
+	if p, ok := n.current.get().policies[budget]; ok {
+		return p
+	}
+	return ledger.DefaultPolicy()
+}
+
+// LedgerOf returns the keeper of a budget.
+func (n *Node) LedgerOf(budget string) *ledger.Keeper {
+	return n.Ledger[xxhash.Sum64String(budget)%uint64(len(n.Ledger))]
+}
+
+// OnceOf returns the keeper of an idempotency key.
+func (n *Node) OnceOf(key string) *once.Keeper {
+	return n.Once[xxhash.Sum64String(key)%uint64(len(n.Once))]
+}
+
+func (n *Node) makeRoute() {
+	a := &route.Actor{}
+	a.Retries.Ratio = n.Settings.Target.RetryRatio
+	a.Limits.Global = n.Settings.Caller.MaxInFlight
+	a.Table.Seed = xxhash.Sum64String(n.Inc)
+	n.Route = &route.Client{Root: n.system.Root, PID: n.system.Root.Spawn(a.Props())}
+}
+
+func (n *Node) makeFront() {
+	n.Front = &front.Server{
+		Settings: n.Settings.Caller, AnswerBytes: n.Settings.Once.AnswerBytes,
+		Ready: n.Ready,
+		ByKey: func(sha256 string) (conf.Template, bool) {
+			t, ok := n.current.get().byKey[sha256]
+			return t, ok
+		},
+		Ledger: n.LedgerOf, Once: n.OnceOf, Route: n.Route, Call: callService(n.target),
+		Generate: &serve.Server{
+			Pick: n.Route.Pick, Done: n.Route.Done, Retry: n.Route.Retry, Open: open(n.target), Cancel: n.cancelAttempt,
+			Left: func(incarnation string) { n.Route.Leaving(incarnation) }, Broke: n.broke,
+		},
+	}
+	n.Front.Default()
+}
+
+// Ready reports whether the instance has read the configuration and the ledgers.
+func (n *Node) Ready() bool {
+	ready := n.Conf.Feed.Ready()
+	for _, k := range n.Ledger {
+		ready = ready && k.Feed.Ready()
+	}
+	return ready
+}
+
+// applied puts the configuration of the fold in force; it runs within the actor.
+func (n *Node) applied(f *conf.Fold, outcomes []conf.Outcome) {
+	for _, o := range outcomes {
+		if !o.Accepted() {
+			events.Log(n.Log, events.ConfRefused).Str("organisation", o.Organisation).Int("code", o.Code).Str("id", o.ID).Send()
+		}
+	}
+	if !n.current.set(f.Version, f.All()) {
+		return
+	}
+	events.Log(n.Log, events.ConfApplied).Int64("version", f.Version).Send()
+	budgets := make(map[*ledger.Keeper][]string, len(n.Ledger))
+	for budget := range n.current.get().policies {
+		k := n.LedgerOf(budget)
+		budgets[k] = append(budgets[k], budget)
+	}
+	for k, names := range budgets {
+		k.Keep(names)
+	}
+}
+
+// reached tells the slices whether the platform's log is in reach.
+func (n *Node) reached(reached bool) {
+	e := events.LogUnreachable
+	if reached {
+		e = events.LogBack
+	}
+	events.Log(n.Log, e).Send()
+	for _, k := range n.Ledger {
+		k.Reached(reached)
+	}
+	for _, k := range n.Once {
+		k.Reached(reached)
+	}
+}
+
+// panicked ends the process: the state of an actor may be broken, and a new incarnation
+// starts from the log.
+func (n *Node) panicked(reason any) {
+	events.Log(n.Log, events.Panic).Str("reason", fmt.Sprint(reason)).Send()
+	select {
+	case n.failed <- fmt.Errorf("a slice panicked: %v", reason):
+	default:
+	}
+}
+
+// PeerAddr returns the address that other instances reach.
+func (n *Node) PeerAddr() string { return n.Settings.Peer.Advertise }
+
+// Listen opens all listeners.
+func (n *Node) Listen(ctx context.Context) error {
+	if err := n.Front.Listen(ctx); err != nil {
+		events.Log(n.Log, events.ListenFailed).Err(err).Send()
+		return err
+	}
+	if err := n.Oper.Listen(ctx); err != nil {
+		events.Log(n.Log, events.ListenFailed).Err(err).Send()
+		return err
+	}
+	return nil
+}
+
+// Run serves until the context ends, and then stops gracefully: no request in flight is
+// cut off within the time of the stop, and allowances are returned.
+func (n *Node) Run(ctx context.Context) error {
+	events.Log(n.Log, events.Start).Str("instance", n.Settings.Instance.ID).Str("incarnation", n.Inc).
+		Str("callers", n.Front.Addr()).Str("operators", n.Oper.Addr()).Send()
+	work, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	g, work := errgroup.WithContext(work)
+	for _, run := range n.runs() {
+		g.Go(func() error { return run(work) })
+	}
+	g.Go(func() error {
+		defer end()
+		select {
+		case <-work.Done():
+			return nil
+		case err := <-n.failed:
+			return err
+		case <-n.killed:
+			return nil
+		case <-ctx.Done():
+			return n.stop(work)
+		}
+	})
+	return g.Wait()
+}
+
+// Kill ends the instance at once, as the death of its process would: nothing is finished,
+// recorded or returned. It is called at most once, by tests and the demo.
+func (n *Node) Kill() { close(n.killed) }
+
+// runs returns what runs side by side.
+func (n *Node) runs() []func(ctx context.Context) error {
+	runs := []func(ctx context.Context) error{n.Front.Run, n.Oper.Run, n.Conf.Run, n.pollList, n.pollLoad, n.announceReady}
+	for _, k := range n.Ledger {
+		runs = append(runs, k.Run)
+	}
+	for _, k := range n.Once {
+		runs = append(runs, k.Run)
+	}
+	return runs
+}
+
+// announceReady logs when the instance becomes ready.
+func (n *Node) announceReady(ctx context.Context) error {
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for !n.Ready() {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+	events.Log(n.Log, events.Ready).Send()
+	return nil
+}
+
+// readyPoll is how often readiness is looked at during the start.
+const readyPoll = 20 * time.Millisecond
+
+// stop lets requests finish, records what is due and returns allowances.
+func (n *Node) stop(ctx context.Context) error {
+	limit := n.Settings.Stop.TimeoutMS.Duration()
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	n.watchHurry(ctx, cancel)
+	events.Log(n.Log, events.StopBegan).Int64("in_flight", n.Front.InFlight()).Dur("limit", limit).Send()
+	if err := n.Front.Drain(ctx, n.Settings.Stop.NoticeMS.Duration()); err != nil {
+		events.Log(n.Log, events.StopGaveUp).Int64("in_flight", n.Front.InFlight()).Err(err).Send()
+		return err
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	for _, k := range n.Once {
+		g.Go(func() error { return k.Stop(ctx) })
+	}
+	for _, k := range n.Ledger {
+		g.Go(func() error { return k.Stop(ctx) })
+	}
+	if err := g.Wait(); err != nil {
+		events.Log(n.Log, events.StopGaveUp).Err(err).Send()
+		return err
+	}
+	events.Log(n.Log, events.StopDone).Send()
+	return nil
+}
+
+// watchHurry cuts the shutdown short when it is told to.
+func (n *Node) watchHurry(ctx context.Context, cancel context.CancelFunc) {
+	if n.Hurry == nil {
+		return
+	}
+	n.background.TryGo(func() error {
+		if n.Hurry(ctx.Done()) {
+			cancel()
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/io/node/node_test.go
@@ -0,0 +1,214 @@
+package node_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"cranberryrail/core/ledger"
+	"cranberryrail/fake/engine"
+	"cranberryrail/fake/fleet"
+)
+
+const testTime = time.Minute
+
+// reply is an answer to a caller.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+}
+
+func start(t *testing.T, f *fleet.Fleet) *fleet.Fleet {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testTime)
+	t.Cleanup(cancel)
+	f.Log = zerolog.New(zerolog.NewTestWriter(t)).Level(zerolog.WarnLevel)
+	f.Default()
+	assert.NilError(t, f.Start(ctx))
+	t.Cleanup(f.Close)
+	return f
+}
+
+func publish(t *testing.T, f *fleet.Fleet, organisation string, tokens int64) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testTime)
+	defer cancel()
+	assert.NilError(t, f.Publish(ctx, f.Nodes[0], "publish-"+organisation, fleet.Template(organisation)))
+	assert.NilError(t, f.TopUp(f.Nodes[0], "top-up-"+organisation, organisation, tokens))
+}
+
+func post(t *testing.T, m *fleet.Member, path, key, body string, header ...string) reply {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+m.Front.Addr()+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+key)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(data)}
+}
+
+func promptBody(prompt string, maxTokens int, stream bool) string {
+	data, _ := json.Marshal(map[string]any{"model": fleet.Model, "prompt": prompt, "max_tokens": maxTokens, "stream": stream})
+	return string(data)
+}
+
+// streamed returns the text and the usage of a streamed answer that is whole.
+func streamed(t *testing.T, r reply) (string, int64) {
+	t.Helper()
+	assert.Equal(t, r.status, http.StatusOK, r.body)
+	var text strings.Builder
+	var total int64
+	events := strings.Split(strings.TrimSpace(r.body), "\n\n")
+	assert.Equal(t, events[len(events)-1], "data: [DONE]")
+	for _, event := range events[:len(events)-1] {
+		var c struct {
+			Choices []struct{ Text string }
+			Usage   *struct {
+				TotalTokens int64 `json:"total_tokens"`
+			}
+		}
+		assert.NilError(t, json.Unmarshal([]byte(strings.TrimPrefix(event, "data: ")), &c))
+		text.WriteString(c.Choices[0].Text)
+		if c.Usage != nil {
+			total = c.Usage.TotalTokens
+		}
+	}
+	return text.String(), total
+}
+
+func assertRefused(t *testing.T, r reply, code int, run string) {
+	t.Helper()
+	var body struct {
+		Error struct {
+			Code int
+			Run  string
+		}
+	}
+	assert.NilError(t, json.NewDecoder(bytes.NewBufferString(r.body)).Decode(&body), r.body)
+	assert.Equal(t, body.Error.Code, code, r.body)
+	assert.Equal(t, body.Error.Run, run, r.body)
+}
+
+// assertSpent waits until the instance sees the budget as spent by exactly the tokens.
+func assertSpent(t *testing.T, f *fleet.Fleet, m *fleet.Member, budget string, tokens int64) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testTime)
+	defer cancel()
+	var last ledger.Balance
+	err := f.Await(ctx, func() bool {
+		last = balance(t, m, budget)
+		return last.Spent == tokens
+	})
+	assert.NilError(t, err, "balance %+v", last)
+}
+
+func balance(t *testing.T, m *fleet.Member, budget string) ledger.Balance {
+	t.Helper()
+	all, err := m.LedgerOf(budget).Balances()
+	assert.NilError(t, err)
+	for _, b := range all {
+		if b.Budget == budget {
+			return b
+		}
+	}
+	return ledger.Balance{}
+}
+
+func TestOneRequestEndToEnd(t *testing.T) {
+	f := start(t, &fleet.Fleet{Instances: 2, Engines: 1, Services: 1})
+	publish(t, f, "acme", 10_000)
+	text, used := streamed(t, post(t, f.Nodes[0], "/v1/completions", fleet.Key("acme"), promptBody("a claim", 20, true)))
+	assert.Equal(t, text, engine.Answer("a claim", 20))
+	t.Run("the other instance sees what was billed", func(t *testing.T) {
+		assertSpent(t, f, f.Nodes[1], "acme/main", used)
+	})
+	t.Run("the same request again is billed once", func(t *testing.T) {
+		for i := range 3 {
+			r := post(t, f.Nodes[i%2], "/v1/completions", fleet.Key("acme"), promptBody("once", 10, false), "X-Request-Id", "r-1")
+			assert.Equal(t, r.status, http.StatusOK, r.body)
+			var c struct {
+				Usage struct {
+					TotalTokens int64 `json:"total_tokens"`
+				}
+			}
+			assert.NilError(t, json.Unmarshal([]byte(r.body), &c))
+			assertSpent(t, f, f.Nodes[1], "acme/main", used+c.Usage.TotalTokens)
+		}
+	})
+}
+
+func TestBadRequestsSpendNothing(t *testing.T) {
+	f := start(t, &fleet.Fleet{Instances: 1, Engines: 1})
+	publish(t, f, "acme", 10_000)
+	key := fleet.Key("acme")
+	large := promptBody(strings.Repeat("x", 2<<20), 1, false)
+	for _, c := range []struct {
+		name, key, body string
+		code            int
+	}{
+		{"a bad key", "wrong", promptBody("p", 1, false), 1002},
+		{"an unknown model", key, `{"model":"other","prompt":"p"}`, 1005},
+		{"malformed JSON", key, `{"model":`, 1001},
+		{"an oversized body", key, large, 1003},
+		{"a negative token count", key, promptBody("p", -1, false), 1001},
+		{"an absurd token count", key, promptBody("p", 1<<40, false), 1001},
+		{"no prompt", key, `{"model":"draft"}`, 1001},
+		{"more than the budget", key, promptBody(strings.Repeat("x", 9_999), 8_000, false), 2001},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			assertRefused(t, post(t, f.Nodes[0], "/v1/completions", c.key, c.body), c.code, "not_run")
+		})
+	}
+	assert.Equal(t, balance(t, f.Nodes[0], "acme/main").Spent, int64(0))
+}
+
+func TestServiceCallRunsOnce(t *testing.T) {
+	f := start(t, &fleet.Fleet{Instances: 2, Services: 2})
+	publish(t, f, "acme", 1)
+	var first string
+	for i := range 4 {
+		r := post(t, f.Nodes[i%2], "/v1/services/claims/submit", fleet.Key("acme"), `{"flight":1}`, "Idempotency-Key", "k-1")
+		assert.Equal(t, r.status, http.StatusOK, r.body)
+		if first == "" {
+			first = r.body
+		}
+		assert.Equal(t, r.body, first)
+	}
+	assert.Equal(t, f.ServiceServers[0].Runs("acme/k-1")+f.ServiceServers[1].Runs("acme/k-1"), 1)
+	r := post(t, f.Nodes[1], "/v1/services/claims/submit", fleet.Key("acme"), `{"flight":2}`, "Idempotency-Key", "k-1")
+	assertRefused(t, r, 4002, "not_run")
+}
+
+func TestPlannedStopReturnsAllowance(t *testing.T) {
+	f := start(t, &fleet.Fleet{Instances: 2, Engines: 1, TokenGap: 5 * time.Millisecond})
+	publish(t, f, "acme", 100_000)
+	done := make(chan reply, 1)
+	go func() {
+		done <- post(t, f.Nodes[0], "/v1/completions", fleet.Key("acme"), promptBody("slow", 60, true))
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), testTime)
+	defer cancel()
+	assert.NilError(t, f.Await(ctx, func() bool { return f.Nodes[0].Front.InFlight() == 1 }))
+	assert.NilError(t, f.Nodes[0].Stop())
+	text, used := streamed(t, <-done)
+	assert.Equal(t, text, engine.Answer("slow", 60))
+	assertSpent(t, f, f.Nodes[1], "acme/main", used)
+	b := balance(t, f.Nodes[1], "acme/main")
+	assert.Equal(t, b.Held, b.Own, fmt.Sprintf("all of the stopped instance's allowance is returned: %+v", b))
+}
--- /dev/null
+++ b/io/node/operate.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	"cranberryrail/core/codes"
+	"cranberryrail/core/conf"
+	"cranberryrail/core/ledger"
+	"cranberryrail/core/roster"
+	"cranberryrail/io/oper"
+)
+
+func (n *Node) makeOper() {
+	n.Oper = &oper.Server{
+		ListenAddr: n.Settings.Operator.Listen, KeySHA256: n.Settings.Operator.KeySHA256,
+		Publish:   n.publish,
+		Templates: func() ([]conf.Published, error) { return n.current.get().templates, nil },
+		TopUp:     n.topUp,
+		Balances:  n.balances,
+		Usage:     n.usage,
+		Targets:   n.targets,
+		Instances: n.instances,
+	}
+	n.Oper.Default()
+}
+
+func (n *Node) publish(c oper.Change) (conf.Outcome, error) {
+	return n.Conf.Publish(conf.Publish{
+		ID: c.ID, Organisation: c.Organisation, BasedOn: c.BasedOn, Body: []byte(c.Template), By: c.By,
+	}, c.Remove)
+}
+
+func (n *Node) topUp(t oper.TopUp) (oper.TopUpReply, error) {
+	budget := ledger.BudgetKey(t.Organisation, t.Budget)
+	r, err := n.LedgerOf(budget).TopUp(ledger.TopUp{ID: t.ID, Budget: budget, Tokens: t.Tokens})
+	if err != nil {
+		return oper.TopUpReply{}, err
+	}
+	if r.Refused != "" {
+		return oper.TopUpReply{}, codes.Refuse(codes.TopUpReused, 0, "top-up %s of %s: %s", t.ID, budget, r.Refused)
+	}
+	return oper.TopUpReply{Budget: budget, Tokens: t.Tokens, Repeated: r.Repeated}, nil
+}
+
+func (n *Node) balances() ([]ledger.Balance, error) {
+	var all []ledger.Balance
+	for _, k := range n.Ledger {
+		b, err := k.Balances()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, b...)
+	}
+	slices.SortFunc(all, func(a, b ledger.Balance) int { return strings.Compare(a.Budget, b.Budget) })
+	return all, nil
+}
+
+func (n *Node) usage(budget string) (oper.Usage, error) {
+	k := n.LedgerOf(budget)
+	u, err := k.Usage(budget)
+	if err != nil {
+		return oper.Usage{}, err
+	}
+	out := oper.Usage{Budget: budget, Earlier: u.Earlier, Bills: make([]oper.UsageBill, 0, len(u.Bills))}
+	for _, b := range u.Bills {
+		out.Bills = append(out.Bills, oper.UsageBill{Request: b.Request, Tokens: b.Tokens})
+	}
+	balances, err := k.Balances()
+	if err != nil {
+		return out, err
+	}
+	if i := slices.IndexFunc(balances, func(b ledger.Balance) bool { return b.Budget == budget }); i >= 0 {
+		out.Balance = &balances[i]
+	}
+	return out, nil
+}
+
+// TargetState is a target as this instance sees it.
+type TargetState struct {
+	roster.Target
+	// Leaving tells that it gets no new work, whichever channel told of it.
+	Leaving bool `json:"leaving"`
+}
+
+func (n *Node) targets() any {
+	leaving, _ := n.Route.LeavingIncarnations()
+	list := n.members.get().Targets
+	out := make([]TargetState, 0, len(list))
+	for _, t := range list {
+		out = append(out, TargetState{Target: t, Leaving: slices.Contains(leaving, t.Incarnation)})
+	}
+	return out
+}
+
+// state returns what this instance says of itself.
+func (n *Node) state() oper.InstanceState {
+	s := oper.InstanceState{
+		ID: n.Settings.Instance.ID, Incarnation: n.Inc, Zone: n.Settings.Instance.Zone, PeerAddr: n.Settings.Peer.Advertise,
+		State: "starting", ConfigVersion: n.current.get().version, LogReached: n.reach.ok(), InFlight: n.Front.InFlight(),
+	}
+	if n.Ready() {
+		s.State = "ready"
+	}
+	return s
+}
+
+// instances returns the state of this instance.
+func (n *Node) instances(context.Context) []oper.InstanceState {
+	return []oper.InstanceState{n.state()}
+}
+
+// Listed returns the entry of this instance in the platform's list.
+func (n *Node) Listed() roster.Instance {
+	return roster.Instance{
+		ID: n.Settings.Instance.ID, Zone: n.Settings.Instance.Zone, CallerAddr: n.Front.Addr(),
+		PeerAddr: n.Settings.Peer.Advertise, OperatorAddr: n.Oper.Addr(), State: roster.Live,
+	}
+}
--- /dev/null
+++ b/io/node/poll.go
@@ -0,0 +1,140 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"cranberryrail/core/events"
+	"cranberryrail/core/roster"
+	"cranberryrail/core/serve"
+)
+
+// Polling of the platform's list and of targets.
+const (
+	// listEvery is the time between two reads of the platform's list.
+	listEvery = time.Second
+	// loadTimeout bounds one read of a target's load.
+	loadTimeout = time.Second
+	// loadSide is the number of targets asked for their load at the same time.
+	loadSide = 16
+	// cancelTimeout bounds the order to an engine to end an attempt.
+	cancelTimeout = time.Second
+)
+
+// members is the last list that the platform gave.
+type members struct {
+	mu   sync.Mutex
+	list roster.Members
+}
+
+func (m *members) set(list roster.Members) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.list = list
+}
+
+func (m *members) get() roster.Members {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.list
+}
+
+// instances returns the number of live instances, at least 1.
+func (m *members) instances() int {
+	n := 0
+	for _, i := range m.get().Instances {
+		if i.State == roster.Live {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
+// every calls f at once and then at the interval until the context ends.
+func every(ctx context.Context, interval time.Duration, f func(ctx context.Context)) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		f(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// pollList keeps the view of instances and targets.
+func (n *Node) pollList(ctx context.Context) error {
+	reached := true
+	return every(ctx, listEvery, func(ctx context.Context) {
+		list, err := n.plat.Members(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if (err == nil) != reached {
+			reached = err == nil
+			e := events.ListUnreachable
+			if reached {
+				e = events.ListBack
+			}
+			events.Log(n.Log, e).Err(err).Send()
+		}
+		if err == nil {
+			n.members.set(list)
+			n.Route.SetTargets(list.Targets, n.members.instances())
+		}
+	})
+}
+
+// pollLoad asks the targets for their load.
+func (n *Node) pollLoad(ctx context.Context) error {
+	return every(ctx, n.Settings.Target.LoadEveryMS.Duration(), func(ctx context.Context) {
+		var g errgroup.Group
+		g.SetLimit(loadSide)
+		for _, t := range n.members.get().Targets {
+			g.Go(func() error {
+				n.askLoad(ctx, t)
+				return nil
+			})
+		}
+		_ = g.Wait()
+	})
+}
+
+func (n *Node) askLoad(ctx context.Context, t roster.Target) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	load, err := n.target.Load(ctx, t.Addr)
+	if err == nil {
+		n.Route.Report(t.ID, load)
+	}
+}
+
+// cancelAttempt orders an engine to end an attempt, in the background.
+func (n *Node) cancelAttempt(addr string, c serve.Call) {
+	n.background.TryGo(func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		_ = n.target.Cancel(ctx, addr, c.RequestID, c.Attempt)
+		return nil
+	})
+}
+
+// broke logs an attempt that failed.
+func (n *Node) broke(t roster.Target, c serve.Call, err *serve.AttemptError) {
+	e := events.StreamCut
+	switch err.Kind {
+	case serve.Silent:
+		e = events.TargetSilent
+	case serve.Crossed:
+		e = events.FrameForeign
+	case serve.Leaving:
+		e = events.TargetLeaving
+	}
+	events.Log(n.Log, e).Str("target", t.ID).Str("request_id", c.RequestID).Int("attempt", c.Attempt).
+		Str("kind", string(err.Kind)).Err(err.Err).Send()
+}
--- /dev/null
+++ b/io/oper/oper.go
@@ -0,0 +1,275 @@
+// Package oper is the edge towards operators: publishing, top-ups, and reports of
+// what this instance and the others see.
+package oper
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"cranberryrail/core/codes"
+	"cranberryrail/core/conf"
+	"cranberryrail/core/ledger"
+)
+
+// Bounds of operators' requests.
+const (
+	maxBodyBytes  = 1 << 20
+	headerTimeout = 5 * time.Second
+)
+
+// Change is a change of one organisation's template.
+type Change struct {
+	// ID is the same in every retry of one change.
+	ID           string `json:"id"`
+	Organisation string `json:"organisation"`
+	// BasedOn is the version that the change was made from; 0 for a new organisation.
+	BasedOn int64 `json:"based_on"`
+	// Template is the template in TOML; empty to remove the organisation.
+	Template string `json:"template"`
+	Remove   bool   `json:"remove,omitempty"`
+	By       string `json:"by,omitempty"`
+}
+
+// TopUp adds paid tokens to a budget.
+type TopUp struct {
+	// ID is the same in every retry of one top-up.
+	ID           string `json:"id"`
+	Organisation string `json:"organisation"`
+	Budget       string `json:"budget"`
+	Tokens       int64  `json:"tokens"`
+}
+
+// TopUpReply tells what became of a top-up.
+type TopUpReply struct {
+	Budget string `json:"budget"`
+	Tokens int64  `json:"tokens"`
+	// Repeated tells that the top-up was accepted before and is counted once.
+	Repeated bool `json:"repeated"`
+}
+
+// InstanceState is what one instance says of itself.
+type InstanceState struct {
+	ID          string `json:"id"`
+	Incarnation string `json:"incarnation,omitempty"`
+	Zone        string `json:"zone,omitempty"`
+	PeerAddr    string `json:"peer_addr,omitempty"`
+	// State is ready, starting, stopping or missing.
+	State string `json:"state"`
+	// ConfigVersion is the version of the configuration in force there.
+	ConfigVersion int64 `json:"config_version"`
+	// LogReached tells whether it reaches the platform's log.
+	LogReached bool `json:"log_reached"`
+	// InFlight counts its requests.
+	InFlight int64 `json:"in_flight"`
+}
+
+// Usage lists the bills of a budget; together with Earlier they are what was spent.
+type Usage struct {
+	Budget  string          `json:"budget"`
+	Bills   []UsageBill     `json:"bills"`
+	Earlier int64           `json:"earlier"`
+	Balance *ledger.Balance `json:"balance,omitempty"`
+}
+
+// UsageBill is the bill of one request.
+type UsageBill struct {
+	Request string `json:"request"`
+	Tokens  int64  `json:"tokens"`
+}
+
+// Server serves operators. Exported fields are set before Default.
+type Server struct {
+	// ListenAddr is the address to listen on.
+	ListenAddr string
+	// KeySHA256 is the hex SHA-256 of the operators' key.
+	KeySHA256 string
+	// Publish sends a change and returns what became of it.
+	Publish func(c Change) (conf.Outcome, error)
+	// Templates returns all templates in force here.
+	Templates func() ([]conf.Published, error)
+	// TopUp sends a top-up and waits until it is in the log.
+	TopUp func(t TopUp) (TopUpReply, error)
+	// Balances returns all budgets as seen here.
+	Balances func() ([]ledger.Balance, error)
+	// Usage returns the bills of a budget.
+	Usage func(budget string) (Usage, error)
+	// Targets returns the targets as seen here; any type that JSON can carry.
+	Targets func() any
+	// Instances returns the state of all instances that are known.
+	Instances func(ctx context.Context) []InstanceState
+	// Reports adds reports by name, served under /v1/reports/{name}.
+	Reports map[string]func(ctx context.Context) (any, error)
+	// Metrics serves metrics; optional.
+	Metrics http.Handler
+	// Refused is told of each request with a wrong key; optional.
+	Refused func(remote string)
+
+	listener net.Listener
+	server   *http.Server
+}
+
+// String names the server for logs.
+func (s *Server) String() string { return "operators' edge on " + s.ListenAddr }
+
+// Default fills fields that were left empty.
+func (s *Server) Default() {
+	if s.Refused == nil {
+		s.Refused = func(string) {}
+	}
+	s.server = &http.Server{Handler: s.handler(), ReadHeaderTimeout: headerTimeout}
+}
+
+// Listen opens the listener; Addr is known afterwards.
+func (s *Server) Listen(ctx context.Context) error {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.ListenAddr)
+	if err != nil {
+		return fmt.Errorf("listen for operators; change operator.listen: %w", err)
+	}
+	s.listener = l
+	return nil
+}
+
+// Addr returns the address that operators reach.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Run serves until the context ends.
+func (s *Server) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("serve operators: %w", err)
+		}
+		return nil
+	})
+	g.Go(func() error {
+		<-ctx.Done()
+		return s.server.Close()
+	})
+	return g.Wait()
+}
+
+func (s *Server) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/changes", handle(s.publish))
+	mux.HandleFunc("POST /v1/top_ups", handle(s.topUp))
+	mux.HandleFunc("GET /v1/templates", handle(func(*http.Request) (any, error) { return s.Templates() }))
+	mux.HandleFunc("GET /v1/budgets", handle(func(*http.Request) (any, error) { return s.Balances() }))
+	mux.HandleFunc("GET /v1/usage", handle(func(r *http.Request) (any, error) { return s.Usage(r.URL.Query().Get("budget")) }))
+	mux.HandleFunc("GET /v1/targets", handle(func(*http.Request) (any, error) { return s.Targets(), nil }))
+	mux.HandleFunc("GET /v1/instances", handle(func(r *http.Request) (any, error) { return s.Instances(r.Context()), nil }))
+	mux.HandleFunc("GET /v1/reports/{name}", handle(s.report))
+	if s.Metrics != nil {
+		mux.Handle("GET /metrics", s.Metrics)
+	}
+	return s.authenticated(mux)
+}
+
+// authenticated refuses requests without the operators' key.
+func (s *Server) authenticated(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		sum := sha256.Sum256([]byte(key))
+		if subtle.ConstantTimeCompare([]byte(hex.EncodeToString(sum[:])), []byte(s.KeySHA256)) != 1 {
+			s.Refused(r.RemoteAddr)
+			writeError(w, codes.Refuse(codes.BadOperatorKey, 0, "send the header Authorization: Bearer KEY"))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// handle writes what f returns as JSON.
+func handle(f func(r *http.Request) (any, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		v, err := f(r)
+		if err != nil {
+			writeError(w, codes.From(err, codes.Unknown))
+			return
+		}
+		writeJSON(w, http.StatusOK, v)
+	}
+}
+
+func (s *Server) publish(r *http.Request) (any, error) {
+	var c Change
+	if err := decode(r, &c); err != nil {
+		return nil, err
+	}
+	if c.ID == "" || c.Organisation == "" {
+		return nil, codes.Refuse(codes.BadRequest, 0, "a change needs an id and an organisation")
+	}
+	outcome, err := s.Publish(c)
+	if err != nil {
+		return nil, err
+	}
+	if err := outcome.Err(); err != nil {
+		return nil, err
+	}
+	return outcome, nil
+}
+
+func (s *Server) topUp(r *http.Request) (any, error) {
+	var t TopUp
+	if err := decode(r, &t); err != nil {
+		return nil, err
+	}
+	if t.ID == "" || t.Organisation == "" || t.Budget == "" || t.Tokens <= 0 {
+		return nil, codes.Refuse(codes.BadRequest, 0, "a top-up needs an id, an organisation, a budget and a positive number of tokens")
+	}
+	return s.TopUp(t)
+}
+
+func (s *Server) report(r *http.Request) (any, error) {
+	report, ok := s.Reports[r.PathValue("name")]
+	if !ok {
+		return nil, codes.Refuse(codes.UnknownRoute, 0, "there is no report %q", r.PathValue("name"))
+	}
+	return report(r.Context())
+}
+
+func decode(r *http.Request, v any) error {
+	d := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxBodyBytes))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return codes.Refuse(codes.BadRequest, 0, "the body is no JSON of the expected shape: %v", err)
+	}
+	return nil
+}
+
+// ErrorBody is the JSON of a refusal.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail is a refusal with its numbered code.
+type ErrorDetail struct {
+	Code         int       `json:"code"`
+	Name         string    `json:"name"`
+	Message      string    `json:"message"`
+	Run          codes.Run `json:"run"`
+	RetryAfterMS int64     `json:"retry_after_ms,omitempty"`
+}
+
+func writeError(w http.ResponseWriter, e *codes.Error) {
+	writeJSON(w, e.Code.Status, ErrorBody{Error: ErrorDetail{
+		Code: e.Code.Number, Name: e.Code.Name, Message: e.Code.Text + " " + e.Detail, Run: e.Run,
+		RetryAfterMS: e.RetryAfter.Milliseconds(),
+	}})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/io/opts/opts.go
@@ -0,0 +1,172 @@
+// Package opts reads the settings of one process from TOML. Every default is in the
+// tags of Settings, and every value is checked before work starts. The table in
+// docs/SETTINGS.md is held to this package by a test.
+package opts
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"cranberryrail/core/conf/field"
+)
+
+// MS is a time in milliseconds.
+type MS int64
+
+// Duration returns the time as a time.Duration.
+func (m MS) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
+
+// Settings are the settings of one process.
+type Settings struct {
+	Instance Instance `toml:"instance"`
+	Caller   Caller   `toml:"caller"`
+	Peer     Peer     `toml:"peer"`
+	Operator Operator `toml:"operator"`
+	Platform Platform `toml:"platform"`
+	Ledger   Ledger   `toml:"ledger"`
+	Once     Once     `toml:"once"`
+	Target   Target   `toml:"target"`
+	Stop     Stop     `toml:"stop"`
+	Log      Log      `toml:"log"`
+}
+
+// Instance says which instance this is.
+type Instance struct {
+	ID   string `toml:"id" allowed:"[a-z0-9-]{1,64}" doc:"Id of the instance as the platform lists it."`
+	Zone string `toml:"zone" allowed:"[a-z0-9-]{1,64}" doc:"Availability zone of the instance."`
+}
+
+// Caller is the listener for callers.
+type Caller struct {
+	Listen          string `toml:"listen" default:"127.0.0.1:8080" allowed:"ip:port" doc:"Address that callers reach."`
+	BodyBytes       int64  `toml:"body_bytes" unit:"bytes" default:"1048576" allowed:"1024..67108864" doc:"Largest body of a request."`
+	HeaderTimeoutMS MS     `toml:"header_timeout_ms" unit:"ms" default:"5000" allowed:"100..600000" doc:"Longest time for the headers of a request to arrive."`
+	BodyTimeoutMS   MS     `toml:"body_timeout_ms" unit:"ms" default:"10000" allowed:"100..600000" doc:"Longest time for the body of a request to arrive."`
+	IdleTimeoutMS   MS     `toml:"idle_timeout_ms" unit:"ms" default:"60000" allowed:"1000..3600000" doc:"Time after which a connection without a request is closed."`
+	WriteTimeoutMS  MS     `toml:"write_timeout_ms" unit:"ms" default:"10000" allowed:"100..600000" doc:"Longest time for a caller to take one write; a slower reader is cut off."`
+	MaxInFlight     int    `toml:"max_in_flight" unit:"requests" default:"1024" allowed:"1..1000000" doc:"Most requests in flight at this instance."`
+}
+
+// Peer is the listener for other instances and how they are called.
+type Peer struct {
+	Listen        string   `toml:"listen" default:"127.0.0.1:7000" allowed:"ip:port" doc:"Address that other instances reach."`
+	Advertise     string   `toml:"advertise" allowed:"ip:port or empty" doc:"Address that other instances are told; that of listen when empty."`
+	Seeds         []string `toml:"seeds" allowed:"ip:port" doc:"Address of an instance to ask while the platform's list can't be reached."`
+	CallTimeoutMS MS       `toml:"call_timeout_ms" unit:"ms" default:"300" allowed:"10..60000" doc:"Longest time for a call to another instance."`
+}
+
+// Operator is the listener for operators.
+type Operator struct {
+	Listen    string `toml:"listen" default:"127.0.0.1:9000" allowed:"ip:port" doc:"Address that operators reach."`
+	KeySHA256 string `toml:"key_sha256" allowed:"[0-9a-f]{64}" doc:"Hex SHA-256 of the operators' key."`
+}
+
+// Platform says where the platform's services are.
+type Platform struct {
+	LogURL    string `toml:"log_url" allowed:"http url" doc:"Base URL of the platform's log."`
+	ListURL   string `toml:"list_url" allowed:"http url" doc:"Base URL of the platform's list of instances and targets."`
+	TimeoutMS MS     `toml:"timeout_ms" unit:"ms" default:"5000" allowed:"1500..60000" doc:"Longest time for a request to the platform; it covers the wait of a read for a record."`
+}
+
+// Ledger parameterises the streams of budgets.
+type Ledger struct {
+	Shards        int   `toml:"shards" unit:"streams" default:"1" allowed:"1..1024" doc:"Number of ledger streams; the same at every instance."`
+	LingerMS      MS    `toml:"linger_ms" unit:"ms" default:"5" allowed:"0..1000" doc:"How long a batch waits for further items."`
+	ReserveWaitMS MS    `toml:"reserve_wait_ms" unit:"ms" default:"400" allowed:"0..60000" doc:"Longest time that a request waits for allowance."`
+	SnapshotEvery int64 `toml:"snapshot_every" unit:"records" default:"5000" allowed:"10..500000" doc:"Records of a stream between two snapshots."`
+}
+
+// Once parameterises the streams of non-idempotent calls.
+type Once struct {
+	Shards      int   `toml:"shards" unit:"streams" default:"1" allowed:"1..1024" doc:"Number of streams for claims; the same at every instance."`
+	ClaimWaitMS MS    `toml:"claim_wait_ms" unit:"ms" default:"2000" allowed:"10..60000" doc:"Longest time for a claim to be read back."`
+	AnswerBytes int64 `toml:"answer_bytes" unit:"bytes" default:"65536" allowed:"0..262144" doc:"Largest answer that is kept in the log for retries."`
+}
+
+// Target parameterises how targets are called.
+type Target struct {
+	FirstFrameTimeoutMS MS      `toml:"first_frame_timeout_ms" unit:"ms" default:"10000" allowed:"10..600000" doc:"Longest time to the first frame of a stream."`
+	FrameTimeoutMS      MS      `toml:"frame_timeout_ms" unit:"ms" default:"2000" allowed:"10..600000" doc:"Longest time between two frames of a stream."`
+	DialTimeoutMS       MS      `toml:"dial_timeout_ms" unit:"ms" default:"500" allowed:"10..60000" doc:"Longest time to open a connection."`
+	CallTimeoutMS       MS      `toml:"call_timeout_ms" unit:"ms" default:"30000" allowed:"10..600000" doc:"Longest time for a call to a plain service."`
+	LoadEveryMS         MS      `toml:"load_every_ms" unit:"ms" default:"500" allowed:"50..60000" doc:"Time between two reads of a target's load."`
+	RetryRatio          float64 `toml:"retry_ratio" default:"0.2" allowed:"0..1" doc:"Retries in proportion to requests."`
+	MaxInFlightEach     int     `toml:"max_in_flight_each" unit:"requests" default:"256" allowed:"1..100000" doc:"Most requests in flight from this instance to one target."`
+}
+
+// Stop parameterises the graceful shutdown.
+type Stop struct {
+	TimeoutMS MS `toml:"timeout_ms" unit:"ms" default:"30000" allowed:"1..3600000" doc:"Longest time for a graceful shutdown."`
+	NoticeMS  MS `toml:"notice_ms" unit:"ms" default:"500" allowed:"0..600000" doc:"Time between readiness going and the listener closing; less than timeout_ms."`
+}
+
+// Level is the least level that is logged.
+type Level string
+
+// Levels of the log.
+const (
+	Debug Level = "debug"
+	Info  Level = "info"
+	Warn  Level = "warn"
+	Error Level = "error"
+)
+
+// Format is the form of the log.
+type Format string
+
+// Forms of the log.
+const (
+	JSON    Format = "json"
+	Console Format = "console"
+)
+
+// Log parameterises the log of the process.
+type Log struct {
+	Level  Level  `toml:"level" default:"info" allowed:"debug|info|warn|error" doc:"Least level that is logged."`
+	Format Format `toml:"format" default:"json" allowed:"json|console" doc:"Form of the log on standard error."`
+}
+
+// Load reads the settings from a file.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("read settings; name a file that can be read: %w", err)
+	}
+	return parse("settings "+path, data)
+}
+
+// Parse reads settings, fills defaults and checks every value. The error is a
+// *field.FaultError.
+func Parse(data []byte) (Settings, error) { return parse("settings", data) }
+
+func parse(what string, data []byte) (Settings, error) {
+	var s Settings
+	if err := field.Parse(what, data, &s, s.finish); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
+
+// finish fills defaults that depend on other keys and returns faults between keys.
+func (s *Settings) finish() []field.Fault {
+	var faults []field.Fault
+	if s.Peer.Advertise == "" {
+		s.Peer.Advertise = s.Peer.Listen
+	}
+	addr, err := netip.ParseAddrPort(s.Peer.Advertise)
+	if err == nil && addr.Addr().IsUnspecified() {
+		faults = append(faults, field.Fault{
+			Path: "peer.advertise", Problem: fmt.Sprintf("%q can't be reached from elsewhere", s.Peer.Advertise),
+			Allowed: "ip:port of one address of this instance",
+		})
+	}
+	if s.Stop.NoticeMS >= s.Stop.TimeoutMS {
+		faults = append(faults, field.Fault{
+			Path: "stop.notice_ms", Problem: fmt.Sprintf("%d is not allowed", s.Stop.NoticeMS),
+			Allowed: fmt.Sprintf("less than stop.timeout_ms, which is %d", s.Stop.TimeoutMS),
+		})
+	}
+	return faults
+}
--- /dev/null
+++ b/io/opts/opts_test.go
@@ -0,0 +1,118 @@
+package opts_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"cranberryrail/core/conf"
+	"cranberryrail/core/conf/field"
+	"cranberryrail/io/opts"
+)
+
+var required = fmt.Sprintf(`
+[instance]
+id = "entry-1"
+zone = "a"
+[operator]
+key_sha256 = "%064d"
+[platform]
+log_url = "http://127.0.0.1:6000"
+list_url = "http://127.0.0.1:6001"
+`, 1)
+
+func TestParseFillsDefaults(t *testing.T) {
+	s, err := opts.Parse([]byte(required))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Caller.BodyBytes, int64(1<<20))
+	assert.Equal(t, s.Target.RetryRatio, 0.2)
+	assert.Equal(t, s.Stop.TimeoutMS.Duration(), 30*time.Second)
+	assert.Equal(t, s.Peer.Advertise, s.Peer.Listen)
+	assert.Equal(t, s.Log, opts.Log{Level: opts.Info, Format: opts.JSON})
+}
+
+func TestParseNamesFaults(t *testing.T) {
+	for _, tc := range []struct{ name, extra, want string }{
+		{"unknown key", "[stop]\ntimeout = 5", `stop.timeout (line 11): unknown key; allowed: timeout_ms, notice_ms`},
+		{"unknown table", "[stops]", `stops (line 10): unknown key; allowed: instance, caller,`},
+		{"wrong type", "[stop]\ntimeout_ms = \"5\"", "stop.timeout_ms (line 11): cannot decode TOML string"},
+		{"wrong type says what is allowed", "[stop]\ntimeout_ms = \"5\"", "allowed: integer 1..3600000"},
+		{"table for a value", "[stop.timeout_ms]", "stop.timeout_ms (line 10)"},
+		{"not TOML", "[stop", "(line 10): "},
+		{"number out of range", "[once]\nshards = 0", "once.shards: 0 is not allowed; allowed: 1..1024"},
+		{"not a number", "[target]\nretry_ratio = nan", "target.retry_ratio: NaN is not allowed; allowed: 0..1"},
+		{"list element", "[peer]\nseeds = [\"127.0.0.1:1\", \"host:1\"]", `peer.seeds[1]: "host:1" is not allowed; allowed: ip:port`},
+		{"enum", "[log]\nlevel = \"loud\"", `log.level: "loud" is not allowed; allowed: debug|info|warn|error`},
+		{"notice longer than the stop", "[stop]\nnotice_ms = 30000", "stop.notice_ms: 30000 is not allowed; allowed: less than"},
+		{"address of no instance", "[peer]\nlisten = \"0.0.0.0:7000\"", "peer.advertise"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			_, err := opts.Parse([]byte(required + tc.extra))
+			assert.ErrorContains(t, err, tc.want)
+		})
+	}
+	t.Run("all at once", func(t *testing.T) {
+		_, err := opts.Parse([]byte("[stop]\ntimeout = 5\nnotice_ms = -1"))
+		var faults *field.FaultError
+		assert.Assert(t, errors.As(err, &faults))
+		assert.Equal(t, len(faults.Faults), 7, "%v", err)
+	})
+}
+
+func TestLoadNamesTheFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.toml")
+	_, err := opts.Load(path)
+	assert.ErrorContains(t, err, path)
+	assert.NilError(t, os.WriteFile(path, []byte(required), 0o600))
+	_, err = opts.Load(path)
+	assert.NilError(t, err)
+}
+
+const page = `# Settings
+
+The settings of one process are a TOML file. A key that is not in the first table, a value of another type or outside
+of what is allowed stops the process before it does any work. The error names the path of the key and what is allowed,
+and the line of an unknown key or wrong type.
+A key without a default must be given, but for lists, which are empty. For a string, what is allowed is a regular
+expression for the whole value, or a form of address. Tables in the file are the parts of the key before its last dot.
+Both tables of this page are written by ` + "`go test ./io/opts -update`" + ` from the tags in the code, and a test holds them to it.
+
+## Settings of a process
+
+%s
+## Parameters of a template
+
+Operators publish one template for each organisation, in the same form. ` + "`[]`" + ` stands for each element of a list.
+
+%s`
+
+func table(rows []field.Row) string {
+	var b strings.Builder
+	b.WriteString("| key | type | unit | default | allowed | meaning |\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, r := range rows {
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s | %s |\n", r.Path, r.Type, r.Unit, quote(r.Default), quote(r.Allowed), r.Doc)
+	}
+	return b.String()
+}
+
+func quote(s string) string {
+	if s == "" {
+		return ""
+	}
+	return "`" + strings.ReplaceAll(s, "|", `\|`) + "`"
+}
+
+func TestSettingsPage(t *testing.T) {
+	settings, template := field.Rows(&opts.Settings{}), field.Rows(&conf.Template{})
+	for _, r := range append(settings, template...) {
+		assert.Assert(t, r.Doc != "" && r.Allowed != "", "key %s has no doc or allowed tag", r.Path)
+	}
+	golden.Assert(t, fmt.Sprintf(page, table(settings), table(template)), "../../../docs/SETTINGS.md")
+}
--- /dev/null
+++ b/io/target/stream_test.go
@@ -0,0 +1,282 @@
+package target_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"cranberryrail/fake/engine"
+	"cranberryrail/io/target"
+)
+
+func TestGenerateWhole(t *testing.T) {
+	e := startEngine(t, &engine.Server{})
+	c := newClient()
+	t.Run("cut by max_tokens", func(t *testing.T) { assertWhole(t, c, e.Addr(), newCall()) })
+	t.Run("ended by the engine", func(t *testing.T) {
+		call := newCall()
+		call.MaxTokens = 1000
+		assertWhole(t, c, e.Addr(), call)
+	})
+	t.Run("only the final frame is left", func(t *testing.T) {
+		call := newCall()
+		call.ResumeFrom = call.MaxTokens
+		text, err := collect(c, e.Addr(), call)
+		assert.NilError(t, err)
+		assert.Equal(t, text, "")
+	})
+}
+
+func TestGenerateFaults(t *testing.T) {
+	tests := map[target.Kind]engine.Faults{
+		target.Crossed:   {CrossRatio: 1},
+		target.Doubled:   {DoubleRatio: 1},
+		target.Gap:       {GapRatio: 1},
+		target.Truncated: {TruncateRatio: 1},
+		target.Silent:    {StallAfter: 3, StallRatio: 1},
+		target.Failed:    {FailRatio: 1},
+		target.Leaving:   {Leaving: true},
+	}
+	for kind, faults := range tests {
+		t.Run(string(kind), func(t *testing.T) {
+			e := startEngine(t, &engine.Server{})
+			e.SetFaults(faults)
+			c := &target.Client{FrameTimeout: short}
+			c.Default()
+			for i := range 10 {
+				call := newCall()
+				call.RequestID = fmt.Sprintf("r%d", i)
+				text, err := collect(c, e.Addr(), call)
+				got := assertKind(t, err, kind)
+				whole := engine.Answer(prompt, call.MaxTokens)
+				assert.Assert(t, strings.HasPrefix(whole, text), "text %q", text)
+				assert.Equal(t, text, engine.Text(prompt, got.Position))
+				assert.Equal(t, got.NotRun, kind == target.Leaving)
+				if kind == target.Silent {
+					break
+				}
+			}
+			e.SetFaults(engine.NoFaults())
+			assertWhole(t, c, e.Addr(), newCall())
+		})
+	}
+}
+
+func TestGenerateRefusals(t *testing.T) {
+	t.Run("unknown model", func(t *testing.T) {
+		call := newCall()
+		call.Version = "2"
+		_, err := collect(newClient(), startEngine(t, &engine.Server{}).Addr(), call)
+		assert.Assert(t, assertKind(t, err, target.UnknownModel).NotRun)
+	})
+	t.Run("no listener", func(t *testing.T) {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		assert.NilError(t, ln.Close())
+		_, err = collect(newClient(), ln.Addr().String(), newCall())
+		assert.Assert(t, !assertKind(t, err, target.Refused).Sent)
+	})
+	t.Run("silent engine", func(t *testing.T) {
+		e := startEngine(t, &engine.Server{})
+		e.SetFaults(engine.Faults{Silent: true})
+		c := &target.Client{FirstFrameTimeout: short}
+		c.Default()
+		_, err := collect(c, e.Addr(), newCall())
+		assert.Assert(t, assertKind(t, err, target.Silent).Sent)
+	})
+	t.Run("caller gone", func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err := newClient().Generate(ctx, startEngine(t, &engine.Server{}).Addr(), newCall())
+		assert.Assert(t, !assertKind(t, err, target.Cancelled).Sent)
+	})
+}
+
+func TestGenerateProtocolBreaches(t *testing.T) {
+	token := `data: {"request_id":"r1","attempt":1,"position":%d,"text":"x"}` + "\n\n"
+	final := `data: {"request_id":"r1","attempt":1,"position":0,"final":true,"prompt_tokens":%d,"completion_tokens":%d}`
+	tests := []struct {
+		name string
+		body string
+		kind target.Kind
+	}{
+		{name: "line too long", body: "data: " + strings.Repeat("x", 70<<10) + "\n\n", kind: target.Failed},
+		{name: "two data lines", body: "data: {}\ndata: {}\n\n", kind: target.Failed},
+		{name: "too many tokens", body: fmt.Sprintf(token+token, 0, 1), kind: target.Failed},
+		{name: "too many prompt tokens", body: fmt.Sprintf(final+"\n\n", 1000, 0), kind: target.Failed},
+		{name: "more completion tokens than frames", body: fmt.Sprintf(final+"\n\n", 1, 1), kind: target.Gap},
+		{name: "final frame without its blank line", body: fmt.Sprintf(final+"\n", 1, 0), kind: target.Truncated},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			addr := startRaw(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(tt.body)) })
+			call := newCall()
+			call.MaxTokens = 1
+			_, err := collect(newClient(), addr, call)
+			assertKind(t, err, tt.kind)
+		})
+	}
+}
+
+func TestResume(t *testing.T) {
+	e := startEngine(t, &engine.Server{})
+	e.SetFaults(engine.Faults{StallAfter: 5, StallRatio: 1})
+	c := &target.Client{FrameTimeout: short}
+	c.Default()
+	call := newCall()
+	whole := ""
+	for {
+		text, err := collect(c, e.Addr(), call)
+		whole += text
+		if err == nil {
+			break
+		}
+		call.ResumeFrom = assertKind(t, err, target.Silent).Position
+		call.Attempt++
+		assert.Assert(t, call.Attempt < 50)
+	}
+	assert.Equal(t, whole, engine.Answer(prompt, call.MaxTokens))
+	counts := e.Counts()
+	assert.Equal(t, counts.Attempts["r1"], call.Attempt)
+	assert.Equal(t, counts.Started+counts.Resumed, int64(call.Attempt))
+}
+
+func TestEngineIsFreed(t *testing.T) {
+	ends := map[string]func(c *target.Client, addr string, s *target.Stream) error{
+		"by cancel": func(c *target.Client, addr string, _ *target.Stream) error {
+			return c.Cancel(context.Background(), addr, "r1", 1)
+		},
+		"by closing the stream": func(_ *target.Client, _ string, s *target.Stream) error {
+			s.Close()
+			return nil
+		},
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			e := startEngine(t, &engine.Server{Capacity: 1, MaxWaiting: -1})
+			e.SetFaults(engine.Faults{StallAfter: 1, StallRatio: 1})
+			c := newClient()
+			s, err := c.Generate(context.Background(), e.Addr(), newCall())
+			assert.NilError(t, err)
+			defer s.Close()
+			_, err = s.Next()
+			assert.NilError(t, err)
+			e.SetFaults(engine.NoFaults())
+			second := newCall()
+			second.RequestID = "r2"
+			_, err = collect(c, e.Addr(), second)
+			assertKind(t, err, target.Full)
+
+			assert.NilError(t, end(c, e.Addr(), s))
+			for {
+				load, err := c.Load(context.Background(), e.Addr())
+				assert.NilError(t, err)
+				if load.Running == 0 {
+					break
+				}
+			}
+			assertWhole(t, c, e.Addr(), second)
+			assert.Equal(t, e.Counts().Cancelled, int64(1))
+		})
+	}
+}
+
+// lossyConn drops what is written once its network path has lost track of it.
+type lossyConn struct {
+	net.Conn
+	lost atomic.Bool
+}
+
+func (c *lossyConn) Write(p []byte) (int, error) {
+	if c.lost.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func TestLostConnectionsAreRetired(t *testing.T) {
+	var mu sync.Mutex
+	var conns []*lossyConn
+	c := &target.Client{}
+	c.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		nc, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+		mu.Lock()
+		defer mu.Unlock()
+		conns = append(conns, &lossyConn{Conn: nc})
+		return conns[len(conns)-1], err
+	}
+	c.Default()
+	e := startEngine(t, &engine.Server{})
+	streams := make([]*target.Stream, 4)
+	for i := range streams {
+		s, err := c.Generate(context.Background(), e.Addr(), newCall())
+		assert.NilError(t, err)
+		streams[i] = s
+	}
+	assert.Equal(t, len(conns), len(streams))
+	inUse, idle := streams[0], streams[1:]
+	for _, s := range idle {
+		assertRest(t, s)
+	}
+	for _, nc := range conns {
+		nc.lost.Store(true)
+	}
+	c.FirstFrameTimeout = short
+	_, err := collect(c, e.Addr(), newCall())
+	assertKind(t, err, target.Silent)
+	c.FirstFrameTimeout = 20 * short
+	assertWhole(t, c, e.Addr(), newCall())
+	assertRest(t, inUse)
+	assertWhole(t, c, e.Addr(), newCall())
+}
+
+// assertRest reads a stream to the end of a whole answer and closes it.
+func assertRest(t *testing.T, s *target.Stream) {
+	t.Helper()
+	defer s.Close()
+	for {
+		if _, err := s.Next(); err != nil {
+			assert.ErrorIs(t, err, io.EOF)
+			return
+		}
+	}
+}
+
+func ExampleClient_Generate() {
+	e := &engine.Server{}
+	e.Default()
+	ctx, stop := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return e.Run(ctx) })
+
+	c := &target.Client{}
+	c.Default()
+	call := target.Call{RequestID: "r1", Model: "draft", Version: "1", Prompt: "Hello", MaxTokens: 3}
+	s, err := c.Generate(ctx, e.Addr(), call)
+	for err == nil {
+		var f target.Frame
+		if f, err = s.Next(); err == nil {
+			fmt.Println(f.Position, f.Final)
+		}
+	}
+	fmt.Println(err)
+	s.Close()
+	stop()
+	fmt.Println(group.Wait())
+	// Output:
+	// 0 false
+	// 1 false
+	// 2 false
+	// 3 true
+	// EOF
+	// <nil>
+}
