--- a/core/ledger/book.go
+++ b/core/ledger/book.go
@@ -552,8 +552,8 @@
 }
 
 // Lend gives a peer a part of the own allowance without a record in the log. The log
-// still holds it against this incarnation, so it is never spent twice. It returns 0
-// when less than least can be spared.
+// still holds it against this incarnation, so it is never spent twice. It keeps half
+// of what it has, unless that leaves the borrower with less than least.
 func (b *Book) Lend(budget string, tokens, least int64) int64 {
 	folded := b.Fold.Budgets[budget]
 	if folded == nil || b.stopping || tokens <= 0 {
@@ -562,7 +562,7 @@
 	a := b.account(budget)
 	own := max(b.own(budget, a), 0)
 	lend := min(tokens, max(own/2, min(least, own)))
-	if lend < least || lend <= 0 {
+	if lend <= 0 {
 		return 0
 	}
 	a.lent += lend
@@ -572,10 +572,17 @@
 // Borrowed takes in the answer of a holder to a loan: its incarnation and the tokens,
 // or 0 when nobody lent.
 func (b *Book) Borrowed(budget, holder string, tokens int64) {
+	b.Gathered(budget, []Part{{Holder: holder, Tokens: tokens}})
+}
+
+// Gathered takes in the answers of several holders to one loan.
+func (b *Book) Gathered(budget string, parts []Part) {
 	a := b.account(budget)
 	a.borrowing = false
-	if tokens > 0 {
-		a.loans[holder] += tokens
+	for _, p := range parts {
+		if p.Tokens > 0 {
+			a.loans[p.Holder] += p.Tokens
+		}
 	}
 	b.serve(budget, a, 0)
 }
--- a/core/ledger/keeper.go
+++ b/core/ledger/keeper.go
@@ -93,7 +93,7 @@
 	case lendMsg:
 		ctx.Respond(k.Book.Lend(m.budget, m.tokens, m.least))
 	case borrowedMsg:
-		k.Book.Borrowed(m.budget, m.holder, m.tokens)
+		k.Book.Gathered(m.budget, m.parts)
 	case keepMsg:
 		for _, budget := range m.budgets {
 			k.Book.Keep(budget)
@@ -239,9 +239,9 @@
 	return response.(int64), nil
 }
 
-// Borrowed brings the answer to a loan.
-func (k *Keeper) Borrowed(budget, holder string, tokens int64) {
-	k.shard.Tell(borrowedMsg{budget: budget, holder: holder, tokens: tokens})
+// Gathered brings the answers to a loan.
+func (k *Keeper) Gathered(budget string, parts []Part) {
+	k.shard.Tell(borrowedMsg{budget: budget, parts: parts})
 }
 
 // TopUp adds paid tokens to a budget and waits until the record was read back.
--- a/core/ledger/msgs.go
+++ b/core/ledger/msgs.go
@@ -20,8 +20,8 @@
 
 // borrowedMsg brings the answer to a loan.
 type borrowedMsg struct {
-	budget, holder string
-	tokens         int64
+	budget string
+	parts  []Part
 }
 
 // topUpMsg sends a top-up; the response is a Result once it was read back.
--- /dev/null
+++ b/core/roster/view_test.go
@@ -0,0 +1,169 @@
+package roster_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cranberryrail/core/roster"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func newView(seeds ...string) *roster.View {
+	v := &roster.View{ID: "own", Incarnation: "inc-own", Addr: "own", Seeds: seeds}
+	v.Default()
+	return v
+}
+
+func said(addr string) roster.PeerView {
+	return roster.PeerView{InstanceID: "id-" + addr, Incarnation: "inc-" + addr, PeerAddr: addr}
+}
+
+func instances(state roster.State, addrs ...string) roster.Members {
+	var m roster.Members
+	for _, addr := range addrs {
+		m.Instances = append(m.Instances, roster.Instance{ID: "id-" + addr, PeerAddr: addr, State: state})
+	}
+	return m
+}
+
+func assertPeers(t *testing.T, got []roster.Peer, want ...string) {
+	t.Helper()
+	addrs := make([]string, 0, len(got))
+	for _, p := range got {
+		addrs = append(addrs, p.PeerAddr+" "+string(p.Reach))
+	}
+	assert.DeepEqual(t, addrs, append([]string{}, want...))
+}
+
+func TestView(t *testing.T) {
+	t.Run("reachable before unknown before failed", func(t *testing.T) {
+		v := newView("own", "a")
+		v.SetList(instances(roster.Live, "own", "b", "c"))
+		v.Heard(said("b"), t0)
+		v.Failed("c", t0)
+		assertPeers(t, v.Peers(t0), "b reachable", "a unknown")
+		assertPeers(t, v.Snapshot(t0), "a unknown", "b reachable", "c unreachable")
+		assert.Equal(t, v.Peers(t0.Add(roster.ReachFor))[0].Reach, roster.Unknown)
+		assert.Equal(t, v.Live(t0), 3)
+	})
+	t.Run("growing waits", func(t *testing.T) {
+		v := newView("a")
+		now, wait := t0, roster.RetryFirst
+		for range 10 {
+			v.Failed("a", now)
+			v.Failed("a", now)
+			assertPeers(t, v.Peers(now.Add(wait-1)))
+			now = now.Add(wait)
+			assertPeers(t, v.Peers(now), "a unknown")
+			wait = min(2*wait, roster.RetryLongest)
+		}
+		v.Told(said("a"), now)
+		assertPeers(t, v.Peers(now), "a unknown")
+		v.Heard(said("a"), now)
+		assertPeers(t, v.Peers(now), "a reachable")
+	})
+	t.Run("second-hand views do not replace fresh ones", func(t *testing.T) {
+		v := newView()
+		old := said("a")
+		old.Incarnation = "inc-old"
+		v.Heard(said("a"), t0)
+		v.Told(old, t0)
+		_, ok := v.Find("inc-a", t0)
+		assert.Assert(t, ok)
+		v.Told(old, t0.Add(roster.ReachFor))
+		_, ok = v.Find("inc-old", t0.Add(roster.ReachFor))
+		assert.Assert(t, ok)
+	})
+	t.Run("stopping and leaving", func(t *testing.T) {
+		v := newView()
+		v.SetList(instances(roster.Leaving, "a", "b"))
+		stops := said("a")
+		stops.Stopping = true
+		v.Heard(stops, t0)
+		v.Heard(said("c"), t0)
+		assertPeers(t, v.Peers(t0), "c reachable", "b unknown")
+		assert.Equal(t, v.Live(t0), 2)
+	})
+	t.Run("forgets what is neither listed nor heard of", func(t *testing.T) {
+		v := newView()
+		v.Heard(said("a"), t0)
+		v.Told(said("own"), t0)
+		assert.Equal(t, len(v.Snapshot(t0)), 1)
+		v.Told(said("b"), t0.Add(roster.ForgetAfter))
+		assertPeers(t, v.Snapshot(t0.Add(roster.ForgetAfter)), "b unknown")
+	})
+}
+
+func TestRanks(t *testing.T) {
+	addrs := []string{"a", "b", "c", "d"}
+	firsts := map[string]bool{}
+	for k := range 32 {
+		key := fmt.Sprint("key", k)
+		places := map[int]string{}
+		var order []string
+		for _, own := range addrs {
+			v := &roster.View{ID: "id-" + own, Incarnation: "inc-" + own, Addr: own}
+			v.Default()
+			v.SetList(instances(roster.Live, addrs...))
+			places[v.Rank(key, t0)] = own
+			order = order[:0]
+			for _, p := range v.Ranked(key, t0) {
+				order = append(order, p.PeerAddr)
+			}
+		}
+		assert.Equal(t, len(places), len(addrs), "every instance has a place of its own")
+		assert.DeepEqual(t, order, placesWithout(places, "d"))
+		firsts[places[0]] = true
+	}
+	assert.Equal(t, len(firsts), len(addrs), "keys spread over the instances")
+}
+
+func placesWithout(places map[int]string, own string) []string {
+	var order []string
+	for i := range len(places) {
+		if places[i] != own {
+			order = append(order, places[i])
+		}
+	}
+	return order
+}
+
+func TestLeavingTargets(t *testing.T) {
+	listed := roster.Members{Targets: []roster.Target{
+		{ID: "t1", Incarnation: "x1", State: roster.Live}, {ID: "t2", Incarnation: "x2", State: roster.Leaving},
+	}}
+	v := newView()
+	told := said("a")
+	told.LeavingTargets = []string{"x1", "x3"}
+	v.Told(told, t0)
+	v.SetList(listed)
+	assert.DeepEqual(t, v.LeavingTargets(), []string{"x1", "x2"})
+	listed.Targets[0].Incarnation = "x3"
+	v.SetList(listed)
+	assert.DeepEqual(t, v.LeavingTargets(), []string{"x2", "x3"})
+	for range 100 {
+		v.SetList(roster.Members{})
+	}
+	v.SetList(listed)
+	assert.DeepEqual(t, v.LeavingTargets(), []string{"x2"})
+}
+
+func TestViewsTakeTurns(t *testing.T) {
+	v := newView()
+	seen := map[string]bool{}
+	for i := range 10 {
+		v.Heard(said(fmt.Sprint(i)), t0)
+	}
+	for range 4 {
+		views := v.Views(3, t0)
+		assert.Equal(t, len(views), 3)
+		for _, p := range views {
+			seen[p.PeerAddr] = true
+		}
+	}
+	assert.Equal(t, len(seen), 10)
+}
--- a/core/tail/feed.go
+++ b/core/tail/feed.go
@@ -226,6 +226,10 @@
 func (f *Feed) deliver(_ context.Context, e Entry) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if e.Offset < f.next {
+		// A state that contains the record was adopted meanwhile.
+		return nil
+	}
 	b, err := DecodeBatch(e.Data)
 	var format *FormatError
 	switch {
@@ -379,6 +383,13 @@
 	return f.restore(st) == nil
 }
 
+// Adopt takes a state over when it is ahead of the own one, and reports whether it did.
+func (f *Feed) Adopt(st State) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return st.At >= f.next && f.restore(st) == nil
+}
+
 // fromPeer takes the state of a peer when it is ahead of the own one.
 func (f *Feed) fromPeer(ctx context.Context) (int64, bool) {
 	if f.Fetch == nil {
@@ -388,12 +399,10 @@
 	if err != nil {
 		return 0, false
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if st.At < f.next || f.restore(st) != nil {
+	if !f.Adopt(st) {
 		return 0, false
 	}
-	return f.next, true
+	return f.Next(), true
 }
 
 // restore replaces the state; the caller holds the lock.
--- a/core/tail/follow.go
+++ b/core/tail/follow.go
@@ -3,12 +3,24 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
 // PollWait is how long one read waits for a record.
 const PollWait = time.Second
 
+// GapError tells that a read skipped records; it is repeated.
+type GapError struct {
+	Stream    string
+	Want, Got int64
+}
+
+// Error implements the error interface.
+func (e *GapError) Error() string {
+	return fmt.Sprintf("stream %s: a read from offset %d began at %d", e.Stream, e.Want, e.Got)
+}
+
 // Follower delivers the records of one stream in order. Exported fields are set
 // before Run.
 type Follower struct {
@@ -75,6 +87,10 @@
 		if e.Offset < f.Next {
 			continue
 		}
+		if e.Offset > f.Next {
+			f.Contact(&GapError{Stream: f.Stream, Want: f.Next, Got: e.Offset})
+			return nil
+		}
 		if err := f.Deliver(ctx, e); err != nil {
 			return err
 		}
--- a/core/tail/tail.go
+++ b/core/tail/tail.go
@@ -127,12 +127,31 @@
 
 // DecodeBatch reads a batch from a record.
 func DecodeBatch(data []byte) (Batch, error) {
+	format, err := formatOf(data)
+	if err != nil {
+		return Batch{}, err
+	}
+	if format != BatchFormat {
+		return Batch{}, &FormatError{Format: format}
+	}
 	var b Batch
 	if err := Decode(data, &b); err != nil {
 		return Batch{}, err
 	}
-	if b.Format != BatchFormat {
-		return Batch{}, &FormatError{Format: b.Format}
-	}
 	return b, nil
 }
+
+// formatOf reads the format number alone, so that a later format with further fields is
+// told from a record that is no batch.
+func formatOf(data []byte) (int, error) {
+	var fields []cbor.RawMessage
+	if err := Decode(data, &fields); err != nil {
+		return 0, err
+	}
+	if len(fields) == 0 {
+		return 0, &FormatError{}
+	}
+	var format int
+	err := Decode(fields[0], &format)
+	return format, err
+}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -137,6 +137,9 @@
 	return nil
 }
 
+// Stopping reports whether readiness was withdrawn for good.
+func (s *Server) Stopping() bool { return s.stopping.Load() }
+
 // InFlight returns the number of requests in flight.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -18,12 +18,14 @@
 	"cranberryrail/core/events"
 	"cranberryrail/core/ledger"
 	"cranberryrail/core/once"
+	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
 	"cranberryrail/core/serve"
 	"cranberryrail/core/tail"
 	"cranberryrail/io/front"
 	"cranberryrail/io/oper"
 	"cranberryrail/io/opts"
+	"cranberryrail/io/peer"
 	"cranberryrail/io/plat"
 	"cranberryrail/io/target"
 )
@@ -57,9 +59,16 @@
 	target  *target.Client
 	reach   *reach
 	current current
-	members members
-	failed  chan error
-	killed  chan struct{}
+	listed  targets
+	view    *roster.View
+	peers   *peer.Client
+	relay   *peer.Relay
+	gossip  *peer.Gossip
+	// direct notes contacts with the log that go through no other instance.
+	direct     *reach
+	peerServer *peer.Server
+	failed     chan error
+	killed     chan struct{}
 	// background holds short orders to targets that nobody waits for.
 	background errgroup.Group
 }
@@ -77,7 +86,8 @@
 	n.reach = &reach{now: time.Now, changed: n.reached}
 	n.plat = &plat.Client{LogURL: n.Settings.Platform.LogURL, ListURL: n.Settings.Platform.ListURL, Timeout: n.Settings.Platform.TimeoutMS.Duration()}
 	n.plat.Default()
-	n.log = n.plat.Log()
+	n.direct = &reach{now: time.Now, changed: func(bool) {}}
+	n.makePeers()
 	n.makeTarget()
 	n.makeStreams()
 	n.makeRoute()
@@ -98,7 +108,7 @@
 func (n *Node) feed(stream string) *tail.Feed {
 	return &tail.Feed{
 		Log: n.log, Stream: stream, Inc: n.Inc, Linger: n.Settings.Ledger.LingerMS.Duration(),
-		SnapshotEvery: n.Settings.Ledger.SnapshotEvery, SnapshotTurn: n.snapshotTurn, Contact: n.reach.contact,
+		SnapshotEvery: n.Settings.Ledger.SnapshotEvery, SnapshotTurn: n.snapshotTurn, Contact: n.reach.contact, Fetch: n.fetch,
 		Stalled: func(err *tail.StalledError) {
 			events.Log(n.Log, events.FormatUnknown).Str("stream", err.Stream).Int64("offset", err.Offset).Err(err).Send()
 		},
@@ -137,7 +147,7 @@
 func (n *Node) makeLedger(shard int) *ledger.Keeper {
 	book := &ledger.Book{
 		Fold: ledger.New(), Wait: n.Settings.Ledger.ReserveWaitMS.Duration(),
-		Policy: n.policy, Instances: n.members.instances,
+		Policy: n.policy, Instances: n.instanceCount, Borrow: n.borrow,
 	}
 	k := &ledger.Keeper{
 		System: n.system, Feed: n.feed(fmt.Sprintf("ledger/%d", shard)), Book: book, Failed: n.panicked,
@@ -184,7 +194,7 @@
 		Ledger: n.LedgerOf, Once: n.OnceOf, Route: n.Route, Call: callService(n.target),
 		Generate: &serve.Server{
 			Pick: n.Route.Pick, Done: n.Route.Done, Retry: n.Route.Retry, Open: open(n.target), Cancel: n.cancelAttempt,
-			Left: func(incarnation string) { n.Route.Leaving(incarnation) }, Broke: n.broke,
+			Left: n.leaving, Broke: n.broke,
 		},
 	}
 	n.Front.Default()
@@ -246,7 +256,7 @@
 }
 
 // PeerAddr returns the address that other instances reach.
-func (n *Node) PeerAddr() string { return n.Settings.Peer.Advertise }
+func (n *Node) PeerAddr() string { return n.view.Addr }
 
 // Listen opens all listeners.
 func (n *Node) Listen(ctx context.Context) error {
@@ -258,6 +268,14 @@
 		events.Log(n.Log, events.ListenFailed).Err(err).Send()
 		return err
 	}
+	if err := n.peerServer.Bind(ctx); err != nil {
+		events.Log(n.Log, events.ListenFailed).Err(err).Send()
+		return err
+	}
+	if n.Settings.Peer.Advertise == n.Settings.Peer.Listen {
+		// The port may have been left to the system.
+		n.view.Addr = n.peerServer.Addr()
+	}
 	return nil
 }
 
@@ -285,6 +303,7 @@
 			return n.stop(work)
 		}
 	})
+	defer func() { _ = n.peers.Close() }()
 	return g.Wait()
 }
 
@@ -294,7 +313,7 @@
 
 // runs returns what runs side by side.
 func (n *Node) runs() []func(ctx context.Context) error {
-	runs := []func(ctx context.Context) error{n.Front.Run, n.Oper.Run, n.Conf.Run, n.pollList, n.pollLoad, n.announceReady}
+	runs := []func(ctx context.Context) error{n.Front.Run, n.Oper.Run, n.Conf.Run, n.peerServer.Run, n.gossip.Run, n.pollList, n.pollLoad, n.announceReady}
 	for _, k := range n.Ledger {
 		runs = append(runs, k.Run)
 	}
--- a/io/node/operate.go
+++ b/io/node/operate.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"slices"
 	"strings"
 
@@ -86,7 +85,7 @@
 
 func (n *Node) targets() any {
 	leaving, _ := n.Route.LeavingIncarnations()
-	list := n.members.get().Targets
+	list := n.targetList()
 	out := make([]TargetState, 0, len(list))
 	for _, t := range list {
 		out = append(out, TargetState{Target: t, Leaving: slices.Contains(leaving, t.Incarnation)})
@@ -97,24 +96,22 @@
 // state returns what this instance says of itself.
 func (n *Node) state() oper.InstanceState {
 	s := oper.InstanceState{
-		ID: n.Settings.Instance.ID, Incarnation: n.Inc, Zone: n.Settings.Instance.Zone, PeerAddr: n.Settings.Peer.Advertise,
+		ID: n.Settings.Instance.ID, Incarnation: n.Inc, Zone: n.Settings.Instance.Zone, PeerAddr: n.PeerAddr(),
 		State: "starting", ConfigVersion: n.current.get().version, LogReached: n.reach.ok(), InFlight: n.Front.InFlight(),
 	}
-	if n.Ready() {
+	switch {
+	case n.Front.Stopping():
+		s.State = "stopping"
+	case n.Ready():
 		s.State = "ready"
 	}
 	return s
 }
 
-// instances returns the state of this instance.
-func (n *Node) instances(context.Context) []oper.InstanceState {
-	return []oper.InstanceState{n.state()}
-}
-
 // Listed returns the entry of this instance in the platform's list.
 func (n *Node) Listed() roster.Instance {
 	return roster.Instance{
 		ID: n.Settings.Instance.ID, Zone: n.Settings.Instance.Zone, CallerAddr: n.Front.Addr(),
-		PeerAddr: n.Settings.Peer.Advertise, OperatorAddr: n.Oper.Addr(), State: roster.Live,
+		PeerAddr: n.PeerAddr(), OperatorAddr: n.Oper.Addr(), State: roster.Live,
 	}
 }
--- /dev/null
+++ b/io/node/peers.go
@@ -0,0 +1,240 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"cranberryrail/core/events"
+	"cranberryrail/core/ledger"
+	"cranberryrail/core/roster"
+	"cranberryrail/core/tail"
+	"cranberryrail/io/oper"
+	"cranberryrail/io/peer"
+)
+
+const (
+	// lenders is the most holders that are asked for one loan.
+	lenders = 8
+	// reportState is the kind of report by which instances tell their state.
+	reportState = "state"
+	// reportSide is the number of instances asked for a report at the same time.
+	reportSide = 16
+)
+
+func (n *Node) makePeers() {
+	s := n.Settings.Peer
+	n.view = &roster.View{ID: n.Settings.Instance.ID, Incarnation: n.Inc, Addr: s.Advertise, Seeds: s.Seeds}
+	n.view.Default()
+	n.peers = &peer.Client{Timeout: s.CallTimeoutMS.Duration()}
+	n.peers.Default()
+	direct := n.watched(n.plat.Log())
+	n.relay = &peer.Relay{Direct: direct, Peers: n.peersByReach, Client: n.peers, Failed: n.peerFailed, Changed: n.pathChanged}
+	n.relay.Default()
+	n.log = n.relay.Log()
+	n.peerServer = &peer.Server{
+		Listen: s.Listen, View: n.ownView, Log: direct, State: n.streamState, Lend: n.lend, Report: n.ownReport,
+		Others: func(max int) []roster.PeerView { return n.view.Views(max, time.Now()) },
+		Told:   n.told,
+	}
+	n.peerServer.Default()
+	n.gossip = &peer.Gossip{
+		View: n.view, Client: n.peers, Own: n.ownView,
+		Leaving: func(incarnations []string) { n.Route.Leaving(incarnations...) },
+		Version: func() int64 { return n.current.get().version }, Behind: n.behind,
+	}
+	n.gossip.Default()
+}
+
+// watched returns the log with each contact noted, so that peers are told whether this
+// instance itself reaches the log.
+func (n *Node) watched(log tail.Log) tail.Log {
+	return tail.Log{
+		Append: func(ctx context.Context, stream string, data []byte) (int64, error) {
+			offset, err := log.Append(ctx, stream, data)
+			n.direct.contact(err)
+			return offset, err
+		},
+		Read: func(ctx context.Context, stream string, from int64, wait time.Duration) (tail.Page, error) {
+			page, err := log.Read(ctx, stream, from, wait)
+			n.direct.contact(err)
+			return page, err
+		},
+	}
+}
+
+func (n *Node) peersByReach() []roster.Peer { return n.view.Peers(time.Now()) }
+
+func (n *Node) peerFailed(addr string) { n.view.Failed(addr, time.Now()) }
+
+func (n *Node) pathChanged(p peer.Path) {
+	e := events.LogBack
+	switch p {
+	case peer.Relayed:
+		e = events.RelayUsed
+	case peer.None:
+		e = events.LogUnreachable
+	}
+	events.Log(n.Log, e).Str("path", string(p)).Send()
+}
+
+// ownView returns what this instance says of itself.
+func (n *Node) ownView() roster.PeerView {
+	return roster.PeerView{
+		InstanceID: n.Settings.Instance.ID, Incarnation: n.Inc, Zone: n.Settings.Instance.Zone, PeerAddr: n.PeerAddr(),
+		ConfigVersion: n.current.get().version, Stopping: n.Front.Stopping(), LogReached: n.direct.ok(),
+		LeavingTargets: n.view.LeavingTargets(),
+	}
+}
+
+// told takes in the view of an instance that called.
+func (n *Node) told(v roster.PeerView) {
+	n.view.Told(v, time.Now())
+	if len(v.LeavingTargets) > 0 {
+		n.Route.Leaving(v.LeavingTargets...)
+	}
+}
+
+// leaving notes a target that said it is leaving, for this instance and for the others.
+func (n *Node) leaving(incarnation string) {
+	n.Route.Leaving(incarnation)
+	n.view.NoteLeaving(incarnation)
+}
+
+// streamState returns the folded state of a stream for an instance that lacks records.
+func (n *Node) streamState(stream string) (tail.State, error) {
+	for _, f := range n.feeds() {
+		if f.Stream == stream && f.Ready() {
+			return f.State()
+		}
+	}
+	return tail.State{}, fmt.Errorf("stream %s is not folded here", stream)
+}
+
+func (n *Node) feeds() []*tail.Feed {
+	feeds := []*tail.Feed{n.Conf.Feed}
+	for _, k := range n.Ledger {
+		feeds = append(feeds, k.Feed)
+	}
+	for _, k := range n.Once {
+		feeds = append(feeds, k.Feed)
+	}
+	return feeds
+}
+
+// fetch returns the state of a stream from the first instance that has it.
+func (n *Node) fetch(ctx context.Context, stream string) (tail.State, error) {
+	err := errors.New("no other instance is in reach")
+	for _, p := range n.peersByReach() {
+		var st tail.State
+		if st, err = n.peers.State(ctx, p.PeerAddr, stream); err == nil {
+			events.Log(n.Log, events.StateFetched).Str("stream", stream).Str("from", p.InstanceID).Int64("at", st.At).Send()
+			return st, nil
+		}
+	}
+	return tail.State{}, fmt.Errorf("fetch the state of %s: %w", stream, err)
+}
+
+// behind takes over the newer configuration of another instance.
+func (n *Node) behind(ctx context.Context, p roster.Peer) {
+	st, err := n.peers.State(ctx, p.PeerAddr, n.Conf.Feed.Stream)
+	if err != nil {
+		return
+	}
+	if n.Conf.Feed.Adopt(st) {
+		events.Log(n.Log, events.StateFetched).Str("stream", n.Conf.Feed.Stream).Str("from", p.InstanceID).Int64("at", st.At).Send()
+	}
+}
+
+// lend gives another instance a part of the own allowance.
+func (n *Node) lend(budget string, tokens, least int64) (string, int64) {
+	lent, err := n.LedgerOf(budget).Lend(budget, tokens, least)
+	if err != nil || lent == 0 {
+		return "", 0
+	}
+	events.Log(n.Log, events.AllowanceLent).Str("budget", budget).Int64("tokens", lent).Send()
+	return n.Inc, lent
+}
+
+// borrow asks holders for a loan, in the background, until there is enough.
+func (n *Node) borrow(l ledger.Loan) {
+	started := n.background.TryGo(func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), n.Settings.Ledger.ReserveWaitMS.Duration())
+		defer cancel()
+		n.LedgerOf(l.Budget).Gathered(l.Budget, n.gather(ctx, l))
+		return nil
+	})
+	if !started {
+		n.LedgerOf(l.Budget).Gathered(l.Budget, nil)
+	}
+}
+
+// gather asks one holder after another until the loan is complete.
+func (n *Node) gather(ctx context.Context, l ledger.Loan) []ledger.Part {
+	var parts []ledger.Part
+	var got int64
+	for _, holder := range l.Holders[:min(len(l.Holders), lenders)] {
+		p, ok := n.view.Find(holder, time.Now())
+		if !ok || ctx.Err() != nil {
+			continue
+		}
+		loan := peer.Loan{Borrower: n.Inc, Budget: l.Budget, Tokens: l.Tokens - got, Least: max(l.Least-got, 1)}
+		inc, tokens, err := n.peers.Lend(ctx, p.PeerAddr, loan)
+		if err != nil || tokens <= 0 {
+			continue
+		}
+		parts = append(parts, ledger.Part{Holder: inc, Tokens: tokens})
+		if got += tokens; got >= l.Tokens {
+			break
+		}
+	}
+	return parts
+}
+
+// ownReport returns a report of this instance in JSON.
+func (n *Node) ownReport(kind string) ([]byte, error) {
+	if kind != reportState {
+		return nil, fmt.Errorf("there is no report %q", kind)
+	}
+	return json.Marshal(n.state())
+}
+
+// instances returns the state of all instances that are known; those that do not answer
+// are shown as missing.
+func (n *Node) instances(ctx context.Context) []oper.InstanceState {
+	peers := n.view.Snapshot(time.Now())
+	states := make([]oper.InstanceState, 1+len(peers))
+	states[0] = n.state()
+	var g errgroup.Group
+	g.SetLimit(reportSide)
+	for i, p := range peers {
+		g.Go(func() error {
+			states[i+1] = n.askState(ctx, p)
+			return nil
+		})
+	}
+	_ = g.Wait()
+	slices.SortFunc(states, func(a, b oper.InstanceState) int { return strings.Compare(a.ID, b.ID) })
+	return states
+}
+
+func (n *Node) askState(ctx context.Context, p roster.Peer) oper.InstanceState {
+	state := oper.InstanceState{
+		ID: p.InstanceID, Incarnation: p.Incarnation, Zone: p.Zone, PeerAddr: p.PeerAddr, State: "missing",
+		ConfigVersion: p.ConfigVersion, LogReached: p.LogReached,
+	}
+	data, err := n.peers.Report(ctx, p.PeerAddr, reportState)
+	if err == nil {
+		err = json.Unmarshal(data, &state)
+	}
+	if err != nil {
+		state.State = "missing"
+	}
+	return state
+}
--- a/io/node/poll.go
+++ b/io/node/poll.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -24,35 +24,22 @@
 	cancelTimeout = time.Second
 )
 
-// members is the last list that the platform gave.
-type members struct {
-	mu   sync.Mutex
-	list roster.Members
+// targets holds the targets of the last list that the platform gave.
+type targets struct {
+	p atomic.Pointer[[]roster.Target]
 }
 
-func (m *members) set(list roster.Members) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.list = list
-}
-
-func (m *members) get() roster.Members {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.list
-}
-
-// instances returns the number of live instances, at least 1.
-func (m *members) instances() int {
-	n := 0
-	for _, i := range m.get().Instances {
-		if i.State == roster.Live {
-			n++
-		}
+// targetList returns the targets of the last list that the platform gave.
+func (n *Node) targetList() []roster.Target {
+	if list := n.listed.p.Load(); list != nil {
+		return *list
 	}
-	return max(n, 1)
+	return nil
 }
 
+// instanceCount returns the number of instances thought live.
+func (n *Node) instanceCount() int { return n.view.Live(time.Now()) }
+
 // every calls f at once and then at the interval until the context ends.
 func every(ctx context.Context, interval time.Duration, f func(ctx context.Context)) error {
 	ticker := time.NewTicker(interval)
@@ -84,8 +71,9 @@
 			events.Log(n.Log, e).Err(err).Send()
 		}
 		if err == nil {
-			n.members.set(list)
-			n.Route.SetTargets(list.Targets, n.members.instances())
+			n.listed.p.Store(&list.Targets)
+			n.view.SetList(list)
+			n.Route.SetTargets(list.Targets, n.instanceCount())
 		}
 	})
 }
@@ -95,7 +83,7 @@
 	return every(ctx, n.Settings.Target.LoadEveryMS.Duration(), func(ctx context.Context) {
 		var g errgroup.Group
 		g.SetLimit(loadSide)
-		for _, t := range n.members.get().Targets {
+		for _, t := range n.targetList() {
 			g.Go(func() error {
 				n.askLoad(ctx, t)
 				return nil
--- /dev/null
+++ b/io/peer/client.go
@@ -0,0 +1,199 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcerr"
+	"storj.io/drpc/drpcpool"
+
+	"cranberryrail/core/roster"
+	"cranberryrail/core/tail"
+	"cranberryrail/io/peer/peerpb"
+)
+
+// Defaults of the client.
+const (
+	// DefaultTimeout bounds calls that the other instance answers by itself.
+	DefaultTimeout = 300 * time.Millisecond
+	// DefaultLogTimeout bounds calls for which the other instance asks the platform or
+	// works longer, in addition to the wait of a read.
+	DefaultLogTimeout = 2 * time.Second
+	// DefaultStateTimeout bounds the transfer of a folded state.
+	DefaultStateTimeout = 10 * time.Second
+	// DefaultMaxCalls is the most calls at a time.
+	DefaultMaxCalls = 512
+	// MaxIdlePerAddr is the most unused connections kept to one address.
+	MaxIdlePerAddr = 8
+	// MaxIdle is the most unused connections kept in all.
+	MaxIdle = 256
+)
+
+// Client calls other instances. It keeps several connections to each, because one
+// carries one call at a time. Exported fields are set before the first call; a Client
+// may be used by several goroutines.
+type Client struct {
+	// Timeout bounds Hello and Lend.
+	Timeout time.Duration
+	// LogTimeout bounds Append and Report, and Read in addition to its wait.
+	LogTimeout time.Duration
+	// StateTimeout bounds State.
+	StateTimeout time.Duration
+	// MaxCalls is the most calls at a time.
+	MaxCalls int64
+
+	calls *semaphore.Weighted
+	pool  *drpcpool.Pool[string, *drpcconn.Conn]
+}
+
+// String names the client for logs.
+func (c *Client) String() string { return "client of other instances" }
+
+// Default fills fields that were left empty and makes the client ready.
+func (c *Client) Default() {
+	if c.Timeout == 0 {
+		c.Timeout = DefaultTimeout
+	}
+	if c.LogTimeout == 0 {
+		c.LogTimeout = DefaultLogTimeout
+	}
+	if c.StateTimeout == 0 {
+		c.StateTimeout = DefaultStateTimeout
+	}
+	if c.MaxCalls == 0 {
+		c.MaxCalls = DefaultMaxCalls
+	}
+	c.calls = semaphore.NewWeighted(c.MaxCalls)
+	c.pool = drpcpool.New[string, *drpcconn.Conn](drpcpool.Options{
+		Expiration: ClientIdle, Capacity: MaxIdle, KeyCapacity: MaxIdlePerAddr,
+	})
+}
+
+// Close closes the unused connections.
+func (c *Client) Close() error { return c.pool.Close() }
+
+// Hello exchanges views and returns that of the other instance, and those of further ones.
+func (c *Client) Hello(ctx context.Context, addr string, own roster.PeerView) (roster.PeerView, []roster.PeerView, error) {
+	reply, err := call(ctx, c, addr, "Hello", c.Timeout, peerpb.DRPCPeerClient.Hello, &peerpb.HelloRequest{View: encodeView(own)})
+	others := make([]roster.PeerView, 0, len(reply.GetOthers()))
+	for _, other := range reply.GetOthers() {
+		others = append(others, decodeView(other))
+	}
+	return decodeView(reply.GetView()), others, err
+}
+
+// Append appends to the platform's log through another instance. An error leaves open
+// whether the record was written.
+func (c *Client) Append(ctx context.Context, addr, stream string, data []byte) (int64, error) {
+	in := &peerpb.AppendRequest{Stream: stream, Data: data}
+	reply, err := call(ctx, c, addr, "Append", c.LogTimeout, peerpb.DRPCPeerClient.Append, in)
+	return reply.GetOffset(), err
+}
+
+// Read reads from the platform's log through another instance. It returns a
+// *tail.TrimmedError when records from the offset on are no longer kept.
+func (c *Client) Read(ctx context.Context, addr, stream string, from int64, wait time.Duration) (tail.Page, error) {
+	wait = min(wait, MaxReadWait)
+	in := &peerpb.ReadRequest{Stream: stream, From: from, WaitMs: wait.Milliseconds()}
+	reply, err := call(ctx, c, addr, "Read", c.LogTimeout+wait, peerpb.DRPCPeerClient.Read, in)
+	if err != nil {
+		return tail.Page{}, err
+	}
+	if reply.GetTrimmed() {
+		return tail.Page{}, &tail.TrimmedError{Stream: stream, From: from, Earliest: reply.GetEarliest()}
+	}
+	page := tail.Page{Head: reply.GetHead(), Entries: make([]tail.Entry, 0, len(reply.GetRecords()))}
+	for _, r := range reply.GetRecords() {
+		page.Entries = append(page.Entries, tail.Entry{Offset: r.GetOffset(), Data: r.GetData()})
+	}
+	return page, nil
+}
+
+// State returns the folded state of a stream at another instance.
+func (c *Client) State(ctx context.Context, addr, stream string) (tail.State, error) {
+	in := &peerpb.StateRequest{Stream: stream}
+	reply, err := call(ctx, c, addr, "State", c.StateTimeout, peerpb.DRPCPeerClient.State, in)
+	if err != nil {
+		return tail.State{}, err
+	}
+	var state tail.State
+	if err := tail.Decode(reply.GetState(), &state); err != nil {
+		return tail.State{}, fmt.Errorf("state of stream %s from instance %s: %w", stream, addr, err)
+	}
+	return state, nil
+}
+
+// Loan is a request for a part of another instance's allowance.
+type Loan struct {
+	// Borrower is the incarnation that asks.
+	Borrower, Budget string
+	// Tokens are asked for; fewer than Least are of no use.
+	Tokens, Least int64
+}
+
+// Lend asks another instance for a part of its allowance. It returns the incarnation
+// that the log grants the tokens to, and their number. It is never repeated by the
+// client: after an error the tokens may be lent and are then unused.
+func (c *Client) Lend(ctx context.Context, addr string, l Loan) (string, int64, error) {
+	in := &peerpb.LendRequest{Borrower: l.Borrower, Budget: l.Budget, Tokens: l.Tokens, Least: l.Least}
+	reply, err := call(ctx, c, addr, "Lend", c.Timeout, peerpb.DRPCPeerClient.Lend, in)
+	return reply.GetHolder(), reply.GetTokens(), err
+}
+
+// Report returns the report of another instance in JSON.
+func (c *Client) Report(ctx context.Context, addr, kind string) ([]byte, error) {
+	in := &peerpb.ReportRequest{Kind: kind}
+	reply, err := call(ctx, c, addr, "Report", c.LogTimeout, peerpb.DRPCPeerClient.Report, in)
+	return reply.GetJson(), err
+}
+
+// call makes one call with a time-out. A connection on which it ran out is closed by
+// drpc; the unused ones to the address share its path and are closed too.
+func call[I, O any](
+	ctx context.Context, c *Client, addr, method string, timeout time.Duration,
+	do func(peerpb.DRPCPeerClient, context.Context, *I) (*O, error), in *I,
+) (*O, error) {
+	bounded, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if err := c.calls.Acquire(bounded, 1); err != nil {
+		return nil, &CallError{Addr: addr, Method: method, Kind: Abandoned, Err: fmt.Errorf("%d calls run: %w", c.MaxCalls, err)}
+	}
+	defer c.calls.Release(1)
+	out, err := do(peerpb.NewDRPCPeerClient(c.pool.Get(bounded, addr, dial)), bounded, in)
+	if err == nil {
+		return out, nil
+	}
+	kind := NoReply
+	switch {
+	case drpcerr.Code(err) != 0:
+		kind = Refused
+	case ctx.Err() != nil:
+		kind = Abandoned
+	default:
+		c.retire(addr)
+	}
+	return nil, &CallError{Addr: addr, Method: method, Kind: kind, Err: err}
+}
+
+// retire closes the unused connections to an address.
+func (c *Client) retire(addr string) {
+	for {
+		conn, ok := c.pool.Take(addr)
+		if !ok {
+			return
+		}
+		_ = conn.Close()
+	}
+}
+
+func dial(ctx context.Context, addr string) (*drpcconn.Conn, error) {
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions(0)}), nil
+}
