--- /dev/null
+++ b/cmd/burn.go
@@ -0,0 +1,48 @@
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+
+	"cranberryrail/core/burn"
+	"cranberryrail/io/burns"
+)
+
+// pageMode is the file mode of a page.
+const pageMode = 0o644
+
+func (a *App) burn() command {
+	var file string
+	sub := newSub("burn", "show the service-level burn of all organisations", "burn", "burn --html burn.html")
+	sub.String(&file, "", "html", "File to write an HTML page with plots to.")
+	c := a.newClient(sub)
+	return command{sub, func(ctx context.Context) error {
+		var r burn.Report
+		if err := c.call(ctx, http.MethodGet, "/v1/reports/burn", nil, &r); err != nil {
+			return err
+		}
+		if file != "" {
+			if err := writePage(file, r); err != nil {
+				return err
+			}
+		}
+		if c.json {
+			return a.printJSON(r)
+		}
+		return burns.Table(a.Stdout, r)
+	}}
+}
+
+func writePage(file string, r burn.Report) error {
+	var page bytes.Buffer
+	if err := burns.Page(&page, r); err != nil {
+		return fmt.Errorf("render the page: %w", err)
+	}
+	if err := os.WriteFile(file, page.Bytes(), pageMode); err != nil {
+		return fmt.Errorf("write the page; give another file by --html: %w", err)
+	}
+	return nil
+}
--- a/cmd/fake.go
+++ b/cmd/fake.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"cranberryrail/core/roster"
+	"cranberryrail/core/shard"
 )
 
 const (
@@ -24,6 +25,8 @@
 	fakeListen = "127.0.0.1:0"
 	// registerTimeout is the longest time for a stand-in to register.
 	registerTimeout = 5 * time.Second
+	// registerPoll is the time between two tries to register.
+	registerPoll = 100 * time.Millisecond
 )
 
 // listening prints the line that tells that a stand-in is ready.
@@ -86,8 +89,17 @@
 	if err != nil {
 		return err
 	}
-	_, err = exchange(ctx, http.MethodPut, strings.TrimRight(f.register, "/")+"/control/targets/"+url.PathEscape(f.entry.ID), body)
-	return err
+	to := strings.TrimRight(f.register, "/") + "/control/targets/" + url.PathEscape(f.entry.ID)
+	// The platform may be starting at the same time.
+	var refused error
+	err = shard.Settle(ctx, registerPoll, func() (bool, error) {
+		_, refused = exchange(ctx, http.MethodPut, to, body)
+		return refused == nil, nil
+	})
+	if err != nil {
+		return refused
+	}
+	return nil
 }
 
 // exchange sends a request and returns the body of a good answer.
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -50,6 +50,7 @@
 // commands returns every subcommand; a new one is a new line here.
 func (a *App) commands() []command {
 	return []command{
+		a.demo(),
 		a.serve(),
 		a.check(),
 		a.publish(),
@@ -62,6 +63,7 @@
 		a.targets(),
 		a.instances(),
 		a.report(),
+		a.burn(),
 	}
 }
 
--- /dev/null
+++ b/core/burn/burn_test.go
@@ -0,0 +1,270 @@
+package burn_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"runtime"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cranberryrail/core/burn"
+	"cranberryrail/core/codes"
+	"cranberryrail/core/conf"
+)
+
+// start is the time at which the clocks of the tests begin, on a full hour.
+var start = time.Unix(1_800_000_000, 0).Truncate(time.Hour)
+
+// clock is a meter with a clock that moves only by pass.
+type clock struct {
+	burn.Meter
+	now time.Time
+}
+
+func newClock(instance string) *clock {
+	c := &clock{now: start}
+	c.Meter = burn.Meter{
+		Instance: instance,
+		Now:      func() time.Time { return c.now },
+		Objectives: func(organisation string) (conf.Objectives, bool) {
+			return conf.Objectives{
+				FirstTokenMS: 990, TokenGapMS: 28, TargetRatio: 0.9, AvailabilityRatio: 0.99, FalseRefusalRatio: 0.999,
+			}, organisation != "gone"
+		},
+	}
+	c.Default()
+	return c
+}
+
+func (c *clock) pass(d time.Duration) { c.now = c.now.Add(d) }
+
+func (c *clock) observe(n int, s burn.Sample) {
+	s.Organisation = "a"
+	for range n {
+		c.Observe(s)
+	}
+}
+
+func (c *clock) report() burn.InstanceReport { return c.Report(c.now) }
+
+func (c *clock) level(t *testing.T, o burn.Objective) burn.Level {
+	t.Helper()
+	return levelOf(t, burn.Merge([]burn.InstanceReport{c.report()}), o)
+}
+
+func levelOf(t *testing.T, r burn.Report, o burn.Objective) burn.Level {
+	t.Helper()
+	assert.Equal(t, len(r.Organisations), 1)
+	for _, l := range r.Organisations[0].Levels {
+		if l.Objective == o {
+			return l
+		}
+	}
+	t.Fatalf("no objective %s", o)
+	return burn.Level{}
+}
+
+func assertWindow(t *testing.T, l burn.Level, s burn.Span, good, total int64, rate float64) {
+	t.Helper()
+	w := l.Window(s)
+	assert.Equal(t, w.Count, burn.Count{Good: good, Total: total}, "%s %s", l.Objective, s)
+	assert.Assert(t, math.Abs(w.BurnRate-rate) < 1e-6, "%s %s: burn rate %v, want %v", l.Objective, s, w.BurnRate, rate)
+}
+
+var (
+	good  = burn.Sample{Whole: true, FirstToken: 990 * time.Millisecond, Gap: 28 * time.Millisecond}
+	slow  = burn.Sample{Whole: true, FirstToken: 991 * time.Millisecond, Gap: 29 * time.Millisecond}
+	short = burn.Sample{Whole: true, FirstToken: time.Millisecond}
+)
+
+func TestObjectives(t *testing.T) {
+	c := newClock("i-1")
+	c.observe(90, good)
+	c.observe(6, slow)
+	c.observe(2, short)
+	c.observe(1, burn.Refusal("a", codes.BudgetElsewhere))
+	c.observe(1, burn.Refusal("a", codes.NoTarget))
+	c.observe(50, burn.Refusal("a", codes.BadRequest))
+	c.observe(50, burn.Refusal("a", codes.BudgetExhausted))
+	c.Observe(burn.Sample{Organisation: "gone", Whole: true})
+	assertWindow(t, c.level(t, burn.FirstToken), burn.OneHour, 92, 98, 6.0/98/0.1)
+	assertWindow(t, c.level(t, burn.TokenGap), burn.OneHour, 90, 96, 6.0/96/0.1)
+	assertWindow(t, c.level(t, burn.Availability), burn.ThreeDays, 98, 100, 2)
+	assertWindow(t, c.level(t, burn.FalseRefusals), burn.FiveMinutes, 99, 100, 10)
+	assert.Assert(t, math.Abs(c.level(t, burn.Availability).BudgetLeftRatio+1) < 1e-6)
+	t.Run("an organisation without a template is forgotten", func(t *testing.T) {
+		c.Objectives = func(string) (conf.Objectives, bool) { return conf.Objectives{}, false }
+		assert.Equal(t, len(c.report().Organisations), 0)
+	})
+}
+
+func TestWindowsSlide(t *testing.T) {
+	c := newClock("i-1")
+	c.observe(10, burn.Sample{})
+	seen := func() (seen []burn.Span) {
+		for _, w := range c.level(t, burn.Availability).Windows {
+			if w.Count.Total > 0 {
+				seen = append(seen, w.Window)
+			}
+		}
+		return seen
+	}
+	for _, step := range []struct {
+		age  time.Duration
+		seen []burn.Span
+	}{
+		{5*time.Minute - time.Second, []burn.Span{"5m", "30m", "1h", "6h", "3d"}},
+		{5 * time.Minute, []burn.Span{"30m", "1h", "6h", "3d"}},
+		{30 * time.Minute, []burn.Span{"1h", "6h", "3d"}},
+		{time.Hour, []burn.Span{"6h", "3d"}},
+		{6 * time.Hour, []burn.Span{"3d"}},
+		{72*time.Hour - time.Second, []burn.Span{"3d"}},
+		{72 * time.Hour, nil},
+	} {
+		c.now = start.Add(step.age)
+		assert.DeepEqual(t, seen(), step.seen)
+	}
+	t.Run("a clock that went back loses nothing", func(t *testing.T) {
+		c.pass(-time.Hour)
+		c.observe(3, good)
+		assertWindow(t, c.level(t, burn.Availability), burn.FiveMinutes, 3, 3, 0)
+	})
+}
+
+func TestAlerts(t *testing.T) {
+	// For availability 1 of 100 bad is a burn rate of 1.
+	for _, step := range []struct {
+		name  string
+		run   func(c *clock)
+		alert burn.Alert
+	}{
+		{"nothing seen", func(c *clock) { c.observe(1, good) }, burn.OK},
+		{"a burst over both short windows", func(c *clock) {
+			c.observe(856, good)
+			c.observe(144, burn.Sample{})
+		}, burn.FastBurn},
+		{"a burst that ended", func(c *clock) {
+			c.observe(850, good)
+			c.observe(150, burn.Sample{})
+			c.pass(31 * time.Minute)
+			c.observe(10, good)
+		}, burn.SlowBurn},
+		{"six hours at 6", func(c *clock) {
+			for range 6 * 12 {
+				c.pass(5 * time.Minute)
+				c.observe(94, good)
+				c.observe(6, burn.Sample{})
+			}
+		}, burn.FastBurn},
+		{"six hours just below 6", func(c *clock) {
+			for range 6 * 12 {
+				c.pass(5 * time.Minute)
+				c.observe(945, good)
+				c.observe(55, burn.Sample{})
+			}
+		}, burn.SlowBurn},
+		{"a rate that the budget bears", func(c *clock) {
+			c.observe(991, good)
+			c.observe(9, burn.Sample{})
+		}, burn.OK},
+	} {
+		t.Run(step.name, func(t *testing.T) {
+			c := newClock("i-1")
+			step.run(c)
+			assert.Equal(t, c.level(t, burn.Availability).Alert, step.alert)
+		})
+	}
+}
+
+func TestMerge(t *testing.T) {
+	x, y, both := newClock("i-1"), newClock("i-2"), newClock("both")
+	for hour := range 30 {
+		for i, c := range []*clock{x, y} {
+			for _, m := range []*clock{c, both} {
+				m.observe(hour, good)
+				m.observe(i+1, slow)
+				m.observe(i, burn.Refusal("a", codes.BudgetElsewhere))
+			}
+			c.pass(50 * time.Minute)
+		}
+		both.pass(50 * time.Minute)
+	}
+	want := burn.Merge([]burn.InstanceReport{both.report()})
+	missing := burn.InstanceReport{Instance: "i-3", Missing: "no answer within 2s"}
+	got := burn.Merge([]burn.InstanceReport{missing, overWire(t, x.report()), x.report(), y.report(), {Instance: "i-1", Missing: "once more"}})
+	assert.DeepEqual(t, got.Organisations, want.Organisations)
+	assert.Assert(t, want.Organisations[0].FirstToken.P95US > 900_000)
+	assert.Equal(t, len(got.Instances), 3)
+	assert.DeepEqual(t, got.Missing(), []burn.InstanceSeen{{Instance: "i-3", Missing: "no answer within 2s"}})
+	t.Run("series of reports an hour apart are aligned", func(t *testing.T) {
+		early := x.report()
+		x.pass(time.Hour)
+		y.pass(time.Hour)
+		late := levelOf(t, burn.Merge([]burn.InstanceReport{early, y.report()}), burn.Availability).Series
+		assert.Equal(t, late.FromUnix, y.report().Organisations[0].Levels[0].Series.FromUnix)
+		assert.Equal(t, sum(late.Counts), sum(levelOf(t, want, burn.Availability).Series.Counts))
+	})
+}
+
+func sum(counts []burn.Count) (sum int64) {
+	for _, c := range counts {
+		sum += c.Total
+	}
+	return sum
+}
+
+func overWire(t *testing.T, r burn.InstanceReport) (back burn.InstanceReport) {
+	t.Helper()
+	data, err := json.Marshal(r)
+	assert.NilError(t, err)
+	assert.NilError(t, json.Unmarshal(data, &back))
+	return back
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	const organisations, bound = 230, 6 << 20
+	heap := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	before, c := heap(), newClock("i-1")
+	for range 100 {
+		c.pass(47 * time.Minute)
+		for o := range organisations {
+			s := good
+			s.Organisation = fmt.Sprint("organisation-", o)
+			s.FirstToken = time.Duration(o) * 20 * time.Millisecond
+			c.Observe(s)
+		}
+	}
+	used := heap() - before
+	data, err := json.Marshal(c.report())
+	assert.NilError(t, err)
+	t.Logf("%d organisations: %d KiB of memory, %d KiB of JSON", organisations, used>>10, len(data)>>10)
+	assert.Assert(t, used < bound, "%d bytes", used)
+	runtime.KeepAlive(c)
+}
+
+func ExampleMerge() {
+	now := time.Unix(1_800_000_000, 0)
+	m := burn.Meter{
+		Instance:   "i-1",
+		Now:        func() time.Time { return now },
+		Objectives: func(string) (conf.Objectives, bool) { return conf.Objectives{AvailabilityRatio: 0.75}, true },
+	}
+	m.Default()
+	m.Observe(burn.Sample{Organisation: "a", Whole: true})
+	m.Observe(burn.Sample{Organisation: "a"})
+	r := burn.Merge([]burn.InstanceReport{m.Report(now), {Instance: "i-2", Missing: "it can't be reached"}})
+	for _, l := range r.Organisations[0].Levels {
+		if l.Objective == burn.Availability {
+			fmt.Println(l.Window(burn.OneHour).BurnRate, l.Alert, r.Missing()[0].Instance)
+		}
+	}
+	// Output: 2 slow_burn i-2
+}
--- a/core/ledger/book.go
+++ b/core/ledger/book.go
@@ -295,30 +295,43 @@
 	return Answer{ID: w.id, Refused: b.refusal(budget, w.need)}, true
 }
 
-// getMore draws or borrows for a need and reports whether there is something to wait for.
+// getMore draws or borrows for a need and reports whether there is something to wait
+// for. A draw that takes more than half of the wait counts as slow: peers are then asked
+// beside it.
 func (b *Book) getMore(budget string, a *account, w *wait) bool {
-	missing := w.need.Tokens - b.Spendable(budget)
-	folded := b.Fold.Budgets[budget]
-	if !w.drawn && !b.logDown && folded.Free() > 0 {
-		if a.drawing.IsZero() {
-			w.drawn = true
-			b.draw(budget, a, max(missing, b.shortfall(budget, a)))
-		}
+	drawing := b.drawFor(budget, a, w)
+	slow := !b.Now().Before(w.deadline.Add(-b.Wait / 2))
+	if drawing && !slow {
 		return true
 	}
-	if w.drawn && !a.drawing.IsZero() && !b.logDown {
-		return true
-	}
-	if a.borrowing {
+	return b.borrowFor(budget, a, w) || drawing
+}
+
+// drawFor draws for a need, once, and reports whether a draw is under way.
+func (b *Book) drawFor(budget string, a *account, w *wait) bool {
+	switch {
+	case b.logDown:
+		return false
+	case !a.drawing.IsZero():
 		return true
-	}
-	if w.asked || b.Borrow == nil {
+	case w.drawn || b.Fold.Budgets[budget].Free() <= 0:
 		return false
 	}
+	w.drawn = true
+	b.draw(budget, a, max(w.need.Tokens-b.Spendable(budget), b.shortfall(budget, a)))
+	return !a.drawing.IsZero()
+}
+
+// borrowFor asks peers for a need, once, and reports whether they are being asked.
+func (b *Book) borrowFor(budget string, a *account, w *wait) bool {
+	if a.borrowing || w.asked || b.Borrow == nil {
+		return a.borrowing
+	}
 	holders := b.lenders(budget)
 	if len(holders) == 0 {
 		return false
 	}
+	missing := w.need.Tokens - b.Spendable(budget)
 	w.asked, a.borrowing = true, true
 	b.Borrow(Loan{Budget: budget, Tokens: missing, Least: max(w.need.Least-b.Spendable(budget), 1), Holders: holders})
 	return true
@@ -588,10 +601,21 @@
 }
 
 // Keep makes sure that an allowance of the budget is held ready.
-func (b *Book) Keep(budget string) {
-	if b.Fold.Budgets[budget] != nil {
-		b.account(budget)
+func (b *Book) Keep(budget string) { b.account(budget) }
+
+// Primed reports whether no allowance is far below its target while its budget has tokens
+// left to draw.
+func (b *Book) Primed() bool {
+	for budget, a := range b.accounts {
+		folded := b.Fold.Budgets[budget]
+		if folded == nil || folded.Free() == 0 && a.drawing.IsZero() {
+			continue
+		}
+		if !a.drawing.IsZero() || b.shortfall(budget, a) > b.target(budget, a)/2 {
+			return false
+		}
 	}
+	return true
 }
 
 // Tick answers needs that waited too long, draws, and returns what idles.
--- a/core/ledger/keeper.go
+++ b/core/ledger/keeper.go
@@ -111,8 +111,10 @@
 		k.Book.TopUp(m.topUp)
 	case listMsg:
 		ctx.Respond(k.balances())
+	case primedMsg:
+		ctx.Respond(k.Book.Primed())
 	case usageMsg:
-		ctx.Respond(k.Book.Fold.Usage(m.budget))
+		ctx.Respond(k.statement(m.budget))
 	case stopMsg:
 		k.Book.Stop()
 		if m.bye {
@@ -199,15 +201,23 @@
 func (k *Keeper) balances() []Balance {
 	out := make([]Balance, 0, len(k.Book.Fold.Budgets))
 	for _, key := range sortedKeys(k.Book.Fold.Budgets) {
-		b := k.Book.Fold.Budgets[key]
-		out = append(out, Balance{
-			Budget: key, Paid: b.Paid, Spent: b.Spent, Held: b.Held, Free: b.Free(),
-			Own: b.HeldBy(k.Book.Inc), Spendable: k.Book.Spendable(key),
-		})
+		out = append(out, k.balance(key))
 	}
 	return out
 }
 
+// balance returns the balance of a budget; it is empty for one that was never topped up.
+func (k *Keeper) balance(key string) Balance {
+	b := k.Book.Fold.Budgets[key]
+	if b == nil {
+		return Balance{Budget: key}
+	}
+	return Balance{
+		Budget: key, Paid: b.Paid, Spent: b.Spent, Held: b.Held, Free: b.Free(),
+		Own: b.HeldBy(k.Book.Inc), Spendable: k.Book.Spendable(key),
+	}
+}
+
 // Reserve obtains a grant for a request, or an error of type *codes.Error.
 func (k *Keeper) Reserve(n Need) (Grant, error) {
 	response, err := k.shard.Ask(reserveMsg{need: n})
@@ -263,13 +273,33 @@
 	return response.([]Balance), nil
 }
 
-// Usage returns the bills of a budget.
-func (k *Keeper) Usage(budget string) (Usage, error) {
+// Primed reports whether the allowances of all budgets that are kept ready were drawn, as
+// far as the budgets cover them.
+func (k *Keeper) Primed() (bool, error) {
+	response, err := k.shard.Ask(primedMsg{})
+	if err != nil {
+		return false, err
+	}
+	return response.(bool), nil
+}
+
+// Statement is the usage of a budget with the balance at the same offset of the log.
+type Statement struct {
+	Usage   Usage
+	Balance Balance
+}
+
+func (k *Keeper) statement(budget string) Statement {
+	return Statement{Usage: k.Book.Fold.Usage(budget), Balance: k.balance(budget)}
+}
+
+// Statement returns the bills and the balance of a budget.
+func (k *Keeper) Statement(budget string) (Statement, error) {
 	response, err := k.shard.Ask(usageMsg{budget: budget})
 	if err != nil {
-		return Usage{}, err
+		return Statement{}, err
 	}
-	return response.(Usage), nil
+	return response.(Statement), nil
 }
 
 // Keep names the budgets whose allowances are held ready before the first request.
--- a/core/ledger/msgs.go
+++ b/core/ledger/msgs.go
@@ -30,9 +30,12 @@
 // listMsg asks for the balances of all budgets; the response is a []Balance.
 type listMsg struct{}
 
-// usageMsg asks for the bills of a budget; the response is a Usage.
+// usageMsg asks for the bills of a budget; the response is a Statement.
 type usageMsg struct{ budget string }
 
+// primedMsg asks whether all allowances are drawn; the response is a bool.
+type primedMsg struct{}
+
 // keepMsg names the budgets whose allowances are held ready.
 type keepMsg struct{ budgets []string }
 
--- a/core/once/book.go
+++ b/core/once/book.go
@@ -17,6 +17,9 @@
 	RetryLogDown = 2 * time.Second
 )
 
+// reusedDetail tells how to mend a reused key.
+const reusedDetail = "use a new key for a new request"
+
 // Ruling is the decision on a call.
 type Ruling struct {
 	// Won tells that the asker, and nobody else, may dispatch the call now.
@@ -127,8 +130,11 @@
 	switch {
 	case c == nil:
 		return nil
+	case c.Digest != digest && c.State == Claimed:
+		// The claim may be void by now, and this request may have run since.
+		return &Ruling{Refused: &codes.Error{Code: codes.KeyReused, Run: codes.Unknown, Detail: reusedDetail}}
 	case c.Digest != digest:
-		return &Ruling{Refused: codes.Refuse(codes.KeyReused, 0, "use a new key for a new request")}
+		return &Ruling{Refused: codes.Refuse(codes.KeyReused, 0, reusedDetail)}
 	case c.State == InDoubt:
 		return &Ruling{Refused: &codes.Error{Code: codes.OutcomeUnknown, Run: codes.Unknown, Detail: "an earlier attempt was dispatched and its answer never came"}}
 	case c.State == Done && c.Dropped:
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -141,6 +141,8 @@
 	ran bool
 	// pinned is the target that holds the kept answer once a token was relayed.
 	pinned *roster.Target
+	// resumed is the position from which the last attempt started.
+	resumed int
 }
 
 // Generate serves a request. It calls emit with each frame in order; an error of emit
@@ -172,6 +174,7 @@
 	call := r.req.Call
 	call.Attempt += r.usage.Attempts
 	call.ResumeFrom = r.position
+	r.resumed = r.position
 	call.Version = versionAt(choice.Target, call)
 	r.usage.Attempts++
 	r.usage.Target = choice.Target.ID
@@ -200,26 +203,36 @@
 	return ""
 }
 
-// pick chooses a target, or the one that holds the kept answer.
+// pick chooses a target. Once a token was relayed it is the one that holds the kept
+// answer, and the request goes before those that have not begun.
 func (r *run) pick() (route.Choice, error) {
-	if r.pinned != nil {
-		return route.Choice{Target: *r.pinned}, nil
+	if r.pinned == nil {
+		return r.server.Pick(r.req.Route)
 	}
-	return r.server.Pick(r.req.Route)
+	request := r.req.Route
+	request.Shares = []route.Share{{Target: r.pinned.ID, Weight: 1}}
+	request.Avoid, request.Priority = nil, route.TopPriority
+	choice, err := r.server.Pick(request)
+	if err == nil && (choice.Target.ID != r.pinned.ID || choice.Target.Incarnation != r.pinned.Incarnation) {
+		r.server.Done(choice.Token, route.Cancelled)
+		return route.Choice{}, codes.Refuse(codes.NoTarget, route.NoTargetRetry,
+			"target %s was replaced and no longer keeps the answer", r.pinned.ID)
+	}
+	return choice, err
 }
 
 // relay passes the frames of one attempt on.
 func (r *run) relay(ctx context.Context, t roster.Target, call Call) error {
 	stream, err := r.server.Open(ctx, t.Addr, call)
 	if err != nil {
-		return err
+		return AsAttempt(err)
 	}
 	defer stream.Close()
 	r.ran = true
 	for {
 		f, err := stream.Next()
 		if err != nil {
-			return err
+			return AsAttempt(err)
 		}
 		r.count(t, f)
 		if err := r.emit(f); err != nil {
@@ -266,7 +279,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return &codes.Error{Code: codes.AnswerCut, Run: r.state(), Detail: "the caller is gone", Err: failed}
-	case r.usage.Attempts >= MaxAttempts:
+	case r.usage.Attempts >= MaxAttempts, r.lost(failed):
 		return r.giveUp(failed)
 	case !r.server.Retry(r.req.Route.Organisation):
 		return r.giveUp(failed)
@@ -274,6 +287,15 @@
 	return nil
 }
 
+// lost reports whether the last attempt showed that the kept answer is out of reach: the
+// target turned a resume away, or was silent on a connection that was new.
+func (r *run) lost(failed *AttemptError) bool {
+	if r.resumed == 0 || r.position > r.resumed {
+		return false
+	}
+	return failed.NotRun || failed.Kind == Silent
+}
+
 // state tells whether the request was executed.
 func (r *run) state() codes.Run {
 	switch {
@@ -305,6 +327,9 @@
 func (r *run) refusal(err error) error {
 	e := *codes.From(err, codes.NotRun)
 	e.Run = r.state()
+	if r.position > 0 {
+		e.Code = codes.AnswerCut
+	}
 	return &e
 }
 
--- a/core/tail/feed.go
+++ b/core/tail/feed.go
@@ -94,6 +94,7 @@
 	next     int64
 	head     int64
 	ready    atomic.Bool
+	stalled  *StalledError
 	lastSnap int64
 	parts    map[snapKey]*assembly
 	writer   *Writer
@@ -151,7 +152,8 @@
 	return f.next
 }
 
-// Ready reports whether the state has caught up with the head of the stream once.
+// Ready reports whether the state has caught up with the head of the stream once
+// and did not stop since.
 func (f *Feed) Ready() bool { return f.ready.Load() }
 
 // State returns the state for a peer.
@@ -162,6 +164,9 @@
 }
 
 func (f *Feed) state() (State, error) {
+	if f.stalled != nil {
+		return State{}, f.stalled
+	}
 	fold, err := f.Save()
 	if err != nil {
 		return State{}, fmt.Errorf("save the state of %s: %w", f.Stream, err)
@@ -189,6 +194,10 @@
 	err := follower.Run(ctx)
 	var stalled *StalledError
 	if errors.As(err, &stalled) {
+		f.mu.Lock()
+		f.stalled = stalled
+		f.ready.Store(false)
+		f.mu.Unlock()
 		f.Stalled(stalled)
 		<-ctx.Done()
 		return nil
@@ -244,6 +253,9 @@
 		return &StalledError{Stream: f.Stream, Offset: e.Offset, Err: err}
 	}
 	f.next = e.Offset + 1
+	if f.next >= f.head {
+		f.ready.Store(true)
+	}
 	return nil
 }
 
--- a/core/tail/tail.go
+++ b/core/tail/tail.go
@@ -73,7 +73,7 @@
 	Inc string
 	// Seq counts the batches of the incarnation from 1.
 	Seq uint64
-	// Base is the offset up to which the writer had read when it wrote its first batch;
+	// Base is the offset up to which the writer had read when it sent its first batch;
 	// it is 0 in all later ones.
 	Base int64
 	// Items are the messages in the order in which they are folded.
--- /dev/null
+++ b/core/tail/tail_test.go
@@ -0,0 +1,367 @@
+package tail_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"cranberryrail/core/tail"
+)
+
+const stream = "ledger/0"
+
+var errNoAnswer = errors.New("no answer")
+
+// fakeLog is a stream in memory; fate decides what becomes of each append.
+type fakeLog struct {
+	mu      sync.Mutex
+	first   int64
+	records [][]byte
+	appends int
+	fate    func(n int, write func()) error
+}
+
+func (l *fakeLog) log() tail.Log { return tail.Log{Append: l.append, Read: l.read} }
+
+func (l *fakeLog) write(data []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.records = append(l.records, data)
+}
+
+func (l *fakeLog) append(_ context.Context, _ string, data []byte) (int64, error) {
+	l.mu.Lock()
+	l.appends++
+	n := l.appends
+	l.mu.Unlock()
+	if l.fate == nil {
+		l.write(data)
+		return 0, nil
+	}
+	return 0, l.fate(n, func() { l.write(data) })
+}
+
+func (l *fakeLog) read(ctx context.Context, _ string, from int64, wait time.Duration) (tail.Page, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if from < l.first {
+		return tail.Page{}, &tail.TrimmedError{Stream: stream, From: from, Earliest: l.first}
+	}
+	page := tail.Page{Head: l.first + int64(len(l.records))}
+	for offset := from; offset < page.Head; offset++ {
+		page.Entries = append(page.Entries, tail.Entry{Offset: offset, Data: l.records[offset-l.first]})
+	}
+	return page, nil
+}
+
+func (l *fakeLog) trim(keep int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	drop := len(l.records) - keep
+	l.first += int64(drop)
+	l.records = l.records[drop:]
+}
+
+// list is a fold that keeps the kinds of the items, in order.
+type list struct{ kinds []string }
+
+func (l *list) feed(log *fakeLog, inc string) *tail.Feed {
+	f := &tail.Feed{
+		Log: log.log(), Stream: stream, Inc: inc,
+		Fold: func(_ int64, b tail.Batch) error {
+			for _, item := range b.Items {
+				if item.Kind == "broken" {
+					return errNoAnswer
+				}
+				l.kinds = append(l.kinds, item.Kind)
+			}
+			return nil
+		},
+		Save: func() ([]byte, error) { return tail.Encode(l.kinds) },
+		Restore: func(_ int64, state []byte) error {
+			l.kinds = nil
+			return tail.Decode(state, &l.kinds)
+		},
+	}
+	f.Default()
+	return f
+}
+
+func item(kind string) tail.Item { return tail.NewItem(kind, 0) }
+
+func record(t *testing.T, b tail.Batch) []byte {
+	t.Helper()
+	data, err := tail.Encode(b)
+	assert.NilError(t, err)
+	return data
+}
+
+// run keeps feeds until the virtual time is over.
+func run(t *testing.T, d time.Duration, feeds ...*tail.Feed) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	for _, f := range feeds {
+		g.Go(func() error { return f.Run(ctx) })
+	}
+	assert.NilError(t, g.Wait())
+}
+
+func assertFolded(t *testing.T, l *list, want ...string) {
+	t.Helper()
+	assert.DeepEqual(t, l.kinds, want)
+}
+
+func assertRecords(t *testing.T, l *fakeLog, want int) {
+	t.Helper()
+	assert.Equal(t, len(l.records), want)
+}
+
+func TestAppendFaults(t *testing.T) {
+	cases := map[string]struct {
+		fate    func(n int, write func()) error
+		records int
+	}{
+		"reply lost": {records: 2, fate: func(n int, write func()) error {
+			write()
+			if n == 1 {
+				return errNoAnswer
+			}
+			return nil
+		}},
+		"reply lost and slow to be read back": {records: 2, fate: func(n int, write func()) error {
+			time.AfterFunc(250*time.Millisecond, write)
+			return map[bool]error{true: errNoAnswer}[n == 1]
+		}},
+		"late and twice": {records: 4, fate: func(n int, write func()) error {
+			if n > 1 {
+				write()
+				return nil
+			}
+			time.AfterFunc(30*time.Second, write)
+			time.AfterFunc(40*time.Second, write)
+			return errNoAnswer
+		}},
+		"down for long and then slow": {records: 2, fate: func(n int, write func()) error {
+			if n < 30 {
+				time.Sleep(time.Second)
+				return errNoAnswer
+			}
+			time.Sleep(2 * time.Second)
+			write()
+			time.Sleep(2 * time.Second)
+			return nil
+		}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log, l := &fakeLog{fate: c.fate}, &list{}
+				f := l.feed(log, "a")
+				f.Add(item("one"))
+				time.AfterFunc(20*time.Second, func() { f.Add(item("two")) })
+				run(t, 5*time.Minute, f)
+				assertFolded(t, l, "one", "two")
+				assert.Assert(t, f.Idle())
+				assertRecords(t, log, max(c.records, len(log.records)))
+			})
+		})
+	}
+}
+
+func TestOneAppendOutstanding(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, l := &fakeLog{}, &list{}
+		f := l.feed(log, "a")
+		log.fate = func(int, func()) error {
+			time.Sleep(time.Second)
+			return errNoAnswer
+		}
+		f.Add(item("one"))
+		time.AfterFunc(5*time.Second, func() { f.Add(item("two")) })
+		run(t, time.Minute, f)
+		assert.Equal(t, f.Appends(), int64(log.appends))
+		assertRecords(t, log, 0)
+	})
+}
+
+// TestFirstBatchAfterLongOutage shows that an instance whose first batch was held up
+// for more than GateWindow records of others is still admitted.
+func TestFirstBatchAfterLongOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		base := int64(5)
+		var sent []int64
+		w := &tail.Writer{Stream: stream, Inc: "a", Base: func() int64 { return base }}
+		w.Log.Append = func(_ context.Context, _ string, data []byte) (int64, error) {
+			b, err := tail.DecodeBatch(data)
+			assert.NilError(t, err)
+			sent = append(sent, b.Base)
+			if base == 5 {
+				base += 2 * tail.GateWindow
+				return 0, errNoAnswer
+			}
+			w.Seen(1)
+			return 0, nil
+		}
+		w.Default()
+		w.Add(item("one"))
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		assert.NilError(t, w.Run(ctx))
+		assert.DeepEqual(t, sent, []int64{5, 5 + 2*tail.GateWindow})
+	})
+}
+
+func TestGate(t *testing.T) {
+	assertAdmits := func(t *testing.T, g *tail.Gate, want bool, offset int64, seq uint64, base int64) {
+		t.Helper()
+		assert.Equal(t, g.Admit(offset, tail.Batch{Inc: "a", Seq: seq, Base: base}), want)
+	}
+	t.Run("each batch once and in order", func(t *testing.T) {
+		g := tail.NewGate()
+		assertAdmits(t, g, false, 0, 2, 0)
+		assertAdmits(t, g, true, 1, 1, 0)
+		assertAdmits(t, g, false, 2, 1, 0)
+		assertAdmits(t, g, false, 3, 3, 0)
+		assertAdmits(t, g, true, 4, 2, 0)
+		assertAdmits(t, g, false, 5, 1, 0)
+	})
+	t.Run("nothing after the last batch, also once it is forgotten", func(t *testing.T) {
+		g := tail.NewGate()
+		assertAdmits(t, g, true, 1, 1, 0)
+		g.Close(1, "a")
+		assertAdmits(t, g, false, 2, 2, 0)
+		g.Prune(2 + tail.GateWindow)
+		assert.Equal(t, len(g.Incs), 0)
+		assertAdmits(t, g, false, 3+tail.GateWindow, 1, 0)
+	})
+}
+
+// fill appends batches of other incarnations.
+func fill(t *testing.T, log *fakeLog, from, to int) {
+	t.Helper()
+	for i := from; i < to; i++ {
+		log.write(record(t, tail.Batch{Format: tail.BatchFormat, Inc: fmt.Sprint("w", i), Seq: 1, Items: []tail.Item{item(fmt.Sprint("k", i))}}))
+	}
+}
+
+func kinds(n int) []string {
+	out := make([]string, 0, n)
+	for i := range n {
+		out = append(out, fmt.Sprint("k", i))
+	}
+	return out
+}
+
+func TestTrimmed(t *testing.T) {
+	t.Run("goes on from a snapshot and drops what it contains", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			log, old, fresh := &fakeLog{}, &list{}, &list{}
+			fill(t, log, 0, 10)
+			a, b := old.feed(log, "a"), fresh.feed(log, "b")
+			run(t, time.Second, a)
+			assert.NilError(t, a.WriteSnapshot(context.Background()))
+			duplicate := log.records[3]
+			log.trim(1)
+			log.write(duplicate)
+			fill(t, log, 10, 12)
+			run(t, 5*time.Second, b)
+			assertFolded(t, fresh, kinds(12)...)
+			assert.Assert(t, b.Ready())
+		})
+	})
+	t.Run("a snapshot of a lagging instance takes nothing back", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			log, slow, quick, fresh := &fakeLog{}, &list{}, &list{}, &list{}
+			fill(t, log, 0, 5)
+			a, b := slow.feed(log, "a"), quick.feed(log, "b")
+			run(t, time.Second, a)
+			fill(t, log, 5, 10)
+			run(t, time.Second, b)
+			assert.NilError(t, b.WriteSnapshot(context.Background()))
+			assert.NilError(t, a.WriteSnapshot(context.Background()))
+			run(t, 2*time.Second, b)
+			assertFolded(t, quick, kinds(10)...)
+			log.trim(3)
+			c := fresh.feed(log, "c")
+			run(t, 5*time.Second, c)
+			assertFolded(t, fresh, kinds(10)...)
+		})
+	})
+	t.Run("goes on from a peer when the log has no snapshot", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			log, old, fresh := &fakeLog{}, &list{}, &list{}
+			fill(t, log, 0, 10)
+			a, b := old.feed(log, "a"), fresh.feed(log, "b")
+			run(t, time.Second, a)
+			log.trim(1)
+			run(t, 10*time.Second, b)
+			assert.Assert(t, !b.Ready())
+			b.Fetch = func(context.Context, string) (tail.State, error) { return a.State() }
+			run(t, 10*time.Second, b)
+			assertFolded(t, fresh, kinds(10)...)
+			assert.Assert(t, b.Ready())
+		})
+	})
+}
+
+func TestStalled(t *testing.T) {
+	newer := tail.Batch{Format: tail.BatchFormat + 1, Inc: "z", Seq: 1}
+	broken := tail.Batch{Format: tail.BatchFormat, Inc: "z", Seq: 1, Items: []tail.Item{item("half"), item("broken")}}
+	for name, b := range map[string]tail.Batch{"batch format": newer, "item": broken} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log, other, l := &fakeLog{}, &fakeLog{}, &list{}
+				fill(t, log, 0, 2)
+				fill(t, other, 0, 2)
+				log.write(record(t, b))
+				fill(t, log, 2, 4)
+				f, g := l.feed(log, "a"), (&list{}).feed(other, "a")
+				var stalled *tail.StalledError
+				f.Stalled = func(err *tail.StalledError) { stalled = err }
+				run(t, 5*time.Second, f, g)
+				assert.Assert(t, stalled != nil)
+				assert.Equal(t, stalled.Offset, int64(2))
+				assert.Assert(t, strings.Contains(stalled.Error(), stream))
+				assert.Assert(t, !f.Ready())
+				assert.Equal(t, f.Next(), int64(2))
+				_, err := f.State()
+				assert.Assert(t, errors.As(err, &stalled))
+				assert.Assert(t, g.Ready())
+			})
+		})
+	}
+}
+
+func TestReadyUnderSteadyLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, l := &fakeLog{}, &list{}
+		f := l.feed(log, "a")
+		n := 0
+		read := f.Log.Read
+		f.Log.Read = func(ctx context.Context, s string, from int64, wait time.Duration) (tail.Page, error) {
+			fill(t, log, n, n+1)
+			n++
+			return read(ctx, s, from, wait)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		time.AfterFunc(500*time.Millisecond, cancel)
+		f.Log.Append = nil
+		assert.NilError(t, f.Run(ctx))
+		assert.Assert(t, f.Ready())
+	})
+}
--- a/core/tail/writer.go
+++ b/core/tail/writer.go
@@ -32,7 +32,8 @@
 	Stream string
 	// Inc is the incarnation of this process.
 	Inc string
-	// Base returns the offset up to which the stream was read; it is called for the first batch.
+	// Base returns the offset up to which the stream was read; it is called each time that
+	// the first batch is sent.
 	Base func() int64
 	// Linger is how long a batch waits for further items.
 	Linger time.Duration
@@ -147,15 +148,15 @@
 // send appends one batch until it was read back.
 func (w *Writer) send(ctx context.Context, seq uint64, items []Item) error {
 	b := Batch{Format: BatchFormat, Inc: w.Inc, Seq: seq, Items: items}
-	if seq == 1 {
-		b.Base = w.Base()
-	}
-	data, err := Encode(b)
-	if err != nil {
-		return err
-	}
 	retry := RetryFirst
 	for !w.wasSeen(seq) {
+		if seq == 1 {
+			b.Base = w.Base()
+		}
+		data, err := Encode(b)
+		if err != nil {
+			return err
+		}
 		wait := ReadBackWait
 		if err := w.append(ctx, data); err != nil {
 			w.Failed(err)
--- a/fake/engine/engine.go
+++ b/fake/engine/engine.go
@@ -79,7 +79,7 @@
 	Finished int64 `json:"finished"`
 	// Tokens counts the tokens generated.
 	Tokens int64 `json:"tokens"`
-	// Attempts counts the attempts of each of the latest request ids.
+	// Attempts counts the attempts that ran of each of the latest request ids.
 	Attempts map[string]int `json:"attempts"`
 }
 
@@ -121,6 +121,9 @@
 // Addr waits until Run listens and returns the address; it is empty when listening failed.
 func (s *Server) Addr() string { return s.host.Addr() }
 
+// Incarnation returns the id of this run of the engine, which its load reports carry.
+func (s *Server) Incarnation() string { return s.incarnation }
+
 // Handler returns the HTTP surface of the engine.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
--- a/fake/engine/stream.go
+++ b/fake/engine/stream.go
@@ -105,8 +105,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running[key] = a
-	n, _ := s.attempts.Peek(a.RequestID)
-	s.attempts.Add(a.RequestID, n+1)
 	return ctx, func() {
 		a.cancelFn()
 		s.mu.Lock()
@@ -143,11 +141,7 @@
 
 // run sends the stream of an admitted attempt and counts how it ended.
 func (s *Server) run(ctx context.Context, a *attempt) {
-	if a.ResumeFrom > 0 {
-		s.count(func(c *Counts) { c.Resumed++ })
-	} else {
-		s.count(func(c *Counts) { c.Started++ })
-	}
+	s.countStart(a)
 	prefix := a.Prompt[:min(len(a.Prompt), prefixBytes)]
 	if s.prefixes.Contains(prefix) || a.ResumeFrom > 0 {
 		a.first -= s.FirstToken / 2
@@ -226,6 +220,19 @@
 	return http.NewResponseController(a.out).Flush()
 }
 
+// countStart counts an attempt that runs from now on.
+func (s *Server) countStart(a *attempt) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n, _ := s.attempts.Peek(a.RequestID)
+	s.attempts.Add(a.RequestID, n+1)
+	if a.ResumeFrom > 0 {
+		s.counts.Resumed++
+		return
+	}
+	s.counts.Started++
+}
+
 func (s *Server) count(update func(*Counts)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/fake/fleet/fleet.go
+++ b/fake/fleet/fleet.go
@@ -50,6 +50,8 @@
 	// FirstToken, TokenGap and Capacity parameterise the engines.
 	FirstToken, TokenGap time.Duration
 	Capacity             int
+	// FixedLength makes each answer exactly max_tokens long.
+	FixedLength bool
 	// Change alters the settings of an instance before it is made; optional.
 	Change func(i int, s *opts.Settings)
 	// Log takes the events of the instances.
@@ -101,10 +103,10 @@
 	}
 	f.group.Go(func() error { return f.Platform.Run(f.ctx) })
 	for i := range f.Engines {
-		f.startEngine(i)
+		f.EngineServers = append(f.EngineServers, f.startEngine(i))
 	}
 	for i := range f.Services {
-		f.startService(i)
+		f.ServiceServers = append(f.ServiceServers, f.startService(i))
 	}
 	for range f.Instances {
 		if _, err := f.StartInstance(); err != nil {
@@ -114,31 +116,40 @@
 	return f.AwaitReady(ctx)
 }
 
-func (f *Fleet) startEngine(i int) {
+// startEngine starts an engine and lists it.
+func (f *Fleet) startEngine(i int) *engine.Server {
 	e := &engine.Server{
 		ID: fmt.Sprintf("engine-%d", i), Models: []roster.Model{{Model: Model, Version: Version}}, Capacity: f.Capacity,
-		FirstToken: f.FirstToken, TokenGap: f.TokenGap, Seed: uint64(i) + 1, Log: zerolog.Nop(),
+		FirstToken: f.FirstToken, TokenGap: f.TokenGap, FixedLength: f.FixedLength, Seed: uint64(i) + 1, Log: zerolog.Nop(),
 	}
 	e.Default()
 	f.group.Go(func() error { return e.Run(f.ctx) })
-	f.EngineServers = append(f.EngineServers, e)
 	f.Platform.SetTarget(roster.Target{
-		ID: e.ID, Incarnation: e.ID + "/1", Zone: "zone-a", Kind: roster.ModelEngine, Addr: e.Addr(), State: roster.Live,
+		ID: e.ID, Incarnation: e.Incarnation(), Zone: "zone-a", Kind: roster.ModelEngine, Addr: e.Addr(), State: roster.Live,
 		Models: e.Models,
 	})
+	return e
 }
 
-func (f *Fleet) startService(i int) {
+// startService starts a service and lists it.
+func (f *Fleet) startService(i int) *plain.Server {
 	s := &plain.Server{ID: fmt.Sprintf("service-%d", i), Seed: uint64(i) + 1, Log: zerolog.Nop()}
 	s.Default()
 	f.group.Go(func() error { return s.Run(f.ctx) })
-	f.ServiceServers = append(f.ServiceServers, s)
 	f.Platform.SetTarget(roster.Target{
-		ID: s.ID, Incarnation: s.ID + "/1", Zone: "zone-a", Kind: roster.PlainService, Addr: s.Addr(), State: roster.Live,
+		ID: s.ID, Incarnation: s.Incarnation(), Zone: "zone-a", Kind: roster.PlainService, Addr: s.Addr(), State: roster.Live,
 		Service: Service,
 	})
+	return s
 }
 
+// ReplaceEngine starts a new incarnation of an engine. The old one goes on with what it
+// has until the fleet is closed.
+func (f *Fleet) ReplaceEngine(i int) { f.EngineServers[i] = f.startEngine(i) }
+
+// ReplaceService starts a new incarnation of a service, like ReplaceEngine.
+func (f *Fleet) ReplaceService(i int) { f.ServiceServers[i] = f.startService(i) }
+
 // StartInstance starts one more instance.
 func (f *Fleet) StartInstance() (*Member, error) {
 	i := len(f.Nodes)
@@ -205,6 +216,24 @@
 	})
 }
 
+// AwaitMet waits until all instances that run are ready, know each other and reach the log.
+func (f *Fleet) AwaitMet(ctx context.Context) error {
+	return f.Await(ctx, func() bool {
+		running := 0
+		for _, m := range f.Nodes {
+			if !m.Stopped() {
+				running++
+			}
+		}
+		for _, m := range f.Nodes {
+			if !m.Stopped() && (!m.Ready() || !m.LogReached() || m.PeersReached() < running-1) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // Await polls until the condition holds.
 func (f *Fleet) Await(ctx context.Context, holds func() bool) error {
 	ticker := time.NewTicker(readyPoll)
--- a/fake/plain/plain.go
+++ b/fake/plain/plain.go
@@ -107,6 +107,9 @@
 // Addr waits until Run listens and returns the address; it is empty when listening failed.
 func (s *Server) Addr() string { return s.host.Addr() }
 
+// Incarnation returns the id of this run of the service, which its load reports carry.
+func (s *Server) Incarnation() string { return s.incarnation }
+
 // Handler returns the HTTP surface of the service.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
--- /dev/null
+++ b/fake/show/show.go
@@ -0,0 +1,322 @@
+// Package show is the demo: a small fleet on stand-ins serves two organisations
+// through a top-up, the death of an instance and a cut from the platform's log, and
+// tells in words what happened.
+package show
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"cranberryrail/core/ledger"
+	"cranberryrail/fake/engine"
+	"cranberryrail/fake/fleet"
+	"cranberryrail/fake/platf"
+)
+
+// Sizes of the demo.
+const (
+	instances    = 3
+	engines      = 3
+	answerTokens = 40
+	largeTopUp   = 200_000
+	smallTopUp   = 2_000
+	secondTopUp  = 10_000
+	outage       = 2 * time.Second
+	tokenGap     = time.Millisecond
+)
+
+// Organisations of the demo.
+const (
+	travel  = "lagoon-travel"
+	fitness = "steppe-fitness"
+)
+
+// Demo runs the demo. Exported fields are set before Run.
+type Demo struct {
+	// Out takes the words and the table.
+	Out io.Writer
+	// Platform is the stand-in of the platform.
+	Platform *platf.Server
+
+	fleet  *fleet.Fleet
+	client http.Client
+	number atomic.Int64
+	mu     sync.Mutex
+	tally  map[string]*count
+}
+
+// count is what callers of one organisation got.
+type count struct {
+	asked, whole, wrong, refused int
+	billed                       int64
+}
+
+// String names the demo.
+func (d *Demo) String() string { return "demo" }
+
+// Default fills fields that were left empty.
+func (d *Demo) Default() {
+	d.tally = map[string]*count{travel: {}, fitness: {}}
+	d.fleet = &fleet.Fleet{
+		Instances: instances, Engines: engines, Services: 1, TokenGap: tokenGap, Platform: d.Platform, Log: zerolog.Nop(),
+	}
+	d.fleet.Default()
+}
+
+func (d *Demo) say(format string, args ...any) { _, _ = fmt.Fprintf(d.Out, format+"\n", args...) }
+
+// Run runs the demo to its end.
+func (d *Demo) Run(ctx context.Context) error {
+	if err := d.fleet.Start(ctx); err != nil {
+		return err
+	}
+	defer d.fleet.Close()
+	if err := d.fleet.AwaitMet(ctx); err != nil {
+		return err
+	}
+	d.say("started a platform, %d instances, %d engines and a plain service in one process", instances, engines)
+	for _, step := range []func(ctx context.Context) error{d.open, d.load, d.exhaust, d.kill, d.cut, d.book, d.summary} {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// open publishes the templates and tops up the budgets.
+func (d *Demo) open(ctx context.Context) error {
+	for _, org := range []string{travel, fitness} {
+		if err := d.fleet.Publish(ctx, d.fleet.Nodes[0], "publish-"+org, fleet.Template(org)); err != nil {
+			return err
+		}
+	}
+	if err := d.fleet.TopUp(d.fleet.Nodes[0], "first-"+travel, travel, largeTopUp); err != nil {
+		return err
+	}
+	if err := d.fleet.TopUp(d.fleet.Nodes[1], "first-"+fitness, fitness, smallTopUp); err != nil {
+		return err
+	}
+	d.say("published two templates, in force at all instances; topped up %s by %d tokens and %s by %d", travel, largeTopUp, fitness, smallTopUp)
+	return nil
+}
+
+// load sends requests of both organisations through all instances.
+func (d *Demo) load(ctx context.Context) error {
+	d.say("sending 30 requests of each organisation through all instances")
+	return d.burst(ctx, 30, travel, fitness)
+}
+
+// exhaust shows a refusal for want of budget and the top-up that ends it.
+func (d *Demo) exhaust(ctx context.Context) error {
+	before := d.count(fitness).refused
+	if err := d.burst(ctx, 30, fitness); err != nil {
+		return err
+	}
+	d.say("%s ran out of budget: %d requests refused at once, with code 2001 or 2003 and run \"not_run\"", fitness, d.count(fitness).refused-before)
+	if err := d.fleet.TopUp(d.fleet.Nodes[2], "second-"+fitness, fitness, secondTopUp); err != nil {
+		return err
+	}
+	// A second top-up with the same id adds nothing.
+	if err := d.fleet.TopUp(d.fleet.Nodes[1], "second-"+fitness, fitness, secondTopUp); err != nil {
+		return err
+	}
+	before = d.count(fitness).refused
+	err := d.burst(ctx, 10, fitness)
+	d.say("topped up %s by %d tokens, sent twice and counted once; of 10 more requests %d were refused", fitness, secondTopUp, d.count(fitness).refused-before)
+	return err
+}
+
+// kill ends an instance under load; its callers go to the others with the same ids.
+func (d *Demo) kill(ctx context.Context) error {
+	var g errgroup.Group
+	g.Go(func() error { return d.burst(ctx, 30, travel) })
+	victim := d.fleet.Nodes[2]
+	if err := d.fleet.Await(ctx, func() bool { return victim.Front.InFlight() > 0 }); err != nil {
+		return err
+	}
+	victim.Kill()
+	d.fleet.Platform.DeleteInstance(victim.Settings.Instance.ID)
+	d.say("killed an instance with requests in flight; their callers send them again elsewhere with the same ids")
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	if _, err := d.fleet.StartInstance(); err != nil {
+		return err
+	}
+	if err := d.fleet.AwaitMet(ctx); err != nil {
+		return err
+	}
+	d.say("a new instance took its place and read its state from the log")
+	return nil
+}
+
+// cut takes the platform's log away for a while.
+func (d *Demo) cut(ctx context.Context) error {
+	if err := d.fleet.Platform.SetFaults(platf.Faults{Outage: true}); err != nil {
+		return err
+	}
+	before, started := *d.count(travel), time.Now()
+	for time.Since(started) < outage {
+		if err := d.burst(ctx, 10, travel); err != nil {
+			return err
+		}
+	}
+	after := *d.count(travel)
+	d.say("the platform's log was out of reach for %s: %d requests served from allowances held ready, %d refused",
+		outage, after.whole-before.whole, after.refused-before.refused)
+	if err := d.fleet.Platform.SetFaults(platf.Faults{}); err != nil {
+		return err
+	}
+	return d.fleet.AwaitMet(ctx)
+}
+
+// book makes one non-idempotent call several times with the same key.
+func (d *Demo) book(ctx context.Context) error {
+	same := map[string]bool{}
+	for i := range 5 {
+		m := d.live()[i%len(d.live())]
+		_, body, err := d.post(ctx, m, "/v1/services/"+fleet.Service+"/submit", fleet.Key(travel), "claim-77", `{"flight":"QY 77"}`)
+		if err != nil {
+			return err
+		}
+		same[body] = true
+	}
+	d.say("submitted one claim 5 times with one key at different instances: it ran %d time, with %d answer",
+		d.fleet.ServiceServers[0].Runs(travel+"/claim-77"), len(same))
+	return nil
+}
+
+// summary waits until every bill is in the log and prints the balances.
+func (d *Demo) summary(ctx context.Context) error {
+	via := d.live()[0]
+	rows := map[string]ledger.Balance{}
+	err := d.fleet.Await(ctx, func() bool {
+		balances, err := via.Ledger[0].Balances()
+		if err != nil {
+			return false
+		}
+		settled := true
+		for _, b := range balances {
+			org, _, _ := strings.Cut(b.Budget, "/")
+			rows[org] = b
+			settled = settled && b.Spent >= d.count(org).billed
+		}
+		return settled
+	})
+	if err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(d.Out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(w, "\norganisation\tasked\twhole answers\twrong answers\trefused\tpaid\tspent\tbilled to callers\tleft\t")
+	for _, org := range []string{travel, fitness} {
+		c, b := d.count(org), rows[org]
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n", org, c.asked, c.whole, c.wrong, c.refused, b.Paid, b.Spent, c.billed, b.Paid-b.Spent)
+	}
+	return w.Flush()
+}
+
+func (d *Demo) live() []*fleet.Member {
+	var live []*fleet.Member
+	for _, m := range d.fleet.Nodes {
+		if !m.Stopped() {
+			live = append(live, m)
+		}
+	}
+	return live
+}
+
+func (d *Demo) count(org string) *count {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := *d.tally[org]
+	return &c
+}
+
+// side is the number of requests in flight at a time.
+const side = 8
+
+// burst sends n requests of each organisation, each at the next instance.
+func (d *Demo) burst(ctx context.Context, n int, orgs ...string) error {
+	var g errgroup.Group
+	g.SetLimit(side)
+	for range n {
+		for _, org := range orgs {
+			g.Go(func() error { return d.ask(ctx, org) })
+		}
+	}
+	return g.Wait()
+}
+
+// tries is how often a caller sends a request whose instance died.
+const tries = 3
+
+// ask sends one request, and again elsewhere when its instance died.
+func (d *Demo) ask(ctx context.Context, org string) error {
+	number := d.number.Add(1)
+	prompt := fmt.Sprintf("question %d of %s", number, org)
+	body := fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":%d}`, fleet.Model, prompt, answerTokens)
+	for try := range tries {
+		live := d.live()
+		m := live[(int(number)+try)%len(live)]
+		status, answer, err := d.post(ctx, m, "/v1/completions", fleet.Key(org), fmt.Sprintf("request-%d", number), body)
+		if err != nil {
+			continue
+		}
+		d.note(org, status, answer, engine.Answer(prompt, answerTokens))
+		return nil
+	}
+	return fmt.Errorf("request %d got no answer in %d tries", number, tries)
+}
+
+// note counts an answer and compares it with the engine's own.
+func (d *Demo) note(org string, status int, answer, want string) {
+	var c struct {
+		Choices []struct{ Text string }
+		Usage   struct {
+			TotalTokens int64 `json:"total_tokens"`
+		}
+	}
+	broken := json.Unmarshal([]byte(answer), &c) != nil
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := d.tally[org]
+	t.asked++
+	switch {
+	case status != http.StatusOK:
+		t.refused++
+	case broken || len(c.Choices) != 1 || c.Choices[0].Text != want:
+		t.wrong++
+	default:
+		t.whole++
+		t.billed += c.Usage.TotalTokens
+	}
+}
+
+func (d *Demo) post(ctx context.Context, m *fleet.Member, path, key, id, body string) (int, string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.Front.Addr()+path, bytes.NewBufferString(body))
+	if err != nil {
+		return 0, "", err
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("X-Request-Id", id)
+	req.Header.Set("Idempotency-Key", id)
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return 0, "", fmt.Errorf("ask instance %s: %w", m.Settings.Instance.ID, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data), err
+}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -144,6 +144,17 @@
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
 func (s *Server) handler() http.Handler {
+	mux := s.routes()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.stopping.Load() {
+			// The caller's next request goes to another instance by a new connection.
+			w.Header().Set("Connection", "close")
+		}
+		mux.ServeHTTP(newBounded(w, s.Settings.WriteTimeoutMS.Duration()), r)
+	})
+}
+
+func (s *Server) routes() *http.ServeMux {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", s.readyz)
@@ -178,6 +189,15 @@
 	}
 }
 
+// within serves a request inside the limits of its organisation and of the instance.
+func (s *Server) within(t conf.Template, serve func() *codes.Error) *codes.Error {
+	if err := s.Route.Enter(t.Organisation, t.MaxInFlight); err != nil {
+		return codes.From(err, codes.NotRun)
+	}
+	defer s.Route.Leave(t.Organisation)
+	return serve()
+}
+
 // retryNotReady is when to come back to an instance that is starting.
 const retryNotReady = time.Second
 
--- a/io/front/generate.go
+++ b/io/front/generate.go
@@ -29,40 +29,36 @@
 		writeError(w, r.Header.Get(headerRequestID), refused)
 		return
 	}
-	answer, refused := s.prepare(w, r, t)
-	if refused == nil {
-		refused = s.answer(r, t, answer)
-	}
+	a := &answer{w: w, control: http.NewResponseController(w)}
+	a.req.id = r.Header.Get(headerRequestID)
+	refused = s.within(t, func() *codes.Error { return s.answer(r, t, a) })
 	if refused != nil {
-		answer.fail(refused)
+		a.fail(refused)
 	}
-	s.Served(answer.served(t.Organisation, started, refused))
+	s.Served(a.served(t.Organisation, started, refused))
 }
 
 // prepare reads and checks a model request.
-func (s *Server) prepare(w http.ResponseWriter, r *http.Request, t conf.Template) (*answer, *codes.Error) {
-	a := &answer{w: w, control: http.NewResponseController(w), writeTimeout: s.Settings.WriteTimeoutMS.Duration()}
-	a.req.id = r.Header.Get(headerRequestID)
-	data, refused := s.readBody(w, r)
+func (s *Server) prepare(r *http.Request, t conf.Template, a *answer) *codes.Error {
+	data, refused := s.readBody(a.w, r)
 	if refused != nil {
-		return a, refused
+		return refused
 	}
 	a.req, refused = parse(r, data, t)
-	return a, refused
+	return refused
 }
 
-// answer serves a checked request from its reservation to its bill.
+// answer serves a model request from its body to its bill.
 func (s *Server) answer(r *http.Request, t conf.Template, a *answer) *codes.Error {
+	if refused := s.prepare(r, t, a); refused != nil {
+		return refused
+	}
 	id := a.req.engineID()
 	if !s.active.enter(id) {
 		return &codes.Error{Code: codes.RequestIDActive, Run: codes.Unknown, RetryAfter: time.Second,
 			Detail: "wait for the answer of the first attempt, or use another request id"}
 	}
 	defer s.active.leave(id)
-	if err := s.Route.Enter(t.Organisation, t.MaxInFlight); err != nil {
-		return codes.From(err, codes.NotRun)
-	}
-	defer s.Route.Leave(t.Organisation)
 	keeper := s.Ledger(ledger.BudgetKey(t.Organisation, a.req.budget))
 	grant, err := keeper.Reserve(need(a.req))
 	if err != nil {
@@ -115,14 +111,13 @@
 
 // answer is the answer to one model request.
 type answer struct {
-	req          request
-	w            http.ResponseWriter
-	control      *http.ResponseController
-	writeTimeout time.Duration
-	text         strings.Builder
-	begun        bool
-	tokens       int
-	first, last  time.Time
+	req         request
+	w           http.ResponseWriter
+	control     *http.ResponseController
+	text        strings.Builder
+	begun       bool
+	tokens      int
+	first, last time.Time
 }
 
 // emit takes one frame; it returns an error when the caller is gone or too slow.
@@ -142,7 +137,7 @@
 	return a.event(chunk(a.req, f.Text, ""))
 }
 
-// event writes one server-sent event within the time that a caller may take.
+// event writes one server-sent event.
 func (a *answer) event(data string) error {
 	if !a.begun {
 		a.begun = true
@@ -150,7 +145,6 @@
 		a.w.Header().Set("Cache-Control", "no-store")
 		a.w.Header().Set(headerRequestID, a.req.id)
 	}
-	_ = a.control.SetWriteDeadline(time.Now().Add(a.writeTimeout))
 	if _, err := fmt.Fprintf(a.w, "data: %s\n\n", data); err != nil {
 		return fmt.Errorf("write to the caller: %w", err)
 	}
@@ -164,7 +158,6 @@
 func (a *answer) end(u serve.Usage) *codes.Error {
 	if !a.req.stream {
 		a.w.Header().Set(headerRequestID, a.req.id)
-		_ = a.control.SetWriteDeadline(time.Now().Add(a.writeTimeout))
 		writeJSON(a.w, http.StatusOK, whole(a.req, a.text.String(), u))
 		return nil
 	}
--- a/io/front/parse.go
+++ b/io/front/parse.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -80,8 +81,10 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, codes.Refuse(codes.BodyTooLarge, 0, "the body may have %d bytes", s.Settings.BodyBytes)
-	case err != nil:
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, codes.Refuse(codes.BodyTimeout, time.Second, "the body did not arrive whole within %s", s.Settings.BodyTimeoutMS.Duration())
+	case err != nil:
+		return nil, codes.Refuse(codes.BadRequest, 0, "the body broke off: %v", err)
 	}
 	_ = control.SetReadDeadline(time.Time{})
 	return data, nil
--- a/io/front/service.go
+++ b/io/front/service.go
@@ -35,9 +35,11 @@
 func (s *Server) service(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
 	t, refused := s.authenticate(r)
-	if refused == nil {
-		refused = s.callOnce(w, r, t)
+	if refused != nil {
+		writeError(w, r.Header.Get(headerRequestID), refused)
+		return
 	}
+	refused = s.within(t, func() *codes.Error { return s.callOnce(w, r, t) })
 	if refused != nil {
 		writeError(w, r.Header.Get(headerRequestID), refused)
 	}
@@ -61,10 +63,6 @@
 	if refused != nil {
 		return refused
 	}
-	if err := s.Route.Enter(t.Organisation, t.MaxInFlight); err != nil {
-		return codes.From(err, codes.NotRun)
-	}
-	defer s.Route.Leave(t.Organisation)
 	call := Call{Operation: r.PathValue("operation"), Key: t.Organisation + "/" + key, Header: serviceHeader(r), Body: data}
 	keeper := s.Once(call.Key)
 	ruling, err := keeper.Claim(call.Key, callDigest(name, call))
--- /dev/null
+++ b/io/meter/table.go
@@ -0,0 +1,71 @@
+package meter
+
+import (
+	"fmt"
+
+	reporter "github.com/uber-go/tally/v4/prometheus"
+)
+
+// Kind is the kind of a metric.
+type Kind string
+
+// Kinds of metrics.
+const (
+	Counter   Kind = "counter"
+	Gauge     Kind = "gauge"
+	Histogram Kind = "histogram"
+)
+
+// Metric describes one metric.
+type Metric struct {
+	Name   string
+	Kind   Kind
+	Labels []string
+	// Help says in one sentence what is measured.
+	Help string
+}
+
+// Metrics.
+var (
+	requests      = Metric{"cranberryrail_requests_total", Counter, []string{"class", "code"}, "Requests that ended, by result code; code 0 is a whole answer."}
+	tokens        = Metric{"cranberryrail_billed_tokens_total", Counter, []string{"class"}, "Tokens billed."}
+	firstToken    = Metric{"cranberryrail_first_token_seconds", Histogram, []string{"class"}, "Time from a request to the first token of its answer."}
+	reservations  = Metric{"cranberryrail_reservations_total", Counter, []string{"result"}, "Reservations on the allowance of this instance."}
+	draws         = Metric{"cranberryrail_draws_total", Counter, []string{"result"}, "Draws on budgets that were read back from the log."}
+	appends       = Metric{"cranberryrail_log_appends_total", Counter, []string{"stream", "result"}, "Appends to the platform's log; the result failed leaves open whether the record was written."}
+	violations    = Metric{"cranberryrail_invariant_violations_total", Counter, []string{"invariant"}, "Violations of what must always hold; each one is a fault of the program."}
+	resumed       = Metric{"cranberryrail_streams_resumed_total", Counter, nil, "Answers that were resumed after their stream broke off."}
+	cut           = Metric{"cranberryrail_streams_cut_total", Counter, nil, "Answers that broke off and could not be resumed."}
+	logReached    = Metric{"cranberryrail_log_reached", Gauge, nil, "1 when the platform's log is reached, directly or through another instance, and 0 otherwise."}
+	configVersion = Metric{"cranberryrail_config_version", Gauge, nil, "Version of the configuration in force, which is an offset of the log."}
+	ledgerOffset  = Metric{"cranberryrail_ledger_offset", Gauge, []string{"shard"}, "Offset up to which the ledger was read."}
+)
+
+// Metrics lists all metrics.
+func Metrics() []Metric {
+	return []Metric{
+		requests, tokens, firstToken, reservations, draws, appends, violations, resumed, cut, logReached,
+		configVersion, ledgerOffset,
+	}
+}
+
+// bounds are the upper bounds of histograms, in seconds.
+func bounds() []float64 {
+	return []float64{0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.7, 0.99, 1.5, 2, 3, 5, 10, 30, 60}
+}
+
+func (m Metric) register(r reporter.Reporter) (err error) {
+	switch m.Kind {
+	case Counter:
+		_, err = r.RegisterCounter(m.Name, m.Labels, m.Help)
+	case Gauge:
+		_, err = r.RegisterGauge(m.Name, m.Labels, m.Help)
+	case Histogram:
+		_, err = r.RegisterTimer(m.Name, m.Labels, m.Help, &reporter.RegisterTimerOptions{
+			TimerType: reporter.HistogramTimerType, HistogramBuckets: bounds(),
+		})
+	default:
+		err = fmt.Errorf("kind %q is unknown", m.Kind)
+	}
+	return err
+}
--- /dev/null
+++ b/io/node/faults_test.go
@@ -0,0 +1,536 @@
+package node_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cranberryrail/core/roster"
+	"cranberryrail/fake/engine"
+	"cranberryrail/fake/fleet"
+	"cranberryrail/fake/plain"
+	"cranberryrail/fake/platf"
+	"cranberryrail/io/opts"
+)
+
+// quick sets time-outs that keep the tests of failures short.
+func quick(_ int, s *opts.Settings) {
+	s.Target.FirstFrameTimeoutMS = 500
+	s.Target.FrameTimeoutMS = 300
+	s.Target.LoadEveryMS = 100
+	s.Target.RetryRatio = 1
+	s.Caller.WriteTimeoutMS = 300
+}
+
+// result is a reply or the failure of its connection.
+type result struct {
+	reply
+	err error
+}
+
+// send is post for goroutines and callers whose connection may break.
+func send(ctx context.Context, m *fleet.Member, path, key, body string, header ...string) result {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.Front.Addr()+path, strings.NewReader(body))
+	if err != nil {
+		return result{err: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return result{err: err}
+	}
+	defer resp.Body.Close()
+	var b strings.Builder
+	_, err = bufio.NewReader(resp.Body).WriteTo(&b)
+	return result{reply: reply{status: resp.StatusCode, header: resp.Header, body: b.String()}, err: err}
+}
+
+// side makes n requests side by side and returns their results once wait is called.
+func side(n int, request func(i int) result) (wait func() []result) {
+	results := make([]result, n)
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() { results[i] = request(i) })
+	}
+	return func() []result {
+		wg.Wait()
+		return results
+	}
+}
+
+// assertWhole checks that a streamed answer is the whole one to its prompt.
+func assertWhole(t *testing.T, r result, prompt string, tokens int) int64 {
+	t.Helper()
+	assert.NilError(t, r.err)
+	text, used := streamed(t, r.reply)
+	assert.Equal(t, text, engine.Answer(prompt, tokens))
+	return used
+}
+
+func await(t *testing.T, f *fleet.Fleet, holds func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testTime)
+	defer cancel()
+	assert.NilError(t, f.Await(ctx, holds))
+}
+
+func eachEngine(f *fleet.Fleet, change func(faults *engine.Faults)) {
+	faults := engine.NoFaults()
+	change(&faults)
+	for _, e := range f.EngineServers {
+		e.SetFaults(faults)
+	}
+}
+
+func TestBrokenStreamsAreResumed(t *testing.T) {
+	f := start(t, &fleet.Fleet{Instances: 1, Engines: 2, Change: quick})
+	open(t, f, 1_000_000)
+	for _, c := range []struct {
+		name   string
+		faults func(f *engine.Faults)
+	}{
+		{"stalled for good", func(f *engine.Faults) { f.StallAfter = 10 }},
+		{"crossed", func(f *engine.Faults) { f.CrossRatio = 0.6 }},
+		{"truncated with a clean end", func(f *engine.Faults) { f.TruncateRatio = 0.6 }},
+		{"doubled", func(f *engine.Faults) { f.DoubleRatio = 0.6 }},
+		{"with gaps", func(f *engine.Faults) { f.GapRatio = 0.6 }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			eachEngine(f, c.faults)
+			before := resumed(f)
+			wait := side(6, func(i int) result {
+				body := promptBody(fmt.Sprint(c.name, i), 16, true)
+				return send(context.Background(), f.Nodes[0], "/v1/completions", fleet.Key("acme"), body)
+			})
+			for i, r := range wait() {
+				assert.NilError(t, r.err)
+				if strings.HasSuffix(r.body, "data: [DONE]\n\n") {
+					assertWhole(t, r, fmt.Sprint(c.name, i), 16)
+					continue
+				}
+				assert.Assert(t, strings.Contains(r.body, `"run":"ran"`) || strings.Contains(r.body, `"run":"unknown"`), r.body)
+			}
+			assert.Assert(t, resumed(f) > before, "no stream was resumed")
+		})
+	}
+}
+
+func resumed(f *fleet.Fleet) int64 {
+	var n int64
+	for _, e := range f.EngineServers {
+		n += e.Counts().Resumed
+	}
+	return n
+}
+
+func TestStalledStreamIsResumedOnANewConnection(t *testing.T) {
+	f := start(t, &fleet.Fleet{Instances: 1, Engines: 1, Change: quick})
+	open(t, f, 1_000_000)
+	eachEngine(f, func(f *engine.Faults) { f.StallAfter = 10 })
+	used := assertWhole(t, result{reply: post(t, f.Nodes[0], "/v1/completions", fleet.Key("acme"), promptBody("stalls", 16, true))}, "stalls", 16)
+	counts := f.EngineServers[0].Counts()
+	assert.Equal(t, counts.Started, int64(1))
+	assert.Equal(t, counts.Resumed, int64(1))
+	assertSpent(t, f, f.Nodes[0], "acme/main", used)
+}
+
+func TestSilentEngineLosesItsWork(t *testing.T) {
+	f := start(t, &fleet.Fleet{Instances: 1, Engines: 2, Change: quick})
+	open(t, f, 1_000_000)
+	f.EngineServers[0].SetFaults(engine.Faults{Silent: true})
+	wait := side(8, func(i int) result {
+		return send(context.Background(), f.Nodes[0], "/v1/completions", fleet.Key("acme"), promptBody(fmt.Sprint("p", i), 12, true))
+	})
+	for i, r := range wait() {
+		assertWhole(t, r, fmt.Sprint("p", i), 12)
+	}
+	assert.Equal(t, f.EngineServers[0].Counts().Started, int64(0))
+}
+
+func TestAnswerAfterItsRequestWasGivenUp(t *testing.T) {
+	f := start(t, &fleet.Fleet{Instances: 1, Engines: 2, Change: quick})
+	open(t, f, 1_000_000)
+	slow := engine.NoFaults()
+	slow.SlowMS = 700
+	f.EngineServers[0].SetFaults(slow)
+	for i := range 4 {
+		prompt := fmt.Sprint("late", i)
+		assertWhole(t, result{reply: post(t, f.Nodes[0], "/v1/completions", fleet.Key("acme"), promptBody(prompt, 12, true))}, prompt, 12)
+	}
+	await(t, f, func() bool {
+		c := f.EngineServers[0].Counts()
+		return c.Started == c.Cancelled
+	})
+}
+
+func TestPinnedEngineThatIsGoneEndsTheAnswer(t *testing.T) {
+	f := start(t, &fleet.Fleet{Instances: 1, Engines: 2, Change: quick})
+	open(t, f, 1_000_000)
+	eachEngine(f, func(f *engine.Faults) { f.TruncateRatio = 1 })
+	wait := side(1, func(int) result {
+		return send(context.Background(), f.Nodes[0], "/v1/completions", fleet.Key("acme"), promptBody("cut", 16, true))
+	})
+	r := wait()[0]
+	assert.NilError(t, r.err)
+	assert.Assert(t, !strings.Contains(r.body, "[DONE]"))
+	assert.Assert(t, strings.Contains(r.body, `"error":{"code":300`), r.body)
+}
+
+func TestLeavingTarget(t *testing.T) {
+	f := start(t, &fleet.Fleet{Instances: 2, Engines: 2, TokenGap: 20 * time.Millisecond, Change: quick})
+	open(t, f, 1_000_000)
+	stream := func(i int) result {
+		return send(context.Background(), f.Nodes[i%2], "/v1/completions", fleet.Key("acme"), promptBody(fmt.Sprint("s", i), 16, true))
+	}
+	wait := side(12, stream)
+	await(t, f, func() bool { return started(f, 0) > 0 && started(f, 0)+started(f, 1) == 12 })
+	f.EngineServers[0].Leave()
+	ran := started(f, 0)
+	for i, r := range wait() {
+		assertWhole(t, r, fmt.Sprint("s", i), 16)
+	}
+	await(t, f, func() bool {
+		return leaving(t, f.Nodes[0], f.EngineServers[0]) && leaving(t, f.Nodes[1], f.EngineServers[0])
+	})
+	f.EngineServers[0].SetFaults(engine.NoFaults()) // the engine would take work; the instances send none
+	for i, r := range side(12, stream)() {
+		assertWhole(t, r, fmt.Sprint("s", i), 16)
+	}
+	assert.Equal(t, started(f, 0), ran)
+	f.ReplaceEngine(0)
+	await(t, f, func() bool { return !assertNoWork(t, f, stream) })
+}
+
+// assertNoWork makes requests and reports whether the first engine got none of them.
+func assertNoWork(t *testing.T, f *fleet.Fleet, stream func(i int) result) bool {
+	t.Helper()
+	for i, r := range side(8, stream)() {
+		assertWhole(t, r, fmt.Sprint("s", i), 16)
+	}
+	return started(f, 0) == 0
+}
+
+func started(f *fleet.Fleet, i int) int64 { return f.EngineServers[i].Counts().Started }
+
+func leaving(t *testing.T, m *fleet.Member, e *engine.Server) bool {
+	t.Helper()
+	all, err := m.Route.LeavingIncarnations()
+	assert.NilError(t, err)
+	for _, incarnation := range all {
+		if incarnation == e.Incarnation() {
+			return true
+		}
+	}
+	return false
+}
+
+// wide admits many requests of one organisation at one instance.
+func wide(organisation string, inFlight int) string {
+	return fmt.Sprintf("max_in_flight = %d\n", inFlight) + fleet.Template(organisation)
+}
+
+func TestStopWith200Streams(t *testing.T) {
+	const streams = 200
+	f := start(t, &fleet.Fleet{Instances: 2, Engines: 2, Capacity: 2 * streams, TokenGap: 40 * time.Millisecond})
+	ctx, cancel := context.WithTimeout(context.Background(), testTime)
+	defer cancel()
+	assert.NilError(t, f.Publish(ctx, f.Nodes[0], "wide", wide("acme", streams)))
+	assert.NilError(t, f.TopUp(f.Nodes[0], "t", "acme", 10_000_000))
+	wait := side(streams, func(i int) result {
+		return send(context.Background(), f.Nodes[0], "/v1/completions", fleet.Key("acme"), promptBody(fmt.Sprint("p", i), 16, true))
+	})
+	await(t, f, func() bool { return started(f, 0)+started(f, 1) == streams })
+	assert.NilError(t, f.Nodes[0].Stop())
+	var used int64
+	for i, r := range wait() {
+		used += assertWhole(t, r, fmt.Sprint("p", i), 16)
+	}
+	assertSpent(t, f, f.Nodes[1], "acme/main", used)
+	b := balance(t, f.Nodes[1], "acme/main")
+	assert.Equal(t, b.Held, b.Own, "all of the stopped instance's allowance is returned: %+v", b)
+}
+
+func TestRollingRestartUnderLoad(t *testing.T) {
+	f := start(t, &fleet.Fleet{Instances: 3, Engines: 2, TokenGap: 3 * time.Millisecond, Change: quick})
+	open(t, f, 10_000_000)
+	var mu sync.Mutex
+	live := append([]*fleet.Member{}, f.Nodes...)
+	pick := func(i int) *fleet.Member {
+		mu.Lock()
+		defer mu.Unlock()
+		return live[i%len(live)]
+	}
+	replace := func(i int, m *fleet.Member) *fleet.Member {
+		mu.Lock()
+		defer mu.Unlock()
+		old := live[i]
+		live[i] = m
+		return old
+	}
+	var done sync.WaitGroup
+	stop := make(chan struct{})
+	for caller := range 6 {
+		done.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				prompt := fmt.Sprint("rolling", caller, n)
+				assertWhole(t, send(context.Background(), pick(caller+n), "/v1/completions", fleet.Key("acme"), promptBody(prompt, 16, true)), prompt, 16)
+			}
+		})
+	}
+	for i := range 3 {
+		m, err := f.StartInstance()
+		assert.Check(t, err)
+		await(t, f, m.Ready)
+		assert.Check(t, replace(i, m).Stop())
+	}
+	close(stop)
+	done.Wait()
+}
+
+func TestFloodOfOneOrganisation(t *testing.T) {
+	f := start(t, &fleet.Fleet{Instances: 1, Engines: 1, TokenGap: 40 * time.Millisecond, Change: func(i int, s *opts.Settings) {
+		quick(i, s)
+		s.Caller.MaxInFlight = 16
+	}})
+	ctx, cancel := context.WithTimeout(context.Background(), testTime)
+	defer cancel()
+	for _, c := range []struct {
+		name     string
+		inFlight int
+	}{{"limited", 4}, {"flood", 64}, {"quiet", 4}} {
+		assert.NilError(t, f.Publish(ctx, f.Nodes[0], "p-"+c.name, wide(c.name, c.inFlight)))
+		assert.NilError(t, f.TopUp(f.Nodes[0], "t-"+c.name, c.name, 1_000_000))
+	}
+	for _, c := range []struct {
+		name string
+		most int
+	}{{"limited", 4}, {"flood", 16}} {
+		t.Run(c.name, func(t *testing.T) {
+			wait := side(40, func(i int) result {
+				return send(context.Background(), f.Nodes[0], "/v1/completions", fleet.Key(c.name), promptBody(fmt.Sprint(c.name, i), 16, true))
+			})
+			await(t, f, func() bool { return f.Nodes[0].Front.InFlight() == int64(c.most) })
+			r := send(context.Background(), f.Nodes[0], "/v1/completions", fleet.Key("quiet"), promptBody("quiet", 4, true))
+			assertWhole(t, r, "quiet", 4)
+			whole := 0
+			for _, r := range wait() {
+				assert.NilError(t, r.err)
+				if r.status == http.StatusOK {
+					whole++
+					continue
+				}
+				assertRefused(t, r.reply, 1007, "not_run")
+				assert.Assert(t, r.header.Get("Retry-After") != "")
+			}
+			assert.Assert(t, whole >= c.most, "%d whole", whole)
+		})
+	}
+}
+
+// dialSlow opens a connection whose reader takes little at a time.
+func dialSlow(t *testing.T, m *fleet.Member, body string, header string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", m.Front.Addr())
+	assert.NilError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	assert.NilError(t, conn.(*net.TCPConn).SetReadBuffer(4096))
+	_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n%sContent-Length: %d\r\n\r\n%s",
+		fleet.Key("acme"), header, len(body), body)
+	assert.NilError(t, err)
+	return conn
+}
+
+func TestSlowReaderIsCutOff(t *testing.T) {
+	f := start(t, &fleet.Fleet{Instances: 1, Engines: 1, FixedLength: true, Change: quick})
+	ctx, cancel := context.WithTimeout(context.Background(), testTime)
+	defer cancel()
+	assert.NilError(t, f.Publish(ctx, f.Nodes[0], "p", "max_tokens_limit = 1000000\n"+fleet.Template("acme")))
+	assert.NilError(t, f.TopUp(f.Nodes[0], "t", "acme", 10_000_000))
+	dialSlow(t, f.Nodes[0], promptBody("slow", 500_000, true), "X-Request-Id: "+strings.Repeat("i", 128)+"\r\n")
+	await(t, f, func() bool { return f.Nodes[0].Front.InFlight() == 1 })
+	other := post(t, f.Nodes[0], "/v1/completions", fleet.Key("acme"), promptBody("other", 20, true))
+	text, used := streamed(t, other)
+	assert.Equal(t, text, engine.Text("other", 20))
+	await(t, f, func() bool { return f.Nodes[0].Front.InFlight() == 0 })
+	counts := f.EngineServers[0].Counts()
+	assert.Equal(t, counts.Finished, int64(1))
+	await(t, f, func() bool { return f.EngineServers[0].Counts().Cancelled == 1 })
+	await(t, f, func() bool { return balance(t, f.Nodes[0], "acme/main").Spent > used })
+	assert.Assert(t, balance(t, f.Nodes[0], "acme/main").Spent <= used+counts.Tokens)
+}
+
+func TestKeptConnectionAfterTheWriteTimeout(t *testing.T) {
+	f := start(t, &fleet.Fleet{Instances: 1, Engines: 1, Change: quick})
+	open(t, f, 1_000_000)
+	conn := dialSlow(t, f.Nodes[0], promptBody("first", 4, false), "")
+	reader := bufio.NewReader(conn)
+	resp, err := http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	_, err = bufio.NewReader(resp.Body).WriteTo(&strings.Builder{})
+	assert.NilError(t, err)
+	time.Sleep(400 * time.Millisecond) // longer than caller.write_timeout_ms
+	_, err = fmt.Fprint(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer wrong\r\nContent-Length: 0\r\n\r\n")
+	assert.NilError(t, err)
+	resp, err = http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusUnauthorized)
+}
+
+func TestCallerOfAWholeAnswerLeaves(t *testing.T) {
+	f := start(t, &fleet.Fleet{Instances: 1, Engines: 1, TokenGap: 20 * time.Millisecond})
+	open(t, f, 1_000_000)
+	ctx, cancel := context.WithCancel(context.Background())
+	wait := side(1, func(int) result {
+		return send(ctx, f.Nodes[0], "/v1/completions", fleet.Key("acme"), promptBody("left", 2000, false))
+	})
+	await(t, f, func() bool { return f.EngineServers[0].Counts().Tokens > 2 })
+	cancel()
+	assert.Assert(t, wait()[0].err != nil)
+	await(t, f, func() bool { return f.EngineServers[0].Counts().Cancelled == 1 && f.Nodes[0].Front.InFlight() == 0 })
+	assert.Equal(t, f.EngineServers[0].Counts().Finished, int64(0))
+	await(t, f, func() bool { return balance(t, f.Nodes[0], "acme/main").Spent > 0 })
+}
+
+// submit makes the service call with the key k at an instance.
+func submit(ctx context.Context, m *fleet.Member) result {
+	return send(ctx, m, "/v1/services/claims/submit", fleet.Key("acme"), `{"flight":1}`, "Idempotency-Key", "k")
+}
+
+func runs(f *fleet.Fleet) int {
+	n := 0
+	for _, s := range f.ServiceServers {
+		n += s.Runs("acme/k")
+	}
+	return n
+}
+
+func bookingFleet(t *testing.T) *fleet.Fleet {
+	t.Helper()
+	f := start(t, &fleet.Fleet{Instances: 2, Services: 2})
+	open(t, f, 1)
+	return f
+}
+
+func TestBookingWhoseRouterDies(t *testing.T) {
+	t.Run("before the dispatch", func(t *testing.T) {
+		f := bookingFleet(t)
+		assert.NilError(t, f.Platform.SetFaults(platf.Faults{DelayMS: 300}))
+		wait := side(1, func(int) result { return submit(context.Background(), f.Nodes[0]) })
+		await(t, f, func() bool { return f.Nodes[0].Once[0].Feed.Appends() == 1 })
+		f.Nodes[0].Kill()
+		assert.Assert(t, wait()[0].err != nil)
+		assert.NilError(t, f.Platform.SetFaults(platf.Faults{}))
+		r := submit(context.Background(), f.Nodes[1])
+		assert.NilError(t, r.err)
+		if r.status == http.StatusOK {
+			assert.Equal(t, runs(f), 1)
+			return
+		}
+		assertRefused(t, r.reply, 4003, "unknown")
+		assert.Equal(t, runs(f), 0)
+	})
+	t.Run("after the dispatch", func(t *testing.T) {
+		f := bookingFleet(t)
+		delayServices(f)
+		wait := side(1, func(int) result { return submit(context.Background(), f.Nodes[0]) })
+		await(t, f, func() bool { return runs(f) == 1 })
+		f.Nodes[0].Kill()
+		assert.Assert(t, wait()[0].err != nil)
+		r := submit(context.Background(), f.Nodes[1])
+		assert.NilError(t, r.err)
+		assertRefused(t, r.reply, 4003, "unknown")
+		assert.Equal(t, runs(f), 1)
+	})
+	t.Run("after the result, before the answer", func(t *testing.T) {
+		f := bookingFleet(t)
+		delayServices(f)
+		ctx, cancel := context.WithCancel(context.Background())
+		wait := side(1, func(int) result { return submit(ctx, f.Nodes[0]) })
+		await(t, f, func() bool { return runs(f) == 1 })
+		cancel()
+		assert.Assert(t, wait()[0].err != nil)
+		await(t, f, func() bool { return f.Nodes[0].Front.InFlight() == 0 && f.Nodes[0].Once[0].Feed.Idle() })
+		f.Nodes[0].Kill()
+		r := submit(context.Background(), f.Nodes[1])
+		assert.NilError(t, r.err)
+		assert.Equal(t, r.status, http.StatusOK, r.body)
+		assert.Equal(t, r.header.Get("X-Replayed"), "1")
+		assert.Equal(t, runs(f), 1)
+	})
+}
+
+func delayServices(f *fleet.Fleet) {
+	for _, s := range f.ServiceServers {
+		s.SetFaults(plain.Faults{DelayMS: 500})
+	}
+}
+
+func TestTwoRoutersWithTheSameKey(t *testing.T) {
+	f := bookingFleet(t)
+	answers := map[string]bool{}
+	for _, r := range side(12, func(i int) result { return submit(context.Background(), f.Nodes[i%2]) })() {
+		assert.NilError(t, r.err)
+		if r.status == http.StatusOK {
+			answers[r.body] = true
+			continue
+		}
+		assertRefused(t, r.reply, 4003, "unknown")
+	}
+	assert.Equal(t, len(answers), 1)
+	assert.Equal(t, runs(f), 1)
+}
+
+func TestReplyLostAfterTheClaimWasAppended(t *testing.T) {
+	f := bookingFleet(t)
+	assert.NilError(t, f.Platform.SetFaults(platf.Faults{DropReplyRatio: 1}))
+	r := submit(context.Background(), f.Nodes[0])
+	assert.NilError(t, r.err)
+	assert.Equal(t, r.status, http.StatusOK, r.body)
+	assert.Equal(t, runs(f), 1)
+}
+
+func TestServiceCallWhileTheLogIsDown(t *testing.T) {
+	f := bookingFleet(t)
+	assert.NilError(t, f.Platform.SetFaults(platf.Faults{Outage: true}))
+	for i := range 3 {
+		r := submit(context.Background(), f.Nodes[i%2])
+		assert.NilError(t, r.err)
+		assertRefused(t, r.reply, 4004, "not_run")
+		assert.Assert(t, r.header.Get("Retry-After") != "")
+	}
+	assert.Equal(t, runs(f), 0)
+	assert.NilError(t, f.Platform.SetFaults(platf.Faults{}))
+	await(t, f, func() bool {
+		r := submit(context.Background(), f.Nodes[0])
+		return r.err == nil && r.status == http.StatusOK
+	})
+	assert.Equal(t, runs(f), 1)
+}
+
+func TestLeavingServicePassesTheCallOn(t *testing.T) {
+	f := bookingFleet(t)
+	f.ServiceServers[0].SetFaults(plain.Faults{Leaving: true})
+	target := roster.Leaving
+	for i := range 6 {
+		r := post(t, f.Nodes[i%2], "/v1/services/claims/submit", fleet.Key("acme"), `{}`, "Idempotency-Key", fmt.Sprint(target, i))
+		assert.Equal(t, r.status, http.StatusOK, r.body)
+	}
+	assert.Equal(t, f.ServiceServers[1].Counts().Calls, 6)
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
@@ -21,6 +22,7 @@
 	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
 	"cranberryrail/core/serve"
+	"cranberryrail/core/shard"
 	"cranberryrail/core/tail"
 	"cranberryrail/io/front"
 	"cranberryrail/io/oper"
@@ -69,6 +71,7 @@
 	peerServer *peer.Server
 	failed     chan error
 	killed     chan struct{}
+	primed     atomic.Bool
 	// background holds short orders to targets that nobody waits for.
 	background errgroup.Group
 }
@@ -200,8 +203,11 @@
 	n.Front.Default()
 }
 
-// Ready reports whether the instance has read the configuration and the ledgers.
-func (n *Node) Ready() bool {
+// Ready reports whether the instance takes requests.
+func (n *Node) Ready() bool { return n.primed.Load() && n.streamsRead() }
+
+// streamsRead reports whether the instance has read the configuration and the ledgers.
+func (n *Node) streamsRead() bool {
 	ready := n.Conf.Feed.Ready()
 	for _, k := range n.Ledger {
 		ready = ready && k.Feed.Ready()
@@ -232,11 +238,6 @@
 
 // reached tells the slices whether the platform's log is in reach.
 func (n *Node) reached(reached bool) {
-	e := events.LogUnreachable
-	if reached {
-		e = events.LogBack
-	}
-	events.Log(n.Log, e).Send()
 	for _, k := range n.Ledger {
 		k.Reached(reached)
 	}
@@ -311,9 +312,13 @@
 // recorded or returned. It is called at most once, by tests and the demo.
 func (n *Node) Kill() { close(n.killed) }
 
+// parts is the number of parts that run besides the keepers of ledger and once.
+const parts = 8
+
 // runs returns what runs side by side.
 func (n *Node) runs() []func(ctx context.Context) error {
-	runs := []func(ctx context.Context) error{n.Front.Run, n.Oper.Run, n.Conf.Run, n.peerServer.Run, n.gossip.Run, n.pollList, n.pollLoad, n.announceReady}
+	runs := make([]func(ctx context.Context) error, 0, parts+len(n.Ledger)+len(n.Once))
+	runs = append(runs, n.Front.Run, n.Oper.Run, n.Conf.Run, n.peerServer.Run, n.gossip.Run, n.pollList, n.pollLoad, n.prime)
 	for _, k := range n.Ledger {
 		runs = append(runs, k.Run)
 	}
@@ -323,21 +328,30 @@
 	return runs
 }
 
-// announceReady logs when the instance becomes ready.
-func (n *Node) announceReady(ctx context.Context) error {
-	ticker := time.NewTicker(readyPoll)
-	defer ticker.Stop()
-	for !n.Ready() {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+// prime makes the instance ready once its streams are read and its first allowances are
+// held, so that an outage right afterwards finds it able to serve. It does not wait for
+// allowances for longer than primeWait.
+func (n *Node) prime(ctx context.Context) error {
+	err := shard.Settle(ctx, readyPoll, func() (bool, error) { return n.streamsRead(), nil })
+	if err != nil {
+		return nil
+	}
+	waiting, cancel := context.WithTimeout(ctx, primeWait)
+	defer cancel()
+	for _, k := range n.Ledger {
+		_ = shard.Settle(waiting, readyPoll, k.Primed)
+	}
+	if ctx.Err() == nil {
+		n.primed.Store(true)
+		events.Log(n.Log, events.Ready).Send()
 	}
-	events.Log(n.Log, events.Ready).Send()
 	return nil
 }
 
+// primeWait bounds the wait for the first allowances, during which the log may be out of
+// reach.
+const primeWait = 2 * time.Second
+
 // readyPoll is how often readiness is looked at during the start.
 const readyPoll = 20 * time.Millisecond
 
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -17,6 +17,7 @@
 	"cranberryrail/core/ledger"
 	"cranberryrail/fake/engine"
 	"cranberryrail/fake/fleet"
+	"cranberryrail/fake/platf"
 )
 
 const testTime = time.Minute
@@ -39,12 +40,13 @@
 	return f
 }
 
-func publish(t *testing.T, f *fleet.Fleet, organisation string, tokens int64) {
+// open publishes the template of the organisation acme and tops up its budget.
+func open(t *testing.T, f *fleet.Fleet, tokens int64) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), testTime)
 	defer cancel()
-	assert.NilError(t, f.Publish(ctx, f.Nodes[0], "publish-"+organisation, fleet.Template(organisation)))
-	assert.NilError(t, f.TopUp(f.Nodes[0], "top-up-"+organisation, organisation, tokens))
+	assert.NilError(t, f.Publish(ctx, f.Nodes[0], "publish", fleet.Template("acme")))
+	assert.NilError(t, f.TopUp(f.Nodes[0], "top-up", "acme", tokens))
 }
 
 func post(t *testing.T, m *fleet.Member, path, key, body string, header ...string) reply {
@@ -132,7 +134,7 @@
 
 func TestOneRequestEndToEnd(t *testing.T) {
 	f := start(t, &fleet.Fleet{Instances: 2, Engines: 1, Services: 1})
-	publish(t, f, "acme", 10_000)
+	open(t, f, 10_000)
 	text, used := streamed(t, post(t, f.Nodes[0], "/v1/completions", fleet.Key("acme"), promptBody("a claim", 20, true)))
 	assert.Equal(t, text, engine.Answer("a claim", 20))
 	t.Run("the other instance sees what was billed", func(t *testing.T) {
@@ -155,7 +157,7 @@
 
 func TestBadRequestsSpendNothing(t *testing.T) {
 	f := start(t, &fleet.Fleet{Instances: 1, Engines: 1})
-	publish(t, f, "acme", 10_000)
+	open(t, f, 10_000)
 	key := fleet.Key("acme")
 	large := promptBody(strings.Repeat("x", 2<<20), 1, false)
 	for _, c := range []struct {
@@ -180,7 +182,7 @@
 
 func TestServiceCallRunsOnce(t *testing.T) {
 	f := start(t, &fleet.Fleet{Instances: 2, Services: 2})
-	publish(t, f, "acme", 1)
+	open(t, f, 1)
 	var first string
 	for i := range 4 {
 		r := post(t, f.Nodes[i%2], "/v1/services/claims/submit", fleet.Key("acme"), `{"flight":1}`, "Idempotency-Key", "k-1")
@@ -197,7 +199,7 @@
 
 func TestPlannedStopReturnsAllowance(t *testing.T) {
 	f := start(t, &fleet.Fleet{Instances: 2, Engines: 1, TokenGap: 5 * time.Millisecond})
-	publish(t, f, "acme", 100_000)
+	open(t, f, 100_000)
 	done := make(chan reply, 1)
 	go func() {
 		done <- post(t, f.Nodes[0], "/v1/completions", fleet.Key("acme"), promptBody("slow", 60, true))
@@ -212,3 +214,26 @@
 	b := balance(t, f.Nodes[1], "acme/main")
 	assert.Equal(t, b.Held, b.Own, fmt.Sprintf("all of the stopped instance's allowance is returned: %+v", b))
 }
+
+func TestNewInstanceServesThroughAnOutage(t *testing.T) {
+	f := start(t, &fleet.Fleet{Instances: 2, Engines: 1})
+	open(t, f, 1_000_000)
+	ctx, cancel := context.WithTimeout(context.Background(), testTime)
+	defer cancel()
+	m, err := f.StartInstance()
+	assert.NilError(t, err)
+	assert.NilError(t, f.AwaitMet(ctx))
+	assert.Assert(t, balance(t, m, "acme/main").Own > 0, "a ready instance holds an allowance")
+	assert.NilError(t, f.Platform.SetFaults(platf.Faults{Outage: true}))
+	for i := range 20 {
+		prompt := fmt.Sprintf("during the outage %d", i)
+		text, _ := streamed(t, post(t, m, "/v1/completions", fleet.Key("acme"), promptBody(prompt, 20, true)))
+		assert.Equal(t, text, engine.Answer(prompt, 20))
+	}
+	t.Run("a service call is refused at once and has not run", func(t *testing.T) {
+		assert.NilError(t, f.Await(ctx, func() bool { return !m.LogReached() }))
+		r := post(t, m, "/v1/services/claims/submit", fleet.Key("acme"), "{}", "Idempotency-Key", "k")
+		assertRefused(t, r, 4004, "not_run")
+		assert.Assert(t, r.header.Get("Retry-After") != "")
+	})
+}
--- a/io/node/operate.go
+++ b/io/node/operate.go
@@ -57,22 +57,14 @@
 }
 
 func (n *Node) usage(budget string) (oper.Usage, error) {
-	k := n.LedgerOf(budget)
-	u, err := k.Usage(budget)
+	st, err := n.LedgerOf(budget).Statement(budget)
 	if err != nil {
 		return oper.Usage{}, err
 	}
-	out := oper.Usage{Budget: budget, Earlier: u.Earlier, Bills: make([]oper.UsageBill, 0, len(u.Bills))}
-	for _, b := range u.Bills {
+	out := oper.Usage{Budget: budget, Earlier: st.Usage.Earlier, Balance: &st.Balance, Bills: make([]oper.UsageBill, 0, len(st.Usage.Bills))}
+	for _, b := range st.Usage.Bills {
 		out.Bills = append(out.Bills, oper.UsageBill{Request: b.Request, Tokens: b.Tokens})
 	}
-	balances, err := k.Balances()
-	if err != nil {
-		return out, err
-	}
-	if i := slices.IndexFunc(balances, func(b ledger.Balance) bool { return b.Budget == budget }); i >= 0 {
-		out.Balance = &balances[i]
-	}
 	return out, nil
 }
 
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -40,7 +40,7 @@
 	n.log = n.relay.Log()
 	n.peerServer = &peer.Server{
 		Listen: s.Listen, View: n.ownView, Log: direct, State: n.streamState, Lend: n.lend, Report: n.ownReport,
-		Others: func(max int) []roster.PeerView { return n.view.Views(max, time.Now()) },
+		Others: func(most int) []roster.PeerView { return n.view.Views(most, time.Now()) },
 		Told:   n.told,
 	}
 	n.peerServer.Default()
@@ -69,6 +69,20 @@
 	}
 }
 
+// PeersReached returns the number of other instances that answered lately.
+func (n *Node) PeersReached() int {
+	reached := 0
+	for _, p := range n.peersByReach() {
+		if p.Reach == roster.Reachable {
+			reached++
+		}
+	}
+	return reached
+}
+
+// LogReached reports whether the platform's log is in reach, directly or not.
+func (n *Node) LogReached() bool { return n.reach.ok() }
+
 func (n *Node) peersByReach() []roster.Peer { return n.view.Peers(time.Now()) }
 
 func (n *Node) peerFailed(addr string) { n.view.Failed(addr, time.Now()) }
@@ -118,7 +132,7 @@
 }
 
 func (n *Node) feeds() []*tail.Feed {
-	feeds := []*tail.Feed{n.Conf.Feed}
+	feeds := append(make([]*tail.Feed, 0, 1+len(n.Ledger)+len(n.Once)), n.Conf.Feed)
 	for _, k := range n.Ledger {
 		feeds = append(feeds, k.Feed)
 	}
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -311,16 +311,9 @@
 func newRelay(t *testing.T, direct *memLog, clk *clock, addrs ...string) *peer.Relay {
 	t.Helper()
 	r := &peer.Relay{Direct: direct.log(), Client: newClient(t, longWait), Now: clk.now}
-	var mu sync.Mutex
 	failed := map[string]bool{}
-	r.Failed = func(addr string) {
-		mu.Lock()
-		defer mu.Unlock()
-		failed[addr] = true
-	}
+	r.Failed = func(addr string) { failed[addr] = true }
 	r.Peers = func() []roster.Peer {
-		mu.Lock()
-		defer mu.Unlock()
 		var peers []roster.Peer
 		for _, addr := range addrs {
 			if !failed[addr] {
@@ -457,25 +450,29 @@
 				return roster.PeerView{Incarnation: "inc-d", PeerAddr: s.Addr(), ConfigVersion: theirs.Load()}
 			}
 		})
-		behind := make(chan string, 1)
+		var behind atomic.Int64
 		g := &peer.Gossip{
 			View: &roster.View{Addr: "own", Seeds: []string{n.Addr()}}, Client: n.client, Own: a.View,
 			Version: own.Load, Now: clk.now,
-			Behind: func(_ context.Context, p roster.Peer) { behind <- p.PeerAddr },
+			Behind: func(_ context.Context, p roster.Peer) { behind.Store(p.ConfigVersion) },
 		}
 		g.View.Default()
 		g.Default()
-		round := func() {
-			clk.forward(peer.BehindAfter)
+		ended, cancel := context.WithCancel(t.Context())
+		cancel()
+		assertRound := func(passed time.Duration, want int64, why string) {
+			t.Helper()
+			clk.forward(passed)
 			g.Round(t.Context())
+			assert.NilError(t, g.Run(ended), "waits for Behind")
+			assert.Equal(t, behind.Load(), want, why)
 		}
-		round()
+		assertRound(0, 0, "version 5 is new")
 		own.Store(5)
 		theirs.Store(6)
-		round()
-		assert.Equal(t, len(behind), 0, "the newer version is new")
-		round()
-		assert.Equal(t, <-behind, n.Addr())
+		assertRound(peer.BehindAfter, 0, "version 6 is new")
+		assertRound(peer.BehindAfter-1, 0, "version 6 is not missing for long")
+		assertRound(1, 6, "version 6 is missing")
 	})
 }
 
--- a/io/target/errors.go
+++ b/io/target/errors.go
@@ -79,11 +79,13 @@
 func (e *dialError) Error() string { return e.err.Error() }
 func (e *dialError) Unwrap() error { return e.err }
 
-// kindOf classifies an error of the transport under a context whose cause may be errSilent.
+// kindOf classifies an error of the transport under a context whose cause may be errSilent. A
+// deadline of the caller that passed is silence too.
 func kindOf(ctx context.Context, err error) Kind {
 	var dial *dialError
+	cause := context.Cause(ctx)
 	switch {
-	case errors.Is(context.Cause(ctx), errSilent):
+	case errors.Is(cause, errSilent), errors.Is(cause, context.DeadlineExceeded):
 		return Silent
 	case ctx.Err() != nil:
 		return Cancelled
