--- a/io/front/front.go
+++ b/io/front/front.go
@@ -34,6 +34,12 @@
 	FirstToken time.Duration
 	// Gap is the mean time between tokens; 0 with fewer than two.
 	Gap time.Duration
+	// Priority is that of the organisation's template.
+	Priority int
+	// Tokens are the tokens billed.
+	Tokens int64
+	// CallerGone tells that the caller left before the end.
+	CallerGone bool
 	// Err is the refusal or failure; nil for a whole answer.
 	Err *codes.Error
 }
--- a/io/front/generate.go
+++ b/io/front/generate.go
@@ -35,7 +35,7 @@
 	if refused != nil {
 		a.fail(refused)
 	}
-	s.Served(a.served(t.Organisation, started, refused))
+	s.Served(a.served(r, t, started, refused))
 }
 
 // prepare reads and checks a model request.
@@ -70,6 +70,7 @@
 	}
 	usage, err := s.Generate.Generate(r.Context(), dispatch(a.req, grant, t), a.emit)
 	keeper.Settle(grant.ID, usage.Tokens())
+	a.billed = usage.Tokens()
 	if err != nil {
 		return codes.From(err, codes.Unknown)
 	}
@@ -111,12 +112,14 @@
 
 // answer is the answer to one model request.
 type answer struct {
-	req         request
-	w           http.ResponseWriter
-	control     *http.ResponseController
-	text        strings.Builder
-	begun       bool
-	tokens      int
+	req     request
+	w       http.ResponseWriter
+	control *http.ResponseController
+	text    strings.Builder
+	begun   bool
+	tokens  int
+	// billed counts the tokens billed.
+	billed      int64
 	first, last time.Time
 }
 
@@ -179,8 +182,10 @@
 }
 
 // served sums up the request for the report on service levels.
-func (a *answer) served(organisation string, started time.Time, err *codes.Error) Served {
-	s := Served{Organisation: organisation, Err: err}
+func (a *answer) served(r *http.Request, t conf.Template, started time.Time, err *codes.Error) Served {
+	s := Served{
+		Organisation: t.Organisation, Priority: t.Priority, Tokens: a.billed, CallerGone: r.Context().Err() != nil, Err: err,
+	}
 	if a.tokens > 0 {
 		s.FirstToken = a.first.Sub(started)
 	}
--- a/io/front/service.go
+++ b/io/front/service.go
@@ -33,7 +33,6 @@
 
 // service makes a non-idempotent call, at most once for its key.
 func (s *Server) service(w http.ResponseWriter, r *http.Request) {
-	started := time.Now()
 	t, refused := s.authenticate(r)
 	if refused != nil {
 		writeError(w, r.Header.Get(headerRequestID), refused)
@@ -43,7 +42,7 @@
 	if refused != nil {
 		writeError(w, r.Header.Get(headerRequestID), refused)
 	}
-	s.Served(Served{Organisation: t.Organisation, Err: refused, FirstToken: time.Since(started)})
+	s.Served(Served{Organisation: t.Organisation, Priority: t.Priority, CallerGone: r.Context().Err() != nil, Err: refused})
 }
 
 // callOnce checks a call, claims its key and dispatches it when the claim was won.
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"cranberryrail/core/agent"
+	"cranberryrail/core/burn"
 	"cranberryrail/core/conf"
 	"cranberryrail/core/events"
 	"cranberryrail/core/ledger"
@@ -25,6 +26,7 @@
 	"cranberryrail/core/shard"
 	"cranberryrail/core/tail"
 	"cranberryrail/io/front"
+	"cranberryrail/io/meter"
 	"cranberryrail/io/oper"
 	"cranberryrail/io/opts"
 	"cranberryrail/io/peer"
@@ -61,7 +63,10 @@
 	target  *target.Client
 	reach   *reach
 	current current
+	fresh   freshness
 	listed  targets
+	meter   *meter.Meter
+	burn    *burn.Meter
 	view    *roster.View
 	peers   *peer.Client
 	relay   *peer.Relay
@@ -90,6 +95,7 @@
 	n.plat = &plat.Client{LogURL: n.Settings.Platform.LogURL, ListURL: n.Settings.Platform.ListURL, Timeout: n.Settings.Platform.TimeoutMS.Duration()}
 	n.plat.Default()
 	n.direct = &reach{now: time.Now, changed: func(bool) {}}
+	n.makeMeters()
 	n.makePeers()
 	n.makeTarget()
 	n.makeStreams()
@@ -113,6 +119,7 @@
 		Log: n.log, Stream: stream, Inc: n.Inc, Linger: n.Settings.Ledger.LingerMS.Duration(),
 		SnapshotEvery: n.Settings.Ledger.SnapshotEvery, SnapshotTurn: n.snapshotTurn, Contact: n.reach.contact, Fetch: n.fetch,
 		Stalled: func(err *tail.StalledError) {
+			n.fresh.stop(err.Stream)
 			events.Log(n.Log, events.FormatUnknown).Str("stream", err.Stream).Int64("offset", err.Offset).Err(err).Send()
 		},
 		SnapshotDone: func(at int64, written bool) {
@@ -154,7 +161,7 @@
 	}
 	k := &ledger.Keeper{
 		System: n.system, Feed: n.feed(fmt.Sprintf("ledger/%d", shard)), Book: book, Failed: n.panicked,
-		Violated: func(err error) { events.Log(n.Log, events.Overspend).Err(err).Send() },
+		Violated: n.violated, Folded: n.folded,
 	}
 	k.Default()
 	return k
@@ -194,7 +201,7 @@
 			t, ok := n.current.get().byKey[sha256]
 			return t, ok
 		},
-		Ledger: n.LedgerOf, Once: n.OnceOf, Route: n.Route, Call: callService(n.target),
+		Served: n.served, Ledger: n.LedgerOf, Once: n.OnceOf, Route: n.Route, Call: callService(n.target),
 		Generate: &serve.Server{
 			Pick: n.Route.Pick, Done: n.Route.Done, Retry: n.Route.Retry, Open: open(n.target), Cancel: n.cancelAttempt,
 			Left: n.leaving, Broke: n.broke,
@@ -304,7 +311,10 @@
 			return n.stop(work)
 		}
 	})
-	defer func() { _ = n.peers.Close() }()
+	defer func() {
+		_ = n.peers.Close()
+		_ = n.meter.Close()
+	}()
 	return g.Wait()
 }
 
@@ -313,12 +323,12 @@
 func (n *Node) Kill() { close(n.killed) }
 
 // parts is the number of parts that run besides the keepers of ledger and once.
-const parts = 8
+const parts = 9
 
 // runs returns what runs side by side.
 func (n *Node) runs() []func(ctx context.Context) error {
 	runs := make([]func(ctx context.Context) error, 0, parts+len(n.Ledger)+len(n.Once))
-	runs = append(runs, n.Front.Run, n.Oper.Run, n.Conf.Run, n.peerServer.Run, n.gossip.Run, n.pollList, n.pollLoad, n.prime)
+	runs = append(runs, n.Front.Run, n.Oper.Run, n.Conf.Run, n.peerServer.Run, n.gossip.Run, n.pollList, n.pollLoad, n.prime, n.gauges)
 	for _, k := range n.Ledger {
 		runs = append(runs, k.Run)
 	}
--- /dev/null
+++ b/io/node/observe.go
@@ -0,0 +1,168 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"cranberryrail/core/burn"
+	"cranberryrail/core/codes"
+	"cranberryrail/core/conf"
+	"cranberryrail/core/events"
+	"cranberryrail/core/ledger"
+	"cranberryrail/core/roster"
+	"cranberryrail/core/serve"
+	"cranberryrail/io/front"
+	"cranberryrail/io/meter"
+)
+
+// reportBurn is the kind of report on service levels.
+const reportBurn = "burn"
+
+// gaugeEvery is the time between two updates of gauges.
+const gaugeEvery = time.Second
+
+func (n *Node) makeMeters() {
+	n.meter = &meter.Meter{}
+	n.meter.Default()
+	n.burn = &burn.Meter{Instance: n.Settings.Instance.ID, Objectives: n.objectives, Now: time.Now}
+	n.burn.Default()
+}
+
+// objectives returns the objectives of an organisation.
+func (n *Node) objectives(organisation string) (conf.Objectives, bool) {
+	for _, p := range n.current.get().templates {
+		if p.Template.Organisation == organisation {
+			return p.Template.Objectives, true
+		}
+	}
+	return conf.Objectives{}, false
+}
+
+// served counts what became of a request.
+func (n *Node) served(s front.Served) {
+	class := meter.NoClass
+	if s.Organisation != "" {
+		class = meter.ClassOf(s.Priority)
+	}
+	var code codes.Code
+	sample := burn.Sample{Organisation: s.Organisation, Whole: true}
+	if s.Err != nil {
+		code = s.Err.Code
+		sample = burn.Refusal(s.Organisation, code)
+		sample.Excluded = sample.Excluded || s.CallerGone
+	}
+	sample.FirstToken, sample.Gap = s.FirstToken, s.Gap
+	n.burn.Observe(sample)
+	n.meter.Request(class, code)
+	if s.FirstToken > 0 {
+		n.meter.FirstToken(class, s.FirstToken)
+	}
+	if s.Tokens > 0 {
+		n.meter.Billed(class, s.Tokens)
+	}
+}
+
+// violated logs and counts a broken invariant of a ledger.
+func (n *Node) violated(err error) {
+	n.meter.Violation(meter.Overspend)
+	events.Log(n.Log, events.Overspend).Err(err).Send()
+}
+
+// folded counts what the ledger decided on items of this instance.
+func (n *Node) folded(inc string, results []ledger.Result) {
+	for _, r := range results {
+		switch {
+		case r.Kind == ledger.KindTopUp && r.Refused == "" && !r.Repeated:
+			events.Log(n.Log, events.TopUpAccepted).Str("budget", r.Budget).Int64("tokens", r.Tokens).Send()
+		case inc != n.Inc:
+		case r.Kind == ledger.KindDraw && r.Refused == "":
+			n.meter.Draw(meter.Granted)
+			events.Log(n.Log, events.DrawGranted).Str("budget", r.Budget).Int64("tokens", r.Tokens).Send()
+		case r.Kind == ledger.KindDraw:
+			n.meter.Draw(meter.Refused)
+			events.Log(n.Log, events.DrawRefused).Str("budget", r.Budget).Str("cause", string(r.Refused)).Send()
+		case r.Kind == ledger.KindCharge && r.Repeated:
+			events.Log(n.Log, events.DoubleCharge).Str("budget", r.Budget).Str("request_id", r.Request).Int64("added", r.Tokens).Send()
+		}
+	}
+}
+
+// broke logs and counts an attempt that failed.
+func (n *Node) broke(t roster.Target, c serve.Call, err *serve.AttemptError) {
+	e := events.StreamCut
+	switch err.Kind {
+	case serve.Silent:
+		e = events.TargetSilent
+	case serve.Crossed:
+		e = events.FrameForeign
+	case serve.Leaving:
+		e = events.TargetLeaving
+	}
+	n.meter.StreamCut()
+	events.Log(n.Log, e).Str("target", t.ID).Str("request_id", c.RequestID).Int("attempt", c.Attempt).
+		Str("kind", string(err.Kind)).Err(err.Err).Send()
+}
+
+// gauges keeps the gauges up to date.
+func (n *Node) gauges(ctx context.Context) error {
+	return every(ctx, gaugeEvery, func(context.Context) {
+		n.meter.LogReached(n.reach.ok())
+		n.meter.ConfigVersion(n.current.get().version)
+		n.meter.ConfigAge(n.ConfigAge())
+		n.watchAge()
+		for i, k := range n.Ledger {
+			n.meter.LedgerOffset(i, k.Feed.Next())
+		}
+	})
+}
+
+// burnReport merges the reports on service levels of all instances that are known.
+func (n *Node) burnReport(ctx context.Context) (any, error) {
+	now := time.Now()
+	peers := n.view.Snapshot(now)
+	reports := make([]burn.InstanceReport, 1+len(peers))
+	reports[0] = n.burn.Report(now)
+	var g errgroup.Group
+	g.SetLimit(reportSide)
+	for i, p := range peers {
+		g.Go(func() error {
+			reports[i+1] = n.askBurn(ctx, p)
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return burn.Merge(reports), nil
+}
+
+// askBurn returns the report of another instance, or one that says why it is missing.
+func (n *Node) askBurn(ctx context.Context, p roster.Peer) burn.InstanceReport {
+	var report burn.InstanceReport
+	data, err := n.peers.Report(ctx, p.PeerAddr, reportBurn)
+	if err == nil {
+		err = json.Unmarshal(data, &report)
+	}
+	if err != nil {
+		id := p.InstanceID
+		if id == "" {
+			id = p.PeerAddr
+		}
+		return burn.InstanceReport{Instance: id, Missing: err.Error()}
+	}
+	return report
+}
+
+// ownReport returns a report of this instance in JSON.
+func (n *Node) ownReport(kind string) ([]byte, error) {
+	switch kind {
+	case reportState:
+		return json.Marshal(n.state())
+	case reportBurn:
+		return json.Marshal(n.burn.Report(time.Now()))
+	default:
+		return nil, fmt.Errorf("there is no report %q", kind)
+	}
+}
--- a/io/node/operate.go
+++ b/io/node/operate.go
@@ -1,11 +1,13 @@
 package node
 
 import (
+	"context"
 	"slices"
 	"strings"
 
 	"cranberryrail/core/codes"
 	"cranberryrail/core/conf"
+	"cranberryrail/core/events"
 	"cranberryrail/core/ledger"
 	"cranberryrail/core/roster"
 	"cranberryrail/io/oper"
@@ -21,6 +23,9 @@
 		Usage:     n.usage,
 		Targets:   n.targets,
 		Instances: n.instances,
+		Reports:   map[string]func(ctx context.Context) (any, error){reportBurn: n.burnReport},
+		Metrics:   n.meter.Handler(),
+		Refused:   func(remote string) { events.Log(n.Log, events.OperatorRefused).Str("remote", remote).Send() },
 	}
 	n.Oper.Default()
 }
@@ -87,9 +92,11 @@
 
 // state returns what this instance says of itself.
 func (n *Node) state() oper.InstanceState {
+	age := n.ConfigAge()
 	s := oper.InstanceState{
 		ID: n.Settings.Instance.ID, Incarnation: n.Inc, Zone: n.Settings.Instance.Zone, PeerAddr: n.PeerAddr(),
 		State: "starting", ConfigVersion: n.current.get().version, LogReached: n.reach.ok(), InFlight: n.Front.InFlight(),
+		ConfigAgeMS: age.Milliseconds(), Stale: age > staleAfter, Stalled: n.fresh.stopped(),
 	}
 	switch {
 	case n.Front.Stopping():
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -37,7 +37,7 @@
 	direct := n.watched(n.plat.Log())
 	n.relay = &peer.Relay{Direct: direct, Peers: n.peersByReach, Client: n.peers, Failed: n.peerFailed, Changed: n.pathChanged}
 	n.relay.Default()
-	n.log = n.relay.Log()
+	n.log = n.noting(n.relay.Log())
 	n.peerServer = &peer.Server{
 		Listen: s.Listen, View: n.ownView, Log: direct, State: n.streamState, Lend: n.lend, Report: n.ownReport,
 		Others: func(most int) []roster.PeerView { return n.view.Views(most, time.Now()) },
@@ -98,11 +98,15 @@
 	events.Log(n.Log, e).Str("path", string(p)).Send()
 }
 
+// PeerListenAddr returns the address on which other instances are listened for.
+func (n *Node) PeerListenAddr() string { return n.peerServer.Addr() }
+
 // ownView returns what this instance says of itself.
 func (n *Node) ownView() roster.PeerView {
 	return roster.PeerView{
 		InstanceID: n.Settings.Instance.ID, Incarnation: n.Inc, Zone: n.Settings.Instance.Zone, PeerAddr: n.PeerAddr(),
 		ConfigVersion: n.current.get().version, Stopping: n.Front.Stopping(), LogReached: n.direct.ok(),
+		ConfigAgeMS: n.ConfigAge().Milliseconds(),
 		LeavingTargets: n.view.LeavingTargets(),
 	}
 }
@@ -211,14 +215,6 @@
 	return parts
 }
 
-// ownReport returns a report of this instance in JSON.
-func (n *Node) ownReport(kind string) ([]byte, error) {
-	if kind != reportState {
-		return nil, fmt.Errorf("there is no report %q", kind)
-	}
-	return json.Marshal(n.state())
-}
-
 // instances returns the state of all instances that are known; those that do not answer
 // are shown as missing.
 func (n *Node) instances(ctx context.Context) []oper.InstanceState {
@@ -241,7 +237,7 @@
 func (n *Node) askState(ctx context.Context, p roster.Peer) oper.InstanceState {
 	state := oper.InstanceState{
 		ID: p.InstanceID, Incarnation: p.Incarnation, Zone: p.Zone, PeerAddr: p.PeerAddr, State: "missing",
-		ConfigVersion: p.ConfigVersion, LogReached: p.LogReached,
+		ConfigVersion: p.ConfigVersion, ConfigAgeMS: p.ConfigAgeMS, LogReached: p.LogReached,
 	}
 	data, err := n.peers.Report(ctx, p.PeerAddr, reportState)
 	if err == nil {
--- a/io/node/poll.go
+++ b/io/node/poll.go
@@ -111,18 +111,3 @@
 		return nil
 	})
 }
-
-// broke logs an attempt that failed.
-func (n *Node) broke(t roster.Target, c serve.Call, err *serve.AttemptError) {
-	e := events.StreamCut
-	switch err.Kind {
-	case serve.Silent:
-		e = events.TargetSilent
-	case serve.Crossed:
-		e = events.FrameForeign
-	case serve.Leaving:
-		e = events.TargetLeaving
-	}
-	events.Log(n.Log, e).Str("target", t.ID).Str("request_id", c.RequestID).Int("attempt", c.Attempt).
-		Str("kind", string(err.Kind)).Err(err.Err).Send()
-}
