--- /dev/null
+++ b/cmd/measure.go
@@ -0,0 +1,45 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"cranberryrail/fake/probe"
+	"cranberryrail/fake/routs"
+)
+
+func (a *App) measureOverhead() command {
+	b := probe.Bench{}
+	var firstMS, gapMS int64
+	sub := newSub("overhead", "measure what an instance adds to a request", "measure overhead --requests 4000")
+	sub.Int(&b.Requests, "", "requests", "Requests of each measurement.")
+	sub.Int(&b.Tokens, "", "tokens", "Tokens of each answer.")
+	sub.Int(&b.Streams, "", "streams", "Open streams for the measurement of memory.")
+	sub.Int64(&firstMS, "", "first-token-ms", "Time to the first token at the stand-in engine.")
+	sub.Int64(&gapMS, "", "token-gap-ms", "Time between tokens at the stand-in engine.")
+	return command{sub, func(ctx context.Context) error {
+		b.Out, b.FirstToken, b.TokenGap = a.Stdout, time.Duration(firstMS)*time.Millisecond, time.Duration(gapMS)*time.Millisecond
+		b.Default()
+		return measured(&b, b.Run(ctx))
+	}}
+}
+
+func (a *App) measureRouting() command {
+	b := routs.Bench{Seed: 1}
+	sub := newSub("routing", "compare the routing policies on a model of engines", "measure routing --seed 1")
+	sub.UInt64(&b.Seed, "", "seed", "Seed of the run.")
+	return command{sub, func(ctx context.Context) error {
+		b.Out = a.Stdout
+		b.Default()
+		return measured(&b, b.Run(ctx))
+	}}
+}
+
+// measured says what was being measured when it failed.
+func measured(what fmt.Stringer, err error) error {
+	if err != nil {
+		return fmt.Errorf("measure the %s: %w", what, err)
+	}
+	return nil
+}
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -70,7 +70,8 @@
 // groups returns the subcommands that have subcommands of their own.
 func (a *App) groups() map[string][]command {
 	return map[string][]command{
-		"fake": {a.fakePlatform(), a.fakeEngine(), a.fakeService()},
+		"measure": {a.measureOverhead(), a.measureRouting()},
+		"fake":    {a.fakePlatform(), a.fakeEngine(), a.fakeService()},
 	}
 }
 
