--- a/cmd/measure.go
+++ b/cmd/measure.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"time"
 
+	"cranberryrail/fake/pace"
 	"cranberryrail/fake/probe"
 	"cranberryrail/fake/routs"
+	"cranberryrail/fake/trade"
 )
 
 func (a *App) measureOverhead() command {
@@ -25,6 +27,30 @@
 	}}
 }
 
+func (a *App) measureAllowances() command {
+	b := trade.Table{Seed: 1}
+	sub := newSub("allowances", "compare the policies that size allowances under faults", "measure allowances --seed 1")
+	sub.UInt64(&b.Seed, "", "seed", "Seed of the run.")
+	return command{sub, func(ctx context.Context) error {
+		b.Out = a.Stdout
+		b.Default()
+		return measured(&b, b.Run(ctx))
+	}}
+}
+
+func (a *App) measurePublishing() command {
+	var b pace.Bench
+	sub := newSub("publishing", "measure how fast a change is in force and what idle instances cost",
+		"measure publishing --instances 8 --instances 32 --changes 100")
+	sub.IntSlice(&b.Instances, "", "instances", "Size of a fleet; may be repeated.")
+	sub.Int(&b.Changes, "", "changes", "Changes that are timed.")
+	return command{sub, func(ctx context.Context) error {
+		b.Out = a.Stdout
+		b.Default()
+		return measured(&b, b.Run(ctx))
+	}}
+}
+
 func (a *App) measureRouting() command {
 	b := routs.Bench{Seed: 1}
 	sub := newSub("routing", "compare the routing policies on a model of engines", "measure routing --seed 1")
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -70,7 +70,8 @@
 // groups returns the subcommands that have subcommands of their own.
 func (a *App) groups() map[string][]command {
 	return map[string][]command{
-		"measure": {a.measureOverhead(), a.measureRouting()},
+		"soak":    {a.soakBudgets(), a.soakCalls(), a.soakConfig(), a.soakServing()},
+		"measure": {a.measureOverhead(), a.measureRouting(), a.measureAllowances(), a.measurePublishing()},
 		"fake":    {a.fakePlatform(), a.fakeEngine(), a.fakeService()},
 	}
 }
--- a/cmd/root_test.go
+++ b/cmd/root_test.go
@@ -11,7 +11,9 @@
 func subcommands() []string {
 	return []string{
 		"", "check", "publish", "set", "remove", "templates", "topup", "budgets", "usage", "targets", "instances",
-		"report", "fake", "fake platform", "fake engine", "fake service",
+		"report", "burn", "demo", "serve", "fake", "fake platform", "fake engine", "fake service",
+		"measure", "measure overhead", "measure routing", "measure allowances", "measure publishing",
+		"soak", "soak budgets", "soak calls", "soak config", "soak serving",
 	}
 }
 
