feat: give a final answer to callers of a claim whose holder died; close once incarnations

Cause: a key whose winner was killed stayed claimed, and retries were told to come back in 1 s without end; the once stream had no last item, so the gate kept each incarnation for ever (both found by the randomised run of core/once). A claim that callers have asked for longer than the longest call plus 30 s is now answered with outcome_unknown and no time to come back.

--- a/core/events/table.go
+++ b/core/events/table.go
@@ -25,6 +25,7 @@
 	SnapshotLoaded    = Event{2011, "snapshot_loaded", Info, "The state of a stream was loaded from a snapshot."}
 	SnapshotMissing   = Event{2012, "snapshot_missing", Error, "No whole snapshot with an unbroken tail was found."}
 	StateFetched      = Event{2013, "state_fetched", Info, "The state of a stream was loaded from another instance."}
+	SnapshotFailed    = Event{2014, "snapshot_failed", Warn, "A snapshot of a stream could not be written; it is due again later."}
 	DrawGranted       = Event{3001, "draw_granted", Debug, "A draw on a budget was granted."}
 	DrawRefused       = Event{3002, "draw_refused", Info, "A draw on a budget was refused, because it does not fit."}
 	AllowanceReturned = Event{3003, "allowance_returned", Info, "Unused allowance was returned to its budget."}
@@ -69,7 +70,7 @@
 		StopGaveUp, ListenFailed,
 		LogUnreachable, LogBack, RelayUsed, ListUnreachable, ListBack, FormatUnknown,
 		RecordBroken, KindUnknown, Trimmed, SnapshotWritten, SnapshotLoaded, SnapshotMissing,
-		StateFetched,
+		StateFetched, SnapshotFailed,
 		DrawGranted, DrawRefused, AllowanceReturned, AllowanceLent, AllowanceLow, AllowanceStranded,
 		DoubleCharge, TopUpAccepted, BudgetExhausted,
 		ClaimWon, ClaimLost, ClaimVoided, OutcomeUnknown,
--- a/core/ledger/keeper.go
+++ b/core/ledger/keeper.go
@@ -309,25 +309,23 @@
 // be read back, and closes the incarnation. It returns the context's error when
 // that takes too long; what is left then counts as spent.
 func (k *Keeper) Stop(ctx context.Context) error {
-	if err := k.awaitStop(ctx); err != nil {
+	if err := shard.Farewell(ctx, k.Feed, StopPoll, k.stop, k.bye); err != nil {
 		return fmt.Errorf("return allowances of %s: %w", k.Feed.Stream, err)
 	}
 	return nil
 }
 
-// awaitStop polls until all is returned and the farewell was read back.
-func (k *Keeper) awaitStop(ctx context.Context) error {
-	said := false
-	return shard.Settle(ctx, StopPoll, func() (bool, error) {
-		inFlight, err := k.shard.Ask(stopMsg{})
-		if err != nil || !k.Feed.Idle() {
-			return false, err
-		}
-		if said || inFlight.(int) > 0 {
-			return said, nil
-		}
-		said = true
-		_, err = k.shard.Ask(stopMsg{bye: true})
-		return false, err
-	})
+// stop returns what is unbound and the number of grants in flight.
+func (k *Keeper) stop() (int, error) {
+	inFlight, err := k.shard.Ask(stopMsg{})
+	if err != nil {
+		return 0, err
+	}
+	return inFlight.(int), nil
+}
+
+// bye sends the last item of the incarnation.
+func (k *Keeper) bye() error {
+	_, err := k.shard.Ask(stopMsg{bye: true})
+	return err
 }
--- a/core/once/book.go
+++ b/core/once/book.go
@@ -68,7 +68,12 @@
 	Decided func(id int64, r Ruling)
 	// Wait is how long a caller waits for its claim, or for the answer of another attempt.
 	Wait time.Duration
+	// Open is the time for which callers are told to come back to a claim that another
+	// instance holds; after it they are told that the outcome is not known.
+	Open time.Duration
 
+	// open holds since when callers ask for a claim that another instance holds.
+	open    map[string]time.Time
 	entries map[string]*entry
 	nextID  int64
 	logDown bool
@@ -88,7 +93,11 @@
 	if b.Wait == 0 {
 		b.Wait = 2 * time.Second
 	}
+	if b.Open == 0 {
+		b.Open = time.Minute
+	}
 	b.entries = map[string]*entry{}
+	b.open = map[string]time.Time{}
 }
 
 // String names the book for logs.
@@ -292,18 +301,43 @@
 		e.waiting = kept
 		b.forget(key)
 	}
+	for key := range b.open {
+		if c := b.Fold.Call(key); c == nil || c.State != Claimed {
+			delete(b.open, key)
+		}
+	}
 }
 
 // unsettled returns the refusal of a caller whose claim can't be settled now; why tells
 // what is wrong when no attempt with the key is known.
 func (b *Book) unsettled(key, why string) *codes.Error {
 	if b.Fold.Call(key) != nil {
+		if b.openFor(key) > b.Open {
+			return &codes.Error{Code: codes.OutcomeUnknown, Run: codes.Unknown,
+				Detail: "the instance that holds the claim has not answered; ask the service whether the call took effect"}
+		}
 		return &codes.Error{Code: codes.ClaimLost, Run: codes.Unknown, RetryAfter: RetryBusy,
 			Detail: "another attempt with this key is being served; ask again with the same key"}
 	}
 	return codes.Refuse(codes.ClaimUnavailable, RetryLogDown, "%s; this attempt was not made", why)
 }
 
+// openFor returns for how long callers have been asking for a claim that another instance
+// holds; 0 while it is served here.
+func (b *Book) openFor(key string) time.Duration {
+	if e := b.entries[key]; e != nil && e.serving != 0 {
+		return 0
+	}
+	now := b.Now()
+	if _, ok := b.open[key]; !ok {
+		b.open[key] = now
+	}
+	return now.Sub(b.open[key])
+}
+
+// Bye sends the last item of the incarnation.
+func (b *Book) Bye() { b.send("", KindBye, Bye{}) }
+
 // Restore replaces the folded state by a later one. Claims of this instance that the
 // state has as won go to their callers as usual.
 func (b *Book) Restore(state []byte) error {
--- a/core/once/fold.go
+++ b/core/once/fold.go
@@ -18,6 +18,7 @@
 	KindVoid   = "void"
 	KindResult = "result"
 	KindDoubt  = "doubt"
+	KindBye    = "bye"
 )
 
 // Bounds of what is kept.
@@ -56,6 +57,11 @@
 	TooLarge bool
 }
 
+// Bye is the last item of an incarnation that stops as planned.
+type Bye struct {
+	_ struct{} `cbor:",toarray"`
+}
+
 // Doubt records that a dispatched call may or may not have run.
 type Doubt struct {
 	_   struct{} `cbor:",toarray"`
@@ -136,6 +142,9 @@
 		}
 		e.Kind = item.Kind
 		f.Applied[inc]++
+		if item.Kind == KindBye {
+			delete(f.Applied, inc)
+		}
 		events = append(events, e)
 	}
 	return events, nil
--- a/core/once/keeper.go
+++ b/core/once/keeper.go
@@ -51,6 +51,9 @@
 // logMsg tells whether the platform's log is in reach.
 type logMsg struct{ reached bool }
 
+// byeMsg sends the last item of the incarnation; it is its own response.
+type byeMsg struct{}
+
 // busyMsg asks for the number of calls in flight.
 type busyMsg struct{}
 
@@ -69,11 +72,8 @@
 	k.Book.Default()
 	k.shard = &shard.Shard{
 		System: k.System, Feed: k.Feed, Failed: k.Failed, Receive: k.receive, Restore: k.Book.Restore,
-		Save: k.Book.Fold.Save,
-		Apply: func(_ int64, b tail.Batch) error {
-			_, err := k.Book.Apply(b)
-			return err
-		},
+		Save:  k.Book.Fold.Save,
+		Apply: k.apply,
 		Tick: func(ready bool) {
 			k.Book.SetReady(ready)
 			k.Book.Tick()
@@ -110,6 +110,9 @@
 		k.Book.SetLog(m.reached)
 	case busyMsg:
 		ctx.Respond(k.Book.InFlight())
+	case byeMsg:
+		k.Book.Bye()
+		ctx.Respond(byeMsg{})
 	}
 }
 
@@ -143,14 +146,37 @@
 // Reached tells whether the platform's log is in reach.
 func (k *Keeper) Reached(reached bool) { k.shard.Tell(logMsg{reached: reached}) }
 
-// Stop waits for the calls in flight and for their records to be read back.
+// Stop waits for the calls in flight and for their records to be read back, and closes
+// the incarnation.
 func (k *Keeper) Stop(ctx context.Context) error {
-	err := shard.Settle(ctx, StopPoll, func() (bool, error) {
-		busy, err := k.shard.Ask(busyMsg{})
-		return err == nil && busy.(int) == 0 && k.Feed.Idle(), err
-	})
-	if err != nil {
+	if err := shard.Farewell(ctx, k.Feed, StopPoll, k.busy, k.bye); err != nil {
 		return fmt.Errorf("record the results of %s: %w", k.Feed.Stream, err)
 	}
 	return nil
 }
+
+// busy returns the number of calls in flight.
+func (k *Keeper) busy() (int, error) {
+	n, err := k.shard.Ask(busyMsg{})
+	if err != nil {
+		return 0, err
+	}
+	return n.(int), nil
+}
+
+// bye sends the last item of the incarnation.
+func (k *Keeper) bye() error {
+	_, err := k.shard.Ask(byeMsg{})
+	return err
+}
+
+// apply folds one batch; an incarnation that said goodbye writes nothing more.
+func (k *Keeper) apply(offset int64, b tail.Batch) error {
+	events, err := k.Book.Apply(b)
+	for _, e := range events {
+		if e.Kind == KindBye {
+			k.Feed.Close(offset, b.Inc)
+		}
+	}
+	return err
+}
--- a/core/shard/shard.go
+++ b/core/shard/shard.go
@@ -155,3 +155,20 @@
 		}
 	}
 }
+
+// Farewell waits until nothing is in flight and everything sent was read back, lets bye
+// send the last item of the incarnation, and waits until that was read back too.
+func Farewell(ctx context.Context, feed *tail.Feed, every time.Duration, inFlight func() (int, error), bye func() error) error {
+	said := false
+	return Settle(ctx, every, func() (bool, error) {
+		n, err := inFlight()
+		if err != nil || !feed.Idle() {
+			return false, err
+		}
+		if said || n > 0 {
+			return said, nil
+		}
+		said = true
+		return false, bye()
+	})
+}
--- a/fake/havoc/havoc.go
+++ b/fake/havoc/havoc.go
@@ -34,6 +34,7 @@
 	callTimeout       = 600 * time.Millisecond
 	stopTimeout       = 10 * time.Second
 	snapshotEvery     = 200
+	retention         = 1000
 	engineCapacity    = 256
 )
 
@@ -154,7 +155,7 @@
 	r.fleet = &fleet.Fleet{
 		Instances: r.Instances, Engines: r.Engines, Services: r.Services, Capacity: engineCapacity,
 		FirstToken: firstToken, TokenGap: tokenGap, Change: change, Log: r.Log,
-		Platform: &platf.Server{Seed: r.Seed, ListLag: listLag},
+		Platform: &platf.Server{Seed: r.Seed, ListLag: listLag, Retention: retention},
 	}
 	r.fleet.Default()
 	if err := r.fleet.Start(ctx); err != nil {
--- a/io/node/conf_test.go
+++ b/io/node/conf_test.go
@@ -295,6 +295,24 @@
 	})
 }
 
+// TestQuietStreamOutlivesRetention keeps one record of a stream on which nothing happens.
+func TestQuietStreamOutlivesRetention(t *testing.T) {
+	t.Parallel()
+	f := start(t, &fleet.Fleet{
+		Instances: 2, Platform: &platf.Server{Seed: 1, Retention: 1},
+		Change: func(_ int, s *opts.Settings) { s.Ledger.SnapshotAgeMS = 1000 },
+	})
+	version := accept(t, f.Nodes[0], change("only", 0, 1))
+	awaitSnapshot(t, f, 1)
+	for _, m := range f.Nodes {
+		m.Kill()
+		f.Platform.DeleteInstance(m.Settings.Instance.ID)
+	}
+	m, err := f.StartInstance()
+	assert.NilError(t, err)
+	awaitVersion(t, f, m, version)
+}
+
 // TestUnknownFormat writes a record of a later build to the stream of the configuration.
 func TestUnknownFormat(t *testing.T) {
 	t.Parallel()
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -140,6 +140,10 @@
 	return time.Duration(xxhash.Sum64String(n.Inc) % uint64(snapshotSpread))
 }
 
+// openMargin is added to the longest time of a call before a claim without an answer counts
+// as one whose outcome is not known.
+const openMargin = 30 * time.Second
+
 func (n *Node) makeStreams() {
 	n.Conf = &conf.Keeper{System: n.system, Feed: n.feed(conf.Stream), Applied: n.applied, Failed: n.panicked}
 	n.Conf.Default()
@@ -147,7 +151,9 @@
 		n.Ledger = append(n.Ledger, n.makeLedger(i))
 	}
 	for i := range n.Settings.Once.Shards {
-		book := &once.Book{Fold: once.New(), Wait: n.Settings.Once.ClaimWaitMS.Duration()}
+		book := &once.Book{
+			Fold: once.New(), Wait: n.Settings.Once.ClaimWaitMS.Duration(), Open: n.Settings.Target.CallTimeoutMS.Duration() + openMargin,
+		}
 		k := &once.Keeper{System: n.system, Feed: n.feed(fmt.Sprintf("once/%d", i)), Book: book, Failed: n.panicked}
 		k.Default()
 		n.Once = append(n.Once, k)
@@ -323,12 +329,12 @@
 func (n *Node) Kill() { close(n.killed) }
 
 // parts is the number of parts that run besides the keepers of ledger and once.
-const parts = 9
+const parts = 10
 
 // runs returns what runs side by side.
 func (n *Node) runs() []func(ctx context.Context) error {
 	runs := make([]func(ctx context.Context) error, 0, parts+len(n.Ledger)+len(n.Once))
-	runs = append(runs, n.Front.Run, n.Oper.Run, n.Conf.Run, n.peerServer.Run, n.gossip.Run, n.pollList, n.pollLoad, n.prime, n.gauges)
+	runs = append(runs, n.Front.Run, n.Oper.Run, n.Conf.Run, n.peerServer.Run, n.gossip.Run, n.pollList, n.pollLoad, n.prime, n.gauges, n.renew)
 	for _, k := range n.Ledger {
 		runs = append(runs, k.Run)
 	}
--- a/io/node/observe.go
+++ b/io/node/observe.go
@@ -44,6 +44,7 @@
 
 // served counts what became of a request.
 func (n *Node) served(s front.Served) {
+	n.listed.use(time.Now())
 	class := meter.NoClass
 	if s.Organisation != "" {
 		class = meter.ClassOf(s.Priority)
--- a/io/node/poll.go
+++ b/io/node/poll.go
@@ -16,6 +16,11 @@
 const (
 	// listEvery is the time between two reads of the platform's list.
 	listEvery = time.Second
+	// idleAfter is the time without a request after which an instance counts as idle.
+	idleAfter = 10 * time.Second
+	// idleRounds is the number of rounds of which an idle instance asks for loads in one. The
+	// reports are then still young enough for route.ReportKept.
+	idleRounds = 10
 	// loadTimeout bounds one read of a target's load.
 	loadTimeout = time.Second
 	// loadSide is the number of targets asked for their load at the same time.
@@ -27,8 +32,15 @@
 // targets holds the targets of the last list that the platform gave.
 type targets struct {
 	p atomic.Pointer[[]roster.Target]
+	// used is when a request last ended, in nanoseconds.
+	used atomic.Int64
 }
 
+// use notes that the instance is not idle.
+func (t *targets) use(now time.Time) { t.used.Store(now.UnixNano()) }
+
+func (t *targets) idle(now time.Time) bool { return now.Sub(time.Unix(0, t.used.Load())) > idleAfter }
+
 // targetList returns the targets of the last list that the platform gave.
 func (n *Node) targetList() []roster.Target {
 	if list := n.listed.p.Load(); list != nil {
@@ -78,9 +90,15 @@
 	})
 }
 
-// pollLoad asks the targets for their load.
+// pollLoad asks the targets for their load, less often while the instance is idle.
 func (n *Node) pollLoad(ctx context.Context) error {
+	n.listed.use(time.Now())
+	round := 0
 	return every(ctx, n.Settings.Target.LoadEveryMS.Duration(), func(ctx context.Context) {
+		round++
+		if n.Front.InFlight() == 0 && n.listed.idle(time.Now()) && round%idleRounds != 0 {
+			return
+		}
 		var g errgroup.Group
 		g.SetLimit(loadSide)
 		for _, t := range n.targetList() {
--- a/io/opts/opts.go
+++ b/io/opts/opts.go
@@ -76,6 +76,7 @@
 	LingerMS      MS    `toml:"linger_ms" unit:"ms" default:"5" allowed:"0..1000" doc:"How long a batch waits for further items."`
 	ReserveWaitMS MS    `toml:"reserve_wait_ms" unit:"ms" default:"400" allowed:"0..60000" doc:"Longest time that a request waits for allowance."`
 	SnapshotEvery int64 `toml:"snapshot_every" unit:"records" default:"5000" allowed:"10..500000" doc:"Records of a stream between two snapshots."`
+	SnapshotAgeMS MS    `toml:"snapshot_age_ms" unit:"ms" default:"3600000" allowed:"1000..86400000" doc:"Time after which a snapshot of each stream is written anew; well below the time for which the platform keeps records."`
 }
 
 // Once parameterises the streams of non-idempotent calls.
