fix: match shares by the beginning of a target's id; index targets by model

Found by reading; the new subtest of TestCandidates fails without the change. A choice among 12,000 targets of 7 models looked at all of them.

--- /dev/null
+++ b/core/route/bench_test.go
@@ -0,0 +1,40 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cranberryrail/core/roster"
+	"cranberryrail/core/route"
+)
+
+// BenchmarkPick measures a choice among as many runners as the fleet is designed for, of
+// which each model has a seventh.
+func BenchmarkPick(b *testing.B) {
+	const models = 7
+	for _, n := range []int{20, 1_000, 12_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			now := time.Unix(0, 0)
+			table := &route.Table{Now: func() time.Time { return now }}
+			table.Default()
+			targets := make([]roster.Target, 0, n)
+			for i := range n {
+				targets = append(targets, roster.Target{
+					ID: fmt.Sprintf("engine-%05d", i), Incarnation: fmt.Sprint("inc-", i), Kind: roster.ModelEngine, State: roster.Live,
+					Models: []roster.Model{{Model: fmt.Sprint("model-", i%models), Version: "1"}},
+				})
+			}
+			table.SetTargets(targets)
+			i := 0
+			for b.Loop() {
+				i++
+				choice, err := table.Pick(route.Request{Model: fmt.Sprint("model-", i%models), Prefix: fmt.Sprint("prompt ", i%400)})
+				assert.NilError(b, err)
+				table.Done(choice.Token, route.OK)
+			}
+		})
+	}
+}
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -57,8 +58,12 @@
 
 // serving returns the targets that serve the request and are not leaving.
 func (t *Table) serving(r Request) []*target {
-	return filter(t.targets, func(c *target) bool {
-		if t.leaving.Contains(c.Incarnation) || !serves(c, r) {
+	among := t.byModel[r.Model]
+	if r.Service != "" {
+		among = t.byService[r.Service]
+	}
+	return filter(among, func(c *target) bool {
+		if !serves(c, r) || t.leaving.Contains(c.Incarnation) {
 			return false
 		}
 		return len(r.Shares) == 0 || slices.ContainsFunc(r.Shares, func(s Share) bool { return s.matches(c, r.Model) })
@@ -80,7 +85,7 @@
 
 func (s Share) matches(c *target, model string) bool {
 	return s.Weight > 0 &&
-		(s.Target == "" || s.Target == c.ID) &&
+		strings.HasPrefix(c.ID, s.Target) &&
 		(s.Zone == "" || s.Zone == c.Zone) &&
 		(s.Version == "" || c.offers(model, s.Version))
 }
@@ -232,7 +237,7 @@
 }
 
 func filter(candidates []*target, keep func(*target) bool) []*target {
-	kept := make([]*target, 0, len(candidates))
+	var kept []*target
 	for _, c := range candidates {
 		if keep(c) {
 			kept = append(kept, c)
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -64,7 +64,8 @@
 type Share struct {
 	Version string `json:"version,omitempty"`
 	Zone    string `json:"zone,omitempty"`
-	Target  string `json:"target,omitempty"`
+	// Target is how the ids of the targets begin.
+	Target string `json:"target,omitempty"`
 	// Weight is the part relative to the other shares; a share of weight 0 is not used.
 	Weight int `json:"weight"`
 }
@@ -117,6 +118,8 @@
 
 	rand       *rand.Rand
 	targets    []*target
+	byModel    map[string][]*target
+	byService  map[string][]*target
 	leaving    *simplelru.LRU[string, struct{}]
 	dispatches map[int64]dispatch
 	lastToken  int64
@@ -188,6 +191,24 @@
 	}
 	slices.SortFunc(next, func(a, b *target) int { return strings.Compare(a.ID, b.ID) })
 	t.targets = next
+	t.index()
+}
+
+// index groups the targets by the models and services that they serve, so that a choice
+// looks at those alone.
+func (t *Table) index() {
+	t.byModel, t.byService = map[string][]*target{}, map[string][]*target{}
+	for _, c := range t.targets {
+		if c.Service != "" {
+			t.byService[c.Service] = append(t.byService[c.Service], c)
+		}
+		for i, m := range c.Models {
+			listed := slices.ContainsFunc(c.Models[:i], func(before roster.Model) bool { return before.Model == m.Model })
+			if !listed {
+				t.byModel[m.Model] = append(t.byModel[m.Model], c)
+			}
+		}
+	}
 }
 
 // Report takes a target's own load report, received at now.
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -127,6 +128,13 @@
 	t.Run("were not tried", func(t *testing.T) {
 		assert.Equal(t, f.pick(t, route.Request{Avoid: []string{"e1"}}).Target.ID, "e0")
 	})
+	t.Run("match the beginning of an id", func(t *testing.T) {
+		for range 20 {
+			c := f.pick(t, route.Request{Shares: []route.Share{{Target: "e", Weight: 1}}})
+			assert.Assert(t, strings.HasPrefix(c.Target.ID, "e"))
+			f.Done(c.Token, route.OK)
+		}
+	})
 	t.Run("match a share", func(t *testing.T) {
 		got := map[string]int{}
 		for range 400 {
