--- a/cmd/client.go
+++ b/cmd/client.go
@@ -19,8 +19,9 @@
 const (
 	// keyEnv is the environment variable with the operators' key.
 	keyEnv = "CRANBERRYRAIL_OPERATOR_KEY"
-	// callTimeout is the longest time for one request to an instance.
-	callTimeout = 30 * time.Second
+	// callTimeout is the longest time for one request to an instance. It is longer than an
+	// instance waits for a record to be read back.
+	callTimeout = 40 * time.Second
 	// maxReplyBytes is the size of the largest reply that is read.
 	maxReplyBytes = 64 << 20
 )
--- a/cmd/publish.go
+++ b/cmd/publish.go
@@ -25,6 +25,7 @@
 	*client
 	wait    bool
 	timeout time.Duration
+	id      string
 }
 
 // published is what became of an accepted change.
@@ -39,6 +40,7 @@
 	p := &publisher{client: a.newClient(sub), wait: true, timeout: waitTimeout}
 	sub.Bool(&p.wait, "w", "wait", "Wait until every instance confirms the version; --wait=false does not.")
 	sub.Duration(&p.timeout, "", "wait-timeout", "Longest time to wait.")
+	sub.String(&p.id, "", "id", "Id of the change; repeat it with the same id when the outcome is not known.")
 	return p
 }
 
@@ -81,7 +83,10 @@
 
 // send publishes a change and prints what became of it.
 func (p *publisher) send(ctx context.Context, c oper.Change) error {
-	c.ID, c.By = uuid.NewString(), p.app.Getenv("USER")
+	c.ID, c.By = p.id, p.app.Getenv("USER")
+	if c.ID == "" {
+		c.ID = uuid.NewString()
+	}
 	var done published
 	err := p.call(ctx, http.MethodPost, "/v1/changes", c, &done.Outcome)
 	var refused *RefusedError
@@ -89,7 +94,7 @@
 		return p.conflict(ctx, refused, c)
 	}
 	if err != nil {
-		return err
+		return fmt.Errorf("publish; when the outcome is not known, repeat it with --id %s --based-on %d: %w", c.ID, c.BasedOn, err)
 	}
 	if !p.json {
 		p.app.printf("accepted: version %d\n", done.Outcome.Version)
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -40,6 +40,12 @@
 	run func(ctx context.Context) error
 }
 
+// group is a subcommand that has subcommands of its own.
+type group struct {
+	name, description string
+	commands          []command
+}
+
 // Main runs the command line and returns the exit status.
 func Main(args []string) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -68,11 +74,15 @@
 }
 
 // groups returns the subcommands that have subcommands of their own.
-func (a *App) groups() map[string][]command {
-	return map[string][]command{
-		"soak":    {a.soakBudgets(), a.soakCalls(), a.soakConfig(), a.soakServing()},
-		"measure": {a.measureOverhead(), a.measureRouting(), a.measureAllowances(), a.measurePublishing()},
-		"fake":    {a.fakePlatform(), a.fakeEngine(), a.fakeService()},
+func (a *App) groups() []group {
+	return []group{
+		{"fake", "run a stand-in for tests and load runs", []command{a.fakePlatform(), a.fakeEngine(), a.fakeService()}},
+		{"measure", "measure and write a table", []command{
+			a.measureOverhead(), a.measureRouting(), a.measureAllowances(), a.measurePublishing(),
+		}},
+		{"soak", "run at random with invariants asserted", []command{
+			a.soakBudgets(), a.soakCalls(), a.soakConfig(), a.soakServing(),
+		}},
 	}
 }
 
@@ -148,13 +158,13 @@
 	for _, c := range all {
 		p.AttachSubcommand(c.sub, 1)
 	}
-	for group, commands := range a.groups() {
-		sub := newSub(group, "run a stand-in for tests and load runs", group+" "+commands[0].sub.Name)
+	for _, g := range a.groups() {
+		sub := newSub(g.name, g.description, g.name+" "+g.commands[0].sub.Name)
 		p.AttachSubcommand(sub, 1)
-		for _, c := range commands {
+		for _, c := range g.commands {
 			sub.AttachSubcommand(c.sub, 1)
 		}
-		all = append(all, commands...)
+		all = append(all, g.commands...)
 	}
 	return p, all
 }
--- a/cmd/wait.go
+++ b/cmd/wait.go
@@ -62,6 +62,8 @@
 		switch {
 		case i.ConfigVersion >= version:
 			inForce = append(inForce, i.ID)
+		case i.ID == "":
+			// An address from the settings at which no instance ever answered.
 		case i.State != stopping:
 			waiting = append(waiting, fmt.Sprintf("%s (%s, version %d)", i.ID, i.State, i.ConfigVersion))
 		}
--- a/core/events/table.go
+++ b/core/events/table.go
@@ -12,26 +12,22 @@
 	StopDone          = Event{1006, "stop_done", Info, "Every request in flight ended and the allowances are returned."}
 	StopGaveUp        = Event{1007, "stop_gave_up", Error, "The shutdown ran out of time or was told to hurry; the fields say what is given up."}
 	ListenFailed      = Event{1008, "listen_failed", Error, "An address could not be listened on."}
-	LogUnreachable    = Event{2001, "log_unreachable", Warn, "The platform's log can't be reached directly."}
+	LogUnreachable    = Event{2001, "log_unreachable", Warn, "The platform's log can't be reached, neither directly nor through another instance."}
 	LogBack           = Event{2002, "log_back", Info, "The platform's log is reached again."}
 	RelayUsed         = Event{2003, "relay_used", Warn, "The platform's log is reached through another instance."}
 	ListUnreachable   = Event{2004, "list_unreachable", Warn, "The platform's list can't be reached."}
 	ListBack          = Event{2005, "list_back", Info, "The platform's list is reached again."}
 	FormatUnknown     = Event{2006, "format_unknown", Error, "A record has a format that this build can't read, and its stream is no longer followed."}
-	RecordBroken      = Event{2007, "record_broken", Error, "A record could not be decoded."}
 	KindUnknown       = Event{2008, "kind_unknown", Warn, "An item of an unknown kind was skipped."}
 	Trimmed           = Event{2009, "trimmed", Warn, "Records that were still to be read are no longer kept."}
-	SnapshotWritten   = Event{2010, "snapshot_written", Info, "A snapshot of a stream was read back."}
+	SnapshotWritten   = Event{2010, "snapshot_written", Info, "A snapshot of a stream was appended."}
 	SnapshotLoaded    = Event{2011, "snapshot_loaded", Info, "The state of a stream was loaded from a snapshot."}
-	SnapshotMissing   = Event{2012, "snapshot_missing", Error, "No whole snapshot with an unbroken tail was found."}
 	StateFetched      = Event{2013, "state_fetched", Info, "The state of a stream was loaded from another instance."}
 	SnapshotFailed    = Event{2014, "snapshot_failed", Warn, "A snapshot of a stream could not be written; it is due again later."}
 	DrawGranted       = Event{3001, "draw_granted", Debug, "A draw on a budget was granted."}
 	DrawRefused       = Event{3002, "draw_refused", Info, "A draw on a budget was refused, because it does not fit."}
 	AllowanceReturned = Event{3003, "allowance_returned", Info, "Unused allowance was returned to its budget."}
 	AllowanceLent     = Event{3004, "allowance_lent", Debug, "Allowance was lent to another instance."}
-	AllowanceLow      = Event{3005, "allowance_low", Warn, "The allowance is nearly used up while the log can't be reached."}
-	AllowanceStranded = Event{3006, "allowance_stranded", Warn, "Allowance is held by an incarnation that reports no more."}
 	DoubleCharge      = Event{3007, "double_charge_suppressed", Info, "A second charge for one request was dropped."}
 	TopUpAccepted     = Event{3008, "top_up_accepted", Info, "A top-up was added to a budget."}
 	BudgetExhausted   = Event{3009, "budget_exhausted", Info, "A request was refused, because the budget does not cover it."}
@@ -39,26 +35,18 @@
 	ClaimLost         = Event{4002, "claim_lost", Info, "Another instance holds the claim of a non-idempotent call."}
 	ClaimVoided       = Event{4003, "claim_voided", Info, "A claim was voided before dispatch."}
 	OutcomeUnknown    = Event{4004, "outcome_unknown", Warn, "A non-idempotent call was dispatched and its outcome is not known."}
-	TargetNew         = Event{5001, "target_new", Info, "A target or a new incarnation of one was learned of."}
 	TargetLeaving     = Event{5002, "target_leaving", Info, "A target is leaving and gets no new work."}
 	TargetSilent      = Event{5003, "target_silent", Warn, "A target sent nothing within the configured time."}
-	TargetRetired     = Event{5004, "target_connections_retired", Warn, "The open connections to a target were retired."}
-	TargetBack        = Event{5005, "target_back", Info, "A target that had failed answers again."}
 	StreamResumed     = Event{5006, "stream_resumed", Info, "An answer was resumed after its stream broke off."}
 	StreamCut         = Event{5007, "stream_cut", Warn, "An answer broke off and could not be resumed."}
 	FrameForeign      = Event{5008, "frame_foreign", Error, "A frame of another request, attempt or position was dropped and its stream cut off."}
-	RetryBudgetSpent  = Event{5009, "retry_budget_spent", Warn, "A retry was not made, because the retry budget is used up."}
-	CallerSlow        = Event{5010, "caller_slow", Info, "A caller that reads too slowly was cut off."}
 	ConfApplied       = Event{6001, "configuration_applied", Info, "A change of the configuration is in force at this instance."}
 	ConfRefused       = Event{6002, "configuration_refused", Info, "A change of the configuration was refused."}
-	ConfStale         = Event{6003, "configuration_stale", Warn, "A configuration older than the one in force was ignored."}
 	OperatorRefused   = Event{6004, "operator_refused", Warn, "A request with a missing or wrong operator key was refused."}
 	ConfUnconfirmed   = Event{6005, "configuration_unconfirmed", Warn, "The configuration could not be confirmed for a while; a newer one may be in force elsewhere."}
 	ConfConfirmed     = Event{6006, "configuration_confirmed", Info, "The configuration is confirmed as the newest again."}
 	PeerUnreachable   = Event{7001, "peer_unreachable", Warn, "Another instance can't be reached."}
 	PeerBack          = Event{7002, "peer_back", Info, "Another instance is reached again."}
-	PeerLeaving       = Event{7003, "peer_leaving", Info, "Another instance is leaving."}
-	InvariantViolated = Event{9001, "invariant_violated", Error, "Something that must always hold does not; the fields say what."}
 	Overspend         = Event{9002, "overspend", Error, "More was spent or granted than the budget holds."}
 	Panic             = Event{9003, "panic_recovered", Error, "A panic was recovered while a request was served."}
 )
@@ -69,15 +57,15 @@
 		Start, SettingsLoaded, Ready, NotReady, StopBegan, StopDone,
 		StopGaveUp, ListenFailed,
 		LogUnreachable, LogBack, RelayUsed, ListUnreachable, ListBack, FormatUnknown,
-		RecordBroken, KindUnknown, Trimmed, SnapshotWritten, SnapshotLoaded, SnapshotMissing,
+		KindUnknown, Trimmed, SnapshotWritten, SnapshotLoaded,
 		StateFetched, SnapshotFailed,
-		DrawGranted, DrawRefused, AllowanceReturned, AllowanceLent, AllowanceLow, AllowanceStranded,
+		DrawGranted, DrawRefused, AllowanceReturned, AllowanceLent,
 		DoubleCharge, TopUpAccepted, BudgetExhausted,
 		ClaimWon, ClaimLost, ClaimVoided, OutcomeUnknown,
-		TargetNew, TargetLeaving, TargetSilent, TargetRetired, TargetBack, StreamResumed,
-		StreamCut, FrameForeign, RetryBudgetSpent, CallerSlow,
-		ConfApplied, ConfRefused, ConfStale, OperatorRefused, ConfUnconfirmed, ConfConfirmed,
-		PeerUnreachable, PeerBack, PeerLeaving,
-		InvariantViolated, Overspend, Panic,
+		TargetLeaving, TargetSilent, StreamResumed,
+		StreamCut, FrameForeign,
+		ConfApplied, ConfRefused, OperatorRefused, ConfUnconfirmed, ConfConfirmed,
+		PeerUnreachable, PeerBack,
+		Overspend, Panic,
 	}
 }
--- a/core/ledger/keeper.go
+++ b/core/ledger/keeper.go
@@ -41,6 +41,8 @@
 	Violated func(err error)
 	// Folded is told of the results of each batch; optional.
 	Folded func(inc string, results []Result)
+	// Decided is told of the decision on each need; optional.
+	Decided func(refused *codes.Error)
 	// Failed is told when the actor panicked; the process should end.
 	Failed func(reason any)
 
@@ -57,6 +59,9 @@
 	if k.Violated == nil {
 		k.Violated = func(error) {}
 	}
+	if k.Decided == nil {
+		k.Decided = func(*codes.Error) {}
+	}
 	if k.Folded == nil {
 		k.Folded = func(string, []Result) {}
 	}
@@ -225,6 +230,7 @@
 		return Grant{}, codes.From(err, codes.NotRun)
 	}
 	answer := response.(Answer)
+	k.Decided(answer.Refused)
 	if answer.Refused != nil {
 		return Grant{}, answer.Refused
 	}
--- a/core/ledger/records.go
+++ b/core/ledger/records.go
@@ -14,6 +14,15 @@
 	KindBye    = "bye"
 )
 
+// KnownKind reports whether this build folds items of a kind; others are skipped.
+func KnownKind(kind string) bool {
+	switch kind {
+	case KindTopUp, KindDraw, KindCharge, KindReturn, KindBye:
+		return true
+	}
+	return false
+}
+
 // BudgetKey returns the key of a budget of an organisation.
 func BudgetKey(organisation, name string) string { return organisation + "/" + name }
 
--- a/core/once/keeper.go
+++ b/core/once/keeper.go
@@ -24,6 +24,8 @@
 	Feed *tail.Feed
 	// Book decides; its Send, Decided and Now are set by Default where empty.
 	Book *Book
+	// Noted is told what became of the items of each batch; optional.
+	Noted func(inc string, noted []Event)
 	// Failed is told when the actor panicked; the process should end.
 	Failed func(reason any)
 
@@ -62,6 +64,9 @@
 
 // Default fills fields that were left empty and starts the actor.
 func (k *Keeper) Default() {
+	if k.Noted == nil {
+		k.Noted = func(string, []Event) {}
+	}
 	k.askers = map[int64]*actor.PID{}
 	k.Book.Inc = k.Feed.Inc
 	k.Book.Send = k.Feed.Add
@@ -173,6 +178,7 @@
 // apply folds one batch; an incarnation that said goodbye writes nothing more.
 func (k *Keeper) apply(offset int64, b tail.Batch) error {
 	events, err := k.Book.Apply(b)
+	k.Noted(b.Inc, events)
 	for _, e := range events {
 		if e.Kind == KindBye {
 			k.Feed.Close(offset, b.Inc)
--- a/io/node/adapt.go
+++ b/io/node/adapt.go
@@ -28,13 +28,14 @@
 	}
 }
 
-// open sends a call to an engine.
-func open(c *target.Client) func(ctx context.Context, addr string, call serve.Call) (serve.Stream, error) {
+// open sends a call to an engine and tells opened of it when it was taken.
+func open(c *target.Client, opened func(serve.Call)) func(ctx context.Context, addr string, call serve.Call) (serve.Stream, error) {
 	return func(ctx context.Context, addr string, call serve.Call) (serve.Stream, error) {
 		stream, err := c.Generate(ctx, addr, engineCall(call))
 		if err != nil {
 			return serve.Stream{}, asAttempt(err)
 		}
+		opened(call)
 		next := func() (serve.Frame, error) {
 			f, err := stream.Next()
 			if errors.Is(err, io.EOF) {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -77,6 +78,8 @@
 	failed     chan error
 	killed     chan struct{}
 	primed     atomic.Bool
+	// lost holds the addresses of instances that did not answer last.
+	lost sync.Map
 	// background holds short orders to targets that nobody waits for.
 	background errgroup.Group
 }
@@ -117,7 +120,7 @@
 func (n *Node) feed(stream string) *tail.Feed {
 	return &tail.Feed{
 		Log: n.log, Stream: stream, Inc: n.Inc, Linger: n.Settings.Ledger.LingerMS.Duration(),
-		SnapshotEvery: n.Settings.Ledger.SnapshotEvery, SnapshotTurn: n.snapshotTurn, Contact: n.reach.contact, Fetch: n.fetch,
+		SnapshotEvery: n.Settings.Ledger.SnapshotEvery, SnapshotTurn: n.snapshotTurn, Contact: n.contact(stream), Fetch: n.fetch,
 		Stalled: func(err *tail.StalledError) {
 			n.fresh.stop(err.Stream)
 			events.Log(n.Log, events.FormatUnknown).Str("stream", err.Stream).Int64("offset", err.Offset).Err(err).Send()
@@ -154,7 +157,7 @@
 		book := &once.Book{
 			Fold: once.New(), Wait: n.Settings.Once.ClaimWaitMS.Duration(), Open: n.Settings.Target.CallTimeoutMS.Duration() + openMargin,
 		}
-		k := &once.Keeper{System: n.system, Feed: n.feed(fmt.Sprintf("once/%d", i)), Book: book, Failed: n.panicked}
+		k := &once.Keeper{System: n.system, Feed: n.feed(fmt.Sprintf("once/%d", i)), Book: book, Noted: n.claimed, Failed: n.panicked}
 		k.Default()
 		n.Once = append(n.Once, k)
 	}
@@ -167,7 +170,7 @@
 	}
 	k := &ledger.Keeper{
 		System: n.system, Feed: n.feed(fmt.Sprintf("ledger/%d", shard)), Book: book, Failed: n.panicked,
-		Violated: n.violated, Folded: n.folded,
+		Violated: n.violated, Folded: n.folded, Decided: n.reserved,
 	}
 	k.Default()
 	return k
@@ -209,7 +212,7 @@
 		},
 		Served: n.served, Ledger: n.LedgerOf, Once: n.OnceOf, Route: n.Route, Call: callService(n.target),
 		Generate: &serve.Server{
-			Pick: n.Route.Pick, Done: n.Route.Done, Retry: n.Route.Retry, Open: open(n.target), Cancel: n.cancelAttempt,
+			Pick: n.Route.Pick, Done: n.Route.Done, Retry: n.Route.Retry, Open: open(n.target, n.opened), Cancel: n.cancelAttempt,
 			Left: n.leaving, Broke: n.broke,
 		},
 	}
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"cranberryrail/core/ledger"
@@ -201,9 +202,11 @@
 	f := start(t, &fleet.Fleet{Instances: 2, Engines: 1, TokenGap: 5 * time.Millisecond})
 	open(t, f, 100_000)
 	done := make(chan reply, 1)
-	go func() {
+	var g errgroup.Group
+	g.Go(func() error {
 		done <- post(t, f.Nodes[0], "/v1/completions", fleet.Key("acme"), promptBody("slow", 60, true))
-	}()
+		return nil
+	})
 	ctx, cancel := context.WithTimeout(context.Background(), testTime)
 	defer cancel()
 	assert.NilError(t, f.Await(ctx, func() bool { return f.Nodes[0].Front.InFlight() == 1 }))
--- a/io/node/observe.go
+++ b/io/node/observe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 
@@ -13,8 +14,10 @@
 	"cranberryrail/core/conf"
 	"cranberryrail/core/events"
 	"cranberryrail/core/ledger"
+	"cranberryrail/core/once"
 	"cranberryrail/core/roster"
 	"cranberryrail/core/serve"
+	"cranberryrail/core/tail"
 	"cranberryrail/io/front"
 	"cranberryrail/io/meter"
 )
@@ -65,6 +68,37 @@
 	if s.Tokens > 0 {
 		n.meter.Billed(class, s.Tokens)
 	}
+	if code == codes.AnswerCut && !s.CallerGone {
+		n.meter.StreamCut()
+	}
+}
+
+// reserved counts the decision on a need.
+func (n *Node) reserved(refused *codes.Error) {
+	if refused == nil {
+		n.meter.Reservation(meter.Granted)
+		return
+	}
+	n.meter.Reservation(meter.Refused)
+	if refused.Code == codes.BudgetExhausted {
+		events.Log(n.Log, events.BudgetExhausted).Str("detail", refused.Detail).Send()
+	}
+}
+
+// resultOf returns whether a record was taken.
+func resultOf(err error) meter.Result {
+	if err != nil {
+		return meter.Refused
+	}
+	return meter.Granted
+}
+
+// opened counts a stream that goes on where an earlier one broke off.
+func (n *Node) opened(c serve.Call) {
+	if c.ResumeFrom > 0 {
+		n.meter.StreamResumed()
+		events.Log(n.Log, events.StreamResumed).Str("request_id", c.RequestID).Int("position", c.ResumeFrom).Send()
+	}
 }
 
 // violated logs and counts a broken invariant of a ledger.
@@ -77,6 +111,8 @@
 func (n *Node) folded(inc string, results []ledger.Result) {
 	for _, r := range results {
 		switch {
+		case !ledger.KnownKind(r.Kind):
+			events.Log(n.Log, events.KindUnknown).Str("kind", r.Kind).Send()
 		case r.Kind == ledger.KindTopUp && r.Refused == "" && !r.Repeated:
 			events.Log(n.Log, events.TopUpAccepted).Str("budget", r.Budget).Int64("tokens", r.Tokens).Send()
 		case inc != n.Inc:
@@ -86,12 +122,63 @@
 		case r.Kind == ledger.KindDraw:
 			n.meter.Draw(meter.Refused)
 			events.Log(n.Log, events.DrawRefused).Str("budget", r.Budget).Str("cause", string(r.Refused)).Send()
+		case r.Kind == ledger.KindReturn && r.Refused == "":
+			events.Log(n.Log, events.AllowanceReturned).Str("budget", r.Budget).Int64("tokens", r.Tokens).Send()
 		case r.Kind == ledger.KindCharge && r.Repeated:
 			events.Log(n.Log, events.DoubleCharge).Str("budget", r.Budget).Str("request_id", r.Request).Int64("added", r.Tokens).Send()
 		}
 	}
 }
 
+// claimed logs what became of items of this instance in a once stream.
+func (n *Node) claimed(inc string, noted []once.Event) {
+	for _, e := range noted {
+		kind, ok := claimEvent(e)
+		if inc == n.Inc && ok {
+			events.Log(n.Log, kind).Str("key", e.Key).Send()
+		}
+	}
+}
+
+// claimEvent returns the event of the log for an item of a once stream.
+func claimEvent(e once.Event) (events.Event, bool) {
+	switch {
+	case e.Kind == once.KindClaim && e.Won:
+		return events.ClaimWon, true
+	case e.Kind == once.KindClaim:
+		return events.ClaimLost, true
+	case e.Kind == once.KindVoid:
+		return events.ClaimVoided, true
+	case e.Kind == once.KindDoubt:
+		return events.OutcomeUnknown, true
+	}
+	return events.Event{}, false
+}
+
+// contact notes the outcome of a read or append of a stream.
+func (n *Node) contact(stream string) func(err error) {
+	return func(err error) {
+		n.reach.contact(err)
+		var trimmed *tail.TrimmedError
+		if errors.As(err, &trimmed) {
+			events.Log(n.Log, events.Trimmed).Str("stream", stream).Int64("earliest", trimmed.Earliest).Send()
+		}
+	}
+}
+
+// peerContact logs when another instance goes out of reach and comes back.
+func (n *Node) peerContact(addr string, err error) {
+	_, lost := n.lost.Load(addr)
+	switch {
+	case err != nil && !lost:
+		n.lost.Store(addr, struct{}{})
+		events.Log(n.Log, events.PeerUnreachable).Str("addr", addr).Err(err).Send()
+	case err == nil && lost:
+		n.lost.Delete(addr)
+		events.Log(n.Log, events.PeerBack).Str("addr", addr).Send()
+	}
+}
+
 // broke logs and counts an attempt that failed.
 func (n *Node) broke(t roster.Target, c serve.Call, err *serve.AttemptError) {
 	e := events.StreamCut
@@ -103,14 +190,20 @@
 	case serve.Leaving:
 		e = events.TargetLeaving
 	}
-	n.meter.StreamCut()
 	events.Log(n.Log, e).Str("target", t.ID).Str("request_id", c.RequestID).Int("attempt", c.Attempt).
 		Str("kind", string(err.Kind)).Err(err.Err).Send()
 }
 
 // gauges keeps the gauges up to date.
 func (n *Node) gauges(ctx context.Context) error {
+	ready := false
 	return every(ctx, gaugeEvery, func(context.Context) {
+		if was := ready; n.primed.Load() {
+			ready = n.Ready()
+			if was && !ready {
+				events.Log(n.Log, events.NotReady).Send()
+			}
+		}
 		n.meter.LogReached(n.reach.ok())
 		n.meter.ConfigVersion(n.current.get().version)
 		n.meter.ConfigAge(n.ConfigAge())
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -45,7 +45,7 @@
 	}
 	n.peerServer.Default()
 	n.gossip = &peer.Gossip{
-		View: n.view, Client: n.peers, Own: n.ownView,
+		View: n.view, Client: n.peers, Own: n.ownView, Contact: n.peerContact,
 		Leaving: func(incarnations []string) { n.Route.Leaving(incarnations...) },
 		Version: func() int64 { return n.current.get().version }, Behind: n.behind,
 	}
@@ -59,6 +59,7 @@
 		Append: func(ctx context.Context, stream string, data []byte) (int64, error) {
 			offset, err := log.Append(ctx, stream, data)
 			n.direct.contact(err)
+			n.meter.Append(stream, resultOf(err))
 			return offset, err
 		},
 		Read: func(ctx context.Context, stream string, from int64, wait time.Duration) (tail.Page, error) {
