--- a/cmd/measure.go
+++ b/cmd/measure.go
@@ -8,6 +8,7 @@
 	"cranberryrail/fake/pace"
 	"cranberryrail/fake/probe"
 	"cranberryrail/fake/routs"
+	"cranberryrail/fake/slope"
 	"cranberryrail/fake/trade"
 )
 
@@ -62,6 +63,18 @@
 	}}
 }
 
+func (a *App) measureSlopes() command {
+	var b slope.Bench
+	sub := newSub("slopes", "measure what one more of each thing costs an instance", "measure slopes --budgets 330000")
+	sub.Int(&b.Budgets, "", "budgets", "Number of budgets.")
+	sub.Int(&b.Targets, "", "targets", "Number of targets.")
+	return command{sub, func(ctx context.Context) error {
+		b.Out = a.Stdout
+		b.Default()
+		return measured(&b, b.Run(ctx))
+	}}
+}
+
 // measured says what was being measured when it failed.
 func measured(what fmt.Stringer, err error) error {
 	if err != nil {
