fix: resume at exactly one incarnation, replace an attempt that is sent again, know targets before readiness

Causes found by the tests of serving under failure: a list that is out of date flipped a restarted target back and forgot its load; the setting target.max_in_flight_each had no effect; a retry at the same instance got 1010 until the first attempt ended, even when its caller's connection was silent; a new instance was ready before it knew any target.

--- a/core/codes/table.go
+++ b/core/codes/table.go
@@ -15,7 +15,7 @@
 	TooManyInFlight  = Code{1007, "too_many_in_flight", http.StatusTooManyRequests, "The organisation has as many requests in flight as its template allows."}
 	BodyTimeout      = Code{1008, "body_timeout", http.StatusRequestTimeout, "The body did not arrive within the configured time."}
 	RequestIDReused  = Code{1009, "request_id_reused", http.StatusConflict, "The request id was used before with another body."}
-	RequestIDActive  = Code{1010, "request_id_active", http.StatusConflict, "An attempt with this request id is being served by this instance."}
+	RequestIDActive  = Code{1010, "request_id_active", http.StatusConflict, "An earlier attempt with this request id has not ended yet at this instance."}
 	BudgetExhausted  = Code{2001, "budget_exhausted", http.StatusPaymentRequired, "The budget does not cover the most that this request may use."}
 	BudgetUnknown    = Code{2002, "budget_unknown", http.StatusPaymentRequired, "The organisation has no budget of this name."}
 	BudgetElsewhere  = Code{2003, "budget_elsewhere", http.StatusServiceUnavailable, "The rest of the budget is held by other instances and could not be obtained in time."}
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -42,7 +42,7 @@
 	}
 	usable := usable(untried(serving, r.Avoid), now)
 	room := filter(usable, func(c *target) bool {
-		return t.estimate(c, now) < t.limit(c, r.Priority) && !c.load.full(now)
+		return t.estimate(c, now) < t.limit(c, r.Priority) && !c.load.full(now) && (t.Each == 0 || c.load.inFlight < t.Each)
 	})
 	if len(room) == 0 {
 		return Choice{}, codes.Refuse(codes.Overloaded, t.drain(usable, r.Priority, now),
@@ -63,13 +63,18 @@
 		among = t.byService[r.Service]
 	}
 	return filter(among, func(c *target) bool {
-		if !serves(c, r) || t.leaving.Contains(c.Incarnation) {
+		if !serves(c, r) || t.leaving.Contains(c.Incarnation) || !only(c, r.Only) {
 			return false
 		}
 		return len(r.Shares) == 0 || slices.ContainsFunc(r.Shares, func(s Share) bool { return s.matches(c, r.Model) })
 	})
 }
 
+// only reports whether a target is the one that is asked for, if one is.
+func only(c *target, t *roster.Target) bool {
+	return t == nil || t.ID == c.ID && t.Incarnation == c.Incarnation
+}
+
 func serves(c *target, r Request) bool {
 	if r.Service != "" {
 		return c.Service == r.Service
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -84,6 +84,8 @@
 	Zone string
 	// Priority is from 0 to TopPriority.
 	Priority int
+	// Only restricts the choice to this incarnation of a target; nil for any.
+	Only *roster.Target
 	// Avoid holds the ids of targets that were tried; they are used only when there is no other.
 	Avoid []string
 	// Shares restrict and weigh the targets; empty means all alike.
@@ -111,6 +113,8 @@
 	// Instances is the number of instances that place requests on the same targets, this one
 	// included. It may be changed at any time.
 	Instances int
+	// Each is the most requests in flight from this instance to one target; 0 is no limit.
+	Each int
 	// Seed is the source of random choices.
 	Seed uint64
 	// Now is the clock.
@@ -260,20 +264,17 @@
 	d.target.health.outcome(now, o, d.epoch)
 }
 
-// adopt takes another incarnation of a target. An incarnation that was seen before does
-// not replace one that is leaving: it comes from a list that is out of date.
+// adopt takes another incarnation of a target. One that was seen before does not come
+// back: it is from a list or a report that is out of date.
 func (t *Table) adopt(known *target, incarnation string) {
 	if incarnation == known.Incarnation {
 		return
 	}
-	seen := slices.Contains(known.seen, incarnation)
-	if seen && t.leaving.Contains(known.Incarnation) {
+	if slices.Contains(known.seen, incarnation) {
 		return
 	}
-	if !seen {
-		known.seen = append(known.seen, incarnation)
-		known.seen = known.seen[max(0, len(known.seen)-SeenKept):]
-	}
+	known.seen = append(known.seen, incarnation)
+	known.seen = known.seen[max(0, len(known.seen)-SeenKept):]
 	known.Incarnation = incarnation
 	known.load = load{}
 	known.health = health{}
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -95,6 +95,14 @@
 		f.SetTargets(f.list)
 		assertUsed(t, f, false)
 	})
+	t.Run("a list that is out of date does not bring an earlier incarnation back", func(t *testing.T) {
+		f := newFixture(1)
+		old := f.list[0].Incarnation
+		f.Report(f.list[0].ID, roster.Load{Incarnation: "restarted", Capacity: 1}, f.now)
+		f.SetTargets(f.list)
+		assert.Equal(t, f.list[0].Incarnation, old)
+		assert.Equal(t, f.pick(t, route.Request{}).Target.Incarnation, "restarted")
+	})
 	t.Run("is learned from the list", func(t *testing.T) {
 		f := newFixture(2)
 		gone := f.list[0]
@@ -128,6 +136,13 @@
 	t.Run("were not tried", func(t *testing.T) {
 		assert.Equal(t, f.pick(t, route.Request{Avoid: []string{"e1"}}).Target.ID, "e0")
 	})
+	t.Run("are the one incarnation that is asked for", func(t *testing.T) {
+		only := f.list[1]
+		assert.Equal(t, f.pick(t, route.Request{Only: &only}).Target.Incarnation, only.Incarnation)
+		only.Incarnation = "gone"
+		_, err := f.Pick(route.Request{Model: modelName, Only: &only})
+		assertRefused(t, err, codes.NoTarget)
+	})
 	t.Run("match the beginning of an id", func(t *testing.T) {
 		for range 20 {
 			c := f.pick(t, route.Request{Shares: []route.Share{{Target: "e", Weight: 1}}})
@@ -194,6 +209,17 @@
 	})
 }
 
+func TestLimitOfEachTarget(t *testing.T) {
+	f := newFixture(1)
+	f.Each = 2
+	first := f.pick(t, route.Request{})
+	f.pick(t, route.Request{})
+	_, err := f.Pick(route.Request{Model: modelName})
+	assertRefused(t, err, codes.Overloaded)
+	f.Done(first.Token, route.OK)
+	f.pick(t, route.Request{})
+}
+
 func TestPriorities(t *testing.T) {
 	for _, c := range []struct{ priority, want int }{{0, 4}, {4, 6}, {9, 8}} {
 		t.Run(fmt.Sprintf("priority %d is admitted up to %d requests", c.priority, c.want), func(t *testing.T) {
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -210,15 +210,8 @@
 		return r.server.Pick(r.req.Route)
 	}
 	request := r.req.Route
-	request.Shares = []route.Share{{Target: r.pinned.ID, Weight: 1}}
-	request.Avoid, request.Priority = nil, route.TopPriority
-	choice, err := r.server.Pick(request)
-	if err == nil && (choice.Target.ID != r.pinned.ID || choice.Target.Incarnation != r.pinned.Incarnation) {
-		r.server.Done(choice.Token, route.Cancelled)
-		return route.Choice{}, codes.Refuse(codes.NoTarget, route.NoTargetRetry,
-			"target %s was replaced and no longer keeps the answer", r.pinned.ID)
-	}
-	return choice, err
+	request.Only, request.Shares, request.Avoid, request.Priority = r.pinned, nil, nil, route.TopPriority
+	return r.server.Pick(request)
 }
 
 // relay passes the frames of one attempt on.
--- a/fake/drift/node.go
+++ b/fake/drift/node.go
@@ -327,9 +327,7 @@
 	n, last := r.nodes[place], r.upTo(longestFault)
 	switch r.rand.IntN(6) {
 	case 0:
-		r.Stats.Kills++
-		n.gone = true
-		r.birth(place)
+		r.kill(place)
 	case 1:
 		r.Stats.Pauses++
 		n.paused = true
@@ -359,6 +357,33 @@
 	}
 }
 
+// kill replaces an instance, unless no other one could go on from where the log begins: what
+// only the last such instance holds can't survive it.
+func (r *Run) kill(place int) {
+	earliest := r.earliest()
+	for _, n := range r.nodes {
+		if n.place != place && n.ready && n.next >= earliest {
+			r.Stats.Kills++
+			r.nodes[place].gone = true
+			r.birth(place)
+			return
+		}
+	}
+}
+
+// earliest returns the offset of the first record that is kept.
+func (r *Run) earliest() int64 {
+	down := r.log.Down
+	r.log.Down = false
+	_, err := r.log.Read(0)
+	r.log.Down = down
+	var trimmed *tail.TrimmedError
+	if errors.As(err, &trimmed) {
+		return trimmed.Earliest
+	}
+	return 0
+}
+
 // trim drops records that some instance has folded, often also the last snapshot.
 func (r *Run) trim() {
 	r.Stats.Trims++
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -85,7 +85,7 @@
 	if s.Ready == nil {
 		s.Ready = func() bool { return true }
 	}
-	s.active.ids = map[string]struct{}{}
+	s.active.ids = map[string]*active{}
 	s.server = &http.Server{
 		Handler:           s.handler(),
 		ReadHeaderTimeout: s.Settings.HeaderTimeoutMS.Duration(),
--- a/io/front/generate.go
+++ b/io/front/generate.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -54,9 +55,11 @@
 		return refused
 	}
 	id := a.req.engineID()
-	if !s.active.enter(id) {
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	if !s.active.enter(ctx, id, cancel) {
 		return &codes.Error{Code: codes.RequestIDActive, Run: codes.Unknown, RetryAfter: time.Second,
-			Detail: "wait for the answer of the first attempt, or use another request id"}
+			Detail: "the attempt before this one is still ending; send the request again"}
 	}
 	defer s.active.leave(id)
 	keeper := s.Ledger(ledger.BudgetKey(t.Organisation, a.req.budget))
@@ -64,11 +67,11 @@
 	if err != nil {
 		return codes.From(err, codes.NotRun)
 	}
-	if r.Context().Err() != nil {
+	if ctx.Err() != nil {
 		keeper.Free(grant.ID)
-		return codes.Refuse(codes.AnswerCut, 0, "the caller is gone")
+		return codes.Refuse(codes.AnswerCut, 0, "the caller is gone, or sent the request again")
 	}
-	usage, err := s.Generate.Generate(r.Context(), dispatch(a.req, grant, t), a.emit)
+	usage, err := s.Generate.Generate(ctx, dispatch(a.req, grant, t), a.emit)
 	keeper.Settle(grant.ID, usage.Tokens())
 	a.billed = usage.Tokens()
 	if err != nil {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -78,6 +78,7 @@
 	failed     chan error
 	killed     chan struct{}
 	primed     atomic.Bool
+	loadsAsked atomic.Bool
 	// lost holds the addresses of instances that did not answer last.
 	lost sync.Map
 	// background holds short orders to targets that nobody waits for.
@@ -198,6 +199,7 @@
 	a := &route.Actor{}
 	a.Retries.Ratio = n.Settings.Target.RetryRatio
 	a.Limits.Global = n.Settings.Caller.MaxInFlight
+	a.Table.Each = n.Settings.Target.MaxInFlightEach
 	a.Table.Seed = xxhash.Sum64String(n.Inc)
 	n.Route = &route.Client{Root: n.system.Root, PID: n.system.Root.Spawn(a.Props())}
 }
@@ -347,9 +349,9 @@
 	return runs
 }
 
-// prime makes the instance ready once its streams are read and its first allowances are
-// held, so that an outage right afterwards finds it able to serve. It does not wait for
-// allowances for longer than primeWait.
+// prime makes the instance ready once its streams are read, its first allowances are held
+// and the targets are known, so that an outage right afterwards finds it able to serve.
+// It does not wait for allowances and targets for longer than primeWait.
 func (n *Node) prime(ctx context.Context) error {
 	err := shard.Settle(ctx, readyPoll, func() (bool, error) { return n.streamsRead(), nil })
 	if err != nil {
@@ -360,6 +362,7 @@
 	for _, k := range n.Ledger {
 		_ = shard.Settle(waiting, readyPoll, k.Primed)
 	}
+	_ = shard.Settle(waiting, readyPoll, func() (bool, error) { return n.loadsAsked.Load(), nil })
 	if ctx.Err() == nil {
 		n.primed.Store(true)
 		events.Log(n.Log, events.Ready).Send()
@@ -367,8 +370,8 @@
 	return nil
 }
 
-// primeWait bounds the wait for the first allowances, during which the log may be out of
-// reach.
+// primeWait bounds the wait for the first allowances and targets, during which the platform
+// may be out of reach.
 const primeWait = 2 * time.Second
 
 // readyPoll is how often readiness is looked at during the start.
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -240,3 +240,23 @@
 		assert.Assert(t, r.header.Get("Retry-After") != "")
 	})
 }
+
+func TestRetryReplacesTheAttemptBeforeIt(t *testing.T) {
+	f := start(t, &fleet.Fleet{Instances: 1, Engines: 1, TokenGap: 20 * time.Millisecond})
+	open(t, f, 100_000)
+	var g errgroup.Group
+	first := make(chan reply, 1)
+	g.Go(func() error {
+		first <- post(t, f.Nodes[0], "/v1/completions", fleet.Key("acme"), promptBody("again", 100, true), "X-Request-Id", "r")
+		return nil
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), testTime)
+	defer cancel()
+	assert.NilError(t, f.Await(ctx, func() bool { return f.EngineServers[0].Counts().Started > 0 }))
+	text, used := streamed(t, post(t, f.Nodes[0], "/v1/completions", fleet.Key("acme"), promptBody("again", 100, true), "X-Request-Id", "r"))
+	assert.Equal(t, text, engine.Answer("again", 100))
+	replaced := <-first
+	assert.Assert(t, !strings.Contains(replaced.body, "[DONE]"), "the replaced answer does not look whole")
+	assertSpent(t, f, f.Nodes[0], "acme/main", used)
+	assert.NilError(t, g.Wait())
+}
--- a/io/node/poll.go
+++ b/io/node/poll.go
@@ -99,15 +99,20 @@
 		if n.Front.InFlight() == 0 && n.listed.idle(time.Now()) && round%idleRounds != 0 {
 			return
 		}
+		list := n.listed.p.Load()
+		if list == nil {
+			return
+		}
 		var g errgroup.Group
 		g.SetLimit(loadSide)
-		for _, t := range n.targetList() {
+		for _, t := range *list {
 			g.Go(func() error {
 				n.askLoad(ctx, t)
 				return nil
 			})
 		}
 		_ = g.Wait()
+		n.loadsAsked.Store(true)
 	})
 }
 
--- a/io/opts/opts.go
+++ b/io/opts/opts.go
@@ -88,7 +88,7 @@
 
 // Target parameterises how targets are called.
 type Target struct {
-	FirstFrameTimeoutMS MS      `toml:"first_frame_timeout_ms" unit:"ms" default:"10000" allowed:"10..600000" doc:"Longest time to the first frame of a stream."`
+	FirstFrameTimeoutMS MS      `toml:"first_frame_timeout_ms" unit:"ms" default:"5000" allowed:"10..600000" doc:"Longest time to the first frame of a stream."`
 	FrameTimeoutMS      MS      `toml:"frame_timeout_ms" unit:"ms" default:"2000" allowed:"10..600000" doc:"Longest time between two frames of a stream."`
 	DialTimeoutMS       MS      `toml:"dial_timeout_ms" unit:"ms" default:"500" allowed:"10..60000" doc:"Longest time to open a connection."`
 	CallTimeoutMS       MS      `toml:"call_timeout_ms" unit:"ms" default:"30000" allowed:"10..600000" doc:"Longest time for a call to a plain service."`
