feat: size allowances by the losses seen; tell when to come back to a budget

Refusals of unknown and exhausted budgets now say when to come back, as an instance may lag behind a top-up; TestRefusals asserts it for every code.

--- a/core/conf/conf.go
+++ b/core/conf/conf.go
@@ -79,10 +79,10 @@
 
 // Allowance parameterises how instances draw from the budgets.
 type Allowance struct {
-	Policy        Policy  `toml:"policy" json:"policy" default:"adaptive" allowed:"fixed|adaptive|written_ahead" doc:"How an instance obtains its allowance."`
-	CoverSeconds  int     `toml:"cover_seconds" json:"cover_seconds" unit:"s" default:"600" allowed:"0..86400" doc:"How long an allowance is to last without the log."`
-	ChunkTokens   int64   `toml:"chunk_tokens" json:"chunk_tokens" unit:"tokens" default:"20000" allowed:"1..1000000000" doc:"Size of a fixed draw, and the least adaptive one."`
-	LowWaterRatio float64 `toml:"low_water_ratio" json:"low_water_ratio" default:"0.1" allowed:"0..1" doc:"Part of the budget below which reservations are written ahead."`
+	Policy       Policy  `toml:"policy" json:"policy" default:"adaptive" allowed:"fixed|adaptive|written_ahead" doc:"How an instance obtains its allowance."`
+	CoverSeconds int     `toml:"cover_seconds" json:"cover_seconds" unit:"s" default:"900" allowed:"0..86400" doc:"How long an allowance is to last without the log."`
+	ChunkTokens  int64   `toml:"chunk_tokens" json:"chunk_tokens" unit:"tokens" default:"20000" allowed:"1..1000000000" doc:"Size of a fixed draw, and the least adaptive one."`
+	StrandRatio  float64 `toml:"strand_ratio" json:"strand_ratio" default:"0.05" allowed:"0.0001..1" doc:"Part of what was paid that may be lost with instances that ended without a return; allowances shrink as it is neared."`
 }
 
 // Objectives are the service levels that the burn report measures against.
--- a/core/conf/conf_test.go
+++ b/core/conf/conf_test.go
@@ -48,7 +48,7 @@
 		assert.DeepEqual(t, tmpl.Budgets, []conf.Budget{{Name: conf.MainBudget}})
 		assert.DeepEqual(t, tmpl.Models[0].Versions, []string{conf.AnyVersion})
 		assert.Equal(t, tmpl.Allowance.Policy, conf.Adaptive)
-		assert.Equal(t, tmpl.Allowance.CoverSeconds, 600)
+		assert.Equal(t, tmpl.Allowance.CoverSeconds, 900)
 	})
 	t.Run("keeps a zero that was given", func(t *testing.T) {
 		tmpl := parse(t, "organisation = \"a\"\npriority = 0\n[allowance]\ncover_seconds = 0")
--- a/core/ledger/book.go
+++ b/core/ledger/book.go
@@ -19,6 +19,8 @@
 	LoanReturn = time.Second
 	// RetryLogDown is when to come back to a budget whose rest can't be drawn now.
 	RetryLogDown = 2 * time.Second
+	// RetryExhausted is when to come back to a budget that needs a top-up first.
+	RetryExhausted = 10 * time.Second
 	// RetryHeld is when to come back to a budget whose rest is held for requests in flight.
 	RetryHeld = time.Second
 )
@@ -258,7 +260,7 @@
 	case n.Tokens <= 0 || n.Least <= 0 || n.Least > n.Tokens:
 		return codes.Refuse(codes.BadRequest, 0, "a request needs at least one token, not %d of %d", n.Least, n.Tokens)
 	case folded == nil:
-		return codes.Refuse(codes.BudgetUnknown, 0, "budget %s was never topped up", n.Budget)
+		return codes.Refuse(codes.BudgetUnknown, RetryHeld, "budget %s was never topped up, as far as this instance has read the log", n.Budget)
 	}
 	return nil
 }
@@ -391,7 +393,7 @@
 	left := folded.Free() + folded.Held
 	switch {
 	case left < n.Least:
-		return codes.Refuse(codes.BudgetExhausted, 0, "%d tokens are left, the request may use %d; top up the budget", left, n.Tokens)
+		return codes.Refuse(codes.BudgetExhausted, RetryExhausted, "%d tokens are left, the request may use %d; top up the budget", left, n.Tokens)
 	case b.logDown:
 		return codes.Refuse(codes.BudgetElsewhere, RetryLogDown, "%d tokens are left but the log is out of reach", left)
 	default:
--- a/core/ledger/fleet_test.go
+++ b/core/ledger/fleet_test.go
@@ -159,7 +159,7 @@
 	t.Helper()
 	assert.Assert(t, a.Refused != nil)
 	assert.Equal(t, a.Refused.Code, code)
-	assert.Equal(t, a.Refused.RetryAfter > 0, code != codes.BudgetExhausted)
+	assert.Assert(t, a.Refused.RetryAfter > 0, "a refusal says when to come back")
 }
 
 func assertBudget(t *testing.T, m *member, paid, spent, held int64) {
--- a/core/ledger/keeper.go
+++ b/core/ledger/keeper.go
@@ -87,8 +87,11 @@
 // receive handles one message at a time.
 func (k *Keeper) receive(ctx actor.Context) {
 	switch m := ctx.Message().(type) {
-	case reserveMsg:
+	case *reserveMsg:
 		k.reserve(ctx, m)
+	case abandonMsg:
+		delete(k.askers, m.reserve.id)
+		k.Book.Free(m.reserve.id)
 	case settleMsg:
 		k.Book.Settle(m.id, m.used)
 	case freeMsg:
@@ -129,9 +132,10 @@
 	}
 }
 
-func (k *Keeper) reserve(ctx actor.Context, m reserveMsg) {
+func (k *Keeper) reserve(ctx actor.Context, m *reserveMsg) {
 	k.Book.SetReady(k.Feed.Ready())
 	answer, decided := k.Book.Reserve(m.need)
+	m.id = answer.ID
 	if decided {
 		ctx.Respond(answer)
 		return
@@ -225,8 +229,10 @@
 
 // Reserve obtains a grant for a request, or an error of type *codes.Error.
 func (k *Keeper) Reserve(n Need) (Grant, error) {
-	response, err := k.shard.Ask(reserveMsg{need: n})
+	msg := &reserveMsg{need: n}
+	response, err := k.shard.Ask(msg)
 	if err != nil {
+		k.shard.Tell(abandonMsg{reserve: msg})
 		return Grant{}, codes.From(err, codes.NotRun)
 	}
 	answer := response.(Answer)
--- a/core/ledger/msgs.go
+++ b/core/ledger/msgs.go
@@ -1,7 +1,14 @@
 package ledger
 
 // reserveMsg asks for a decision on a need; the response is an Answer.
-type reserveMsg struct{ need Need }
+type reserveMsg struct {
+	need Need
+	// id is set once the need was taken.
+	id int64
+}
+
+// abandonMsg gives back what was or will be granted to an asker that no longer waits.
+type abandonMsg struct{ reserve *reserveMsg }
 
 // settleMsg bills a grant.
 type settleMsg struct{ id, used int64 }
--- a/core/ledger/policy.go
+++ b/core/ledger/policy.go
@@ -26,8 +26,6 @@
 	Cover time.Duration
 	// ChunkTokens is the size of a fixed draw, and of the first adaptive one.
 	ChunkTokens int64
-	// LowWater has no effect on any kind.
-	LowWater float64
 	// Strand is the share of what was paid that may be lost with instances that ended without
 	// returning their allowances. The nearer the loss comes to it, the shorter the cover. 0
 	// stands for DefaultStrand.
--- a/core/roster/view.go
+++ b/core/roster/view.go
@@ -252,6 +252,19 @@
 	return Peer{}, false
 }
 
+// Knows reports whether an instance with the incarnation is remembered: it is listed, or
+// was in contact lately.
+func (v *View) Knows(incarnation string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, e := range v.peers {
+		if e.view.Incarnation == incarnation {
+			return true
+		}
+	}
+	return false
+}
+
 // LeavingTargets returns the incarnations of listed targets that are leaving. Targets
 // that are no longer listed are not told to others, so that they are forgotten in the end.
 func (v *View) LeavingTargets() []string {
--- a/fake/claim/caller.go
+++ b/fake/claim/caller.go
@@ -89,7 +89,7 @@
 	if r.chance(0.05) {
 		a.digest = 2
 	}
-	a.node.later(r.upTo(5*time.Millisecond), func() { a.node.claim(a) })
+	a.node.Later(r.upTo(5*time.Millisecond), func() { a.node.claim(a) })
 	r.sched.After(r.spread(8*time.Second), a.leave)
 }
 
@@ -128,22 +128,22 @@
 	}
 	switch {
 	case fate < 0.15:
-		n.later(d, func() { a.dispatch(targets - 1) })
+		n.Later(d, func() { a.dispatch(targets - 1) })
 	case fate < 0.20:
-		n.later(callTimeout, a.doubt)
+		n.Later(callTimeout, a.doubt)
 	case fate < 0.25:
 		r.sched.After(callTimeout+r.spread(time.Minute), a.execute)
-		n.later(callTimeout, a.doubt)
+		n.Later(callTimeout, a.doubt)
 	case fate < 0.30:
 		r.sched.After(d, a.execute)
-		n.later(callTimeout, a.doubt)
+		n.Later(callTimeout, a.doubt)
 	default:
 		r.sched.After(d, func() {
 			a.execute()
 			if r.chance(0.005) {
 				r.kill(n)
 			}
-			n.later(d, a.finish)
+			n.Later(d, a.finish)
 		})
 	}
 }
@@ -171,9 +171,9 @@
 	}
 	a.node.book.Finish(m)
 	if a.node.run.chance(0.005) {
-		a.node.later(a.node.run.spread(time.Second), func() { a.node.run.kill(a.node) })
+		a.node.Later(a.node.run.spread(time.Second), func() { a.node.run.kill(a.node) })
 	}
-	a.node.later(a.node.run.upTo(2*time.Millisecond), func() { a.tell(statement{answer: &once.Call{Status: 200, Body: body}}) })
+	a.node.Later(a.node.run.upTo(2*time.Millisecond), func() { a.tell(statement{answer: &once.Call{Status: 200, Body: body}}) })
 }
 
 // tell states the outcome; the caller learns it unless it went away.
--- a/fake/claim/claim.go
+++ b/fake/claim/claim.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"cranberryrail/core/tail"
-	"cranberryrail/fake/storm"
+	"cranberryrail/fake/simul"
 )
 
 // Stats counts what happened in a run.
@@ -28,18 +28,6 @@
 	Virtual time.Duration
 }
 
-// ViolationError tells that an invariant was broken, and how to see it again.
-type ViolationError struct {
-	Seed   uint64
-	Step   int64
-	Detail string
-}
-
-// Error implements the error interface.
-func (e *ViolationError) Error() string {
-	return fmt.Sprintf("seed %d, step %d: %s", e.Seed, e.Step, e.Detail)
-}
-
 // Run is one run. Exported fields are set before Run.
 type Run struct {
 	// Seed decides on everything that happens.
@@ -54,9 +42,9 @@
 	// Stats is what happened, once Run has returned.
 	Stats Stats
 
-	sched  *storm.Sched
+	sched  *simul.Sched
 	rand   *rand.Rand
-	log    *storm.Log
+	log    *simul.Log
 	nodes  []*node
 	births int
 	snap   tail.State
@@ -115,9 +103,9 @@
 }
 
 func (r *Run) begin() {
-	r.sched = storm.NewSched()
+	r.sched = simul.NewSched()
 	r.watch = newWatch(r)
-	r.log = &storm.Log{Sched: r.sched, Rand: r.rand, Delay: r.delay, Faults: r.anyFaults()}
+	r.log = &simul.Log{Sched: r.sched, Rand: r.rand, Delay: r.delay, Faults: r.anyFaults()}
 	r.snap.At = -1
 	for range r.Instances {
 		r.nodes = append(r.nodes, r.birth())
@@ -131,14 +119,14 @@
 // birth starts a fresh incarnation.
 func (r *Run) birth() *node {
 	r.births++
-	n := &node{run: r, inc: fmt.Sprintf("inc-%d", r.births)}
-	n.start()
+	n := &node{run: r}
+	n.start(fmt.Sprintf("inc-%d", r.births))
 	return n
 }
 
 func (r *Run) fail(format string, args ...any) {
 	if r.err == nil {
-		r.err = &ViolationError{Seed: r.Seed, Step: r.Stats.Steps, Detail: fmt.Sprintf(format, args...)}
+		r.err = &simul.ViolationError{Seed: r.Seed, Step: r.Stats.Steps, Detail: fmt.Sprintf(format, args...)}
 	}
 }
 
@@ -158,9 +146,9 @@
 	return time.Millisecond + r.upTo(10*time.Millisecond)
 }
 
-func (r *Run) anyFaults() storm.Faults {
+func (r *Run) anyFaults() simul.Faults {
 	p := 0.1 * r.rand.Float64()
-	return storm.Faults{Lost: p, Late: p, Twice: p, LateBy: r.spread(time.Minute)}
+	return simul.Faults{Lost: p, Late: p, Twice: p, LateBy: r.spread(time.Minute)}
 }
 
 // fault lets one thing go wrong and sets the time of the next.
@@ -177,8 +165,8 @@
 		n.pause(r.spread(20 * time.Second))
 	case 4, 5:
 		r.Stats.Cuts++
-		n.cut = true
-		r.sched.After(r.spread(20*time.Second), func() { n.cut = false })
+		n.Cut = true
+		r.sched.After(r.spread(20*time.Second), func() { n.Cut = false })
 	case 6:
 		r.Stats.Outages++
 		r.log.Down = true
@@ -196,9 +184,9 @@
 // kill ends an incarnation; a fresh one takes its place.
 func (r *Run) kill(n *node) {
 	for i, other := range r.nodes {
-		if other == n && !n.gone {
+		if other == n && !n.Gone() {
 			r.Stats.Kills++
-			n.gone = true
+			n.Kill()
 			r.nodes[i] = r.birth()
 		}
 	}
@@ -206,7 +194,7 @@
 
 // gap pauses an instance until the records that it was about to read are gone.
 func (r *Run) gap(n *node) {
-	if n.gone || n.paused {
+	if n.Gone() || n.Paused() {
 		return
 	}
 	d := r.spread(2 * time.Second)
@@ -216,27 +204,27 @@
 
 // trim takes a snapshot of an instance and drops most records that it contains.
 func (r *Run) trim(n *node) {
-	if n.next-1 > r.snap.At {
-		r.snap = n.state()
-		r.log.Trim(int(r.log.Head()-n.next) + r.rand.IntN(20))
+	if n.Next()-1 > r.snap.At {
+		r.snap = n.State()
+		r.log.Trim(int(r.log.Head()-n.Next()) + r.rand.IntN(20))
 	}
 }
 
 // heal ends all faults.
 func (r *Run) heal() {
 	r.healed = true
-	r.log.Down, r.log.Faults = false, storm.Faults{}
+	r.log.Down, r.log.Faults = false, simul.Faults{}
 	for _, n := range r.nodes {
-		n.cut = false
-		n.wake()
+		n.Cut = false
+		n.Wake()
 	}
 }
 
 // settled asserts that no live instance left anything open.
 func (r *Run) settled() {
 	for _, n := range r.nodes {
-		if n.sending || n.next != r.log.Head() || n.book.InFlight() != 0 {
-			r.fail("%s is not settled: %d in flight, next %d of %d", n.inc, n.book.InFlight(), n.next, r.log.Head())
+		if !n.Idle() || n.Next() != r.log.Head() || n.book.InFlight() != 0 {
+			r.fail("%s is not settled: %d in flight, next %d of %d", n.Inc, n.book.InFlight(), n.Next(), r.log.Head())
 		}
 	}
 	r.watch.open(r.nodes)
--- a/fake/claim/watch.go
+++ b/fake/claim/watch.go
@@ -41,7 +41,7 @@
 // ruled asserts that a ruling makes use of what the instance knows.
 func (w *watch) ruled(n *node, a *attempt, r once.Ruling) {
 	if r.Refused != nil && r.Refused.Code == codes.ClaimUnavailable && n.book.Fold.Call(a.call.key) != nil {
-		w.run.fail("%s knows %s and refused it with %s", n.inc, a.call.key, r.Refused.Code)
+		w.run.fail("%s knows %s and refused it with %s", n.Inc, a.call.key, r.Refused.Code)
 	}
 }
 
@@ -98,13 +98,13 @@
 	}
 	w.same(w.events, n, offset, h.Sum64())
 	if offset%stateEvery == 0 {
-		w.same(w.states, n, offset, xxhash.Sum64(n.state().Fold))
+		w.same(w.states, n, offset, xxhash.Sum64(n.State().Fold))
 	}
 }
 
 func (w *watch) same(hashes map[int64]uint64, n *node, offset int64, sum uint64) {
 	if first, ok := hashes[offset]; ok && first != sum {
-		w.run.fail("%s differs from another instance at offset %d", n.inc, offset)
+		w.run.fail("%s differs from another instance at offset %d", n.Inc, offset)
 	}
 	hashes[offset] = sum
 }
@@ -113,7 +113,7 @@
 func (w *watch) open(nodes []*node) {
 	live := map[string]bool{}
 	for _, n := range nodes {
-		live[n.inc] = true
+		live[n.Inc] = true
 	}
 	for key := range w.calls {
 		c := nodes[0].book.Fold.Call(key)
--- a/fake/drift/drift.go
+++ b/fake/drift/drift.go
@@ -12,7 +12,7 @@
 
 	"cranberryrail/core/conf"
 	"cranberryrail/core/tail"
-	"cranberryrail/fake/storm"
+	"cranberryrail/fake/simul"
 )
 
 // Times of a run.
@@ -42,18 +42,6 @@
 	checkEvery = 1024
 )
 
-// ViolationError tells that something that must hold did not.
-type ViolationError struct {
-	Seed   uint64
-	Step   int64
-	Detail string
-}
-
-// Error implements the error interface.
-func (e *ViolationError) Error() string {
-	return fmt.Sprintf("seed %d, step %d: %s", e.Seed, e.Step, e.Detail)
-}
-
 // Stats count what happened.
 type Stats struct {
 	Steps                                       int64
@@ -74,13 +62,13 @@
 	Stats Stats
 
 	rand   *rand.Rand
-	sched  *storm.Sched
-	log    *storm.Log
+	sched  *simul.Sched
+	log    *simul.Log
 	nodes  []*node
 	births int
 	cut    map[[2]int]bool
 	healed bool
-	err    *ViolationError
+	err    *simul.ViolationError
 
 	changes int
 	// recent are changes that may be repeated.
@@ -110,7 +98,7 @@
 }
 
 // Run runs until the steps are done and all instances agree, something that must hold
-// does not, or the context ends. A violation is a *ViolationError.
+// does not, or the context ends. A violation is a *simul.ViolationError.
 func (r *Run) Run(ctx context.Context) error {
 	r.begin()
 	if err := r.steps(ctx, func() bool { return r.Stats.Steps >= r.Steps }); err != nil {
@@ -143,12 +131,12 @@
 }
 
 func (r *Run) begin() {
-	r.sched = storm.NewSched()
+	r.sched = simul.NewSched()
 	r.cut, r.states = map[[2]int]bool{}, map[int64][]byte{}
 	r.outcomes, r.newest = map[string]conf.Outcome{}, map[string]conf.Outcome{}
-	r.log = &storm.Log{
+	r.log = &simul.Log{
 		Sched: r.sched, Rand: r.rand, Delay: func() time.Duration { return r.upTo(20 * time.Millisecond) },
-		Faults: storm.Faults{Lost: 0.05, Late: 0.05, Twice: 0.05, LateBy: lateBy},
+		Faults: simul.Faults{Lost: 0.05, Late: 0.05, Twice: 0.05, LateBy: lateBy},
 	}
 	r.nodes = make([]*node, r.Instances)
 	for i := range r.nodes {
@@ -162,16 +150,16 @@
 
 func (r *Run) fail(format string, args ...any) {
 	if r.err == nil {
-		r.err = &ViolationError{Seed: r.Seed, Step: r.Stats.Steps, Detail: fmt.Sprintf(format, args...)}
+		r.err = &simul.ViolationError{Seed: r.Seed, Step: r.Stats.Steps, Detail: fmt.Sprintf(format, args...)}
 	}
 }
 
 // birth starts a fresh incarnation in a place.
 func (r *Run) birth(place int) {
 	r.births++
-	n := &node{run: r, place: place, inc: fmt.Sprintf("i%d.%d", place, r.births)}
+	n := &node{run: r, place: place}
 	r.nodes[place] = n
-	n.start()
+	n.start(fmt.Sprintf("i%d.%d", place, r.births))
 }
 
 // reach reports whether two places reach each other.
@@ -190,11 +178,11 @@
 		}
 		r.Stats.Accepted++
 		if before := r.newest[o.Organisation]; o.Version <= before.Version {
-			r.fail("%s accepted version %d of %s after %d", n.inc, o.Version, o.Organisation, before.Version)
+			r.fail("%s accepted version %d of %s after %d", n.Inc, o.Version, o.Organisation, before.Version)
 		}
 		r.newest[o.Organisation] = o
 	case first.Code != o.Code || first.Version != o.Version:
-		r.fail("%s decided change %s as %d at %d, which was %d at %d", n.inc, o.ID, o.Code, o.Version, first.Code, first.Version)
+		r.fail("%s decided change %s as %d at %d, which was %d at %d", n.Inc, o.ID, o.Code, o.Version, first.Code, first.Version)
 	default:
 		r.Stats.Repeated++
 	}
@@ -203,41 +191,41 @@
 // reached asserts that equal offsets have equal states, and that versions only grow.
 func (r *Run) reached(n *node) {
 	if n.fold.Version < n.version {
-		r.fail("%s went from version %d to %d", n.inc, n.version, n.fold.Version)
+		r.fail("%s went from version %d to %d", n.Inc, n.version, n.fold.Version)
 	}
 	n.version = n.fold.Version
 	state, err := n.fold.Save()
 	if err != nil {
-		r.fail("save at %s: %v", n.inc, err)
+		r.fail("save at %s: %v", n.Inc, err)
 	}
-	first, known := r.states[n.next]
+	first, known := r.states[n.Next()]
 	if !known {
-		r.states[n.next] = state
+		r.states[n.Next()] = state
 	} else if !bytes.Equal(first, state) {
-		r.fail("%s has another state at offset %d", n.inc, n.next)
+		r.fail("%s has another state at offset %d", n.Inc, n.Next())
 	}
 }
 
 // heal ends all faults.
 func (r *Run) heal() {
 	r.healed = true
-	r.log.Down, r.log.Faults = false, storm.Faults{}
+	r.log.Down, r.log.Faults = false, simul.Faults{}
 	clear(r.cut)
 	for _, n := range r.nodes {
-		n.cutOff = false
-		n.wake()
+		n.Cut = false
+		n.Wake()
 	}
 }
 
 // finish asserts that all instances agree and that no accepted change is lost.
 func (r *Run) finish() {
 	for _, n := range r.nodes {
-		if n.next != r.log.Head() || !n.ready {
-			r.fail("%s is at offset %d of %d, ready %t", n.inc, n.next, r.log.Head(), n.ready)
+		if n.Next() != r.log.Head() || !n.Ready() {
+			r.fail("%s is at offset %d of %d, ready %t", n.Inc, n.Next(), r.log.Head(), n.Ready())
 		}
 		for organisation, o := range r.newest {
 			if got := n.fold.Current(organisation); got != o.Version {
-				r.fail("%s has version %d of %s; %d was accepted last", n.inc, got, organisation, o.Version)
+				r.fail("%s has version %d of %s; %d was accepted last", n.Inc, got, organisation, o.Version)
 			}
 		}
 	}
--- a/fake/drift/node.go
+++ b/fake/drift/node.go
@@ -5,216 +5,56 @@
 	"fmt"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"cranberryrail/core/conf"
 	"cranberryrail/core/tail"
-	"cranberryrail/fake/storm"
+	"cranberryrail/fake/simul"
 )
 
 // Times of an instance.
 const (
-	// pollEvery is the time between two reads of the log.
-	pollEvery = 100 * time.Millisecond
+	// readDelay is how long one read of the log takes; it lets instances lag.
+	readDelay = 100 * time.Millisecond
 	// gossipEvery is the time between two looks at the version of another instance.
 	gossipEvery = time.Second
 )
 
-// node is one incarnation of an instance. It reads and writes the stream the way
-// tail.Feed does, with the real fold and gate.
+// node is one incarnation of an instance that keeps the configuration.
 type node struct {
-	run   *Run
-	place int
-	inc   string
-
+	simul.Node
+	run     *Run
+	place   int
 	fold    conf.Fold
-	gate    *tail.Gate
-	next    int64
 	version int64
-	ready   bool
-	gone    bool
-	// cutOff tells that the log is out of reach.
-	cutOff bool
-	paused bool
-	inbox  []func()
-
-	queue    []tail.Item
-	sending  bool
-	seq      uint64
-	lastSnap int64
 }
 
-func (n *node) start() {
-	n.gate, n.lastSnap = tail.NewGate(), -1
+func (n *node) start(inc string) {
 	n.fold.Default()
-	n.later(0, n.poll)
-	n.later(0, n.gossip)
-	n.later(0, n.snapshots)
-}
-
-// do runs a function on the instance: never when it is gone, and when it is woken while
-// it is paused.
-func (n *node) do(run func()) {
-	switch {
-	case n.gone:
-	case n.paused:
-		n.inbox = append(n.inbox, run)
-	default:
-		run()
-	}
-}
-
-func (n *node) later(d time.Duration, run func()) { n.run.sched.After(d, func() { n.do(run) }) }
-
-func (n *node) wake() {
-	n.paused = false
-	inbox := n.inbox
-	n.inbox = nil
-	for _, run := range inbox {
-		n.do(run)
-	}
-}
-
-// add queues an item, as tail.Writer does.
-func (n *node) add(item tail.Item) {
-	n.queue = append(n.queue, item)
-	n.pump()
-}
-
-// pump sends the next batch when none is outstanding.
-func (n *node) pump() {
-	if n.sending || len(n.queue) == 0 {
-		return
-	}
-	n.sending = true
-	n.seq++
-	b := tail.Batch{Format: tail.BatchFormat, Inc: n.inc, Seq: n.seq, Items: n.queue}
-	n.queue = nil
-	n.try(b, tail.RetryFirst)
-}
-
-// try appends a batch until it was read back.
-func (n *node) try(b tail.Batch, retry time.Duration) {
-	if n.gate.Incs[n.inc].Seq >= b.Seq {
-		n.sending = false
-		n.pump()
-		return
-	}
-	if b.Seq == 1 {
-		b.Base = n.next
-	}
-	n.append(b, func(err error) {
-		wait := tail.ReadBackWait
-		if err != nil {
-			wait, retry = retry, min(2*retry, tail.RetryLongest)
-		}
-		n.later(wait, func() { n.try(b, retry) })
-	})
-}
-
-// append writes one record; done is told when there is an answer or none is awaited.
-func (n *node) append(b tail.Batch, done func(err error)) {
-	data, err := tail.Encode(b)
-	if err != nil {
-		n.run.fail("encode: %v", err)
-	}
-	if n.cutOff {
-		n.later(storm.AppendTimeout, func() { done(storm.ErrNoAnswer) })
-		return
-	}
-	n.run.log.Append(data, func(err error) { n.do(func() { done(err) }) })
-}
-
-// poll reads the stream, as tail.Follower does.
-func (n *node) poll() {
-	n.later(pollEvery, n.poll)
-	if n.cutOff {
-		return
-	}
-	page, err := n.run.log.Read(n.next)
-	var trimmed *tail.TrimmedError
-	switch {
-	case errors.As(err, &trimmed):
-		n.ready = false
-		n.reload(trimmed.Earliest)
-	case err == nil:
-		for _, e := range page.Entries {
-			n.deliver(e)
-		}
-		n.ready = n.ready || n.next >= page.Head
-	}
-}
-
-func (n *node) deliver(e tail.Entry) {
-	b, err := tail.DecodeBatch(e.Data)
-	if err != nil {
-		n.run.fail("decode record %d: %v", e.Offset, err)
-		return
-	}
-	n.next = e.Offset + 1
-	switch {
-	case b.Seq == 0:
-		if st, ok := snapshotOf(b); ok {
-			n.lastSnap = max(n.lastSnap, st.At)
-		}
-	case n.gate.Admit(e.Offset, b):
-		outcomes, err := n.fold.Apply(e.Offset, b.Inc, b.Items)
-		if err != nil {
-			n.run.fail("fold record %d: %v", e.Offset, err)
-		}
-		for _, o := range outcomes {
-			n.run.decided(n, o)
-		}
+	n.Node = simul.Node{
+		Sched: n.run.sched, Log: n.run.log, Inc: inc, ReadDelay: readDelay,
+		Fold: n.apply, Save: n.fold.Save, Load: n.fold.Load, Trimmed: n.reload,
+		Reached: func() { n.run.reached(n) }, Fail: n.run.fail,
 	}
-	n.run.reached(n)
+	n.Start()
+	n.Later(0, func() { n.Every(gossipEvery, n.gossip) })
+	n.Later(0, n.snapshots)
 }
 
-// state returns the folded state.
-func (n *node) state() tail.State {
-	fold, err := n.fold.Save()
-	if err != nil {
-		n.run.fail("save: %v", err)
+func (n *node) apply(offset int64, b tail.Batch) (bool, error) {
+	outcomes, err := n.fold.Apply(offset, b.Inc, b.Items)
+	for _, o := range outcomes {
+		n.run.decided(n, o)
 	}
-	incs := map[string]tail.Seen{}
-	for inc, seen := range n.gate.Incs {
-		incs[inc] = seen
-	}
-	return tail.State{At: n.next - 1, Incs: incs, Fold: fold}
-}
-
-// restore takes a state over when it is not behind the own one.
-func (n *node) restore(st tail.State) bool {
-	if st.At < n.next-1 || n.fold.Load(st.Fold) != nil {
-		return false
-	}
-	n.gate = &tail.Gate{Incs: st.Incs}
-	n.next = st.At + 1
-	n.lastSnap = max(n.lastSnap, st.At)
-	n.run.reached(n)
-	return true
+	return false, err
 }
 
 // reload goes on from a snapshot whose tail is kept, or from the state of a peer.
 func (n *node) reload(earliest int64) {
-	for from := earliest; from < n.run.log.Head(); {
-		page, err := n.run.log.Read(from)
-		if err != nil {
-			break
-		}
-		for _, e := range page.Entries {
-			from = e.Offset + 1
-			b, err := tail.DecodeBatch(e.Data)
-			if err != nil || b.Seq != 0 {
-				continue
-			}
-			if st, ok := snapshotOf(b); ok && st.At >= earliest-1 && n.restore(st) {
-				n.run.Stats.FromLog++
-				return
-			}
-		}
+	if n.FromLog(earliest) {
+		n.run.Stats.FromLog++
+		return
 	}
 	for _, p := range n.run.nodes {
-		if p.ready && n.meets(p) && n.restore(p.state()) {
+		if p.Ready() && n.meets(p) && n.Restore(p.State()) {
 			n.run.Stats.FromPeer++
 			return
 		}
@@ -224,55 +64,36 @@
 
 // meets reports whether another instance answers this one.
 func (n *node) meets(p *node) bool {
-	return p != n && !p.gone && !p.paused && n.run.reach(p.place, n.place)
+	return p != n && !p.Gone() && !p.Paused() && n.run.reach(p.place, n.place)
 }
 
 // gossip takes over the state of another instance whose version is newer.
 func (n *node) gossip() {
-	n.later(gossipEvery, n.gossip)
 	p := n.run.nodes[n.run.rand.IntN(len(n.run.nodes))]
-	if n.meets(p) && p.ready && p.fold.Version > n.fold.Version && n.restore(p.state()) {
+	if n.meets(p) && p.Ready() && p.fold.Version > n.fold.Version && n.Restore(p.State()) {
 		n.run.Stats.Behind++
 	}
 }
 
 // snapshots writes a snapshot when one is due and nobody else wrote it in time.
 func (n *node) snapshots() {
-	n.later(time.Second, func() {
+	n.Later(time.Second, func() {
 		if !n.snapshotDue() {
 			n.snapshots()
 			return
 		}
-		n.later(n.run.upTo(snapshotTurn), func() {
+		n.Later(n.run.upTo(snapshotTurn), func() {
 			if n.snapshotDue() {
-				n.snapshot()
+				n.run.Stats.Snapshots++
+				n.Snapshot()
 			}
 			n.snapshots()
 		})
 	})
 }
 
-func (n *node) snapshotDue() bool { return n.ready && n.next-1-n.lastSnap >= snapshotEvery }
-
-func (n *node) snapshot() {
-	whole, err := tail.Encode(n.state())
-	if err != nil {
-		n.run.fail("encode: %v", err)
-	}
-	n.run.Stats.Snapshots++
-	part := tail.SnapshotPart{At: n.next - 1, Parts: 1, Sum: xxhash.Sum64(whole), Data: whole}
-	item := tail.NewItem(tail.KindSnapshot, part)
-	n.append(tail.Batch{Format: tail.BatchFormat, Inc: n.inc, Items: []tail.Item{item}}, func(error) {})
-}
-
-// snapshotOf returns the state that a batch carries.
-func snapshotOf(b tail.Batch) (tail.State, bool) {
-	var part tail.SnapshotPart
-	var st tail.State
-	if len(b.Items) != 1 || tail.Decode(b.Items[0].Body, &part) != nil || tail.Decode(part.Data, &st) != nil {
-		return tail.State{}, false
-	}
-	return st, true
+func (n *node) snapshotDue() bool {
+	return n.Ready() && n.Next()-1-n.LastSnapshot() >= snapshotEvery
 }
 
 // publish lets an operator make a change, or repeat one, through any instance.
@@ -284,7 +105,7 @@
 	n := r.nodes[r.rand.IntN(len(r.nodes))]
 	if len(r.recent) > 0 && r.rand.IntN(3) == 0 {
 		item := r.recent[r.rand.IntN(len(r.recent))]
-		n.do(func() { n.add(item) })
+		n.Do(func() { n.Add(item) })
 		return
 	}
 	item := r.change(n)
@@ -292,11 +113,11 @@
 	if len(r.recent) > recentChanges {
 		r.recent = r.recent[1:]
 	}
-	n.do(func() { n.add(item) })
+	n.Do(func() { n.Add(item) })
 	if r.rand.IntN(3) == 0 {
 		// Another operator races with a change of the same organisation.
 		rival, p := r.change(n), r.nodes[r.rand.IntN(len(r.nodes))]
-		p.do(func() { p.add(rival) })
+		p.Do(func() { p.Add(rival) })
 	}
 }
 
@@ -330,12 +151,11 @@
 		r.kill(place)
 	case 1:
 		r.Stats.Pauses++
-		n.paused = true
-		r.sched.After(last, n.wake)
+		n.Pause(last)
 	case 2:
 		r.Stats.Cuts++
-		n.cutOff = true
-		r.sched.After(last, func() { n.cutOff = false })
+		n.Cut = true
+		r.sched.After(last, func() { n.Cut = false })
 	case 3:
 		r.partPeers(place, last)
 	case 4:
@@ -362,9 +182,9 @@
 func (r *Run) kill(place int) {
 	earliest := r.earliest()
 	for _, n := range r.nodes {
-		if n.place != place && n.ready && n.next >= earliest {
+		if n.place != place && n.Ready() && n.Next() >= earliest {
 			r.Stats.Kills++
-			r.nodes[place].gone = true
+			r.nodes[place].Kill()
 			r.birth(place)
 			return
 		}
@@ -389,8 +209,8 @@
 	r.Stats.Trims++
 	unread := r.log.Head()
 	for _, n := range r.nodes {
-		if n.ready && !n.gone {
-			unread = min(unread, r.log.Head()-n.next)
+		if n.Ready() && !n.Gone() {
+			unread = min(unread, r.log.Head()-n.Next())
 		}
 	}
 	r.log.Trim(max(int(unread), 1+r.rand.IntN(retention)))
--- a/fake/storm/sched.go
+++ b/fake/simul/sched.go
@@ -1,10 +1,11 @@
-// Package storm runs ledger books of many instances over a fake log within one
-// goroutine and a virtual clock, with faults drawn from a seed, and asserts the
-// invariants of the ledger after every step.
-package storm
+// Package simul holds what the randomised runs share: a virtual clock, a faulty log, and
+// incarnations of instances that read and write the log the way tail.Feed does, all within
+// one goroutine.
+package simul
 
 import (
 	"container/heap"
+	"fmt"
 	"time"
 )
 
@@ -67,3 +68,15 @@
 	e.run()
 	return true
 }
+
+// ViolationError tells that an invariant was broken, and how to see it again.
+type ViolationError struct {
+	Seed   uint64
+	Step   int64
+	Detail string
+}
+
+// Error implements the error interface.
+func (e *ViolationError) Error() string {
+	return fmt.Sprintf("seed %d, step %d: %s", e.Seed, e.Step, e.Detail)
+}
--- a/fake/storm/faults.go
+++ b/fake/storm/faults.go
@@ -86,12 +86,11 @@
 
 func (r *Run) pause(place int) {
 	n := r.nodes[place]
-	if n.paused {
+	if n.Paused() {
 		return
 	}
 	r.Stats.Pauses++
-	n.Pause()
-	r.sched.After(r.length(), n.Wake)
+	n.Pause(r.length())
 }
 
 // trim drops old records after some instance, maybe a lagging one, wrote a snapshot.
--- a/fake/storm/storm.go
+++ b/fake/storm/storm.go
@@ -1,3 +1,6 @@
+// Package storm runs ledger books of many instances over a fake log within one
+// goroutine and a virtual clock, with faults drawn from a seed, and asserts the
+// invariants of the ledger after every step.
 package storm
 
 import (
@@ -9,6 +12,7 @@
 
 	"cranberryrail/core/ledger"
 	"cranberryrail/core/tail"
+	"cranberryrail/fake/simul"
 )
 
 // Stats counts what happened in a run.
@@ -126,7 +130,7 @@
 		return false
 	}
 	for _, n := range r.nodes {
-		if since < settleTime && (n.sending || n.next != r.log.Head()) {
+		if since < settleTime && (!n.Idle() || n.Next() != r.log.Head()) {
 			return false
 		}
 	}
@@ -139,7 +143,7 @@
 	r.cut = map[[2]int]bool{}
 	r.open = map[*Node][]*attempt{}
 	r.log = &Log{Sched: r.sched, Rand: r.rand, Appended: r.watch.appended, Delay: r.ordinaryDelay,
-		Faults: Faults{Lost: 0.02, Late: 0.02, Twice: 0.02, LateBy: 20 * time.Second}}
+		Faults: simul.Faults{Lost: 0.02, Late: 0.02, Twice: 0.02, LateBy: 20 * time.Second}}
 	r.nodes = make([]*Node, r.Instances)
 	for i := range r.nodes {
 		r.birth(i)
@@ -158,7 +162,7 @@
 
 func (r *Run) fail(format string, args ...any) {
 	if r.err == nil {
-		r.err = &ViolationError{Seed: r.Seed, Step: r.Stats.Steps, Detail: fmt.Sprintf(format, args...)}
+		r.err = &simul.ViolationError{Seed: r.Seed, Step: r.Stats.Steps, Detail: fmt.Sprintf(format, args...)}
 	}
 }
 
@@ -232,7 +236,7 @@
 		return tail.State{}, false
 	}
 	for i, n := range r.nodes {
-		if i != place && !n.Gone() && !n.paused && n.ready && r.reach(i, place) {
+		if i != place && !n.Gone() && !n.Paused() && n.Ready() && r.reach(i, place) {
 			return n.State(), true
 		}
 	}
@@ -355,7 +359,7 @@
 // stop stops an instance as planned.
 func (r *Run) stop(place int) {
 	n := r.nodes[place]
-	if n.Gone() || n.paused || n.stopping {
+	if n.Gone() || n.Paused() || n.stopping {
 		return
 	}
 	n.stopping = true
@@ -400,7 +404,7 @@
 // heal ends all faults and arrivals.
 func (r *Run) heal() {
 	r.healed = true
-	r.log.Down, r.log.Delay, r.log.Faults = false, r.ordinaryDelay, Faults{}
+	r.log.Down, r.log.Delay, r.log.Faults = false, r.ordinaryDelay, simul.Faults{}
 	r.cut = map[[2]int]bool{}
 	for _, n := range r.nodes {
 		n.Cut = false
@@ -418,10 +422,10 @@
 		r.keepCertain(n)
 		switch {
 		case n.Gone():
-		case n.next != r.log.Head():
-			r.fail("%s is still at offset %d of %d", n.Inc, n.next, r.log.Head())
-		case n.Book.InFlight() > 0 || n.sending || len(n.queue) > 0:
-			r.fail("%s has %d grants and %d items left", n.Inc, n.Book.InFlight(), len(n.queue))
+		case n.Next() != r.log.Head():
+			r.fail("%s is still at offset %d of %d", n.Inc, n.Next(), r.log.Head())
+		case n.Book.InFlight() > 0 || !n.Idle():
+			r.fail("%s has %d grants left, all items written: %t", n.Inc, n.Book.InFlight(), n.Idle())
 		case !bytes.Equal(n.State().Fold, want):
 			r.fail("the state of %s differs at the end", n.Inc)
 		}
--- a/fake/storm/watch.go
+++ b/fake/storm/watch.go
@@ -2,10 +2,10 @@
 
 import (
 	"bytes"
-	"fmt"
 
 	"cranberryrail/core/ledger"
 	"cranberryrail/core/tail"
+	"cranberryrail/fake/simul"
 )
 
 // holderKey names what an incarnation holds of a budget.
@@ -67,7 +67,7 @@
 		w.fail("record %d: %v", e.Offset, err)
 		return
 	}
-	if st, ok := snapshotOf(e); ok {
+	if st, ok := simul.SnapshotOf(b); ok {
 		w.snapshot = max(w.snapshot, st.At+1)
 	}
 	if b.Seq == 0 || !w.gate.Admit(e.Offset, b) {
@@ -203,7 +203,7 @@
 }
 
 // folded compares the state of an instance with the own one at the same offset.
-func (w *watch) folded(n *Node, offset int64, _ []ledger.Result) {
+func (w *watch) folded(n *Node, offset int64) {
 	want, ok := w.saves[offset]
 	if !ok {
 		return
@@ -232,15 +232,3 @@
 		}
 	}
 }
-
-// ViolationError tells that an invariant was broken, and how to see it again.
-type ViolationError struct {
-	Seed   uint64
-	Step   int64
-	Detail string
-}
-
-// Error implements the error interface.
-func (e *ViolationError) Error() string {
-	return fmt.Sprintf("seed %d, step %d: %s", e.Seed, e.Step, e.Detail)
-}
--- a/io/node/inforce.go
+++ b/io/node/inforce.go
@@ -51,7 +51,7 @@
 func policyOf(a conf.Allowance) ledger.Policy {
 	return ledger.Policy{
 		Kind: ledger.PolicyKind(a.Policy), Cover: time.Duration(a.CoverSeconds) * time.Second,
-		ChunkTokens: a.ChunkTokens, LowWater: a.LowWaterRatio,
+		ChunkTokens: a.ChunkTokens, Strand: a.StrandRatio,
 	}
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -77,6 +77,7 @@
 	peerServer *peer.Server
 	failed     chan error
 	killed     chan struct{}
+	born       time.Time
 	primed     atomic.Bool
 	loadsAsked atomic.Bool
 	// lost holds the addresses of instances that did not answer last.
@@ -91,6 +92,7 @@
 // Default makes the parts of the instance.
 func (n *Node) Default() {
 	n.Inc = uuid.NewString()
+	n.born = time.Now()
 	n.failed = make(chan error, 1)
 	n.killed = make(chan struct{})
 	n.background.SetLimit(backgroundLimit)
@@ -167,7 +169,7 @@
 func (n *Node) makeLedger(shard int) *ledger.Keeper {
 	book := &ledger.Book{
 		Fold: ledger.New(), Wait: n.Settings.Ledger.ReserveWaitMS.Duration(),
-		Policy: n.policy, Instances: n.instanceCount, Borrow: n.borrow,
+		Policy: n.policy, Instances: n.instanceCount, Borrow: n.borrow, Live: n.liveInc,
 	}
 	k := &ledger.Keeper{
 		System: n.system, Feed: n.feed(fmt.Sprintf("ledger/%d", shard)), Book: book, Failed: n.panicked,
--- a/io/node/poll.go
+++ b/io/node/poll.go
@@ -49,6 +49,15 @@
 	return nil
 }
 
+// liveInc reports whether an incarnation seems to run. Before this instance has had time
+// to meet the others, all do.
+func (n *Node) liveInc(inc string) bool {
+	return inc == n.Inc || time.Since(n.born) < meetTime || n.view.Knows(inc)
+}
+
+// meetTime is the time that an instance needs to meet the others.
+const meetTime = 15 * time.Second
+
 // instanceCount returns the number of instances thought live.
 func (n *Node) instanceCount() int { return n.view.Live(time.Now()) }
 
