--- a/fake/simul/log.go
+++ b/fake/simul/log.go
@@ -8,15 +8,15 @@
 	"cranberryrail/core/tail"
 )
 
-// ErrNoAnswer is what a client of the log sees when no answer came; the record may
+// errNoAnswer is what a client of the log sees when no answer came; the record may
 // have been written.
-var ErrNoAnswer = errors.New("no answer from the log")
+var errNoAnswer = errors.New("no answer from the log")
 
-// AppendTimeout is how long a client waits for the answer to an append.
-const AppendTimeout = time.Second
+// appendTimeout is how long a client waits for the answer to an append.
+const appendTimeout = time.Second
 
-// PageEntries is the most entries that one read returns.
-const PageEntries = 256
+// pageEntries is the most entries that one read returns.
+const pageEntries = 256
 
 // Faults are the probabilities with which an append goes wrong.
 type Faults struct {
@@ -62,17 +62,17 @@
 	fate := l.Rand.Float64()
 	l.Sched.After(d/2, func() {
 		if l.Down {
-			l.Sched.After(AppendTimeout, func() { done(ErrNoAnswer) })
+			l.Sched.After(appendTimeout, func() { done(errNoAnswer) })
 			return
 		}
 		late := time.Duration(l.Rand.Int64N(int64(l.Faults.LateBy) + 1))
 		switch {
 		case fate < l.Faults.Lost:
 			l.write(data)
-			l.Sched.After(AppendTimeout, func() { done(ErrNoAnswer) })
+			l.Sched.After(appendTimeout, func() { done(errNoAnswer) })
 		case fate < l.Faults.Lost+l.Faults.Late:
 			l.Sched.After(late, func() { l.write(data) })
-			l.Sched.After(AppendTimeout, func() { done(ErrNoAnswer) })
+			l.Sched.After(appendTimeout, func() { done(errNoAnswer) })
 		case fate < l.Faults.Lost+l.Faults.Late+l.Faults.Twice:
 			l.write(data)
 			l.Sched.After(late, func() { l.write(data) })
@@ -103,12 +103,12 @@
 func (l *Log) Read(from int64) (tail.Page, error) {
 	switch {
 	case l.Down:
-		return tail.Page{}, ErrNoAnswer
+		return tail.Page{}, errNoAnswer
 	case from < l.first:
 		return tail.Page{}, &tail.TrimmedError{From: from, Earliest: l.first}
 	}
 	page := tail.Page{Head: l.Head()}
-	for offset := from; offset < min(l.Head(), from+PageEntries); offset++ {
+	for offset := from; offset < min(l.Head(), from+pageEntries); offset++ {
 		page.Entries = append(page.Entries, tail.Entry{Offset: offset, Data: l.records[offset-l.first]})
 	}
 	return page, nil
--- a/fake/simul/node.go
+++ b/fake/simul/node.go
@@ -54,8 +54,6 @@
 	Fail func(format string, args ...any)
 	// Cut tells that the log is out of reach.
 	Cut bool
-	// Appends counts the appends of batches that were tried.
-	Appends int64
 
 	gate     *tail.Gate
 	next     int64
@@ -195,7 +193,6 @@
 	if b.Seq == 1 {
 		b.Base = n.next
 	}
-	n.Appends++
 	n.append(b, func(err error) {
 		n.Contact(err == nil)
 		wait := tail.ReadBackWait
@@ -213,7 +210,7 @@
 		n.Fail("encode a batch of %s: %v", n.Inc, err)
 	}
 	if n.Cut {
-		n.Later(AppendTimeout, func() { done(ErrNoAnswer) })
+		n.Later(appendTimeout, func() { done(errNoAnswer) })
 		return
 	}
 	n.Log.Append(data, func(err error) { n.Do(func() { done(err) }) })
@@ -233,7 +230,7 @@
 	n.Later(n.ReadDelay, func() {
 		page, err := n.Log.Read(n.next)
 		if n.Cut {
-			err = ErrNoAnswer
+			err = errNoAnswer
 		}
 		var trimmed *tail.TrimmedError
 		switch {
--- a/fake/slope/slope.go
+++ b/fake/slope/slope.go
@@ -138,7 +138,7 @@
 		for i := range b.Keys {
 			item := tail.NewItem(ledger.KindCharge, ledger.Charge{
 				Budget: budget(i), Request: fmt.Sprintf("a0b1c2d3-e4f5-4a6b-8c7d-%012d", i), Digest: uint64(i) << 32, Tokens: 200,
-				From: []ledger.Part{{Holder: inc, Tokens: 200}},
+				From: []ledger.Part{{Tokens: 200}},
 			})
 			size += len(item.Body)
 			if _, err := f.Apply(inc, []tail.Item{item}); err != nil {
--- a/fake/storm/node.go
+++ b/fake/storm/node.go
@@ -11,32 +11,17 @@
 
 // Times of an instance.
 const (
-	// TickEvery is how often an instance looks at what depends on time.
-	TickEvery = simul.TickEvery
 	// PeerDelay is how long one call to a peer takes.
 	PeerDelay = time.Millisecond
-	// PeerTimeout is how long a call to a peer that doesn't answer takes.
-	PeerTimeout = 100 * time.Millisecond
+	// peerTimeout is how long a call to a peer that doesn't answer takes.
+	peerTimeout = 100 * time.Millisecond
 )
 
-// Sched is the clock of a run.
-type Sched = simul.Sched
-
-// Log is the stream of a run.
-type Log = simul.Log
-
-// NewSched returns a scheduler whose clock starts at a fixed time.
-func NewSched() *Sched { return simul.NewSched() }
-
 // Node is one incarnation of an instance that keeps a book. Exported fields are set
 // before Start.
 type Node struct {
+	// Node reads and writes the stream; Start sets its function fields.
 	simul.Node
-	// Sched, Log, Inc and Linger are those of the simul.Node, which Start fills.
-	Sched  *Sched
-	Log    *Log
-	Inc    string
-	Linger time.Duration
 	// Book decides; its Inc, Now, Send, Borrow and Decided are set by Start.
 	Book *ledger.Book
 	// Ask asks a peer for a loan; done is told of the tokens or 0.
@@ -55,18 +40,14 @@
 // Start begins to follow the stream.
 func (n *Node) Start() {
 	n.askers = map[int64]func(ledger.Answer){}
-	n.Node = simul.Node{
-		Sched: n.Sched, Log: n.Log, Inc: n.Inc, Linger: n.Linger,
-		Fold: n.fold, Save: func() ([]byte, error) { return n.Book.Fold.Save() }, Load: n.Book.Restore,
-		Trimmed: n.trimmed, Contact: n.Book.SetLog,
-	}
 	n.Book.Inc, n.Book.Now, n.Book.Send, n.Book.Decided = n.Inc, n.Sched.Now, n.Add, n.decided
 	if n.Ask != nil {
 		n.Book.Borrow = func(l ledger.Loan) { n.borrow(l, l.Holders[:min(len(l.Holders), lenders)], nil) }
 	}
 	n.Book.Default()
+	n.Fold, n.Save, n.Load, n.Trimmed, n.Contact = n.fold, n.Book.Fold.Save, n.Book.Restore, n.trimmed, n.Book.SetLog
 	n.Node.Start()
-	n.Every(TickEvery, func() {
+	n.Every(simul.TickEvery, func() {
 		n.Book.SetReady(n.Ready())
 		n.Book.Tick()
 	})
--- a/fake/storm/storm.go
+++ b/fake/storm/storm.go
@@ -41,9 +41,9 @@
 	// Stats is what happened, once Run has returned.
 	Stats Stats
 
-	sched    *Sched
+	sched    *simul.Sched
 	rand     *rand.Rand
-	log      *Log
+	log      *simul.Log
 	nodes    []*Node
 	births   int
 	watch    *watch
@@ -138,11 +138,11 @@
 }
 
 func (r *Run) begin() {
-	r.sched = NewSched()
+	r.sched = simul.NewSched()
 	r.watch = newWatch(r.fail)
 	r.cut = map[[2]int]bool{}
 	r.open = map[*Node][]*attempt{}
-	r.log = &Log{Sched: r.sched, Rand: r.rand, Appended: r.watch.appended, Delay: r.ordinaryDelay,
+	r.log = &simul.Log{Sched: r.sched, Rand: r.rand, Appended: r.watch.appended, Delay: r.ordinaryDelay,
 		Faults: simul.Faults{Lost: 0.02, Late: 0.02, Twice: 0.02, LateBy: 20 * time.Second}}
 	r.nodes = make([]*Node, r.Instances)
 	for i := range r.nodes {
@@ -179,7 +179,7 @@
 	r.births++
 	inc := fmt.Sprintf("i%d.%d", place, r.births)
 	n := &Node{
-		Sched: r.sched, Log: r.log, Inc: inc, Linger: 5 * time.Millisecond,
+		Node: simul.Node{Sched: r.sched, Log: r.log, Inc: inc, Linger: 5 * time.Millisecond},
 		Book: &ledger.Book{Policy: r.Policy, Instances: func() int { return r.Instances },
 			Live: func(string) bool { return r.rand.IntN(4) > 0 }},
 		Folded: r.watch.folded,
@@ -212,7 +212,7 @@
 			done(tokens)
 		}
 	}
-	r.sched.After(PeerTimeout, func() { answer(0) })
+	r.sched.After(peerTimeout, func() { answer(0) })
 	if !r.reach(place, lender) {
 		return
 	}
@@ -432,7 +432,7 @@
 	}
 	r.watch.finish(r.requests)
 	r.Stats.Records, r.Stats.Bills = r.log.Head(), int64(len(r.watch.bills))
-	r.Stats.Virtual = r.sched.Now().Sub(NewSched().Now())
+	r.Stats.Virtual = r.sched.Now().Sub(simul.NewSched().Now())
 	for key, b := range r.watch.fold.Budgets {
 		r.Stats.Paid += b.Paid
 		r.Stats.Spent += b.Spent
--- a/fake/trade/market.go
+++ b/fake/trade/market.go
@@ -10,6 +10,7 @@
 
 	"cranberryrail/core/ledger"
 	"cranberryrail/core/tail"
+	"cranberryrail/fake/simul"
 	"cranberryrail/fake/storm"
 )
 
@@ -38,9 +39,9 @@
 	t        *Table
 	c        Case
 	scenario Scenario
-	sched    *storm.Sched
+	sched    *simul.Sched
 	load     *rand.Rand
-	log      *storm.Log
+	log      *simul.Log
 	nodes    []*storm.Node
 	births   int
 	parted   bool
@@ -70,7 +71,7 @@
 
 func newMarket(t *Table, c Case, s Scenario) *market {
 	m := &market{
-		t: t, c: c, scenario: s, sched: storm.NewSched(), load: rand.New(rand.NewPCG(t.Seed, 2)),
+		t: t, c: c, scenario: s, sched: simul.NewSched(), load: rand.New(rand.NewPCG(t.Seed, 2)),
 		fold: ledger.New(), gate: tail.NewGate(), used: map[string]int64{}, reserved: map[string]int64{},
 		open: map[*storm.Node][]*order{}, figures: Figures{Case: c.Name, Scenario: s},
 	}
@@ -82,7 +83,7 @@
 	for i := range m.weights {
 		m.weights[i] /= sum
 	}
-	m.log = &storm.Log{Sched: m.sched, Rand: rand.New(rand.NewPCG(t.Seed, 3)), Appended: m.appended,
+	m.log = &simul.Log{Sched: m.sched, Rand: rand.New(rand.NewPCG(t.Seed, 3)), Appended: m.appended,
 		Delay: func() time.Duration { return ordinaryAppend }}
 	m.nodes = make([]*storm.Node, instances)
 	return m
@@ -206,8 +207,10 @@
 
 func (m *market) birth(place int) {
 	m.births++
-	n := &storm.Node{Sched: m.sched, Log: m.log, Inc: fmt.Sprintf("i%d.%03d", place, m.births), Linger: 5 * time.Millisecond,
-		Book: &ledger.Book{Policy: func(string) ledger.Policy { return m.c.Policy }, Instances: func() int { return instances }, Live: m.live}}
+	n := &storm.Node{
+		Node: simul.Node{Sched: m.sched, Log: m.log, Inc: fmt.Sprintf("i%d.%03d", place, m.births), Linger: 5 * time.Millisecond},
+		Book: &ledger.Book{Policy: func(string) ledger.Policy { return m.c.Policy }, Instances: func() int { return instances }, Live: m.live},
+	}
 	if m.c.Lending {
 		n.Ask = m.ask
 	}
@@ -223,7 +226,7 @@
 
 // keep holds allowances of all budgets ready, once they are known.
 func (m *market) keep(n *storm.Node) {
-	m.sched.After(storm.TickEvery, func() {
+	m.sched.After(simul.TickEvery, func() {
 		n.Do(func() {
 			for i := range organisations {
 				n.Book.Keep(budgetOf(i))
@@ -282,7 +285,7 @@
 	if m.scenario == LowBudget {
 		return m.log.Down && o.org == lowOrg
 	}
-	return m.sched.Now().Sub(storm.NewSched().Now()) > warmUp
+	return m.sched.Now().Sub(simul.NewSched().Now()) > warmUp
 }
 
 func (m *market) send(o *order, since time.Time) {
