--- a/cmd/oper_test.go
+++ b/cmd/oper_test.go
@@ -28,7 +28,7 @@
 	t.Run("a conflict shows what changed", func(t *testing.T) {
 		r := run(t, "publish", file, "--based-on", "1", "--instance", i.url)
 		assertFailed(t, r, 1, "refused: 6001 version_conflict (not_run)", "from version 2",
-			"\n  - allowance.cover_seconds = 1800\n  + allowance.cover_seconds = 600\n")
+			"\n  - allowance.cover_seconds = 1800\n  + allowance.cover_seconds = 900\n")
 		assert.Equal(t, strings.Count(r.err, "\n  "), 2)
 	})
 	t.Run("names instances that have not confirmed", func(t *testing.T) {
--- a/core/ledger/book.go
+++ b/core/ledger/book.go
@@ -145,6 +145,7 @@
 	Wait time.Duration
 
 	accounts map[string]*account
+	loans    map[loanKey]lastLoan
 	// order holds the budgets of the accounts; cursor is the one that Tick looked at last, and
 	// checked the one that CheckNext did.
 	order           []string
@@ -182,6 +183,7 @@
 		b.Wait = 400 * time.Millisecond
 	}
 	b.accounts = map[string]*account{}
+	b.loans = map[loanKey]lastLoan{}
 	b.grants = map[int64]Grant{}
 	b.waits = map[string]bool{}
 }
@@ -213,7 +215,10 @@
 
 // Spendable returns the tokens of a budget that a request could be granted now.
 func (b *Book) Spendable(budget string) int64 {
-	a := b.account(budget)
+	a := b.accounts[budget]
+	if a == nil {
+		a = &account{}
+	}
 	return b.own(budget, a) + a.borrowedTokens()
 }
 
@@ -650,6 +655,37 @@
 	return lend
 }
 
+// LoanID identifies a loan, so that a borrower whose answer was lost can ask again.
+type LoanID struct {
+	// Borrower is the incarnation that asks, and Number counts its loans from 1.
+	Borrower string
+	Number   int64
+}
+
+// lastLoan is the last loan that a borrower asked for of one budget.
+type lastLoan struct {
+	number, tokens int64
+}
+
+// LendOnce is Lend for a borrower that may ask again for the same loan: it is answered
+// alike and lent once. An older loan than the last is answered with 0.
+func (b *Book) LendOnce(id LoanID, budget string, tokens, least int64) int64 {
+	key := loanKey{borrower: id.Borrower, budget: budget}
+	last := b.loans[key]
+	switch {
+	case id.Number == last.number:
+		return last.tokens
+	case id.Number < last.number:
+		return 0
+	}
+	lent := b.Lend(budget, tokens, least)
+	b.loans[key] = lastLoan{number: id.Number, tokens: lent}
+	return lent
+}
+
+// loanKey names the loans of one budget to one borrower.
+type loanKey struct{ borrower, budget string }
+
 // Borrowed takes in the answer of a holder to a loan: its incarnation and the tokens,
 // or 0 when nobody lent.
 func (b *Book) Borrowed(budget, holder string, tokens int64) {
--- a/core/ledger/book_test.go
+++ b/core/ledger/book_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -301,3 +302,34 @@
 	_, err := a.Apply(tail.Batch{Inc: "newer", Items: []tail.Item{tail.NewItem(ledger.KindTopUp, "another format")}})
 	assert.ErrorContains(t, err, ledger.KindTopUp)
 }
+
+func TestLoanAskedForAgain(t *testing.T) {
+	f := newFleet(t, chunks(1000))
+	a, b := f.start("a"), f.start("b")
+	hold(2000, a, b)
+	id := ledger.LoanID{Borrower: "b", Number: 1}
+	lent := a.LendOnce(id, budget, 400, 1)
+	assert.Equal(t, a.LendOnce(id, budget, 400, 1), lent, "the same loan is lent once")
+	assert.Equal(t, a.Spendable(budget), 1000-lent)
+	assert.Equal(t, a.LendOnce(ledger.LoanID{Borrower: "b", Number: 0}, budget, 400, 1), int64(0))
+}
+
+func TestTopUpBeyondBounds(t *testing.T) {
+	f := ledger.New()
+	for i, tokens := range []int64{1000, math.MaxInt64} {
+		_, err := f.Apply("a", []tail.Item{tail.NewItem(ledger.KindTopUp, ledger.TopUp{ID: fmt.Sprint(i), Budget: budget, Tokens: tokens})})
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, f.Budgets[budget].Paid, int64(1000))
+	assert.NilError(t, f.Check())
+}
+
+func TestChargeOfLessThanNothing(t *testing.T) {
+	f := newFleet(t, chunks(1000))
+	a := f.start("a")
+	hold(2000, a)
+	item := tail.NewItem(ledger.KindCharge, ledger.Charge{Budget: budget, Request: "r", Tokens: math.MinInt64, From: []ledger.Part{{Tokens: 500}}})
+	results, err := a.Fold.Apply("a", []tail.Item{item})
+	assert.NilError(t, err)
+	assert.Equal(t, results[0].Refused, ledger.RefusedAmount)
+}
--- a/core/ledger/fold.go
+++ b/core/ledger/fold.go
@@ -15,6 +15,9 @@
 // same request is compared with.
 const ChargeWindow = 1 << 18
 
+// MostPaid is the most tokens that a budget can have paid; it keeps sums within bounds.
+const MostPaid = 1 << 60
+
 // FoldFormat is the number of the state encoding that this build writes.
 const FoldFormat = 1
 
@@ -119,7 +122,7 @@
 	// RefusedHolder means that the holder has fewer tokens than the item takes. It is a
 	// violated invariant: no instance spends what it doesn't hold.
 	RefusedHolder Refusal = "beyond_holding"
-	// RefusedAmount means that the amount is not positive.
+	// RefusedAmount means that the amount is not positive, or more than a budget can have.
 	RefusedAmount Refusal = "amount"
 )
 
@@ -238,6 +241,10 @@
 		}
 		return r
 	}
+	if m.Tokens > MostPaid-b.Paid {
+		r.Refused = RefusedAmount
+		return r
+	}
 	b.TopUps = append(b.TopUps, TopUpSeen{ID: m.ID, Tokens: m.Tokens})
 	b.Paid += m.Tokens
 	return r
@@ -271,6 +278,10 @@
 		r.Refused = RefusedBudget
 		return r
 	}
+	if m.Tokens <= 0 {
+		r.Refused = RefusedAmount
+		return r
+	}
 	key := billKey{budget: m.Budget, request: m.Request, digest: m.Digest}
 	before, known := f.bills[key]
 	r.Repeated = known
--- a/core/ledger/keeper.go
+++ b/core/ledger/keeper.go
@@ -49,7 +49,7 @@
 	shard  *shard.Shard
 	marks  marks
 	askers map[int64]*actor.PID
-	topUps map[string][]*actor.PID
+	topUps map[TopUp][]*actor.PID
 }
 
 // String names the keeper for logs.
@@ -68,7 +68,7 @@
 	}
 	k.marks.restored()
 	k.askers = map[int64]*actor.PID{}
-	k.topUps = map[string][]*actor.PID{}
+	k.topUps = map[TopUp][]*actor.PID{}
 	k.Book.Inc = k.Feed.Inc
 	k.Book.Send = k.Feed.Add
 	k.Book.Decided = k.decided
@@ -101,7 +101,7 @@
 	case logMsg:
 		k.Book.SetLog(m.reached)
 	case lendMsg:
-		ctx.Respond(k.Book.Lend(m.budget, m.tokens, m.least))
+		ctx.Respond(k.Book.LendOnce(m.loan, m.budget, m.tokens, m.least))
 	case borrowedMsg:
 		k.Book.Gathered(m.budget, m.parts)
 	case keepMsg:
@@ -117,7 +117,7 @@
 func (k *Keeper) receiveOperator(ctx actor.Context) {
 	switch m := ctx.Message().(type) {
 	case topUpMsg:
-		k.topUps[m.topUp.ID] = append(k.topUps[m.topUp.ID], ctx.Sender())
+		k.topUps[m.topUp] = append(k.topUps[m.topUp], ctx.Sender())
 		k.Book.TopUp(m.topUp)
 	case listMsg:
 		ctx.Respond(k.balances())
@@ -197,10 +197,10 @@
 	if tail.Decode(batch.Items[i].Body, &m) != nil {
 		return
 	}
-	for _, who := range k.topUps[m.ID] {
+	for _, who := range k.topUps[m] {
 		k.shard.Answer(who, r)
 	}
-	delete(k.topUps, m.ID)
+	delete(k.topUps, m)
 }
 
 // check asserts the invariants of the budget that an item touched.
@@ -269,9 +269,10 @@
 // Reached tells whether the platform's log is in reach.
 func (k *Keeper) Reached(reached bool) { k.shard.Tell(logMsg{reached: reached}) }
 
-// Lend gives a peer a part of the own allowance and returns the tokens lent.
-func (k *Keeper) Lend(budget string, tokens, least int64) (int64, error) {
-	response, err := k.shard.Ask(lendMsg{budget: budget, tokens: tokens, least: least})
+// Lend gives a peer a part of the own allowance and returns the tokens lent. The same loan
+// asked for again is answered alike and lent once.
+func (k *Keeper) Lend(loan LoanID, budget string, tokens, least int64) (int64, error) {
+	response, err := k.shard.Ask(lendMsg{loan: loan, budget: budget, tokens: tokens, least: least})
 	if err != nil {
 		return 0, err
 	}
--- a/core/ledger/msgs.go
+++ b/core/ledger/msgs.go
@@ -21,6 +21,7 @@
 
 // lendMsg asks for a loan; the response is the number of tokens.
 type lendMsg struct {
+	loan          LoanID
 	budget        string
 	tokens, least int64
 }
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -63,13 +63,19 @@
 		among = t.byService[r.Service]
 	}
 	return filter(among, func(c *target) bool {
-		if !serves(c, r) || t.leaving.Contains(c.Incarnation) || !only(c, r.Only) {
+		if !serves(c, r) || t.left(c) || !only(c, r.Only) {
 			return false
 		}
 		return len(r.Shares) == 0 || slices.ContainsFunc(r.Shares, func(s Share) bool { return s.matches(c, r.Model) })
 	})
 }
 
+// left reports whether a target is known to leave. One without an incarnation is taken by
+// its word in the list.
+func (t *Table) left(c *target) bool {
+	return t.leaving.Contains(c.Incarnation) || c.Incarnation == "" && c.State == roster.Leaving
+}
+
 // only reports whether a target is the one that is asked for, if one is.
 func only(c *target, t *roster.Target) bool {
 	return t == nil || t.ID == c.ID && t.Incarnation == c.Incarnation
--- a/core/shard/shard.go
+++ b/core/shard/shard.go
@@ -104,6 +104,8 @@
 func (s *Shard) ask(msg any) ([]byte, error) {
 	response, err := s.agent.Ask(msg)
 	if err != nil {
+		// Whether the message was handled is not known, so the state can't be trusted.
+		s.Failed(err)
 		return nil, err
 	}
 	o := response.(outcome)
--- a/core/tail/feed.go
+++ b/core/tail/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,12 @@
 // SnapshotPartBytes is the most state that one snapshot record carries.
 const SnapshotPartBytes = 256 << 10
 
+// MaxSnapshotParts is the most parts of a snapshot; a record that names more is none.
+const MaxSnapshotParts = 4096
+
+// maxAssemblies is the number of incomplete snapshots that are collected at a time.
+const maxAssemblies = 4
+
 // SnapshotPart is one part of the state of a fold at an offset. Parts of equal
 // states are equal, whoever wrote them.
 type SnapshotPart struct {
@@ -96,8 +103,10 @@
 	ready    atomic.Bool
 	stalled  *StalledError
 	lastSnap int64
-	parts    map[snapKey]*assembly
-	writer   *Writer
+	// written is how far the own snapshots reach, with the records that carry them.
+	written int64
+	parts   map[snapKey]*assembly
+	writer  *Writer
 }
 
 type snapKey struct {
@@ -292,7 +301,7 @@
 func (f *Feed) assemble(b Batch) (int64, []byte, bool) {
 	for _, item := range b.Items {
 		var p SnapshotPart
-		if item.Kind != KindSnapshot || Decode(item.Body, &p) != nil || p.Part < 0 || p.Part >= p.Parts {
+		if item.Kind != KindSnapshot || Decode(item.Body, &p) != nil || p.Part < 0 || p.Part >= p.Parts || p.Parts > MaxSnapshotParts {
 			continue
 		}
 		if whole := f.collect(p); whole != nil {
@@ -313,6 +322,7 @@
 	key := snapKey{at: p.At, sum: p.Sum}
 	a := f.parts[key]
 	if a == nil {
+		f.makeRoom()
 		a = &assembly{parts: make([][]byte, p.Parts)}
 		f.parts[key] = a
 	}
@@ -334,6 +344,20 @@
 	return whole
 }
 
+// makeRoom drops the oldest incomplete snapshot when there are many.
+func (f *Feed) makeRoom() {
+	if len(f.parts) < maxAssemblies {
+		return
+	}
+	oldest := snapKey{at: math.MaxInt64}
+	for key := range f.parts {
+		if key.at < oldest.at {
+			oldest = key
+		}
+	}
+	delete(f.parts, oldest)
+}
+
 // trimmed finds a state to go on from: a snapshot in the log whose tail is kept, or
 // that of a peer. It tries until the context ends.
 func (f *Feed) trimmed(ctx context.Context, err *TrimmedError) (int64, error) {
@@ -456,7 +480,7 @@
 func (f *Feed) snapshotDue() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.ready.Load() && f.next-1-f.lastSnap >= f.SnapshotEvery
+	return f.ready.Load() && f.next-1-max(f.lastSnap, f.written) >= f.SnapshotEvery
 }
 
 // WriteSnapshot appends the present state to the stream in parts.
@@ -481,6 +505,9 @@
 			return fmt.Errorf("append part %d of %d of a snapshot of %s: %w", i, parts, f.Stream, err)
 		}
 	}
+	f.mu.Lock()
+	f.written = st.At + int64(parts)
+	f.mu.Unlock()
 	f.SnapshotDone(st.At, true)
 	return nil
 }
--- a/core/tail/follow.go
+++ b/core/tail/follow.go
@@ -73,28 +73,33 @@
 			}
 			retry = min(2*retry, RetryLongest)
 		default:
-			retry = RetryFirst
-			if err := f.deliver(ctx, page.Entries); err != nil {
+			whole, err := f.deliver(ctx, page.Entries)
+			if err != nil {
 				return err
 			}
+			if !whole && sleep(ctx, retry) != nil {
+				return nil
+			}
+			retry = RetryFirst
 		}
 	}
 	return nil
 }
 
-func (f *Follower) deliver(ctx context.Context, entries []Entry) error {
+// deliver passes records on; it returns false when some are missing in between.
+func (f *Follower) deliver(ctx context.Context, entries []Entry) (bool, error) {
 	for _, e := range entries {
 		if e.Offset < f.Next {
 			continue
 		}
 		if e.Offset > f.Next {
 			f.Contact(&GapError{Stream: f.Stream, Want: f.Next, Got: e.Offset})
-			return nil
+			return false, nil
 		}
 		if err := f.Deliver(ctx, e); err != nil {
-			return err
+			return false, err
 		}
 		f.Next = e.Offset + 1
 	}
-	return nil
+	return true, nil
 }
--- /dev/null
+++ b/core/tail/review_test.go
@@ -0,0 +1,46 @@
+package tail_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cranberryrail/core/tail"
+)
+
+func TestSnapshotPartOfTooMany(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, log := &list{}, &fakeLog{}
+		part := tail.SnapshotPart{At: 1, Part: 0, Parts: 1 << 60, Sum: 1}
+		log.write(record(t, tail.Batch{Format: tail.BatchFormat, Inc: "x", Items: []tail.Item{tail.NewItem(tail.KindSnapshot, part)}}))
+		f := l.feed(log, "a")
+		run(t, 5*time.Second, f)
+		assert.Equal(t, f.Next(), int64(1))
+	})
+}
+
+func TestSnapshotIsWrittenOnceWhileReadsLag(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const lag = 10 * time.Second
+		l, log := &list{}, &fakeLog{}
+		for seq := range uint64(30) {
+			log.write(record(t, tail.Batch{Format: tail.BatchFormat, Inc: "w", Seq: seq + 1, Items: []tail.Item{item("x")}}))
+		}
+		f := l.feed(log, "a")
+		f.SnapshotEvery = 10
+		inner := f.Log.Read
+		f.Log.Read = func(ctx context.Context, s string, from int64, wait time.Duration) (tail.Page, error) {
+			page, err := inner(ctx, s, from, wait)
+			select {
+			case <-time.After(lag):
+			case <-ctx.Done():
+			}
+			return page, err
+		}
+		run(t, time.Minute, f)
+		assertRecords(t, log, 31)
+	})
+}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -143,6 +143,9 @@
 	return nil
 }
 
+// Close cuts off the requests in flight.
+func (s *Server) Close() { _ = s.server.Close() }
+
 // Stopping reports whether readiness was withdrawn for good.
 func (s *Server) Stopping() bool { return s.stopping.Load() }
 
--- a/io/front/parse.go
+++ b/io/front/parse.go
@@ -98,7 +98,7 @@
 	}
 	req := request{
 		organisation: t.Organisation, priority: t.Priority, stream: b.Stream,
-		chat: strings.HasSuffix(r.URL.Path, "/chat/completions"), digest: xxhash.Sum64(data),
+		chat: strings.HasSuffix(r.URL.Path, "/chat/completions"), digest: xxhash.Sum64(append([]byte(r.URL.Path), data...)),
 	}
 	checks := []func() *codes.Error{
 		func() *codes.Error { return req.takePrompt(b) },
--- a/io/front/service.go
+++ b/io/front/service.go
@@ -55,6 +55,9 @@
 	if err := checkID(headerKey, key); err != nil {
 		return err
 	}
+	if op := r.PathValue("operation"); op == "." || op == ".." {
+		return codes.Refuse(codes.BadRequest, 0, "the operation %q is no name", op)
+	}
 	if !slices.Contains(t.Services, name) {
 		return codes.Refuse(codes.NotAllowed, 0, "organisation %s may not call service %q", t.Organisation, name)
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -80,6 +81,8 @@
 	born       time.Time
 	primed     atomic.Bool
 	loadsAsked atomic.Bool
+	// loans counts the loans asked for, and fetches the states.
+	loans, fetches atomic.Int64
 	// lost holds the addresses of instances that did not answer last.
 	lost sync.Map
 	// background holds short orders to targets that nobody waits for.
@@ -386,11 +389,36 @@
 	defer cancel()
 	n.watchHurry(ctx, cancel)
 	events.Log(n.Log, events.StopBegan).Int64("in_flight", n.Front.InFlight()).Dur("limit", limit).Send()
-	if err := n.Front.Drain(ctx, n.Settings.Stop.NoticeMS.Duration()); err != nil {
+	cut := n.drain(ctx, limit-min(returnTime, limit/5))
+	if err := n.returnAll(ctx); err != nil {
+		events.Log(n.Log, events.StopGaveUp).Err(err).Send()
+		return errors.Join(cut, err)
+	}
+	if cut == nil {
+		events.Log(n.Log, events.StopDone).Send()
+	}
+	return cut
+}
+
+// returnTime is the part of a shutdown, at most a fifth, that is kept for the return of
+// allowances when requests take too long.
+const returnTime = 5 * time.Second
+
+// drain lets requests in flight finish within the time, and cuts off the rest.
+func (n *Node) drain(ctx context.Context, within time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	err := n.Front.Drain(ctx, n.Settings.Stop.NoticeMS.Duration())
+	if err != nil {
 		n.meter.Violation(meter.CutByStop)
 		events.Log(n.Log, events.StopGaveUp).Int64("in_flight", n.Front.InFlight()).Err(err).Send()
-		return err
+		n.Front.Close()
 	}
+	return err
+}
+
+// returnAll records what is due and returns allowances.
+func (n *Node) returnAll(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	for _, k := range n.Once {
 		g.Go(func() error { return k.Stop(ctx) })
@@ -398,12 +426,7 @@
 	for _, k := range n.Ledger {
 		g.Go(func() error { return k.Stop(ctx) })
 	}
-	if err := g.Wait(); err != nil {
-		events.Log(n.Log, events.StopGaveUp).Err(err).Send()
-		return err
-	}
-	events.Log(n.Log, events.StopDone).Send()
-	return nil
+	return g.Wait()
 }
 
 // watchHurry cuts the shutdown short when it is told to.
--- a/io/node/node_test.go
+++ b/io/node/node_test.go
@@ -260,3 +260,22 @@
 	assertSpent(t, f, f.Nodes[0], "acme/main", used)
 	assert.NilError(t, g.Wait())
 }
+
+func TestSameIDOnBothPathsIsBilledApart(t *testing.T) {
+	f := start(t, &fleet.Fleet{Instances: 1, Engines: 1})
+	open(t, f, 100_000)
+	body := `{"model":"draft","prompt":"AAAA","messages":[{"role":"u","content":"BBBB"}],"max_tokens":8,"stream":true}`
+	_, first := streamed(t, post(t, f.Nodes[0], "/v1/completions", fleet.Key("acme"), body, "X-Request-Id", "r"))
+	chat := post(t, f.Nodes[0], "/v1/chat/completions", fleet.Key("acme"), body, "X-Request-Id", "r")
+	assert.Assert(t, strings.HasSuffix(chat.body, "data: [DONE]\n\n"))
+	ctx, cancel := context.WithTimeout(context.Background(), testTime)
+	defer cancel()
+	assert.NilError(t, f.Await(ctx, func() bool { return balance(t, f.Nodes[0], "acme/main").Spent > first }))
+}
+
+func TestOperationIsAName(t *testing.T) {
+	f := start(t, &fleet.Fleet{Instances: 1, Services: 1})
+	open(t, f, 1)
+	r := post(t, f.Nodes[0], "/v1/services/claims/%2e%2e", fleet.Key("acme"), "{}", "Idempotency-Key", "k")
+	assertRefused(t, r, 1001, "not_run")
+}
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -175,7 +175,11 @@
 // fetch returns the state of a stream from the first instance that has it.
 func (n *Node) fetch(ctx context.Context, stream string) (tail.State, error) {
 	err := errors.New("no other instance is in reach")
-	for _, p := range n.peersByReach() {
+	peers := n.peersByReach()
+	first := int(n.fetches.Add(1))
+	for i := range peers {
+		// Each time another one goes first: the state of one that is cut off helps nobody.
+		p := peers[(first+i)%len(peers)]
 		var st tail.State
 		if st, err = n.peers.State(ctx, p.PeerAddr, stream); err == nil {
 			events.Log(n.Log, events.StateFetched).Str("stream", stream).Str("from", p.InstanceID).Int64("at", st.At).Send()
@@ -197,12 +201,13 @@
 }
 
 // lend gives another instance a part of the own allowance.
-func (n *Node) lend(budget string, tokens, least int64) (string, int64) {
-	lent, err := n.LedgerOf(budget).Lend(budget, tokens, least)
+func (n *Node) lend(l peer.Loan) (string, int64) {
+	id := ledger.LoanID{Borrower: l.Borrower, Number: l.Number}
+	lent, err := n.LedgerOf(l.Budget).Lend(id, l.Budget, l.Tokens, l.Least)
 	if err != nil || lent == 0 {
 		return "", 0
 	}
-	events.Log(n.Log, events.AllowanceLent).Str("budget", budget).Int64("tokens", lent).Send()
+	events.Log(n.Log, events.AllowanceLent).Str("budget", l.Budget).Int64("tokens", lent).Send()
 	return n.Inc, lent
 }
 
@@ -228,9 +233,15 @@
 		if !ok || ctx.Err() != nil {
 			continue
 		}
-		loan := peer.Loan{Borrower: n.Inc, Budget: l.Budget, Tokens: l.Tokens - got, Least: max(l.Least-got, 1)}
+		loan := peer.Loan{
+			Borrower: n.Inc, Number: n.loans.Add(1), Budget: l.Budget, Tokens: l.Tokens - got, Least: max(l.Least-got, 1),
+		}
 		inc, tokens, err := n.peers.Lend(ctx, p.PeerAddr, loan)
-		if err != nil || tokens <= 0 {
+		if err != nil {
+			n.reclaim(p.PeerAddr, loan)
+			continue
+		}
+		if tokens = min(tokens, loan.Tokens); tokens <= 0 {
 			continue
 		}
 		parts = append(parts, ledger.Part{Holder: inc, Tokens: tokens})
@@ -241,6 +252,31 @@
 	return parts
 }
 
+// Repetition of a loan whose answer was lost.
+const (
+	recoverTries = 20
+	recoverEvery = time.Second
+)
+
+// reclaim asks again for a loan whose answer was lost, so that tokens which were lent are
+// not idle for good.
+func (n *Node) reclaim(addr string, loan peer.Loan) {
+	n.background.TryGo(func() error {
+		for range recoverTries {
+			ctx, cancel := context.WithTimeout(context.Background(), recoverEvery)
+			holder, tokens, err := n.peers.Lend(ctx, addr, loan)
+			<-ctx.Done()
+			cancel()
+			if err == nil {
+				parts := []ledger.Part{{Holder: holder, Tokens: min(tokens, loan.Tokens)}}
+				n.LedgerOf(loan.Budget).Gathered(loan.Budget, parts)
+				return nil
+			}
+		}
+		return nil
+	})
+}
+
 // instances returns the state of all instances that are known; those that do not answer
 // are shown as missing.
 func (n *Node) instances(ctx context.Context) []oper.InstanceState {
--- a/io/node/reach.go
+++ b/io/node/reach.go
@@ -33,11 +33,11 @@
 	} else if now.Sub(r.last) > reachWait {
 		r.reached = false
 	}
-	after := r.reached
-	r.mu.Unlock()
-	if before != after {
-		r.changed(after)
+	if before != r.reached {
+		// Within the lock, so that what is told last is what holds.
+		r.changed(r.reached)
 	}
+	r.mu.Unlock()
 }
 
 // ok reports whether the log is in reach.
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -129,17 +129,19 @@
 
 // Loan is a request for a part of another instance's allowance.
 type Loan struct {
-	// Borrower is the incarnation that asks.
-	Borrower, Budget string
-	// Tokens are asked for; fewer than Least are of no use.
+	// Borrower is the incarnation that asks, and Number counts its loans.
+	Borrower string
+	Number   int64
+	Budget   string
+	// Tokens are asked for; Least are the fewest that help.
 	Tokens, Least int64
 }
 
 // Lend asks another instance for a part of its allowance. It returns the incarnation
-// that the log grants the tokens to, and their number. It is never repeated by the
-// client: after an error the tokens may be lent and are then unused.
+// that the log grants the tokens to, and their number. After an error the tokens may be
+// lent; the same loan asked for again is answered alike.
 func (c *Client) Lend(ctx context.Context, addr string, l Loan) (string, int64, error) {
-	in := &peerpb.LendRequest{Borrower: l.Borrower, Budget: l.Budget, Tokens: l.Tokens, Least: l.Least}
+	in := &peerpb.LendRequest{Borrower: l.Borrower, Number: l.Number, Budget: l.Budget, Tokens: l.Tokens, Least: l.Least}
 	reply, err := call(ctx, c, addr, "Lend", c.Timeout, peerpb.DRPCPeerClient.Lend, in)
 	return reply.GetHolder(), reply.GetTokens(), err
 }
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -172,8 +172,8 @@
 			}
 			return want, nil
 		}
-		s.Lend = func(budget string, tokens, least int64) (string, int64) {
-			return "inc-" + budget, tokens - least
+		s.Lend = func(l peer.Loan) (string, int64) {
+			return "inc-" + l.Budget, l.Tokens - l.Least
 		}
 		s.Report = func(kind string) ([]byte, error) { return []byte(`"` + kind + `"`), nil }
 	})
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -36,7 +36,7 @@
 	// State returns the folded state of a stream.
 	State func(stream string) (tail.State, error)
 	// Lend gives a part of the own allowance: the incarnation that holds it, and the tokens.
-	Lend func(budget string, tokens, least int64) (holder string, lent int64)
+	Lend func(l Loan) (holder string, lent int64)
 	// Confirm opens a further slice of a grant; optional.
 	Confirm func(holder, budget, grant string, tokens int64) int64
 	// Report returns the instance's report of a kind in JSON.
@@ -154,7 +154,9 @@
 
 // Lend gives a part of the allowance.
 func (s *service) Lend(_ context.Context, in *peerpb.LendRequest) (*peerpb.LendReply, error) {
-	holder, lent := s.Server.Lend(in.GetBudget(), in.GetTokens(), in.GetLeast())
+	holder, lent := s.Server.Lend(Loan{
+		Borrower: in.GetBorrower(), Number: in.GetNumber(), Budget: in.GetBudget(), Tokens: in.GetTokens(), Least: in.GetLeast(),
+	})
 	return &peerpb.LendReply{Holder: holder, Tokens: lent}, nil
 }
 
--- a/io/target/service.go
+++ b/io/target/service.go
@@ -26,6 +26,9 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
+// lastStatus is the highest status that an answer can have.
+const lastStatus = 599
+
 // Reply is the whole answer of a plain service.
 type Reply struct {
 	Status int
@@ -97,6 +100,10 @@
 		err := fmt.Errorf("call %s: the service has not run it: %s", operation, resp.Header.Get(NotRunHeader))
 		return nil, &Error{Kind: Leaving, Addr: addr, Sent: true, NotRun: true, Err: err}
 	}
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > lastStatus {
+		err := fmt.Errorf("call %s: the answer has status %d", operation, resp.StatusCode)
+		return nil, &Error{Kind: Failed, Addr: addr, Sent: true, Err: err}
+	}
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		err := fmt.Errorf("call %s: the answer has neither a length nor chunks", operation)
 		return nil, &Error{Kind: Truncated, Addr: addr, Sent: true, Err: err}
