--- a/io/meter/meter_test.go
+++ b/io/meter/meter_test.go
@@ -75,7 +75,7 @@
 		`first_token_seconds_sum{class="low"} 0.25`,
 		`reservations_total{result="granted"} 1`, `draws_total{result="refused"} 1`,
 		`log_appends_total{result="granted",stream="ledger"} 2`,
-		`invariant_violations_total{invariant="double_run"} 1`,
+		`invariant_violations_total{invariant="fold_differs"} 1`,
 		"streams_resumed_total 1", "streams_cut_total 1", "log_reached 1", "config_version 12", "config_age_seconds 1.5", `ledger_offset{shard="0"} 17`)
 	assert.NilError(t, other.Close())
 	assertServed(t, scrape(t, other), "streams_cut_total 0")
