--- a/io/front/front.go
+++ b/io/front/front.go
@@ -7,16 +7,12 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"cranberryrail/core/codes"
 	"cranberryrail/core/conf"
 	"cranberryrail/core/ledger"
@@ -24,6 +20,7 @@
 	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
 	"cranberryrail/core/serve"
+	"cranberryrail/io/httpd"
 	"cranberryrail/io/opts"
 )
 
@@ -67,8 +64,7 @@
 	// Served is told of each request that was parsed; optional.
 	Served func(s Served)
 
-	listener net.Listener
-	server   *http.Server
+	server   httpd.Server
 	active   activeSet
 	inFlight atomic.Int64
 	stopping atomic.Bool
@@ -86,46 +82,25 @@
 		s.Ready = func() bool { return true }
 	}
 	s.active.ids = map[string]*active{}
-	s.server = &http.Server{
-		Handler:           s.handler(),
-		ReadHeaderTimeout: s.Settings.HeaderTimeoutMS.Duration(),
-		IdleTimeout:       s.Settings.IdleTimeoutMS.Duration(),
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	s.server.Whom, s.server.Setting = "callers", "caller.listen"
+	s.server.Handler = s.handler()
+	s.server.ReadHeaderTimeout = s.Settings.HeaderTimeoutMS.Duration()
+	s.server.IdleTimeout = s.Settings.IdleTimeoutMS.Duration()
+	s.server.MaxHeaderBytes = maxHeaderBytes
 }
 
 // maxHeaderBytes bounds the headers of a request.
 const maxHeaderBytes = 32 << 10
 
 // Listen opens the listener; Addr is known afterwards.
-func (s *Server) Listen(ctx context.Context) error {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Settings.Listen)
-	if err != nil {
-		return fmt.Errorf("listen for callers; change caller.listen: %w", err)
-	}
-	s.listener = l
-	return nil
-}
+func (s *Server) Listen(ctx context.Context) error { return s.server.Listen(ctx, s.Settings.Listen) }
 
 // Addr returns the address that callers reach.
-func (s *Server) Addr() string { return s.listener.Addr().String() }
+func (s *Server) Addr() string { return s.server.Address() }
 
 // Run serves until the context ends. Requests in flight are then cut off; Drain before
 // lets them finish.
-func (s *Server) Run(ctx context.Context) error {
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error {
-		if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-			return fmt.Errorf("serve callers: %w", err)
-		}
-		return nil
-	})
-	g.Go(func() error {
-		<-ctx.Done()
-		return s.server.Close()
-	})
-	return g.Wait()
-}
+func (s *Server) Run(ctx context.Context) error { return s.server.Run(ctx) }
 
 // Drain withdraws readiness, leaves the balancer the time of notice to move on, and
 // waits for the requests in flight.
--- a/io/oper/oper.go
+++ b/io/oper/oper.go
@@ -8,18 +8,14 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
-	"fmt"
-	"net"
 	"net/http"
 	"strings"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"cranberryrail/core/codes"
 	"cranberryrail/core/conf"
 	"cranberryrail/core/ledger"
+	"cranberryrail/io/httpd"
 )
 
 // Bounds of operators' requests.
@@ -122,8 +118,7 @@
 	// Refused is told of each request with a wrong key; optional.
 	Refused func(remote string)
 
-	listener net.Listener
-	server   *http.Server
+	server httpd.Server
 }
 
 // String names the server for logs.
@@ -134,37 +129,18 @@
 	if s.Refused == nil {
 		s.Refused = func(string) {}
 	}
-	s.server = &http.Server{Handler: s.handler(), ReadHeaderTimeout: headerTimeout}
+	s.server.Whom, s.server.Setting = "operators", "operator.listen"
+	s.server.Handler, s.server.ReadHeaderTimeout = s.handler(), headerTimeout
 }
 
 // Listen opens the listener; Addr is known afterwards.
-func (s *Server) Listen(ctx context.Context) error {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.ListenAddr)
-	if err != nil {
-		return fmt.Errorf("listen for operators; change operator.listen: %w", err)
-	}
-	s.listener = l
-	return nil
-}
+func (s *Server) Listen(ctx context.Context) error { return s.server.Listen(ctx, s.ListenAddr) }
 
 // Addr returns the address that operators reach.
-func (s *Server) Addr() string { return s.listener.Addr().String() }
+func (s *Server) Addr() string { return s.server.Address() }
 
 // Run serves until the context ends.
-func (s *Server) Run(ctx context.Context) error {
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error {
-		if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-			return fmt.Errorf("serve operators: %w", err)
-		}
-		return nil
-	})
-	g.Go(func() error {
-		<-ctx.Done()
-		return s.server.Close()
-	})
-	return g.Wait()
-}
+func (s *Server) Run(ctx context.Context) error { return s.server.Run(ctx) }
 
 func (s *Server) handler() http.Handler {
 	mux := http.NewServeMux()
