--- a/cmd/measure.go
+++ b/cmd/measure.go
@@ -39,6 +39,17 @@
 	}}
 }
 
+func (a *App) measureFleets() command {
+	s := trade.Slope{Seed: 1}
+	sub := newSub("fleets", "measure what control of budgets costs an instance as the fleet grows", "measure fleets --instances 8 --instances 32")
+	sub.IntSlice(&s.Instances, "", "instances", "Size of a fleet; may be repeated.")
+	return command{sub, func(ctx context.Context) error {
+		s.Out = a.Stdout
+		s.Default()
+		return measured(&s, s.Run(ctx))
+	}}
+}
+
 func (a *App) measurePublishing() command {
 	var b pace.Bench
 	sub := newSub("publishing", "measure how fast a change is in force and what idle instances cost",
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -78,7 +78,7 @@
 	return []group{
 		{"fake", "run a stand-in for tests and load runs", []command{a.fakePlatform(), a.fakeEngine(), a.fakeService()}},
 		{"measure", "measure and write a table", []command{
-			a.measureOverhead(), a.measureRouting(), a.measureAllowances(), a.measurePublishing(), a.measureSlopes(),
+			a.measureOverhead(), a.measureRouting(), a.measureAllowances(), a.measurePublishing(), a.measureSlopes(), a.measureFleets(),
 		}},
 		{"soak", "run at random with invariants asserted", []command{
 			a.soakBudgets(), a.soakCalls(), a.soakConfig(), a.soakServing(),
--- a/cmd/root_test.go
+++ b/cmd/root_test.go
@@ -12,7 +12,7 @@
 	return []string{
 		"", "check", "publish", "set", "remove", "templates", "topup", "budgets", "usage", "targets", "instances",
 		"report", "burn", "demo", "serve", "fake", "fake platform", "fake engine", "fake service",
-		"measure", "measure overhead", "measure routing", "measure allowances", "measure publishing", "measure slopes",
+		"measure", "measure overhead", "measure routing", "measure allowances", "measure publishing", "measure slopes", "measure fleets",
 		"soak", "soak budgets", "soak calls", "soak config", "soak serving",
 	}
 }
--- a/fake/trade/market.go
+++ b/fake/trade/market.go
@@ -16,8 +16,9 @@
 
 // Sizes and times of a run.
 const (
-	instances     = 8
-	organisations = 10
+	defaultInstances = 8
+	defaultRate      = 20
+	organisations    = 10
 	// lowOrg is the organisation that has little left in LowBudget.
 	lowOrg = 2
 	// lowInstances take all requests of lowOrg while the log is down in LowBudget.
@@ -85,7 +86,7 @@
 	}
 	m.log = &simul.Log{Sched: m.sched, Rand: rand.New(rand.NewPCG(t.Seed, 3)), Appended: m.appended,
 		Delay: func() time.Duration { return ordinaryAppend }}
-	m.nodes = make([]*storm.Node, instances)
+	m.nodes = make([]*storm.Node, t.Instances)
 	return m
 }
 
@@ -189,7 +190,7 @@
 
 // kill ends one instance after the other.
 func (m *market) kill(place int) {
-	m.sched.After(killEvery, func() { m.kill((place + 3) % instances) })
+	m.sched.After(killEvery, func() { m.kill((place + 3) % m.t.Instances) })
 	n := m.nodes[place]
 	n.Kill()
 	for _, o := range m.open[n] {
@@ -198,7 +199,7 @@
 			m.use(o, int64(o.used*float64(o.grant.Covers())/2))
 		}
 		again := *o
-		again.granted, again.ended, again.node = false, false, (o.node+1)%instances
+		again.granted, again.ended, again.node = false, false, (o.node+1)%m.t.Instances
 		m.sched.After(rebirth, func() { m.send(&again, m.sched.Now()) })
 	}
 	delete(m.open, n)
@@ -209,7 +210,7 @@
 	m.births++
 	n := &storm.Node{
 		Node: simul.Node{Sched: m.sched, Log: m.log, Inc: fmt.Sprintf("i%d.%03d", place, m.births), Linger: 5 * time.Millisecond},
-		Book: &ledger.Book{Policy: func(string) ledger.Policy { return m.c.Policy }, Instances: func() int { return instances }, Live: m.live},
+		Book: &ledger.Book{Policy: func(string) ledger.Policy { return m.c.Policy }, Instances: func() int { return m.t.Instances }, Live: m.live},
 	}
 	if m.c.Lending {
 		n.Ask = m.ask
@@ -270,7 +271,7 @@
 		least = tokens / 4
 	}
 	o := &order{org: org, used: math.Pow(m.load.Float64(), 1.5), takes: time.Duration(m.load.Int64N(int64(8 * time.Second))),
-		node: m.load.IntN(instances)}
+		node: m.load.IntN(m.t.Instances)}
 	m.figures.Requests++
 	o.need = ledger.Need{Budget: budgetOf(org), Request: fmt.Sprint("q", m.figures.Requests), Tokens: tokens, Least: least}
 	if m.scenario == LowBudget && org == lowOrg && m.log.Down {
@@ -291,7 +292,7 @@
 func (m *market) send(o *order, since time.Time) {
 	n := m.nodes[o.node]
 	if n.Gone() {
-		o.node = (o.node + 1) % instances
+		o.node = (o.node + 1) % m.t.Instances
 		n = m.nodes[o.node]
 	}
 	n.Do(func() {
@@ -389,7 +390,7 @@
 	f.StrandedShare = share(stranded, paid)
 	seconds := m.t.Length.Seconds()
 	f.AppendRate = float64(m.log.Appends) / seconds
-	f.ByteRate = float64(m.log.Bytes) * (1 + 1.0/instances) / seconds
+	f.ByteRate = float64(m.log.Bytes) * (1 + 1/float64(m.t.Instances)) / seconds
 	f.Requests = f.Granted + f.Refused
 	slices.Sort(m.waits)
 	if n := len(m.waits); n > 0 {
--- a/fake/trade/trade.go
+++ b/fake/trade/trade.go
@@ -94,6 +94,8 @@
 	Length time.Duration
 	// Rate is the mean number of requests a second.
 	Rate float64
+	// Instances is their number.
+	Instances int
 	// Cases and Scenarios are compared with each other.
 	Cases     []Case
 	Scenarios []Scenario
@@ -111,8 +113,11 @@
 	if t.Length == 0 {
 		t.Length = 30 * time.Minute
 	}
+	if t.Instances == 0 {
+		t.Instances = defaultInstances
+	}
 	if t.Rate == 0 {
-		t.Rate = 20
+		t.Rate = defaultRate
 	}
 	if t.Cases == nil {
 		t.Cases = Cases()
--- a/fake/trade/trade_test.go
+++ b/fake/trade/trade_test.go
@@ -22,3 +22,11 @@
 		assert.Assert(t, f.Granted > 200, "%s, %s", f.Case, f.Scenario)
 	}
 }
+
+func TestSlope(t *testing.T) {
+	var out strings.Builder
+	slope := &trade.Slope{Seed: 1, Length: 60 * time.Second, Instances: []int{2, 4}, Out: &out}
+	slope.Default()
+	assert.NilError(t, slope.Run(context.Background()))
+	assert.Equal(t, strings.Count(out.String(), "\n"), 2+len(slope.Instances))
+}
