refactor: look objectives up by organisation; list templates only for a new version

Found on reading the whole change: each served request walked all templates for its objectives, each refused change listed all templates to find that nothing is new, and the processor time of the process was read by three copies of one function. Behaviour is unchanged; io/node, fake/pace, fake/trade and cmd pass with -race.

--- a/fake/pace/pace.go
+++ b/fake/pace/pace.go
@@ -7,13 +7,13 @@
 	"fmt"
 	"io"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"cranberryrail/core/conf"
 	"cranberryrail/fake/fleet"
+	"cranberryrail/fake/usage"
 )
 
 const (
@@ -191,11 +191,11 @@
 
 // idleCore measures the processor time of an idle fleet.
 func (b *Bench) idleCore(ctx context.Context, figures *Figures) error {
-	before, since := processorTime(), time.Now()
+	before, since := usage.ProcessorTime(), time.Now()
 	if err := wait(ctx, b.Idle); err != nil {
 		return err
 	}
-	figures.Core = (processorTime() - before).Seconds() / time.Since(since).Seconds() / float64(figures.Instances)
+	figures.Core = (usage.ProcessorTime() - before).Seconds() / time.Since(since).Seconds() / float64(figures.Instances)
 	return nil
 }
 
@@ -223,15 +223,6 @@
 	return platform, peers
 }
 
-// processorTime returns the time that the process has used so far.
-func processorTime() time.Duration {
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		return 0
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
-
 func wait(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/fake/probe/probe.go
+++ b/fake/probe/probe.go
@@ -13,7 +13,6 @@
 	"io"
 	"net/http"
 	"runtime"
-	"syscall"
 	"text/tabwriter"
 	"time"
 
@@ -24,6 +23,7 @@
 	"cranberryrail/fake/engine"
 	"cranberryrail/fake/fleet"
 	"cranberryrail/fake/platf"
+	"cranberryrail/fake/usage"
 	"cranberryrail/io/opts"
 )
 
@@ -154,7 +154,7 @@
 func (b *Bench) measure(ctx context.Context, how way, inFlight, requests int) (figures, error) {
 	f := figures{way: how.name, inFlight: inFlight, first: hdrhistogram.New(1, longestUS, digits)}
 	times := make(chan int64, requests)
-	started, cpu := time.Now(), processorTime()
+	started, cpu := time.Now(), usage.ProcessorTime()
 	var g errgroup.Group
 	g.SetLimit(inFlight)
 	for i := range requests {
@@ -171,7 +171,7 @@
 		_ = f.first.RecordValue(us)
 	}
 	f.rate = float64(requests) / elapsed.Seconds()
-	f.cpu = float64((processorTime() - cpu).Microseconds()) / 1e3 / float64(requests)
+	f.cpu = float64((usage.ProcessorTime() - cpu).Microseconds()) / 1e3 / float64(requests)
 	return f, err
 }
 
@@ -289,12 +289,3 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapInuse + m.StackInuse
 }
-
-// processorTime returns the processor time that the process has used.
-func processorTime() time.Duration {
-	var u syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
-		return 0
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
--- a/fake/trade/slope.go
+++ b/fake/trade/slope.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"io"
-	"syscall"
 	"time"
+
+	"cranberryrail/fake/usage"
 )
 
 // Slope measures what control of budgets costs an instance as the fleet grows, with the
-// same load for each instance. Exported fields are set before Run.
+// same load for each instance. The processor time includes the simulation itself.
+// Exported fields are set before Run.
 type Slope struct {
 	// Seed decides on the load.
 	Seed uint64
@@ -52,24 +54,14 @@
 			Cases: Cases()[1:2], Scenarios: []Scenario{Calm},
 		}
 		t.Default()
-		before := processorTime()
+		before := usage.ProcessorTime()
 		if err := t.Run(ctx); err != nil {
 			return err
 		}
-		spent := processorTime() - before
+		spent := usage.ProcessorTime() - before
 		f := t.Figures[0]
 		_, err = fmt.Fprintf(s.Out, "| %d | %.0f | %.1f | %.0f | %.2f | %.2f |\n", n, t.Rate, f.AppendRate, f.ByteRate,
 			100*spent.Seconds()/s.Length.Seconds()/float64(n), 100*f.FalseShare())
 	}
 	return err
 }
-
-// processorTime returns the processor time that the process has used. It includes the
-// simulation itself.
-func processorTime() time.Duration {
-	var u syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
-		return 0
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
--- a/io/node/inforce.go
+++ b/io/node/inforce.go
@@ -14,7 +14,9 @@
 	version   int64
 	templates []conf.Published
 	byKey     map[string]conf.Template
-	policies  map[string]ledger.Policy
+	// objectives are by organisation.
+	objectives map[string]conf.Objectives
+	policies   map[string]ledger.Policy
 }
 
 // current holds the configuration in force.
@@ -22,12 +24,16 @@
 
 // set computes the configuration of a fold and puts it in force. A lower version than
 // the one in force is never applied.
-func (c *current) set(version int64, templates []conf.Published) bool {
-	if old := c.p.Load(); old != nil && version <= old.version {
+func (c *current) set(f *conf.Fold) bool {
+	if old := c.p.Load(); old != nil && f.Version <= old.version {
 		return false
 	}
-	next := &inForce{version: version, templates: templates, byKey: map[string]conf.Template{}, policies: map[string]ledger.Policy{}}
-	for _, p := range templates {
+	next := &inForce{
+		version: f.Version, templates: f.All(), byKey: map[string]conf.Template{},
+		objectives: map[string]conf.Objectives{}, policies: map[string]ledger.Policy{},
+	}
+	for _, p := range next.templates {
+		next.objectives[p.Template.Organisation] = p.Template.Objectives
 		for _, key := range p.Template.KeysSHA256 {
 			next.byKey[key] = p.Template
 		}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -245,7 +245,7 @@
 			events.Log(n.Log, events.ConfRefused).Str("organisation", o.Organisation).Int("code", o.Code).Str("id", o.ID).Send()
 		}
 	}
-	if !n.current.set(f.Version, f.All()) {
+	if !n.current.set(f) {
 		return
 	}
 	events.Log(n.Log, events.ConfApplied).Int64("version", f.Version).Send()
--- a/io/node/observe.go
+++ b/io/node/observe.go
@@ -37,12 +37,8 @@
 
 // objectives returns the objectives of an organisation.
 func (n *Node) objectives(organisation string) (conf.Objectives, bool) {
-	for _, p := range n.current.get().templates {
-		if p.Template.Organisation == organisation {
-			return p.Template.Objectives, true
-		}
-	}
-	return conf.Objectives{}, false
+	goals, ok := n.current.get().objectives[organisation]
+	return goals, ok
 }
 
 // served counts what became of a request.
