fix: hold a lapsed target no longer than the platform's return; weigh tokens held ready

Ruled out: entries that come late (the other instances had them after 2 ms).

Drawing and returning single tokens is gone.

--- a/core/logs/follow.go
+++ b/core/logs/follow.go
@@ -17,7 +17,7 @@
 	// usual time of an answer.
 	DefaultMargin = 600 * time.Millisecond
 	// DefaultBackoff is the longest pause after a failed call; the shortest is a quarter of it.
-	DefaultBackoff = 300 * time.Millisecond
+	DefaultBackoff = 200 * time.Millisecond
 )
 
 // Follower follows one partition of a keyed topic. Exported fields are set before Run.
@@ -109,9 +109,13 @@
 
 // read reads what follows an offset and returns the offset after it.
 func (f *Follower) read(ctx context.Context, from int64) (int64, error) {
+	wait := f.Wait
+	if !f.lost.IsZero() {
+		wait = 0 // the answer tells at once that the log is back
+	}
 	call, cancel := context.WithTimeout(ctx, f.Wait+f.Margin)
 	defer cancel()
-	records, end, err := f.Log.Read(call, f.Topic, f.Part, from, f.Wait)
+	records, end, err := f.Log.Read(call, f.Topic, f.Part, from, wait)
 	if err != nil {
 		return from, err
 	}
--- a/core/purse/keeper.go
+++ b/core/purse/keeper.go
@@ -43,7 +43,7 @@
 	// Pause is the time between two looks at what other instances wrote.
 	Pause time.Duration
 	// Changed is told of each draw and return that was decided; optional.
-	Changed func(organisation string, tokens, granted int64, landed bool)
+	Changed func(organisation string, tokens int64, landed bool)
 	// Unsettled is told of a batch whose outcome can't be known any more; optional.
 	Unsettled func(sequence, tokens int64)
 	// Unreadable is told of a record that can't be read; optional.
@@ -69,7 +69,7 @@
 		k.Pause = DefaultPause
 	}
 	if k.Changed == nil {
-		k.Changed = func(string, int64, int64, bool) {}
+		k.Changed = func(string, int64, bool) {}
 	}
 	if k.Unsettled == nil {
 		k.Unsettled = func(int64, int64) {}
--- a/core/purse/purse.go
+++ b/core/purse/purse.go
@@ -27,10 +27,17 @@
 	// no instance strands much of a budget that is nearly spent.
 	DrawPart = 16
 	// LowPart is the part of what was paid, as a divisor, below which what is left counts as
-	// low, and instances hold less.
+	// low, and instances give back what they hold too much.
 	LowPart = 12
-	// lowCover is the time of usual use that is held ready of a budget that is low.
+	// coverSlope is how the cover shrinks with the part of a budget that is left, so that a
+	// kill of all instances strands little of a budget that is nearly spent: the full cover is
+	// held while two thirds are left.
+	coverSlope = 1.5
+	// lowCover is the least time of usual use that is held ready.
 	lowCover = time.Second
+	// QuantumPart is the smallest change of a holding that is worth an append, as a divisor of
+	// what was paid, unless a request waits for it.
+	QuantumPart = 1024
 	// refillPart is the part of the target below which a holding is refilled.
 	refillPart = 0.7
 	// returnPart is the multiple of the target above which a holding is given back.
@@ -77,6 +84,9 @@
 // left returns what the log can still hand out.
 func (a *account) left() int64 { return a.paid - a.granted }
 
+// quantum returns the smallest change of the holding that is worth an append.
+func (a *account) quantum() int64 { return a.paid / QuantumPart }
+
 // low reports whether little is left.
 func (a *account) low() bool { return a.left() < a.paid/LowPart }
 
@@ -250,11 +260,8 @@
 
 // target returns the tokens that this instance should hold unspent.
 func (b *Book) target(a *account) int64 {
-	cover := b.Cover
-	if a.low() {
-		cover = min(cover, lowCover)
-	}
-	want := a.use.rate(b.Now()) * cover.Seconds()
+	cover := b.Cover.Seconds() * min(1, coverSlope*float64(max(a.left(), 0))/float64(max(a.paid, 1)))
+	want := a.use.rate(b.Now()) * max(cover, lowCover.Seconds())
 	return max(0, min(int64(math.Ceil(want)), max(a.left(), 0)/DrawPart+a.free))
 }
 
@@ -270,7 +277,7 @@
 		return 0
 	}
 	keep := b.target(a)
-	if float64(a.free) <= returnPart*float64(keep) {
+	if float64(a.free) <= returnPart*float64(keep) || a.free-keep < a.quantum() {
 		return 0
 	}
 	return a.free - keep
@@ -296,7 +303,9 @@
 	left := max(a.left(), 0)
 	want := a.need - a.free
 	if target := b.target(a); float64(a.free) < refillPart*float64(target) {
-		want = max(want, min(target-a.free, left/DrawPart))
+		if refill := min(target-a.free, left/DrawPart); refill >= a.quantum() {
+			want = max(want, refill)
+		}
 	}
 	if want <= 0 || want > left {
 		a.need = 0
@@ -401,17 +410,12 @@
 	Reserved int64 `json:"reserved"`
 }
 
-// Balances returns the budgets of all organisations that have one, in no order.
-func (b *Book) Balances() []Balance {
+// Balance returns the budget of an organisation.
+func (b *Book) Balance(organisation string) Balance {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	balances := make([]Balance, 0, len(b.accounts))
-	for name, a := range b.accounts {
-		if a.paid != table.Unlimited {
-			balances = append(balances, Balance{Organisation: name, Paid: a.paid, Granted: a.granted, Free: a.free, Reserved: a.reserved})
-		}
-	}
-	return balances
+	a := b.account(organisation)
+	return Balance{Organisation: organisation, Paid: a.paid, Granted: a.granted, Free: a.free, Reserved: a.reserved}
 }
 
 // meter observes use as an exponentially decaying average.
--- a/core/purse/shard.go
+++ b/core/purse/shard.go
@@ -133,7 +133,7 @@
 		} else {
 			s.keeper.Book.Undrawn(c.organisation, c.tokens)
 		}
-		s.keeper.Changed(c.organisation, c.tokens, s.granted[c.organisation], landed)
+		s.keeper.Changed(c.organisation, c.tokens, landed)
 	}
 }
 
--- a/core/roster/list.go
+++ b/core/roster/list.go
@@ -53,8 +53,8 @@
 	// leaving holds for good for this start of the target.
 	leaving bool
 	present bool
-	// until is when an entry that lapsed during an outage counts as removed; zero otherwise.
-	until time.Time
+	// lapsed tells that the entry was removed around an outage, and may come back.
+	lapsed bool
 }
 
 // String names the list for logs.
@@ -96,7 +96,7 @@
 	}
 	before := *known
 	restarted := e.Born > known.Born
-	known.Entry, known.present, known.until = e, true, time.Time{}
+	known.Entry, known.present, known.lapsed = e, true, false
 	known.leaving = e.State == Leaving || known.leaving && !restarted
 	switch {
 	case known.leaving && (!before.leaving || restarted):
@@ -130,21 +130,22 @@
 	if known == nil || !known.present {
 		return false
 	}
-	if l.away || l.Now().Sub(l.back) < ReturnGrace {
-		if known.until.IsZero() {
-			known.until = l.Now().Add(ReturnGrace)
-		}
+	if l.away || l.returning() {
+		known.lapsed = true
 		return false
 	}
 	return l.remove(id)
 }
 
+// returning reports whether the platform was reached again just now.
+func (l *List) returning() bool { return l.Now().Sub(l.back) < ReturnGrace }
+
 func (l *List) remove(id string) bool {
 	known := l.entries[id]
 	if known == nil || !known.present {
 		return false
 	}
-	known.present, known.until = false, time.Time{}
+	known.present, known.lapsed = false, false
 	l.Changed(id, Removed, nil)
 	return true
 }
@@ -164,17 +165,14 @@
 // Expire removes entries that lapsed during an outage and did not come back, and reports
 // whether the targets changed.
 func (l *List) Expire() bool {
-	if l.away {
+	if l.away || l.returning() {
 		return false
 	}
 	changed := false
-	now := l.Now()
 	for _, id := range l.ids() {
-		known := l.entries[id]
-		if known.until.IsZero() || now.Before(known.until) || now.Sub(l.back) < ReturnGrace {
-			continue
+		if l.entries[id].lapsed {
+			changed = l.remove(id) || changed
 		}
-		changed = l.remove(id) || changed
 	}
 	return changed
 }
--- a/io/router/follow.go
+++ b/io/router/follow.go
@@ -146,9 +146,10 @@
 }
 
 // holdingChanged logs a draw or a return.
-func (r *Router) holdingChanged(organisation string, tokens, granted int64, landed bool) {
-	events.Log(r.Log, events.HoldingChanged).Str("organisation", organisation).Int64("tokens", tokens).Int64("granted", granted).
-		Bool("landed", landed).Send()
+func (r *Router) holdingChanged(organisation string, tokens int64, landed bool) {
+	b := r.book.Balance(organisation)
+	events.Log(r.Log, events.HoldingChanged).Str("organisation", organisation).Int64("tokens", tokens).Bool("landed", landed).
+		Int64("paid", b.Paid).Int64("granted", b.Granted).Int64("free", b.Free).Int64("reserved", b.Reserved).Send()
 }
 
 // unsettled logs a batch whose outcome can't be known any more.
