--- a/core/purse/keeper.go
+++ b/core/purse/keeper.go
@@ -21,7 +21,12 @@
 	DefaultTimeout = 800 * time.Millisecond
 	// DefaultPause is the time between two looks at what other instances wrote: they give back
 	// tokens of a low budget within about as long.
-	DefaultPause = 700 * time.Millisecond
+	DefaultPause = 3 * time.Second
+	// gather is how long changes that no request waits for are gathered for one append.
+	gather = 300 * time.Millisecond
+	// joinTime is how long after the first read of the budgets an instance waits before it
+	// draws tokens that no request waits for: instances that start together are counted by then.
+	joinTime = time.Second
 	// retryPause is the longest pause after a failed call.
 	retryPause = 250 * time.Millisecond
 )
@@ -34,8 +39,9 @@
 	// same at every instance.
 	Topic  string
 	Shards int
-	// Inc is the incarnation of this process; no other process ever has the same.
-	Inc string
+	// Instance is the id of this instance, and Inc the incarnation of its process; no other
+	// process ever has the same.
+	Instance, Inc string
 	// Book is what this instance holds.
 	Book *Book
 	// Timeout bounds one call to the log.
@@ -52,8 +58,11 @@
 	Lost func(err error)
 	Back func(away time.Duration)
 
-	shards        []*shard
-	wanted        []chan struct{}
+	shards []*shard
+	// urgent wakes the writer of a shard at once, and refill at its next look.
+	urgent        []chan struct{}
+	refill        []atomic.Bool
+	lost          atomic.Int64
 	organisations atomic.Pointer[[]string]
 }
 
@@ -84,19 +93,24 @@
 		k.Back = func(time.Duration) {}
 	}
 	k.Shards = max(k.Shards, 1)
+	k.refill = make([]atomic.Bool, k.Shards)
 	for i := range k.Shards {
-		k.shards = append(k.shards, &shard{keeper: k, part: i, granted: map[string]int64{}})
-		k.wanted = append(k.wanted, make(chan struct{}, 1))
+		k.shards = append(k.shards, &shard{keeper: k, part: i, granted: map[string]int64{}, instances: map[string]bool{}})
+		k.urgent = append(k.urgent, make(chan struct{}, 1))
 	}
 	k.Book.Wanted = k.want
 	k.Book.Default()
 }
 
 // want wakes the writers; it never blocks.
-func (k *Keeper) want() {
-	for _, w := range k.wanted {
+func (k *Keeper) want(urgent bool) {
+	for i, wake := range k.urgent {
+		k.refill[i].Store(true)
+		if !urgent {
+			continue
+		}
 		select {
-		case w <- struct{}{}:
+		case wake <- struct{}{}:
 		default:
 		}
 	}
@@ -111,7 +125,7 @@
 	names = sorted(names)
 	k.organisations.Store(&names)
 	k.Book.Pay(organisations)
-	k.want()
+	k.want(false)
 }
 
 // of returns the organisations whose budgets a shard has.
@@ -133,67 +147,77 @@
 func (k *Keeper) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	for i, s := range k.shards {
-		g.Go(func() error { return k.follower(s).Run(ctx) })
-		g.Go(func() error { return k.write(ctx, s, k.wanted[i]) })
+		g.Go(func() error { return k.keep(ctx, s, k.urgent[i], &k.refill[i]) })
 	}
 	return g.Wait()
 }
 
-func (k *Keeper) follower(s *shard) *logs.Follower {
-	return &logs.Follower{
-		Log: k.Log, Topic: k.Topic, Part: s.part, Pause: k.Pause,
-		Reset: func(records []logs.Record, end int64) {
-			s.reset(records, end)
-			k.read()
-		},
-		Apply:   func(records []logs.Record, _ int64) { s.apply(records) },
-		Contact: func() { k.Book.SetReached(true) },
-		Lost: func(err error) {
-			k.Book.SetReached(false)
-			k.Lost(err)
-		},
-		Back: k.Back,
+// keep reads a shard and writes what the book wants, until the context ends.
+func (k *Keeper) keep(ctx context.Context, s *shard, urgent <-chan struct{}, refill *atomic.Bool) error {
+	look := time.NewTicker(gather)
+	defer look.Stop()
+	for {
+		refill.Store(false)
+		err := s.write(ctx, k.of(s.part))
+		if ctx.Err() != nil {
+			return nil
+		}
+		k.reached(err)
+		if err != nil {
+			refill.Store(true)
+			pause(ctx, retryPause/2+rand.N(retryPause/2))
+			continue
+		}
+		k.rest(ctx, s, look.C, urgent, refill)
 	}
 }
 
-// read tells the book once all shards were read.
-func (k *Keeper) read() {
-	for _, s := range k.shards {
-		s.mu.Lock()
-		known := s.known
-		s.mu.Unlock()
-		if !known {
+// rest waits until something is due.
+func (k *Keeper) rest(ctx context.Context, s *shard, look <-chan time.Time, urgent <-chan struct{}, refill *atomic.Bool) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-urgent:
+			return
+		case <-look:
+		}
+		if refill.Load() || s.age() >= k.Pause {
 			return
 		}
 	}
-	k.Book.SetKnown()
-	k.want()
 }
 
-// write writes the batches of a shard whenever the book wants some.
-func (k *Keeper) write(ctx context.Context, s *shard, wanted <-chan struct{}) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-wanted:
+// reached tells the book and the log whether the platform's log answers.
+func (k *Keeper) reached(err error) {
+	k.Book.SetReached(err == nil)
+	now := time.Now().UnixNano()
+	switch {
+	case err != nil && k.lost.CompareAndSwap(0, now):
+		k.Lost(err)
+	case err == nil:
+		if since := k.lost.Swap(0); since != 0 {
+			k.Back(time.Duration(now - since))
 		}
-		for {
-			err := s.write(ctx, k.of(s.part))
-			if err == nil {
-				k.Book.SetReached(true)
-				break
-			}
-			if ctx.Err() != nil {
-				return nil
-			}
-			if !s.readable() {
-				break // the follower wakes this loop when it has read the state
-			}
-			k.Book.SetReached(false)
-			pause(ctx, retryPause/2+rand.N(retryPause/2))
+	}
+}
+
+// loaded tells the book once all shards were read.
+func (k *Keeper) loaded() {
+	for _, s := range k.shards {
+		if !s.readable() {
+			return
 		}
 	}
+	k.Book.SetKnown()
+}
+
+// count tells the book how many instances take part, once those that start together had
+// the time to write so.
+func (k *Keeper) count(s *shard) {
+	if s.part == 0 && time.Since(s.loaded) >= joinTime {
+		k.Book.SetInstances(len(s.instances))
+	}
 }
 
 // readable reports whether the state of the shard was read.
@@ -203,6 +227,13 @@
 	return s.known
 }
 
+// age returns the time since the state of the shard was read.
+func (s *shard) age() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.read)
+}
+
 // Return gives back all that this instance does not need for requests in flight. It
 // returns when the log has taken it, or an error when the context ends before.
 func (k *Keeper) Return(ctx context.Context) error {
--- a/core/purse/purse.go
+++ b/core/purse/purse.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,25 +20,34 @@
 const (
 	// DefaultCover is the time of usual use that is held ready, so that requests are served
 	// while the platform is out of reach; outages of some seconds are usual.
-	DefaultCover = 6 * time.Second
+	DefaultCover = 12 * time.Second
 	// DefaultWait is the longest time that a request waits for tokens: some ten times the
-	// usual time of an append, and a part of the time to a first event.
+	// usual time of an append.
 	DefaultWait = 200 * time.Millisecond
-	// DrawPart is the largest part of what is left that one draw takes, as a divisor, so that
-	// no instance strands much of a budget that is nearly spent.
-	DrawPart = 16
-	// LowPart is the part of what was paid, as a divisor, below which what is left counts as
-	// low, and instances give back what they hold too much.
-	LowPart = 12
-	// coverSlope is how the cover shrinks with the part of a budget that is left, so that a
-	// kill of all instances strands little of a budget that is nearly spent: the full cover is
-	// held while two thirds are left.
+)
+
+// Parts of a budget. Together they bound what a kill of all instances strands.
+const (
+	// basePart is the part of what is left, as a divisor, that all instances together hold of
+	// each budget whether they have seen use of it or not.
+	basePart = 4
+	// shareMost is how many times its fair share of what is left an instance holds at most:
+	// callers of an organisation reach instances unevenly.
+	shareMost = 3
+	// coverSlope is how the cover shrinks with the part of a budget that is left: the full
+	// cover is held while two thirds are left.
 	coverSlope = 1.5
 	// lowCover is the least time of usual use that is held ready.
 	lowCover = time.Second
-	// QuantumPart is the smallest change of a holding that is worth an append, as a divisor of
+	// leastDraws is the least number of draws that would take all that is left, so that no
+	// instance takes most of a budget that is nearly spent.
+	leastDraws = 8
+	// quantumPart is the smallest change of a holding that is worth an append, as a divisor of
 	// what was paid, unless a request waits for it.
-	QuantumPart = 1024
+	quantumPart = 1024
+	// lowPart is the part of what was paid, as a divisor, below which what is left counts as
+	// low, and instances give back what they hold too much.
+	lowPart = 12
 	// refillPart is the part of the target below which a holding is refilled.
 	refillPart = 0.7
 	// returnPart is the multiple of the target above which a holding is given back.
@@ -46,14 +56,15 @@
 
 // Times to come back that refusals state.
 const (
-	// RetryElsewhere is for a budget whose rest other instances hold: they give back what
-	// they don't need within about a second.
-	RetryElsewhere = 400 * time.Millisecond
-	// RetryLog is for a budget whose rest can't be drawn, because the log is out of reach.
-	RetryLog = time.Second
+	// RetryElsewhere is for a budget whose rest other instances hold: a caller that comes back
+	// reaches another one.
+	RetryElsewhere = 100 * time.Millisecond
+	// RetryLog is for a budget whose rest can't be drawn, because the log is out of reach of
+	// this instance; another one may hold tokens.
+	RetryLog = 50 * time.Millisecond
 	// SettleTime is how long a budget must be too small for a request before it is refused for
 	// good: other instances have given back by then what they do not need.
-	SettleTime = 2 * time.Second
+	SettleTime = 3 * time.Second
 )
 
 // Grant is the right to spend tokens. It ends with exactly one call of Settle.
@@ -72,23 +83,29 @@
 	// free is what this instance may still spend, and reserved what its requests in flight may.
 	free, reserved int64
 	use            meter
-	// need is the largest reservation that waits for tokens; 0 for none.
-	need int64
+	// waiting are the reservations that wait for tokens, in the order in which they came.
+	waiting []*waiter
 	// short is since when what is left in the log has not covered a reservation; zero when it
 	// does.
 	short time.Time
-	// wake is closed when tokens may have come.
-	wake chan struct{}
+}
+
+// waiter is a reservation that waits for tokens.
+type waiter struct {
+	tokens int64
+	// decided is closed once err is set.
+	decided chan struct{}
+	err     error
 }
 
 // left returns what the log can still hand out.
 func (a *account) left() int64 { return a.paid - a.granted }
 
 // quantum returns the smallest change of the holding that is worth an append.
-func (a *account) quantum() int64 { return a.paid / QuantumPart }
+func (a *account) quantum() int64 { return a.paid / quantumPart }
 
 // low reports whether little is left.
-func (a *account) low() bool { return a.left() < a.paid/LowPart }
+func (a *account) low() bool { return a.left() < a.paid/lowPart }
 
 // Book holds what this instance may spend of each organisation's budget. Exported fields
 // are set before Default; its methods may be called from any goroutine.
@@ -99,11 +116,14 @@
 	Cover time.Duration
 	// Wait is the longest time that a request waits for tokens.
 	Wait time.Duration
-	// Wanted is told that tokens should be drawn or given back; it must not block.
-	Wanted func()
+	// Wanted is told that tokens should be drawn or given back, and whether a request waits for
+	// them; it must not block.
+	Wanted func(urgent bool)
 
 	mu       sync.Mutex
 	accounts map[string]*account
+	// instances is the number of instances that share the budgets; 0 while it is not known.
+	instances int64
 	// known tells that the state of the log was read, and reached that the log answers.
 	known, reached bool
 	stopping       bool
@@ -124,7 +144,7 @@
 		b.Wait = DefaultWait
 	}
 	if b.Wanted == nil {
-		b.Wanted = func() {}
+		b.Wanted = func(bool) {}
 	}
 	if b.accounts == nil {
 		b.accounts = map[string]*account{}
@@ -134,7 +154,7 @@
 func (b *Book) account(organisation string) *account {
 	a := b.accounts[organisation]
 	if a == nil {
-		a = &account{paid: table.Unlimited, wake: make(chan struct{})}
+		a = &account{paid: table.Unlimited}
 		b.accounts[organisation] = a
 	}
 	return a
@@ -149,77 +169,130 @@
 		if o.Prepaid != a.paid {
 			a.paid = o.Prepaid
 			a.short = time.Time{}
-			a.awake()
+			b.serve(a)
 		}
 	}
 }
 
-// awake lets waiting reservations look again.
-func (a *account) awake() {
-	close(a.wake)
-	a.wake = make(chan struct{})
-}
-
 // Reserve takes the most tokens that a request may use. The error is a *codes.Error.
 func (b *Book) Reserve(ctx context.Context, organisation string, tokens int64) (Grant, error) {
-	deadline := time.NewTimer(b.Wait)
-	defer deadline.Stop()
-	late := false
-	for {
-		grant, wake, err := b.take(organisation, tokens, late)
-		if err != nil || wake == nil {
-			return grant, err
-		}
-		select {
-		case <-wake:
-		case <-deadline.C:
-			late = true
-		case <-ctx.Done():
-			late = true
-		}
+	g := Grant{Organisation: organisation, Tokens: tokens}
+	w, err := b.reserve(organisation, tokens)
+	if err != nil {
+		return Grant{}, err
+	}
+	if w == nil {
+		return b.unlimited(g), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, b.Wait)
+	defer cancel()
+	select {
+	case <-w.decided:
+	case <-ctx.Done():
+		b.leave(organisation, w)
 	}
+	if w.err != nil {
+		return Grant{}, w.err
+	}
+	return g, nil
 }
 
-// take reserves tokens, or returns a channel that tells when to look again. A late request
-// does not wait.
-func (b *Book) take(organisation string, tokens int64, late bool) (Grant, <-chan struct{}, error) {
+// unlimited returns a grant as it is for an organisation without a budget.
+func (b *Book) unlimited(g Grant) Grant {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.account(g.Organisation).paid == table.Unlimited {
+		g.Tokens = 0
+	}
+	return g
+}
+
+// reserve takes tokens, refuses, or returns a waiter.
+func (b *Book) reserve(organisation string, tokens int64) (*waiter, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(organisation)
 	if a.paid == table.Unlimited {
-		return Grant{Organisation: organisation}, nil, nil
+		return nil, nil
 	}
-	if a.granted <= a.paid && a.free >= tokens {
-		a.free -= tokens
-		a.reserved += tokens
-		a.use.add(tokens, b.Now())
+	a.use.add(tokens, b.Now())
+	if len(a.waiting) == 0 && a.take(tokens) {
 		if float64(a.free) < refillPart*float64(b.target(a)) {
-			b.Wanted()
+			b.Wanted(false)
+		}
+		return nil, nil
+	}
+	if refused := b.refusal(a, tokens); refused != nil {
+		return nil, refused
+	}
+	w := &waiter{tokens: tokens, decided: make(chan struct{})}
+	a.waiting = append(a.waiting, w)
+	b.Wanted(true)
+	return w, nil
+}
+
+// take reserves tokens of the own holding, if it covers them.
+func (a *account) take(tokens int64) bool {
+	if a.granted > a.paid || a.free < tokens {
+		return false
+	}
+	a.free -= tokens
+	a.reserved += tokens
+	return true
+}
+
+// need returns the tokens that reservations wait for.
+func (a *account) need() int64 {
+	var sum int64
+	for _, w := range a.waiting {
+		sum += w.tokens
+	}
+	return sum
+}
+
+// serve decides on the reservations that wait, in order, as far as that can be done.
+func (b *Book) serve(a *account) {
+	for len(a.waiting) > 0 {
+		w := a.waiting[0]
+		if !a.take(w.tokens) {
+			refused := b.refusal(a, w.tokens)
+			if refused == nil {
+				return
+			}
+			w.err = refused
 		}
-		return Grant{Organisation: organisation, Tokens: tokens}, nil, nil
+		a.waiting = a.waiting[1:]
+		close(w.decided)
 	}
-	if refused := b.refusal(a, tokens, late); refused != nil {
-		return Grant{}, nil, refused
+}
+
+// leave ends the wait of a reservation whose time is over. One that was decided meanwhile
+// stays as it was decided.
+func (b *Book) leave(organisation string, w *waiter) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.account(organisation)
+	i := slices.Index(a.waiting, w)
+	if i < 0 {
+		return
 	}
-	a.need = max(a.need, tokens)
-	b.Wanted()
-	return Grant{}, a.wake, nil
+	a.waiting = slices.Delete(a.waiting, i, i+1)
+	w.err = codes.Refuse(codes.BudgetElsewhere, RetryElsewhere, "%d tokens are left and could not be drawn in time", a.left())
+	b.serve(a)
 }
 
 // refusal decides on a reservation that the own holding does not cover; nil lets it wait.
-func (b *Book) refusal(a *account, tokens int64, late bool) *codes.Error {
+func (b *Book) refusal(a *account, tokens int64) *codes.Error {
 	if b.known && a.free+a.left() < tokens {
 		return b.exhausted(a, tokens)
 	}
 	switch {
-	case b.known && b.reached && !late:
-		return nil
 	case !b.known:
 		return codes.Refuse(codes.LedgerStale, RetryLog, "the budgets have not been read yet")
 	case !b.reached:
 		return codes.Refuse(codes.LogUnavailable, RetryLog, "%d tokens are left, but the log is out of reach", a.left())
 	default:
-		return codes.Refuse(codes.BudgetElsewhere, RetryElsewhere, "%d tokens are left and could not be drawn in time", a.left())
+		return nil
 	}
 }
 
@@ -250,19 +323,36 @@
 	a.reserved -= g.Tokens
 	a.free += g.Tokens - used
 	a.use.add(used-g.Tokens, b.Now())
-	if used < g.Tokens {
-		a.awake()
-	}
-	if b.surplus(a) > 0 {
-		b.Wanted()
+	b.serve(a)
+	if b.surplus(a) > 0 || float64(a.free) < refillPart*float64(b.target(a)) {
+		b.Wanted(false)
 	}
 }
 
-// target returns the tokens that this instance should hold unspent.
+// target returns the tokens that this instance should hold unspent: a part of what is left,
+// or what covers its own use if that is more.
 func (b *Book) target(a *account) int64 {
-	cover := b.Cover.Seconds() * min(1, coverSlope*float64(max(a.left(), 0))/float64(max(a.paid, 1)))
-	want := a.use.rate(b.Now()) * max(cover, lowCover.Seconds())
-	return max(0, min(int64(math.Ceil(want)), max(a.left(), 0)/DrawPart+a.free))
+	left := max(a.left(), 0)
+	cover := b.Cover.Seconds() * min(1, coverSlope*float64(left)/float64(max(a.paid, 1)))
+	want := int64(a.use.rate(b.Now()) * max(cover, lowCover.Seconds()))
+	if b.instances == 0 {
+		return min(want, b.most(left)+a.free)
+	}
+	share := (left + a.free) / b.instances
+	if !a.low() {
+		want = max(want, share/basePart)
+	}
+	return min(want, shareMost*share, b.most(left)+a.free)
+}
+
+// most returns the most that one draw takes of what is left, unless a request needs more.
+func (b *Book) most(left int64) int64 { return left / max(leastDraws, b.instances/2) }
+
+// SetInstances tells how many instances share the budgets.
+func (b *Book) SetInstances(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.instances = int64(n)
 }
 
 // surplus returns what this instance should give back.
@@ -270,6 +360,8 @@
 	switch {
 	case a.paid == table.Unlimited:
 		return 0
+	case len(a.waiting) > 0:
+		return 0
 	case b.stopping || a.granted > a.paid:
 		return a.free
 	case !a.low():
@@ -301,14 +393,16 @@
 		return 0
 	}
 	left := max(a.left(), 0)
-	want := a.need - a.free
+	want := a.need() - a.free
 	if target := b.target(a); float64(a.free) < refillPart*float64(target) {
-		if refill := min(target-a.free, left/DrawPart); refill >= a.quantum() {
+		if refill := min(target-a.free, b.most(left)); refill >= a.quantum() {
 			want = max(want, refill)
 		}
 	}
+	if want > left && len(a.waiting) > 0 {
+		want = a.waiting[0].tokens - a.free // the others are refused
+	}
 	if want <= 0 || want > left {
-		a.need = 0
 		return 0
 	}
 	return want
@@ -321,8 +415,7 @@
 	a := b.account(organisation)
 	if change > 0 {
 		a.free += change
-		a.need = 0
-		a.awake()
+		b.serve(a)
 	}
 }
 
@@ -334,7 +427,7 @@
 	if change < 0 {
 		a := b.account(organisation)
 		a.free -= change
-		a.awake()
+		b.serve(a)
 	}
 }
 
@@ -343,14 +436,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(organisation)
-	more := granted < a.granted
-	a.granted = granted
-	if more {
+	if granted < a.granted {
 		a.short = time.Time{}
-		a.awake()
 	}
+	a.granted = granted
+	b.serve(a)
 	if b.surplus(a) > 0 {
-		b.Wanted()
+		b.Wanted(false)
 	}
 }
 
@@ -359,7 +451,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.known = true
-	b.awakeAll()
+	b.serveAll()
 }
 
 // SetReached tells whether the log answers.
@@ -368,13 +460,13 @@
 	defer b.mu.Unlock()
 	if b.reached != reached {
 		b.reached = reached
-		b.awakeAll()
+		b.serveAll()
 	}
 }
 
-func (b *Book) awakeAll() {
+func (b *Book) serveAll() {
 	for _, a := range b.accounts {
-		a.awake()
+		b.serve(a)
 	}
 }
 
@@ -426,7 +518,7 @@
 
 // meterTime is the time constant of the observed use: long enough to even out single
 // requests, and short against the length of a peak.
-const meterTime = 4 * time.Second
+const meterTime = 6 * time.Second
 
 // add counts tokens; a negative number takes back what was counted too much.
 func (m *meter) add(tokens int64, now time.Time) {
--- a/core/purse/shard.go
+++ b/core/purse/shard.go
@@ -13,6 +13,10 @@
 	"cranberryrail/core/logs"
 )
 
+// instancePrefix begins the keys of records that tell which instances take part; they are
+// counted, so that each takes its part.
+const instancePrefix = "instance/"
+
 // entry is the value of an organisation's record.
 type entry struct {
 	// Granted is the number of tokens that all instances together were handed so far.
@@ -43,12 +47,16 @@
 	keeper *Keeper
 	part   int
 
-	mu      sync.Mutex
-	known   bool
+	mu    sync.Mutex
+	known bool
+	// loaded is when the state was first read.
+	loaded  time.Time
 	end     int64
 	read    time.Time
 	granted map[string]int64
-	pending *batch
+	// instances are the ids of the instances that ever took part.
+	instances map[string]bool
+	pending   *batch
 	// sequence numbers the batches of this instance.
 	sequence int64
 }
@@ -69,6 +77,9 @@
 		s.keeper.Unsettled(s.pending.sequence, s.pending.tokens())
 		s.pending = nil
 	}
+	if !s.known {
+		s.loaded = s.read
+	}
 	s.end, s.known = end, true
 }
 
@@ -107,6 +118,10 @@
 		s.keeper.Unreadable(r.Key, err)
 		return entry{}
 	}
+	if name, ok := strings.CutPrefix(r.Key, instancePrefix); ok {
+		s.instances[name] = true
+		return e
+	}
 	s.granted[r.Key] = e.Granted
 	s.keeper.Book.Granted(r.Key, e.Granted)
 	return e
@@ -147,20 +162,20 @@
 	if !s.known {
 		return nil
 	}
+	s.keeper.count(s)
 	b := &batch{at: s.end, sequence: s.sequence + 1}
 	for _, name := range organisations {
 		tokens := s.keeper.Book.Draw(name)
 		if tokens == 0 {
 			continue
 		}
-		value, err := json.Marshal(entry{Granted: s.granted[name] + tokens, By: s.keeper.Inc, Sequence: b.sequence})
-		if err != nil {
-			panic(fmt.Sprintf("encode a grant: %v", err)) // the type always has a JSON form
-		}
 		b.changes = append(b.changes, change{name, tokens})
-		b.records = append(b.records, logs.Record{Offset: b.at + int64(len(b.records)), Key: name, Value: value})
+		b.records = append(b.records, s.record(b, name, s.granted[name]+tokens))
 	}
-	if len(b.changes) == 0 {
+	if s.part == 0 && !s.instances[s.keeper.Instance] {
+		b.records = append(b.records, s.record(b, instancePrefix+s.keeper.Instance, 0))
+	}
+	if len(b.records) == 0 {
 		return nil
 	}
 	s.sequence++
@@ -168,6 +183,15 @@
 	return b
 }
 
+// record returns the next record of a batch.
+func (s *shard) record(b *batch, key string, granted int64) logs.Record {
+	value, err := json.Marshal(entry{Granted: granted, By: s.keeper.Inc, Sequence: b.sequence})
+	if err != nil {
+		panic(fmt.Sprintf("encode a grant: %v", err)) // the type always has a JSON form
+	}
+	return logs.Record{Offset: b.at + int64(len(b.records)), Key: key, Value: value}
+}
+
 // refuse settles a batch that certainly was not and will not be written.
 func (s *shard) refuse(b *batch) {
 	s.mu.Lock()
@@ -209,17 +233,32 @@
 	s.mu.Lock()
 	known, fresh := s.known, time.Since(s.read) < freshFor
 	s.mu.Unlock()
-	if !known {
-		return errNotRead
-	}
-	if fresh {
+	switch {
+	case !known:
+		return s.load(ctx)
+	case fresh:
 		return nil
 	}
-	return s.catchUp(ctx)
+	err := s.catchUp(ctx)
+	var gone *logs.GoneError
+	if errors.As(err, &gone) {
+		return s.load(ctx)
+	}
+	return err
 }
 
-// errNotRead tells that the follower has not read the state yet.
-var errNotRead = errors.New("the budgets have not been read yet")
+// load reads the newest records.
+func (s *shard) load(ctx context.Context) error {
+	call, cancel := context.WithTimeout(ctx, s.keeper.Timeout)
+	defer cancel()
+	records, end, err := s.keeper.Log.NewestAll(call, s.keeper.Topic, s.part)
+	if err != nil {
+		return err
+	}
+	s.reset(records, end)
+	s.keeper.loaded()
+	return nil
+}
 
 // append writes a batch and reports whether another one is due, because it lost against
 // the batch of another instance.
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -340,12 +340,21 @@
 	return ""
 }
 
+// reserveParts is the part of the objective, as a divisor, that a request may wait for
+// tokens: a refusal must leave time for another attempt elsewhere.
+const reserveParts = 8
+
 // reserve takes the most tokens that the request may use.
 func (r *run) reserve(ctx context.Context) *codes.Error {
 	if r.req.Prompt == nil || r.org == nil {
 		return nil
 	}
 	need := r.req.Prompt.Tokens + r.req.Prompt.MaxOutput
+	if r.route.Objective > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, r.route.Objective/reserveParts)
+		defer cancel()
+	}
 	grant, err := r.Reserve(ctx, r.org.Name, need)
 	if err != nil {
 		return codes.From(err, codes.NotRun)
--- a/io/opts/router.go
+++ b/io/opts/router.go
@@ -48,7 +48,7 @@
 
 // RouterBudget parameterises prepaid budgets.
 type RouterBudget struct {
-	Shards  int `toml:"shards" unit:"partitions" default:"1" allowed:"1..64" doc:"Number of partitions that budgets are spread over; the same at every instance."`
+	Shards  int `toml:"shards" unit:"partitions" default:"6" allowed:"1..64" doc:"Number of partitions that budgets are spread over; the same at every instance."`
 	CoverMS MS  `toml:"cover_ms" unit:"ms" default:"12000" allowed:"0..600000" doc:"Time of usual use for which tokens are held ready."`
 	WaitMS  MS  `toml:"wait_ms" unit:"ms" default:"200" allowed:"0..60000" doc:"Longest time that a request waits for tokens."`
 }
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -148,7 +148,7 @@
 	s := r.Settings.Budget
 	r.book = &purse.Book{Cover: s.CoverMS.Duration(), Wait: s.WaitMS.Duration()}
 	r.keeper = &purse.Keeper{
-		Log: r.Store, Topic: r.Platform.BudgetTopic, Shards: s.Shards, Inc: r.Inc, Book: r.book,
+		Log: r.Store, Topic: r.Platform.BudgetTopic, Shards: s.Shards, Instance: r.Settings.Instance.ID, Inc: r.Inc, Book: r.book,
 		Changed: r.holdingChanged, Unsettled: r.unsettled, Unreadable: r.unreadable(r.Platform.BudgetTopic),
 		Lost: r.lost(r.Platform.BudgetTopic), Back: r.back(r.Platform.BudgetTopic),
 	}
