perf: hold a smaller base of each budget, and less as a budget is spent

A base of a sixteenth of the fair share instead of a quarter, and a cover of 12 s that shrinks with what is left from the start.

--- a/core/purse/purse.go
+++ b/core/purse/purse.go
@@ -30,13 +30,13 @@
 const (
 	// basePart is the part of what is left, as a divisor, that all instances together hold of
 	// each budget whether they have seen use of it or not.
-	basePart = 4
+	basePart = 16
 	// shareMost is how many times its fair share of what is left an instance holds at most:
 	// callers of an organisation reach instances unevenly.
 	shareMost = 3
 	// coverSlope is how the cover shrinks with the part of a budget that is left: the full
-	// cover is held while two thirds are left.
-	coverSlope = 1.5
+	// cover is held while all is left.
+	coverSlope = 1.0
 	// lowCover is the least time of usual use that is held ready.
 	lowCover = time.Second
 	// leastDraws is the least number of draws that would take all that is left, so that no
