--- a/core/purse/keeper.go
+++ b/core/purse/keeper.go
@@ -158,11 +158,10 @@
 	defer look.Stop()
 	for {
 		refill.Store(false)
-		err := s.write(ctx, k.of(s.part))
+		err := k.visit(ctx, s)
 		if ctx.Err() != nil {
 			return nil
 		}
-		k.reached(err)
 		if err != nil {
 			refill.Store(true)
 			pause(ctx, retryPause/2+rand.N(retryPause/2))
@@ -172,6 +171,26 @@
 	}
 }
 
+// visit reads a shard and writes what the book wants.
+func (k *Keeper) visit(ctx context.Context, s *shard) error {
+	err := s.write(ctx, k.of(s.part))
+	if ctx.Err() == nil {
+		k.reached(err)
+	}
+	return err
+}
+
+// Visit reads all shards once and writes what the book wants. Run does it whenever it is
+// due; Visit is for callers that keep the time themselves.
+func (k *Keeper) Visit(ctx context.Context) error {
+	for _, s := range k.shards {
+		if err := k.visit(ctx, s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // rest waits until something is due.
 func (k *Keeper) rest(ctx context.Context, s *shard, look <-chan time.Time, urgent <-chan struct{}, refill *atomic.Bool) {
 	for {
--- /dev/null
+++ b/core/purse/soak_test.go
@@ -0,0 +1,177 @@
+package purse_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"cranberryrail/core/purse"
+	"cranberryrail/core/table"
+	"cranberryrail/fake/memlog"
+)
+
+const paid = 100_000
+
+// member is one process of the fleet.
+type member struct {
+	book   *purse.Book
+	keeper *purse.Keeper
+	grants []purse.Grant
+}
+
+// fleet is processes over one log whose calls fail at random.
+type fleet struct {
+	t       *rapid.T
+	log     *memlog.Server
+	members []*member
+	starts  int
+	now     time.Time
+	// spent is what all processes ever spent, and reserved what their requests in flight may,
+	// also those of processes that were killed: their targets go on.
+	spent, reserved, paid int64
+	calm                  bool
+}
+
+func (f *fleet) start(instance string) *member {
+	f.starts++
+	m := &member{book: &purse.Book{Now: func() time.Time { return f.now }, Wait: time.Nanosecond}}
+	m.keeper = &purse.Keeper{
+		Log: f.log.Log(), Topic: "keyed.budgets", Shards: 1, Instance: instance, Inc: fmt.Sprintf("%s#%d", instance, f.starts), Book: m.book,
+	}
+	m.keeper.Default()
+	f.pay(m)
+	return m
+}
+
+func (f *fleet) pay(m *member) {
+	m.keeper.Pay([]table.Organisation{{Name: "travel", Prepaid: f.paid}})
+}
+
+func (f *fleet) fault(string) memlog.Fault {
+	if f.calm {
+		return memlog.None
+	}
+	faults := []memlog.Fault{memlog.None, memlog.None, memlog.None, memlog.Refuse, memlog.Lose, memlog.LoseReply, memlog.Late}
+	return rapid.SampledFrom(faults).Draw(f.t, "fault")
+}
+
+func (f *fleet) member() (int, *member) {
+	i := rapid.IntRange(0, len(f.members)-1).Draw(f.t, "member")
+	return i, f.members[i]
+}
+
+func (f *fleet) check() {
+	assert.Assert(f.t, f.spent+f.reserved <= f.paid, "spent %d, reserved %d of %d", f.spent, f.reserved, f.paid)
+}
+
+// step does one thing at random.
+func (f *fleet) step() {
+	i, m := f.member()
+	switch rapid.SampledFrom([]string{"reserve", "reserve", "settle", "visit", "visit", "visit", "kill", "land", "drop", "top_up"}).Draw(f.t, "step") {
+	case "reserve":
+		g, err := m.book.Reserve(context.Background(), "travel", int64(rapid.IntRange(1, paid/10).Draw(f.t, "tokens")))
+		if err == nil {
+			m.grants = append(m.grants, g)
+			f.reserved += g.Tokens
+		}
+	case "settle":
+		if len(m.grants) == 0 {
+			return
+		}
+		g := m.grants[0]
+		m.grants = m.grants[1:]
+		used := int64(rapid.IntRange(0, int(g.Tokens)).Draw(f.t, "used"))
+		m.book.Settle(g, used)
+		f.reserved -= g.Tokens
+		f.spent += used
+	case "visit":
+		f.now = f.now.Add(time.Second)
+		_ = m.keeper.Visit(context.Background()) // calls fail at random
+	case "kill":
+		for _, g := range m.grants {
+			f.reserved -= g.Tokens
+			f.spent += g.Tokens
+		}
+		f.members[i] = f.start(fmt.Sprintf("i-%d", i))
+	case "land":
+		f.log.Land()
+	case "drop":
+		f.log.Drop()
+	case "top_up":
+		f.paid += paid / 10
+		f.pay(m)
+	}
+}
+
+// TestNoSpendPastTheBudget runs processes at random over a log that refuses calls, loses
+// answers, lets writes land late and drops its history, while processes are killed.
+func TestNoSpendPastTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{t: t, log: &memlog.Server{}, paid: paid, now: time.Unix(1000, 0)}
+		f.log.Fault = f.fault
+		for i := range 3 {
+			f.members = append(f.members, f.start(fmt.Sprintf("i-%d", i)))
+		}
+		for range rapid.IntRange(20, 150).Draw(t, "steps") {
+			f.step()
+			f.check()
+		}
+	})
+}
+
+// reserve makes a reservation while the keeper of the member does its work.
+func reserve(t *rapid.T, m *member, tokens int64) (purse.Grant, error) {
+	type answer struct {
+		grant purse.Grant
+		err   error
+	}
+	answers := make(chan answer, 1)
+	var g errgroup.Group
+	g.Go(func() error {
+		grant, err := m.book.Reserve(context.Background(), "travel", tokens)
+		answers <- answer{grant, err}
+		return nil
+	})
+	for {
+		select {
+		case a := <-answers:
+			return a.grant, a.err
+		default:
+			assert.NilError(t, m.keeper.Visit(context.Background()))
+		}
+	}
+}
+
+// TestAllOfABudgetCanBeSpent holds the fleet to spending 97 in 100 of a budget, while the
+// load moves from one instance to the next.
+func TestAllOfABudgetCanBeSpent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{t: t, log: &memlog.Server{}, paid: paid, now: time.Unix(1000, 0), calm: true}
+		for i := range 4 {
+			f.members = append(f.members, f.start(fmt.Sprintf("i-%d", i)))
+			f.members[i].book.Wait = 20 * time.Millisecond
+		}
+		moves := rapid.IntRange(1, 20).Draw(t, "moves")
+		need := int64(rapid.IntRange(paid/1000, paid/100).Draw(t, "need"))
+		for i := range 400 {
+			f.now = f.now.Add(time.Second)
+			for _, m := range f.members {
+				assert.NilError(t, m.keeper.Visit(context.Background()))
+			}
+			m := f.members[(i/moves)%len(f.members)]
+			for range 3 {
+				if g, err := reserve(t, m, need); err == nil {
+					m.book.Settle(g, need)
+					f.spent += need
+				}
+			}
+		}
+		assert.Assert(t, f.spent >= min(paid*97/100, 1200*need), "spent %d of %d", f.spent, paid)
+		assert.Assert(t, f.spent <= paid)
+	})
+}
--- /dev/null
+++ b/fake/memlog/memlog.go
@@ -0,0 +1,218 @@
+// Package memlog is a stand-in for the platform's log in memory, with its faults: calls
+// that are refused, writes whose answers are lost, writes that land late, and history that
+// is dropped.
+package memlog
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"cranberryrail/core/logs"
+)
+
+// Fault is what happens to one call.
+type Fault string
+
+// Faults.
+const (
+	// None lets the call pass.
+	None Fault = ""
+	// Refuse does nothing and says so.
+	Refuse Fault = "refuse"
+	// Lose does nothing and answers nothing.
+	Lose Fault = "lose"
+	// LoseReply does what is asked and answers nothing.
+	LoseReply Fault = "lose_reply"
+	// Late answers nothing, and does what is asked at the next Land if it is still possible.
+	Late Fault = "late"
+)
+
+// errNoAnswer is the end of a call that got no answer.
+var errNoAnswer = errors.New("no answer")
+
+// pageSize is the number of keys on a page of the newest records.
+const pageSize = 3
+
+// pollEvery is how often a read that waits looks for records.
+const pollEvery = 2 * time.Millisecond
+
+// Server is the stand-in. It is ready to use; its methods may be called from any goroutine.
+type Server struct {
+	// Fault decides on each call by its name: append, read or newest; optional.
+	Fault func(call string) Fault
+
+	mu    sync.Mutex
+	parts map[string]*partition
+	late  []func()
+}
+
+type partition struct {
+	first   int64
+	records []logs.Record
+	newest  map[string]logs.Record
+}
+
+func (p *partition) end() int64 { return p.first + int64(len(p.records)) }
+
+// String names the server for logs.
+func (s *Server) String() string { return "stand-in for the platform's log" }
+
+// Log returns the log that the server keeps.
+func (s *Server) Log() logs.Log {
+	return logs.Log{Append: s.append, Read: s.read, Newest: s.readNewest}
+}
+
+// Land does the writes that were to be done late.
+func (s *Server) Land() {
+	s.mu.Lock()
+	late := s.late
+	s.late = nil
+	s.mu.Unlock()
+	for _, do := range late {
+		do()
+	}
+}
+
+// Drop drops the history of all partitions; the newest record of each key stays.
+func (s *Server) Drop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.parts {
+		p.first, p.records = p.end(), nil
+	}
+}
+
+// Put appends one record whatever the end is.
+func (s *Server) Put(topic string, part int, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.partition(topic, part)
+	p.put(key, value)
+}
+
+func (s *Server) partition(topic string, part int) *partition {
+	if s.parts == nil {
+		s.parts = map[string]*partition{}
+	}
+	name := fmt.Sprintf("%s/%d", topic, part)
+	p := s.parts[name]
+	if p == nil {
+		p = &partition{newest: map[string]logs.Record{}}
+		s.parts[name] = p
+	}
+	return p
+}
+
+func (p *partition) put(key string, value []byte) {
+	r := logs.Record{Offset: p.end(), Key: key, Value: value}
+	p.records = append(p.records, r)
+	if len(value) == 0 {
+		delete(p.newest, key)
+		return
+	}
+	p.newest[key] = r
+}
+
+// fault returns what happens to a call, and the error of one that is not done.
+func (s *Server) fault(call string) (Fault, error) {
+	if s.Fault == nil {
+		return None, nil
+	}
+	f := s.Fault(call)
+	switch f {
+	case Refuse:
+		return f, &logs.RefusedError{Status: http.StatusServiceUnavailable, Reason: "out of order"}
+	case Lose:
+		return f, errNoAnswer
+	default:
+		return f, nil
+	}
+}
+
+func (s *Server) append(ctx context.Context, topic string, part int, at int64, records []logs.Record) (int64, error) {
+	f, err := s.fault("append")
+	if err != nil {
+		return 0, err
+	}
+	if f == Late {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.late = append(s.late, func() { _, _ = s.write(topic, part, at, records) })
+		return 0, errNoAnswer
+	}
+	end, err := s.write(topic, part, at, records)
+	if f == LoseReply {
+		return 0, errNoAnswer
+	}
+	return end, errors.Join(err, ctx.Err())
+}
+
+func (s *Server) write(topic string, part int, at int64, records []logs.Record) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.partition(topic, part)
+	if p.end() != at {
+		return 0, &logs.ConflictError{End: p.end()}
+	}
+	for _, r := range records {
+		p.put(r.Key, r.Value)
+	}
+	return p.end(), nil
+}
+
+func (s *Server) read(ctx context.Context, topic string, part int, from int64, wait time.Duration) ([]logs.Record, int64, error) {
+	if f, err := s.fault("read"); err != nil || f != None {
+		return nil, 0, errors.Join(err, errNoAnswer)
+	}
+	deadline := time.Now().Add(wait)
+	for {
+		records, end, err := s.from(topic, part, from)
+		if err != nil || len(records) > 0 || !time.Now().Before(deadline) {
+			return records, end, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		case <-time.After(pollEvery):
+		}
+	}
+}
+
+func (s *Server) from(topic string, part int, from int64) ([]logs.Record, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.partition(topic, part)
+	if from < p.first {
+		return nil, 0, &logs.GoneError{First: p.first}
+	}
+	if from >= p.end() {
+		return nil, p.end(), nil
+	}
+	return slices.Clone(p.records[from-p.first:]), p.end(), nil
+}
+
+func (s *Server) readNewest(_ context.Context, topic string, part int, after string) (logs.Page, error) {
+	if f, err := s.fault("newest"); err != nil || f != None {
+		return logs.Page{}, errors.Join(err, errNoAnswer)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.partition(topic, part)
+	page := logs.Page{End: p.end()}
+	for key, r := range p.newest {
+		if key > after {
+			page.Records = append(page.Records, r)
+		}
+	}
+	slices.SortFunc(page.Records, func(a, b logs.Record) int { return cmp.Compare(a.Key, b.Key) })
+	if len(page.Records) > pageSize {
+		page.Records, page.More = page.Records[:pageSize], true
+	}
+	return page, nil
+}
--- a/io/opts/router.go
+++ b/io/opts/router.go
@@ -21,6 +21,7 @@
 	Metrics  RouterMetrics  `toml:"metrics"`
 	Store    RouterStore    `toml:"store"`
 	Budget   RouterBudget   `toml:"budget"`
+	Target   RouterTarget   `toml:"target"`
 	Retry    RouterRetry    `toml:"retry"`
 	Memory   RouterMemory   `toml:"memory"`
 	Stop     RouterStopping `toml:"stop"`
@@ -53,6 +54,11 @@
 	WaitMS  MS  `toml:"wait_ms" unit:"ms" default:"200" allowed:"0..60000" doc:"Longest time that a request waits for tokens."`
 }
 
+// RouterTarget parameterises the choice of a target.
+type RouterTarget struct {
+	Bound float64 `toml:"bound" default:"3" allowed:"1..100" doc:"Multiple of the mean load up to which a target gets the requests whose prompts share a part that it has read."`
+}
+
 // RouterRetry parameterises the retry budget that all instances share.
 type RouterRetry struct {
 	Ratio   float64 `toml:"ratio" default:"0.2" allowed:"0..1" doc:"Repeats in proportion to requests, for each service."`
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -114,7 +114,7 @@
 	r.system = agent.Quiet()
 	s := r.Settings
 	a := &route.Actor{}
-	a.Table.Seed = rand.Uint64()
+	a.Table.Seed, a.Table.Bound = rand.Uint64(), s.Target.Bound
 	r.picker = &route.Client{Root: r.system.Root, PID: r.system.Root.Spawn(a.Props())}
 	r.retries = &route.Window{Length: s.Retry.WindowS.Duration(), Ratio: s.Retry.Ratio, Slack: s.Retry.Slack}
 	r.retries.Default()
