--- a/cmd/route.go
+++ b/cmd/route.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/rs/zerolog"
@@ -40,7 +41,11 @@
 	debug.SetMemoryLimit(int64(settings.Memory.LimitMB * memoryPart * megabyte))
 	m := &meter.Meter{}
 	m.Default()
-	out := diode.NewWriter(a.Stdout, settings.Log.Lines, 0, m.LinesDropped)
+	var dropped atomic.Int64
+	out := diode.NewWriter(a.Stdout, settings.Log.Lines, 0, func(lines int) {
+		dropped.Add(int64(lines))
+		m.LinesDropped(lines)
+	})
 	defer func() { _ = out.Close() }() // writes what waits; nothing can be done when that fails
 	log := routerLog(out, settings.Log)
 	events.Log(log, events.SettingsLoaded).Str("path", path).Send()
@@ -52,7 +57,7 @@
 		m.StoreCall(call, result, sent, received)
 	}}
 	r := &router.Router{
-		Settings: settings, Log: log, Meter: m, Store: store.Log(), Platform: speech(),
+		Settings: settings, Log: log, Dropped: dropped.Load, Meter: m, Store: store.Log(), Platform: speech(),
 		Reload: func() (opts.Router, error) { return opts.LoadRouter(path) }, Hangup: hangups(ctx),
 	}
 	r.Default()
--- /dev/null
+++ b/core/logs/follow_test.go
@@ -0,0 +1,137 @@
+package logs_test
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"cranberryrail/core/logs"
+	"cranberryrail/fake/memlog"
+)
+
+// view folds what a follower is told.
+type view struct {
+	mu         sync.Mutex
+	values     map[string]string
+	lost, back int
+	resets     int
+}
+
+func (v *view) put(records []logs.Record) {
+	for _, r := range records {
+		if len(r.Value) == 0 {
+			delete(v.values, r.Key)
+			continue
+		}
+		v.values[r.Key] = string(r.Value)
+	}
+}
+
+func (v *view) reset(records []logs.Record, _ int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.resets++
+	v.values = map[string]string{}
+	v.put(records)
+}
+
+func (v *view) apply(records []logs.Record, _ int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.put(records)
+}
+
+func (v *view) count(n *int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	*n++
+}
+
+// follow runs a follower of the topic "t" until the test ends.
+func follow(t *testing.T, s *memlog.Server) *view {
+	t.Helper()
+	v := &view{}
+	f := &logs.Follower{
+		Log: s.Log(), Topic: "t", Wait: 20 * time.Millisecond, Backoff: 8 * time.Millisecond, Reset: v.reset, Apply: v.apply,
+		Lost: func(error) { v.count(&v.lost) }, Back: func(time.Duration) { v.count(&v.back) },
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var g errgroup.Group
+	g.Go(func() error { return f.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, g.Wait())
+	})
+	return v
+}
+
+func assertSees(t *testing.T, v *view, want map[string]string) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		if maps.Equal(v.values, want) {
+			return poll.Success()
+		}
+		return poll.Continue("%v", v.values)
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+}
+
+func TestFollowerSeesTheNewestOfEachKey(t *testing.T) {
+	s := &memlog.Server{}
+	for _, key := range []string{"a", "b", "c", "d", "e"} {
+		s.Put("t", 0, key, []byte("1"))
+	}
+	v := follow(t, s)
+	assertSees(t, v, map[string]string{"a": "1", "b": "1", "c": "1", "d": "1", "e": "1"})
+	s.Put("t", 0, "a", []byte("2"))
+	s.Put("t", 0, "b", nil)
+	assertSees(t, v, map[string]string{"a": "2", "c": "1", "d": "1", "e": "1"})
+}
+
+func TestFollowerAfterTheHistoryWasDropped(t *testing.T) {
+	s := &memlog.Server{}
+	s.Put("t", 0, "a", []byte("1"))
+	var mu sync.Mutex
+	down := false
+	s.Fault = func(string) memlog.Fault {
+		mu.Lock()
+		defer mu.Unlock()
+		if down {
+			return memlog.Refuse
+		}
+		return memlog.None
+	}
+	set := func(d bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		down = d
+	}
+	v := follow(t, s)
+	assertSees(t, v, map[string]string{"a": "1"})
+	set(true)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		if v.lost == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("not lost")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+	s.Put("t", 0, "a", nil)
+	s.Put("t", 0, "b", []byte("2"))
+	s.Drop()
+	set(false)
+	assertSees(t, v, map[string]string{"b": "2"})
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	assert.Equal(t, v.lost, 1)
+	assert.Equal(t, v.back, 1)
+	assert.Assert(t, v.resets >= 2)
+}
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -25,9 +25,9 @@
 	maxKept = 256 << 10
 )
 
-// attempt makes one dispatch. It returns a *Failure when another may follow, nil when the
+// attempt makes one dispatch. It returns a *AttemptError when another may follow, nil when the
 // caller has its answer, and an error when no target could be chosen.
-func (r *run) attempt(ctx context.Context) (*Failure, error) {
+func (r *run) attempt(ctx context.Context) (*AttemptError, error) {
 	choice, err := r.Pick(r.choose())
 	if err != nil {
 		return nil, err
@@ -103,7 +103,7 @@
 }
 
 // exchange sends the request and passes the answer on.
-func (r *run) exchange(ctx context.Context, d Dispatch) *Failure {
+func (r *run) exchange(ctx context.Context, d Dispatch) *AttemptError {
 	a, err := r.Open(ctx, d)
 	if err != nil {
 		return r.failure(err)
@@ -114,7 +114,7 @@
 		return notRun(a.Status)
 	case !a.Signed && (a.Status >= 200 && a.Status < 300 || promises(a.Status)):
 		r.ran = true
-		return &Failure{Kind: Garbled, Sent: true, Err: errUnsigned}
+		return &AttemptError{Kind: Garbled, Sent: true, Err: errUnsigned}
 	}
 	r.ran = true
 	if a.Events && a.Status == http.StatusOK {
@@ -135,10 +135,10 @@
 }
 
 // failure notes what the error of an attempt tells.
-func (r *run) failure(err error) *Failure {
-	var failed *Failure
+func (r *run) failure(err error) *AttemptError {
+	var failed *AttemptError
 	if !errors.As(err, &failed) {
-		failed = &Failure{Kind: Broken, Sent: true, Err: err}
+		failed = &AttemptError{Kind: Broken, Sent: true, Err: err}
 	}
 	if failed.Sent {
 		r.ran = true
@@ -153,22 +153,22 @@
 )
 
 // notRun returns the failure of a target that says that it did not run the request.
-func notRun(status int) *Failure {
+func notRun(status int) *AttemptError {
 	if status == http.StatusMisdirectedRequest {
-		return &Failure{Kind: Moved, Sent: true, Err: errStatus}
+		return &AttemptError{Kind: Moved, Sent: true, Err: errStatus}
 	}
-	return &Failure{Kind: Shed, Sent: true, Err: errStatus}
+	return &AttemptError{Kind: Shed, Sent: true, Err: errStatus}
 }
 
 // whole passes on an answer that is not a stream.
-func (r *run) whole(a *Answer) *Failure {
+func (r *run) whole(a *Answer) *AttemptError {
 	a.Wait(r.deadline.Sub(r.Now()))
 	body, err := readAll(a)
 	if err != nil && !isEOF(err) {
 		return r.failure(err)
 	}
 	if r.begun {
-		return &Failure{Kind: Errored, Sent: true, Err: errResume}
+		return &AttemptError{Kind: Errored, Sent: true, Err: errResume}
 	}
 	if err == nil {
 		return r.long(a, body)
@@ -176,7 +176,7 @@
 	k := &kept{status: a.Status, header: a.Header, body: body}
 	if a.Status >= 500 && r.route.Repeatable() && r.Sent+1 < r.route.MaxAttempts && r.kept == nil {
 		r.kept = k
-		return &Failure{Kind: Errored, Sent: true, Err: errStatus}
+		return &AttemptError{Kind: Errored, Sent: true, Err: errStatus}
 	}
 	if a.Status >= 500 && r.kept != nil {
 		k = r.kept
@@ -203,11 +203,11 @@
 }
 
 // long passes on an answer that is too long to be kept.
-func (r *run) long(a *Answer, begin []byte) *Failure {
+func (r *run) long(a *Answer, begin []byte) *AttemptError {
 	r.begin(a)
 	for p, err := begin, error(nil); ; {
 		if wrote := r.sink.Write(p); wrote != nil {
-			return &Failure{Kind: Left, Sent: true, Err: wrote}
+			return &AttemptError{Kind: Left, Sent: true, Err: wrote}
 		}
 		if isEOF(err) {
 			return nil
@@ -230,7 +230,7 @@
 
 // stream passes on the events of an answer. The head goes out with the first one, so that a
 // target that fails before it can be replaced.
-func (r *run) stream(ctx context.Context, a *Answer) *Failure {
+func (r *run) stream(ctx context.Context, a *Answer) *AttemptError {
 	events := newEvents(a.Read)
 	wait := r.gapWait()
 	for {
@@ -251,7 +251,7 @@
 }
 
 // passEvent passes on one event, unless the caller has it already.
-func (r *run) passEvent(ctx context.Context, a *Answer, e event) *Failure {
+func (r *run) passEvent(ctx context.Context, a *Answer, e event) *AttemptError {
 	if !r.begun {
 		r.begin(a)
 	}
@@ -260,16 +260,16 @@
 	}
 	if e.id != "" {
 		if r.after != "" && !follows(e.id, r.after) {
-			return &Failure{Kind: Garbled, Sent: true, Err: errOrder}
+			return &AttemptError{Kind: Garbled, Sent: true, Err: errOrder}
 		}
 		r.after = e.id
 	}
 	r.Events++
 	if err := r.sink.Write(e.raw); err != nil {
-		return &Failure{Kind: Left, Sent: true, Err: err}
+		return &AttemptError{Kind: Left, Sent: true, Err: err}
 	}
 	if ctx.Err() != nil {
-		return &Failure{Kind: Left, Sent: true, Err: ctx.Err()}
+		return &AttemptError{Kind: Left, Sent: true, Err: ctx.Err()}
 	}
 	return nil
 }
@@ -293,7 +293,7 @@
 }
 
 // outcome returns what the end of an attempt tells about the target.
-func outcome(failed *Failure) route.Outcome {
+func outcome(failed *AttemptError) route.Outcome {
 	if failed == nil {
 		return route.OK
 	}
--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -52,7 +52,7 @@
 		e.raw = append(e.raw, part...)
 		switch {
 		case len(e.raw) > maxEvent:
-			return event{}, &Failure{Kind: Garbled, Sent: true, Err: errLarge}
+			return event{}, &AttemptError{Kind: Garbled, Sent: true, Err: errLarge}
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case err == io.EOF: //nolint:errorlint // Read returns io.EOF itself
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -73,7 +74,7 @@
 type Answer struct {
 	Reply
 	Status int
-	// Read reads the body; the error is io.EOF after a whole body and a *Failure otherwise.
+	// Read reads the body; the error is io.EOF after a whole body and a *AttemptError otherwise.
 	Read func(p []byte) (int, error)
 	// Wait bounds the time of each further Read.
 	Wait func(d time.Duration)
@@ -118,8 +119,8 @@
 	Errored Kind = "errored"
 )
 
-// Failure is the failure of one attempt.
-type Failure struct {
+// AttemptError is the failure of one attempt.
+type AttemptError struct {
 	Kind Kind
 	// Sent tells that the target may have received the request.
 	Sent bool
@@ -127,7 +128,7 @@
 }
 
 // Error implements the error interface.
-func (f *Failure) Error() string {
+func (f *AttemptError) Error() string {
 	if f.Err == nil {
 		return string(f.Kind)
 	}
@@ -135,7 +136,7 @@
 }
 
 // Unwrap returns the cause.
-func (f *Failure) Unwrap() error { return f.Err }
+func (f *AttemptError) Unwrap() error { return f.Err }
 
 // Sink takes the answer for the caller.
 type Sink struct {
@@ -174,7 +175,7 @@
 	// Refused is the refusal that the caller got; nil when it got a target's answer.
 	Refused *codes.Error
 	// Failed is the last failure of an attempt, if there was one.
-	Failed *Failure
+	Failed *AttemptError
 }
 
 // Server relays requests. Exported fields are set before the first call; it is safe for
@@ -190,10 +191,10 @@
 	Done func(token int64, o route.Outcome)
 	// Retries is this instance's part of the retry budgets.
 	Retries *route.Window
-	// Open sends a request to a target and returns its answer. The error is a *Failure.
+	// Open sends a request to a target and returns its answer. The error is a *AttemptError.
 	Open func(ctx context.Context, d Dispatch) (*Answer, error)
 	// Failed is told of each attempt that failed; optional.
-	Failed func(d Dispatch, f *Failure)
+	Failed func(d Dispatch, f *AttemptError)
 	// Zone is the availability zone of this instance.
 	Zone string
 	// Now is the clock.
@@ -208,7 +209,7 @@
 		s.Now = time.Now
 	}
 	if s.Failed == nil {
-		s.Failed = func(Dispatch, *Failure) {}
+		s.Failed = func(Dispatch, *AttemptError) {}
 	}
 }
 
@@ -411,12 +412,12 @@
 	if !r.ran {
 		return &refused
 	}
-	return r.giveUp(&Failure{Kind: Unreached, Sent: true, Err: err})
+	return r.giveUp(&AttemptError{Kind: Unreached, Sent: true, Err: err})
 }
 
 // ended returns the refusal of a request whose time is over or whose caller is gone.
 func (r *run) ended(ctx context.Context) *codes.Error {
-	if context.Cause(ctx) == context.DeadlineExceeded {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		if r.kept != nil && !r.begun {
 			r.pass(r.kept)
 			return nil
@@ -453,7 +454,7 @@
 const maxUnreached = 4
 
 // again decides whether another attempt follows a failed one.
-func (r *run) again(failed *Failure) bool {
+func (r *run) again(failed *AttemptError) bool {
 	if !failed.Sent {
 		return r.Attempts-r.Sent < maxUnreached
 	}
@@ -467,7 +468,7 @@
 }
 
 // giveUp returns the refusal after the last attempt.
-func (r *run) giveUp(failed *Failure) *codes.Error {
+func (r *run) giveUp(failed *AttemptError) *codes.Error {
 	if r.kept != nil && !r.begun {
 		r.pass(r.kept)
 		return nil
--- /dev/null
+++ b/core/route/window_test.go
@@ -0,0 +1,57 @@
+package route_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"cranberryrail/core/route"
+)
+
+// TestRepeatsStayInsideTheWindow holds each repeat to the ratio of the requests of the window
+// that ends with it, and the slack.
+func TestRepeatsStayInsideTheWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		w := &route.Window{Ratio: 0.2, Slack: 3, Now: func() time.Time { return now }}
+		w.Default()
+		var requests, repeats []time.Time
+		since := func(times []time.Time, d time.Duration) int {
+			n := 0
+			for _, at := range times {
+				if now.Sub(at) < d {
+					n++
+				}
+			}
+			return n
+		}
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 800).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "request") {
+				w.Took("claims")
+				requests = append(requests, now)
+				continue
+			}
+			if !w.Repeat("claims") {
+				continue
+			}
+			repeats = append(repeats, now)
+			// The window slides by parts, so that up to one part less is within it.
+			most := 0.2*float64(since(requests, route.DefaultWindow)) + 3
+			assert.Assert(t, float64(since(repeats, route.DefaultWindow*19/20)) <= most)
+		}
+	})
+}
+
+func TestWindowForgets(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := &route.Window{Ratio: 0.2, Slack: 1, Now: func() time.Time { return now }}
+	w.Default()
+	assert.Assert(t, w.Repeat("claims"))
+	assert.Assert(t, !w.Allows("claims"))
+	assert.Assert(t, w.Allows("draft"), "services have budgets of their own")
+	now = now.Add(route.DefaultWindow)
+	assert.Assert(t, w.Repeat("claims"))
+}
--- a/io/conns/answer.go
+++ b/io/conns/answer.go
@@ -35,7 +35,7 @@
 // answer to an earlier request first.
 func (a *Answer) head(r *Request) *Error {
 	for range maxStray + 1 {
-		resp, err := a.final(r)
+		resp, err := a.final(r) //nolint:bodyclose // the body of an answer ends with its connection
 		if err != nil {
 			phase := Waiting
 			return &Error{Phase: phase, Timeout: isTimeout(err), Invalid: !isTimeout(err) && a.conn.reader.Buffered() > 0, Err: err}
@@ -99,10 +99,10 @@
 // Read reads the body. The error is io.EOF after a whole body and a *Error otherwise.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
-	switch {
-	case err == nil:
+	if err == nil {
 		return n, nil
-	case err == io.EOF: //nolint:errorlint // bodies return io.EOF itself
+	}
+	if err == io.EOF { //nolint:errorlint // bodies return io.EOF itself
 		a.whole = true
 		return n, io.EOF
 	}
--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -33,7 +33,7 @@
 
 func (k *conn) close() {
 	if k.closed.CompareAndSwap(false, true) {
-		_ = k.Conn.Close() // nothing that was accepted depends on it
+		_ = k.Close() // nothing that was accepted depends on it
 	}
 }
 
--- /dev/null
+++ b/io/conns/conns_test.go
@@ -0,0 +1,306 @@
+package conns_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"cranberryrail/io/conns"
+)
+
+// target accepts connections and lets a script answer on each of them.
+type target struct {
+	addr  string
+	conns chan *peer
+}
+
+// peer is one connection as the target sees it.
+type peer struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func newTarget(t *testing.T) *target {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &target{addr: l.Addr().String(), conns: make(chan *peer, 10)}
+	var g errgroup.Group
+	g.Go(func() error {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return nil
+			}
+			s.conns <- &peer{c, bufio.NewReader(c)}
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		assert.NilError(t, g.Wait())
+	})
+	return s
+}
+
+// next returns the next connection.
+func (s *target) next(t *testing.T) *peer {
+	t.Helper()
+	select {
+	case p := <-s.conns:
+		t.Cleanup(func() { _ = p.Close() })
+		return p
+	case <-time.After(2 * time.Second):
+		t.Fatal("no connection was made")
+		return nil
+	}
+}
+
+// read reads a request and returns its id.
+func (p *peer) read(t *testing.T) string {
+	t.Helper()
+	req, err := http.ReadRequest(p.reader)
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, req.Body)
+	assert.NilError(t, err)
+	return req.Header.Get("Id")
+}
+
+func (p *peer) write(t *testing.T, text string) {
+	t.Helper()
+	_, err := io.WriteString(p, text)
+	assert.NilError(t, err)
+}
+
+func answerTo(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func newClient() *conns.Client {
+	c := &conns.Client{}
+	c.Default()
+	return c
+}
+
+func (s *target) request(id string) *conns.Request {
+	return &conns.Request{
+		Target: "t", Addr: s.addr, Method: http.MethodPost, URI: "/x", Host: "h", Header: http.Header{"Id": {id}}, FirstWait: time.Second,
+		Ours: func(h http.Header) bool { return h.Get("Id") == id },
+	}
+}
+
+// result is what one exchange gave.
+type result struct {
+	body string
+	err  error
+}
+
+// start makes an exchange beside the test.
+func start(t *testing.T, c *conns.Client, r *conns.Request) <-chan result {
+	t.Helper()
+	results := make(chan result, 1)
+	var g errgroup.Group
+	g.Go(func() error {
+		a, err := c.Do(t.Context(), r)
+		if err != nil {
+			results <- result{err: err}
+			return nil
+		}
+		defer a.Close()
+		body, err := io.ReadAll(a)
+		results <- result{string(body), err}
+		return nil
+	})
+	t.Cleanup(func() { assert.NilError(t, g.Wait()) })
+	return results
+}
+
+func assertBody(t *testing.T, results <-chan result, want string) {
+	t.Helper()
+	r := <-results
+	assert.NilError(t, r.err)
+	assert.Equal(t, r.body, want)
+}
+
+func assertFailed(t *testing.T, results <-chan result, phase conns.Phase) {
+	t.Helper()
+	r := <-results
+	var e *conns.Error
+	assert.Assert(t, errors.As(r.err, &e), "%v", r.err)
+	assert.Equal(t, e.Phase, phase, "%v", e)
+}
+
+// serve answers one request on the next connection.
+func (s *target) serve(t *testing.T, c *conns.Client, id, after string) *peer {
+	t.Helper()
+	results := start(t, c, s.request(id))
+	p := s.next(t)
+	assert.Equal(t, p.read(t), id)
+	p.write(t, answerTo(id, "one")+after)
+	assertBody(t, results, "one")
+	time.Sleep(20 * time.Millisecond) // the connection is taken back after the body was read
+	return p
+}
+
+func TestConnectionIsKept(t *testing.T) {
+	s, c := newTarget(t), newClient()
+	p := s.serve(t, c, "1", "")
+	results := start(t, c, s.request("2"))
+	assert.Equal(t, p.read(t), "2")
+	p.write(t, answerTo("2", "two"))
+	assertBody(t, results, "two")
+}
+
+func TestBytesAfterAnAnswerRetireTheConnection(t *testing.T) {
+	for name, after := range map[string]string{"another answer": answerTo("1", "again"), "other bytes": "x"} {
+		t.Run(name, func(t *testing.T) {
+			s, c := newTarget(t), newClient()
+			s.serve(t, c, "1", after)
+			results := start(t, c, s.request("2"))
+			p := s.next(t)
+			assert.Equal(t, p.read(t), "2")
+			p.write(t, answerTo("2", "two"))
+			assertBody(t, results, "two")
+		})
+	}
+}
+
+func TestLateAnswerToAnEarlierRequestIsPassedOver(t *testing.T) {
+	s, c := newTarget(t), newClient()
+	p := s.serve(t, c, "1", "")
+	results := start(t, c, s.request("2"))
+	assert.Equal(t, p.read(t), "2")
+	p.write(t, answerTo("1", "again")+answerTo("2", "two"))
+	assertBody(t, results, "two")
+}
+
+// The library's client would send the request again on a new connection.
+func TestNothingIsSentTwice(t *testing.T) {
+	s, c := newTarget(t), newClient()
+	p := s.serve(t, c, "1", "")
+	results := start(t, c, s.request("2"))
+	assert.Equal(t, p.read(t), "2")
+	assert.NilError(t, p.Close())
+	assertFailed(t, results, conns.Waiting)
+	select {
+	case <-s.conns:
+		t.Fatal("another connection was made")
+	case <-time.After(100 * time.Millisecond):
+	}
+}
+
+func TestClosedConnectionIsNotUsed(t *testing.T) {
+	s, c := newTarget(t), newClient()
+	p := s.serve(t, c, "1", "")
+	assert.NilError(t, p.Close())
+	time.Sleep(20 * time.Millisecond)
+	s.serve(t, c, "2", "")
+}
+
+func TestOnceTakesAProvenConnection(t *testing.T) {
+	s := newTarget(t)
+	c := &conns.Client{Proven: time.Millisecond}
+	c.Default()
+	s.serve(t, c, "1", "")
+	r := s.request("2")
+	r.Once = true
+	results := start(t, c, r)
+	p := s.next(t)
+	assert.Equal(t, p.read(t), "2")
+	p.write(t, answerTo("2", "two"))
+	assertBody(t, results, "two")
+}
+
+func TestRefusedConnectionSentNothing(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	addr := l.Addr().String()
+	assert.NilError(t, l.Close())
+	s := &target{addr: addr}
+	assertFailed(t, start(t, newClient(), s.request("1")), conns.Dialling)
+}
+
+func TestAnswersThatAreNone(t *testing.T) {
+	for _, tc := range []struct {
+		name, answer string
+		phase        conns.Phase
+	}{
+		{"other bytes", "no answer\r\n\r\n", conns.Waiting},
+		{"cut in the head", "HTTP/1.1 200 OK\r\nId: 1", conns.Waiting},
+		{"cut in the body", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\npart", conns.Reading},
+		{"cut in a chunk", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n9\r\npart", conns.Reading},
+		{"without the last chunk", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", conns.Reading},
+		{"of others only", strings.Repeat(answerTo("0", "x"), 4), conns.Waiting},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newTarget(t)
+			results := start(t, newClient(), s.request("1"))
+			p := s.next(t)
+			p.read(t)
+			p.write(t, tc.answer)
+			assert.NilError(t, p.Close())
+			assertFailed(t, results, tc.phase)
+		})
+	}
+}
+
+func TestAnswerWithoutLength(t *testing.T) {
+	s := newTarget(t)
+	results := start(t, newClient(), s.request("1"))
+	p := s.next(t)
+	p.read(t)
+	p.write(t, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nto the end")
+	assert.NilError(t, p.Close())
+	assertBody(t, results, "to the end")
+}
+
+// A target may answer before it has read a long body; its connection is not used again.
+func TestAnswerBeforeTheBodyWasRead(t *testing.T) {
+	s, c := newTarget(t), newClient()
+	r := s.request("1")
+	r.Body = make([]byte, 32<<20)
+	results := start(t, c, r)
+	p := s.next(t)
+	_, err := p.reader.ReadString('\n')
+	assert.NilError(t, err)
+	p.write(t, answerTo("1", "early"))
+	assertBody(t, results, "early")
+	s.serve(t, c, "2", "")
+}
+
+func TestSilentTarget(t *testing.T) {
+	s, c := newTarget(t), newClient()
+	r := s.request("1")
+	r.FirstWait = 50 * time.Millisecond
+	results := start(t, c, r)
+	s.next(t).read(t)
+	answer := <-results
+	var e *conns.Error
+	assert.Assert(t, errors.As(answer.err, &e))
+	assert.Assert(t, e.Timeout)
+}
+
+func TestEndOfTheContextClosesTheConnection(t *testing.T) {
+	s, c := newTarget(t), newClient()
+	ctx, cancel := context.WithCancel(t.Context())
+	var g errgroup.Group
+	g.Go(func() error {
+		_, err := c.Do(ctx, s.request("1"))
+		return err
+	})
+	p := s.next(t)
+	p.read(t)
+	cancel()
+	_, err := p.reader.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+	assert.Assert(t, g.Wait() != nil)
+}
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -65,8 +65,10 @@
 	Reload func() (opts.Router, error)
 	// Hangup tells that the settings may have changed; optional.
 	Hangup <-chan os.Signal
-	// Log takes the numbered events.
-	Log zerolog.Logger
+	// Log takes the numbered events, and Dropped counts the lines that it dropped so far;
+	// Dropped is optional.
+	Log     zerolog.Logger
+	Dropped func() int64
 	// Meter takes the metrics.
 	Meter *meter.Meter
 	// Store is the platform's log.
@@ -96,6 +98,8 @@
 	open atomic.Bool
 	// said is the readiness that was logged last.
 	said atomic.Bool
+	// dropped is the number of dropped lines that was logged last.
+	dropped int64
 }
 
 // String names the instance for logs.
@@ -249,6 +253,18 @@
 		r.conns.Sweep()
 		r.expire()
 		r.sayReady()
+		r.sayDropped()
+	}
+}
+
+// sayDropped logs how many lines of the log were dropped since it was last logged.
+func (r *Router) sayDropped() {
+	if r.Dropped == nil {
+		return
+	}
+	if n := r.Dropped(); n > r.dropped {
+		events.Log(r.Log, events.LinesDropped).Int64("lines", n-r.dropped).Send()
+		r.dropped = n
 	}
 }
 
--- /dev/null
+++ b/io/router/router_test.go
@@ -0,0 +1,407 @@
+package router_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"cranberryrail/core/conf/field"
+	"cranberryrail/fake/memlog"
+	"cranberryrail/io/meter"
+	"cranberryrail/io/opts"
+	"cranberryrail/io/router"
+	"cranberryrail/platform"
+	"cranberryrail/platform/stand"
+)
+
+const configText = `{"version":%d,"routes":[
+{"name":"get","host":"a.example","path_prefix":"/get/","kind":"idempotent","timeout_ms":1000,"target_latency_ms":100,"service":"claims","max_attempts":2},
+{"name":"post","host":"a.example","path_prefix":"/post/","kind":"non_idempotent","timeout_ms":1000,"target_latency_ms":100,"service":"claims","max_attempts":1},
+{"name":"resume","host":"a.example","path_prefix":"/resume/","kind":"streaming","timeout_ms":3000,"target_latency_ms":500,"target_gap_ms":100,"service":"claims","max_attempts":2,"session_affinity":true,"stream_resume":true},
+{"name":"stream","host":"a.example","path_prefix":"/stream/","kind":"streaming","timeout_ms":3000,"target_latency_ms":500,"target_gap_ms":100,"service":"claims","max_attempts":1,"session_affinity":true}],
+"services":[{"name":"claims","health_path":"/health","max_connections":10,"engine":{"slots":8,"stride":7}}],
+"limits":{"max_body_bytes":1000},
+"tenants":[{"name":"travel","api_keys":["k1"],"priority":0,"prepaid":%d}]}`
+
+// world is an instance with the stand-ins that it needs.
+type world struct {
+	t      *testing.T
+	log    *memlog.Server
+	router *router.Router
+	stop   context.CancelFunc
+	group  errgroup.Group
+	ended  chan struct{}
+}
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// newWorld starts an instance before the targets, which are named t0, t1 and so on.
+func newWorld(t *testing.T, targets ...http.HandlerFunc) *world {
+	t.Helper()
+	w := &world{t: t, log: &memlog.Server{}, ended: make(chan struct{})}
+	store := httptest.NewServer(&stand.Store{Log: w.log})
+	t.Cleanup(store.Close)
+	w.configure(1, 1_000_000)
+	for i, do := range targets {
+		id := fmt.Sprintf("t%d", i)
+		s := httptest.NewServer(&stand.Target{ID: id, Do: do})
+		t.Cleanup(s.Close)
+		w.log.Put(platform.TargetTopic, 0, id, stand.Entry("claims", s.Listener.Addr().String(), "ready", 1))
+	}
+	var settings opts.Router
+	text := fmt.Sprintf("[instance]\nid = \"i\"\nzone = \"a\"\n[caller]\nlisten = %q\nready = %q\n[store]\naddress = %q\nconfig_wait_ms = 100\n"+
+		"[stop]\ngrace_s = 3\nnotice_s = 0.1\n[retry]\nslack = 10\n", freeAddr(t), freeAddr(t), store.Listener.Addr())
+	assert.NilError(t, field.Parse("settings", []byte(text), &settings, func() []field.Fault { return nil }))
+	m := &meter.Meter{}
+	m.Default()
+	w.router = &router.Router{Settings: settings, Log: zerolog.New(zerolog.NewTestWriter(t)), Meter: m,
+		Store: (&platform.Store{Addr: settings.Store.Address}).Log(), Platform: platformOf()}
+	w.router.Default()
+	assert.NilError(t, w.router.Listen(t.Context()))
+	ctx, cancel := context.WithCancel(context.Background())
+	w.stop = cancel
+	w.group.Go(func() error {
+		defer close(w.ended)
+		return w.router.Run(ctx)
+	})
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, w.group.Wait())
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if w.router.Ready() {
+			return poll.Success()
+		}
+		return poll.Continue("not ready")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+	return w
+}
+
+func platformOf() router.Platform {
+	return router.Platform{
+		ConfigTopic: platform.ConfigTopic, ConfigKey: platform.ConfigKey, TargetTopic: platform.TargetTopic,
+		BudgetTopic: platform.BudgetTopic, ReadyPath: platform.ReadyPath, Config: platform.Config, Target: platform.Target,
+		Request: platform.Request, Header: platform.Header, Ours: platform.Ours, Reply: platform.Read, Refuse: platform.Refuse,
+	}
+}
+
+func (w *world) configure(version, prepaid int) {
+	w.log.Put(platform.ConfigTopic, 0, platform.ConfigKey, fmt.Appendf(nil, configText, version, prepaid))
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	// cut tells that the answer broke off.
+	cut bool
+}
+
+// call sends a request as a caller does, once.
+func (w *world) call(method, path string, headers ...string) answer {
+	w.t.Helper()
+	req, err := http.NewRequestWithContext(w.t.Context(), method, "http://"+w.router.Addr()+path, strings.NewReader("body"))
+	assert.NilError(w.t, err)
+	req.Host = "a.example"
+	for _, h := range append([]string{"Cranberryrail-Attempt-Id: r1", "Cranberryrail-Request-Deadline: 2000", "Authorization: Bearer k1"}, headers...) {
+		name, value, _ := strings.Cut(h, ": ")
+		req.Header.Set(name, value)
+	}
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		return answer{cut: true}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, resp.Header, string(body), err != nil}
+}
+
+func assertAnswer(t *testing.T, a answer, status int, body string) {
+	t.Helper()
+	assert.Equal(t, a.status, status, a.body)
+	assert.Assert(t, strings.Contains(a.body, body), a.body)
+	assert.Assert(t, !a.cut)
+}
+
+// hangUp breaks a connection off without an answer.
+func hangUp(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		_ = conn.Close()
+	}
+}
+
+const tokens = "Cranberryrail-Token-Usage: 100,50"
+
+func TestServesAndSetsHeaders(t *testing.T) {
+	var seen http.Header
+	var uri string
+	w := newWorld(t, func(w http.ResponseWriter, r *http.Request) {
+		seen, uri = r.Header.Clone(), r.RequestURI
+		_, _ = w.Write([]byte("whole"))
+	})
+	a := w.call(http.MethodPost, "/post//x%2Fy?q=1&q=2", "Cranberryrail-Tenant: other", "Cranberryrail-Kv-Hold: h", "Kv-From: 10.0.0.1:1/x", "X-Own: kept")
+	assertAnswer(t, a, http.StatusOK, "whole")
+	assert.Equal(t, a.header.Get("Cranberryrail-Response-Seal"), "seal-of-r1")
+	assert.Equal(t, uri, "/post//x%2Fy?q=1&q=2")
+	for name, want := range map[string]string{
+		"Cranberryrail-Tenant": "travel", "Cranberryrail-Attempt-Id": "r1", "Cranberryrail-Expect-Instance": "t0", "X-Own": "kept",
+		"Authorization": "", "Cranberryrail-Kv-Hold": "", "Kv-From": "", "Accept-Encoding": "gzip",
+	} {
+		assert.Equal(t, seen.Get(name), want, name)
+	}
+}
+
+func TestRefusesWithoutSending(t *testing.T) {
+	var arrivals atomic.Int64
+	w := newWorld(t, func(http.ResponseWriter, *http.Request) { arrivals.Add(1) })
+	for _, tc := range []struct {
+		name, path string
+		headers    []string
+		status     int
+	}{
+		{"unknown route", "/none/", nil, http.StatusNotFound},
+		{"unknown key", "/get/", []string{"Authorization: Bearer k9"}, http.StatusUnauthorized},
+		{"no key", "/get/", []string{"Authorization: "}, http.StatusUnauthorized},
+		{"usage that can't be read", "/stream/", []string{"Cranberryrail-Token-Usage: many"}, http.StatusBadRequest},
+		{"deadline that can't be read", "/get/", []string{"Cranberryrail-Request-Deadline: soon"}, http.StatusBadRequest},
+		{"more than the budget", "/stream/", []string{"Cranberryrail-Token-Usage: 900000,900000"}, http.StatusServiceUnavailable},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			assert.Equal(t, w.call(http.MethodGet, tc.path, tc.headers...).status, tc.status)
+		})
+	}
+	assert.Equal(t, arrivals.Load(), int64(0))
+}
+
+func TestRunsOnceWhenTheAnswerIsLost(t *testing.T) {
+	var arrivals atomic.Int64
+	lose := func(w http.ResponseWriter, _ *http.Request) {
+		arrivals.Add(1)
+		hangUp(w)
+	}
+	w := newWorld(t, lose, lose)
+	t.Run("what must not be repeated is sent once", func(t *testing.T) {
+		assertAnswer(t, w.call(http.MethodPost, "/post/1"), http.StatusBadGateway, `"run":"unknown"`)
+		assert.Equal(t, arrivals.Swap(0), int64(1))
+	})
+	t.Run("what may be repeated is sent to as many targets as allowed", func(t *testing.T) {
+		assertAnswer(t, w.call(http.MethodGet, "/get/1"), http.StatusBadGateway, `"run":"unknown"`)
+		assert.Equal(t, arrivals.Swap(0), int64(2))
+	})
+}
+
+func TestNotRunIsTrue(t *testing.T) {
+	w := newWorld(t, func(w http.ResponseWriter, _ *http.Request) { stand.NotRun(w, http.StatusServiceUnavailable) })
+	a := w.call(http.MethodPost, "/post/1")
+	assertAnswer(t, a, http.StatusTooManyRequests, `"run":"not_run"`)
+	assert.Equal(t, a.header.Get("Retry-After"), "0.1")
+}
+
+// A status that promises that nothing ran is only the target's to give.
+func TestUnsignedPromiseIsNotPassedOn(t *testing.T) {
+	w := newWorld(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Del("Cranberryrail-Response-Seal")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	assertAnswer(t, w.call(http.MethodPost, "/post/1"), http.StatusBadGateway, `"run":"unknown"`)
+}
+
+func TestFailureOfATargetIsPassedOnUnchanged(t *testing.T) {
+	w := newWorld(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = w.Write([]byte("its own failure"))
+	})
+	for _, path := range []string{"/post/1", "/get/1"} {
+		a := w.call(http.MethodGet, path)
+		assertAnswer(t, a, http.StatusInternalServerError, "its own failure")
+		assert.Equal(t, a.header.Get("Cranberryrail-Response-Seal"), "seal-of-r1")
+	}
+}
+
+func TestAnswersThatAreNotWhole(t *testing.T) {
+	for name, do := range map[string]http.HandlerFunc{
+		"cut off": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = w.Write([]byte("part"))
+		},
+		"not signed": func(w http.ResponseWriter, _ *http.Request) { w.Header().Del("Cranberryrail-Response-Seal") },
+		"encoded":    func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Content-Encoding", "gzip") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, do)
+			assertAnswer(t, w.call(http.MethodPost, "/post/1"), http.StatusBadGateway, `"error"`)
+		})
+	}
+}
+
+// An answer to another request is passed over, and the wait for the own one goes on.
+func TestAnswerToAnotherRequest(t *testing.T) {
+	w := newWorld(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Cranberryrail-Attempt-Id", "r0")
+		_, _ = w.Write([]byte("foreign"))
+	})
+	assertAnswer(t, w.call(http.MethodPost, "/post/1"), http.StatusGatewayTimeout, `"run":"unknown"`)
+}
+
+func TestStreams(t *testing.T) {
+	whole := "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n"
+	t.Run("whole", func(t *testing.T) {
+		w := newWorld(t, func(w http.ResponseWriter, _ *http.Request) { stand.Events(w, 1, 4) })
+		a := w.call(http.MethodPost, "/stream/1", tokens)
+		assertAnswer(t, a, http.StatusOK, whole)
+	})
+	t.Run("resumed at another target", func(t *testing.T) {
+		var after atomic.Value
+		do := func(w http.ResponseWriter, r *http.Request) {
+			if last := r.Header.Get("Last-Event-Id"); last != "" {
+				after.Store(last)
+				stand.Events(w, 3, 4)
+				return
+			}
+			stand.Events(w, 1, 2)
+			_, _ = w.Write([]byte("id: 3\ndata: pie"))
+			_ = http.NewResponseController(w).Flush()
+			hangUp(w)
+		}
+		w := newWorld(t, do, do)
+		a := w.call(http.MethodPost, "/resume/1", tokens)
+		assertAnswer(t, a, http.StatusOK, whole)
+		assert.Equal(t, a.body, whole)
+		assert.Equal(t, after.Load(), "2")
+	})
+	t.Run("one that can't be resumed does not look whole", func(t *testing.T) {
+		w := newWorld(t, func(w http.ResponseWriter, _ *http.Request) {
+			stand.Events(w, 1, 2)
+			hangUp(w)
+		})
+		a := w.call(http.MethodPost, "/stream/1", tokens)
+		assert.Assert(t, a.cut)
+	})
+	t.Run("a missing event does not pass", func(t *testing.T) {
+		w := newWorld(t, func(w http.ResponseWriter, _ *http.Request) {
+			stand.Events(w, 1, 2)
+			stand.Events(w, 4, 4)
+		})
+		a := w.call(http.MethodPost, "/stream/1", tokens)
+		assert.Assert(t, a.cut)
+	})
+}
+
+func TestBudgetCoversNoMore(t *testing.T) {
+	w := newWorld(t, func(w http.ResponseWriter, _ *http.Request) { stand.Events(w, 1, 1) })
+	w.configure(2, 500)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if w.call(http.MethodPost, "/stream/1", "Cranberryrail-Token-Usage: 400,200").status != http.StatusOK {
+			return poll.Success()
+		}
+		return poll.Continue("the budget is not in force")
+	}, poll.WithTimeout(5*time.Second))
+}
+
+func TestLeavingTargetGetsNoWork(t *testing.T) {
+	var arrivals atomic.Int64
+	w := newWorld(t, func(http.ResponseWriter, *http.Request) { arrivals.Add(1) })
+	assert.Equal(t, w.call(http.MethodGet, "/get/1").status, http.StatusOK)
+	w.log.Put(platform.TargetTopic, 0, "t0", stand.Entry("claims", "127.0.0.1:1", "draining", 2))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if w.call(http.MethodGet, "/get/1").status == http.StatusServiceUnavailable {
+			return poll.Success()
+		}
+		return poll.Continue("it still gets work")
+	}, poll.WithTimeout(5*time.Second))
+}
+
+func TestPlannedStopCutsNothingOff(t *testing.T) {
+	var begun atomic.Bool
+	w := newWorld(t, func(w http.ResponseWriter, _ *http.Request) {
+		begun.Store(true)
+		time.Sleep(400 * time.Millisecond)
+		_, _ = w.Write([]byte("late"))
+	})
+	var g errgroup.Group
+	answers := make(chan answer, 1)
+	g.Go(func() error {
+		answers <- w.call(http.MethodPost, "/post/1")
+		return nil
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if begun.Load() {
+			return poll.Success()
+		}
+		return poll.Continue("not begun")
+	}, poll.WithDelay(time.Millisecond))
+	w.stop()
+	assertAnswer(t, <-answers, http.StatusOK, "late")
+	select {
+	case <-w.ended:
+	case <-time.After(3 * time.Second):
+		t.Fatal("the instance did not end within its grace")
+	}
+}
+
+// A caller that leaves takes its request along.
+func TestCallerThatLeaves(t *testing.T) {
+	left := make(chan struct{})
+	w := newWorld(t, func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(left)
+	})
+	conn, err := net.Dial("tcp", w.router.Addr())
+	assert.NilError(t, err)
+	_, err = conn.Write([]byte("GET /get/1 HTTP/1.1\r\nHost: a.example\r\nCranberryrail-Attempt-Id: r1\r\nCranberryrail-Request-Deadline: 2000\r\n" +
+		"Authorization: Bearer k1\r\n\r\n"))
+	assert.NilError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	assert.NilError(t, conn.Close())
+	select {
+	case <-left:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the target still works on it")
+	}
+}
+
+// A request that hides inside the body of another one is part of that body.
+func TestSmuggledRequestIsABody(t *testing.T) {
+	var arrivals atomic.Int64
+	w := newWorld(t, func(w http.ResponseWriter, r *http.Request) {
+		arrivals.Add(1)
+		_, _ = io.Copy(w, r.Body)
+	})
+	conn, err := net.Dial("tcp", w.router.Addr())
+	assert.NilError(t, err)
+	defer conn.Close()
+	hidden := "GET /get/2 HTTP/1.1\r\nHost: a.example\r\nCranberryrail-Attempt-Id: r2\r\n\r\n"
+	_, err = fmt.Fprintf(conn, "POST /post/1 HTTP/1.1\r\nHost: a.example\r\nCranberryrail-Attempt-Id: r1\r\nCranberryrail-Request-Deadline: 2000\r\n"+
+		"Authorization: Bearer k1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(hidden), hidden)
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	if resp.StatusCode == http.StatusOK {
+		assert.Equal(t, string(body), hidden)
+	}
+	assert.Assert(t, arrivals.Load() <= 1)
+}
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -43,8 +43,8 @@
 }
 
 // failure translates the error of an exchange.
-func failure(err error) *relay.Failure {
-	f := &relay.Failure{Kind: relay.Broken, Sent: true, Err: err}
+func failure(err error) *relay.AttemptError {
+	f := &relay.AttemptError{Kind: relay.Broken, Sent: true, Err: err}
 	var e *conns.Error
 	if !errors.As(err, &e) {
 		return f
@@ -61,7 +61,7 @@
 }
 
 // attemptFailed logs an attempt that failed.
-func (r *Router) attemptFailed(d relay.Dispatch, f *relay.Failure) {
+func (r *Router) attemptFailed(d relay.Dispatch, f *relay.AttemptError) {
 	r.Meter.Attempt(string(f.Kind))
 	events.Log(r.Log, events.AttemptFailed).Str("request", d.ID).Str("target", d.Target.ID).Str("kind", string(f.Kind)).
 		Bool("sent", f.Sent).Bool("repeatable", !d.Once).Dur("left", d.Left).Err(f.Err).Send()
