feat: an instance that is cut from the store and out of tokens takes no new connections

Such an instance now says that it is not ready for 3 s after each refusal, and the refusal closes the caller's connection.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -220,6 +220,10 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if e.Code == codes.LogUnavailable {
+		// The caller's next connection goes to an instance that can cover its requests.
+		w.Header().Set("Connection", "close")
+	}
 	w.WriteHeader(e.Code.Status)
 	_, _ = w.Write(body) // the server notes a caller that is gone
 }
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -96,6 +96,9 @@
 	listed atomic.Bool
 	// open tells that the instance is not stopping.
 	open atomic.Bool
+	// starved is when a request was last refused because the platform's log was out of reach,
+	// in Unix nanoseconds.
+	starved atomic.Int64
 	// said is the readiness that was logged last.
 	said atomic.Bool
 	// dropped is the number of dropped lines that was logged last.
@@ -180,10 +183,15 @@
 // Addr returns the address that callers reach.
 func (r *Router) Addr() string { return r.entry.Addr() }
 
+// starvedFor is how long an instance takes no new connections after it had to refuse a
+// request because it could not draw tokens: some questions of the platform.
+const starvedFor = 3 * time.Second
+
 // Ready reports whether the instance takes requests: it knows the configuration and the
-// targets, and does not stop.
+// targets, can cover requests, and does not stop.
 func (r *Router) Ready() bool {
-	return r.open.Load() && r.table.Current() != nil && r.listed.Load()
+	starved := time.Since(time.Unix(0, r.starved.Load())) < starvedFor
+	return r.open.Load() && r.table.Current() != nil && r.listed.Load() && !starved
 }
 
 // answerReady tells the platform whether the instance takes requests.
--- a/io/router/router_test.go
+++ b/io/router/router_test.go
@@ -360,6 +360,38 @@
 	}
 }
 
+// An instance that can't draw tokens sends callers to others, and comes back by itself.
+func TestStarvedInstanceTakesNoNewConnections(t *testing.T) {
+	w := newWorld(t, func(w http.ResponseWriter, _ *http.Request) { stand.Events(w, 1, 1) })
+	var down atomic.Bool
+	down.Store(true)
+	w.log.Fault = func(string) memlog.Fault {
+		if down.Load() {
+			return memlog.Refuse
+		}
+		return memlog.None
+	}
+	var a answer
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		a = w.call(http.MethodPost, "/stream/1", "Cranberryrail-Token-Usage: 50000,50000")
+		if strings.Contains(a.body, "log_unavailable") {
+			return poll.Success()
+		}
+		return poll.Continue("%d %s", a.status, a.body)
+	}, poll.WithTimeout(5*time.Second))
+	assertAnswer(t, a, http.StatusServiceUnavailable, `"run":"not_run"`)
+	assert.Equal(t, a.header.Get("Retry-After"), "0.05")
+	assert.Assert(t, !w.router.Ready())
+	assert.Equal(t, w.call(http.MethodGet, "/get/1").status, http.StatusOK, "what needs no tokens is served")
+	down.Store(false)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if w.router.Ready() {
+			return poll.Success()
+		}
+		return poll.Continue("not ready")
+	}, poll.WithTimeout(10*time.Second))
+}
+
 // A caller that leaves takes its request along.
 func TestCallerThatLeaves(t *testing.T) {
 	left := make(chan struct{})
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -96,6 +96,9 @@
 		line.Bool("gone", true)
 	}
 	if refused := result.Refused; refused != nil {
+		if refused.Code == codes.LogUnavailable {
+			r.starved.Store(time.Now().UnixNano())
+		}
 		code = refused.Code
 		line.Int("code", code.Number).Str("run", string(refused.Run)).Dur("retry_after", refused.RetryAfter).Str("detail", refused.Detail)
 	}
