perf: visit a budget's shard only when a holding should change

Cause: each request that took tokens woke the writers of all six shards, and a visit costs a read: 67 instances made 2,560 calls a second.

--- a/core/purse/keeper.go
+++ b/core/purse/keeper.go
@@ -102,18 +102,22 @@
 	k.Book.Default()
 }
 
-// want wakes the writers; it never blocks.
-func (k *Keeper) want(urgent bool) {
-	for i, wake := range k.urgent {
-		k.refill[i].Store(true)
-		if !urgent {
-			continue
-		}
-		select {
-		case wake <- struct{}{}:
-		default:
-		}
+// want wakes the writer of an organisation's shard; it never blocks.
+func (k *Keeper) want(organisation string, urgent bool) {
+	i := k.shardOf(organisation)
+	k.refill[i].Store(true)
+	if !urgent {
+		return
 	}
+	select {
+	case k.urgent[i] <- struct{}{}:
+	default:
+	}
+}
+
+// shardOf returns the shard that has an organisation's budget.
+func (k *Keeper) shardOf(organisation string) int {
+	return int(xxhash.Sum64String(organisation) % uint64(k.Shards)) //nolint:gosec // less than the number of shards
 }
 
 // Pay takes the organisations of the configuration.
@@ -125,7 +129,9 @@
 	names = sorted(names)
 	k.organisations.Store(&names)
 	k.Book.Pay(organisations)
-	k.want(false)
+	for i := range k.refill {
+		k.refill[i].Store(true)
+	}
 }
 
 // of returns the organisations whose budgets a shard has.
@@ -136,7 +142,7 @@
 	}
 	var names []string
 	for _, name := range *all {
-		if int(xxhash.Sum64String(name)%uint64(k.Shards)) == part {
+		if k.shardOf(name) == part {
 			names = append(names, name)
 		}
 	}
--- a/core/purse/purse.go
+++ b/core/purse/purse.go
@@ -56,9 +56,9 @@
 
 // Times to come back that refusals state.
 const (
-	// RetryElsewhere is for a budget whose rest other instances hold: a caller that comes back
-	// reaches another one.
-	RetryElsewhere = 100 * time.Millisecond
+	// RetryElsewhere is for a budget whose rest other instances hold: they give back what they
+	// don't need within about as long.
+	RetryElsewhere = 800 * time.Millisecond
 	// RetryLog is for a budget whose rest can't be drawn, because the log is out of reach of
 	// this instance; another one may hold tokens.
 	RetryLog = 50 * time.Millisecond
@@ -116,9 +116,9 @@
 	Cover time.Duration
 	// Wait is the longest time that a request waits for tokens.
 	Wait time.Duration
-	// Wanted is told that tokens should be drawn or given back, and whether a request waits for
-	// them; it must not block.
-	Wanted func(urgent bool)
+	// Wanted is told that tokens of an organisation should be drawn or given back, and whether a
+	// request waits for them; it must not block.
+	Wanted func(organisation string, urgent bool)
 
 	mu       sync.Mutex
 	accounts map[string]*account
@@ -144,7 +144,7 @@
 		b.Wait = DefaultWait
 	}
 	if b.Wanted == nil {
-		b.Wanted = func(bool) {}
+		b.Wanted = func(string, bool) {}
 	}
 	if b.accounts == nil {
 		b.accounts = map[string]*account{}
@@ -217,9 +217,7 @@
 	}
 	a.use.add(tokens, b.Now())
 	if len(a.waiting) == 0 && a.take(tokens) {
-		if float64(a.free) < refillPart*float64(b.target(a)) {
-			b.Wanted(false)
-		}
+		b.want(organisation, a)
 		return nil, nil
 	}
 	if refused := b.refusal(a, tokens); refused != nil {
@@ -227,7 +225,7 @@
 	}
 	w := &waiter{tokens: tokens, decided: make(chan struct{})}
 	a.waiting = append(a.waiting, w)
-	b.Wanted(true)
+	b.Wanted(organisation, true)
 	return w, nil
 }
 
@@ -324,8 +322,13 @@
 	a.free += g.Tokens - used
 	a.use.add(used-g.Tokens, b.Now())
 	b.serve(a)
-	if b.surplus(a) > 0 || float64(a.free) < refillPart*float64(b.target(a)) {
-		b.Wanted(false)
+	b.want(g.Organisation, a)
+}
+
+// want tells that the holding should change, if it should.
+func (b *Book) want(organisation string, a *account) {
+	if b.change(a) != 0 {
+		b.Wanted(organisation, false)
 	}
 }
 
@@ -382,11 +385,26 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(organisation)
+	change := b.change(a)
+	if change < 0 {
+		a.free += change
+	}
+	return change
+}
+
+// Due reports whether the holding of an organisation should change.
+func (b *Book) Due(organisation string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.change(b.account(organisation)) != 0
+}
+
+// change returns by how much a holding should change.
+func (b *Book) change(a *account) int64 {
 	if a.paid == table.Unlimited || !b.known {
 		return 0
 	}
 	if surplus := b.surplus(a); surplus > 0 {
-		a.free -= surplus
 		return -surplus
 	}
 	if b.stopping {
@@ -441,9 +459,7 @@
 	}
 	a.granted = granted
 	b.serve(a)
-	if b.surplus(a) > 0 {
-		b.Wanted(false)
-	}
+	b.want(organisation, a)
 }
 
 // SetKnown tells that the state of the log was read.
--- a/core/purse/shard.go
+++ b/core/purse/shard.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -211,23 +212,43 @@
 
 // write brings the holdings of this instance to what the book asks for.
 func (s *shard) write(ctx context.Context, organisations []string) error {
+	if !s.due(organisations) {
+		return nil
+	}
 	if err := s.refresh(ctx); err != nil {
 		return err
 	}
-	b := s.prepare(organisations)
-	for b != nil && ctx.Err() == nil {
-		repeated, err := s.append(ctx, b)
-		if err != nil {
+	for lost := 1; ; lost++ {
+		b := s.prepare(organisations)
+		if b == nil || ctx.Err() != nil {
+			return ctx.Err()
+		}
+		again, err := s.append(ctx, b)
+		if err != nil || !again {
 			return err
 		}
-		if !repeated {
-			return nil
+		pause(ctx, rand.N(min(time.Duration(lost)*lostPause, lostPauseMost)))
+		if err := s.refresh(ctx); err != nil {
+			return err
 		}
-		b = s.prepare(organisations)
 	}
-	return ctx.Err()
 }
 
+// due reports whether the shard must be read, to be written or since it was not for long.
+func (s *shard) due(organisations []string) bool {
+	s.mu.Lock()
+	due := !s.known || s.pending != nil || time.Since(s.read) >= s.keeper.Pause
+	s.mu.Unlock()
+	return due || slices.ContainsFunc(organisations, s.keeper.Book.Due)
+}
+
+// A writer that lost against another instance pauses at random up to lostPause, which is
+// about the time of one append, times the appends that it lost in a row.
+const (
+	lostPause     = 8 * time.Millisecond
+	lostPauseMost = 64 * time.Millisecond
+)
+
 // refresh reads what others have written, unless it was read just now.
 func (s *shard) refresh(ctx context.Context) error {
 	s.mu.Lock()
