--- a/cmd/check.go
+++ b/cmd/check.go
@@ -22,13 +22,19 @@
 
 func (a *App) check() command {
 	var path string
-	sub := newSub("check", "check settings without starting", "check --config settings.toml")
+	var router bool
+	sub := newSub("check", "check settings without starting", "check --config settings.toml", "check --route --config router.toml")
 	sub.String(&path, "c", "config", "File with the settings, in TOML.")
+	sub.Bool(&router, "r", "route", "The settings are those of an instance on the users' platform.")
 	return command{sub, func(context.Context) error {
 		if path == "" {
 			return &UsageError{Problem: "--config is missing", Path: []string{sub.Name}}
 		}
-		if _, err := opts.Load(path); err != nil {
+		load := func() error { _, err := opts.Load(path); return err }
+		if router {
+			load = func() error { _, err := opts.LoadRouter(path); return err }
+		}
+		if err := load(); err != nil {
 			return a.faults(err)
 		}
 		a.printf("%s: settings are in order\n", path)
--- a/core/codes/table.go
+++ b/core/codes/table.go
@@ -14,7 +14,6 @@
 	UnknownRoute     = Code{1006, "unknown_route", http.StatusNotFound, "The path or method is not served."}
 	TooManyInFlight  = Code{1007, "too_many_in_flight", http.StatusTooManyRequests, "The organisation has as many requests in flight as its template allows."}
 	BodyTimeout      = Code{1008, "body_timeout", http.StatusRequestTimeout, "The body did not arrive within the configured time."}
-	RequestIDReused  = Code{1009, "request_id_reused", http.StatusConflict, "The request id was used before with another body."}
 	RequestIDActive  = Code{1010, "request_id_active", http.StatusConflict, "An earlier attempt with this request id has not ended yet at this instance."}
 	BudgetExhausted  = Code{2001, "budget_exhausted", http.StatusPaymentRequired, "The budget does not cover the most that this request may use."}
 	BudgetUnknown    = Code{2002, "budget_unknown", http.StatusPaymentRequired, "The organisation has no budget of this name."}
@@ -47,7 +46,7 @@
 func All() []Code {
 	return []Code{
 		BadRequest, BadKey, BodyTooLarge, NotAllowed, UnknownModel, UnknownRoute, TooManyInFlight,
-		BodyTimeout, RequestIDReused, RequestIDActive,
+		BodyTimeout, RequestIDActive,
 		BudgetExhausted, BudgetUnknown, BudgetElsewhere, LedgerStale,
 		NoTarget, Overloaded, TargetFailed, TargetSilent, AnswerCut,
 		OutcomeUnknown, KeyReused, ClaimLost, ClaimUnavailable, KeyMissing, ClaimVoided, AnswerNotKept,
--- a/core/events/table.go
+++ b/core/events/table.go
@@ -7,7 +7,7 @@
 	Start             = Event{1001, "start", Info, "The process starts."}
 	SettingsLoaded    = Event{1002, "settings_loaded", Info, "The settings were read and checked."}
 	Ready             = Event{1003, "ready", Info, "The instance takes requests."}
-	NotReady          = Event{1004, "not_ready", Warn, "The instance takes no requests, because it has no usable copy of the configuration or the ledger."}
+	NotReady          = Event{1004, "not_ready", Warn, "The instance takes no requests, because it has no usable copy of the configuration, the targets or the ledger, or can't draw tokens."}
 	StopBegan         = Event{1005, "stop_began", Info, "A graceful shutdown began and readiness is withdrawn."}
 	StopDone          = Event{1006, "stop_done", Info, "Every request in flight ended and the allowances are returned."}
 	StopGaveUp        = Event{1007, "stop_gave_up", Error, "The shutdown ran out of time or was told to hurry; the fields say what is given up."}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -54,8 +54,9 @@
 	// Panicked is told of a panic while a request was served.
 	Panicked func(reason any)
 
-	server   httpd.Server
-	stopping atomic.Bool
+	server httpd.Server
+	// until is when the server ends, in Unix nanoseconds; 0 while it does not stop.
+	until    atomic.Int64
 	inFlight atomic.Int64
 	held     atomic.Int64
 }
@@ -86,8 +87,14 @@
 // still served.
 func (s *Server) Leave() { s.server.SetKeepAlivesEnabled(false) }
 
-// Stop refuses new requests.
-func (s *Server) Stop() { s.stopping.Store(true) }
+// Stop refuses new requests that may take until after the given time.
+func (s *Server) Stop(until time.Time) { s.until.Store(until.UnixNano()) }
+
+// ends reports whether the server may end before a request does.
+func (s *Server) ends(req *relay.Request) bool {
+	until := s.until.Load()
+	return until != 0 && (req.Patience == 0 || time.Now().Add(req.Patience).UnixNano() > until)
+}
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -134,7 +141,7 @@
 	if err != nil {
 		return nil, codes.Refuse(codes.BadRequest, 0, "%v", err)
 	}
-	if s.stopping.Load() {
+	if s.ends(req) {
 		return req, codes.Refuse(codes.Stopping, stoppingRetry, "send the request again; another instance takes it")
 	}
 	if r.ContentLength == 0 {
--- a/io/opts/opts_test.go
+++ b/io/opts/opts_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -66,6 +67,43 @@
 	})
 }
 
+const router = `
+[instance]
+id = "entry-1"
+zone = "a"
+[caller]
+listen = "127.0.0.1:8080"
+ready = "127.0.0.1:8081"
+[store]
+address = "127.0.0.1:6000"
+`
+
+func TestParseRouter(t *testing.T) {
+	s, err := opts.ParseRouter([]byte(router))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Stop.GraceS.Duration(), 8*time.Second)
+	assert.Equal(t, s.Stop.NoticeS.Duration(), 2800*time.Millisecond)
+	assert.Equal(t, s.Metrics.Listen, "")
+	for _, tc := range []struct{ name, extra, want string }{
+		{"unknown key", "[stop]\ngrace = 5", "stop.grace (line 11): unknown key"},
+		{"wrong type", "[retry]\nratio = \"much\"", "retry.ratio (line 11)"},
+		{"out of range", "[budget]\nshards = 0", "budget.shards: 0 is not allowed; allowed: 1..64"},
+		{"notice longer than the stop", "[stop]\ngrace_s = 2", "stop.notice_s: 2.8 is not allowed; allowed: less than stop.grace_s, which is 2"},
+		{"whole number for a fraction", "[memory]\nlimit_mb = 16", "memory.limit_mb: 16 is not allowed"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			_, err := opts.ParseRouter([]byte(router + tc.extra))
+			assert.ErrorContains(t, err, tc.want)
+		})
+	}
+	t.Run("required", func(t *testing.T) {
+		_, err := opts.ParseRouter(nil)
+		for _, key := range []string{"instance.id", "instance.zone", "caller.listen", "caller.ready", "store.address"} {
+			assert.ErrorContains(t, err, key)
+		}
+	})
+}
+
 func TestLoadNamesTheFile(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "settings.toml")
 	_, err := opts.Load(path)
@@ -77,15 +115,20 @@
 
 const page = `# Settings
 
-The settings of one process are a TOML file. A key that is not in the first table, a value of another type or outside
+The settings of one process are a TOML file. A key that is not in its table, a value of another type or outside
 of what is allowed stops the process before it does any work. The error names the path of the key and what is allowed,
 and the line of an unknown key or wrong type.
 A key without a default must be given, but for lists, which are empty. For a string, what is allowed is a regular
 expression for the whole value, or a form of address. Tables in the file are the parts of the key before its last dot.
-Both tables of this page are written by ` + "`go test ./io/opts -update`" + ` from the tags in the code, and a test holds them to it.
+The tables of this page are written by ` + "`go test ./io/opts -update`" + ` from the tags in the code, and a test holds them to it.
 
 ## Settings of a process
 
+%s
+## Settings of an instance on the users' platform
+
+Of ` + "`cranberryrail route`" + `; [deploy/router.toml](../deploy/router.toml) fills them in.
+
 %s
 ## Parameters of a template
 
@@ -110,9 +153,9 @@
 }
 
 func TestSettingsPage(t *testing.T) {
-	settings, template := field.Rows(&opts.Settings{}), field.Rows(&conf.Template{})
-	for _, r := range append(settings, template...) {
+	settings, router, template := field.Rows(&opts.Settings{}), field.Rows(&opts.Router{}), field.Rows(&conf.Template{})
+	for _, r := range slices.Concat(settings, router, template) {
 		assert.Assert(t, r.Doc != "" && r.Allowed != "", "key %s has no doc or allowed tag", r.Path)
 	}
-	golden.Assert(t, fmt.Sprintf(page, table(settings), table(template)), "../../../docs/SETTINGS.md")
+	golden.Assert(t, fmt.Sprintf(page, table(settings), table(router), table(template)), "../../../docs/SETTINGS.md")
 }
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -309,8 +309,8 @@
 	defer cancel()
 	r.entry.Leave()
 	wait(ctx, s.NoticeS.Duration())
-	r.entry.Stop()
 	last := time.Now().Add(s.GraceS.Duration() - s.NoticeS.Duration() - exitTime - returnTime)
+	r.entry.Stop(last)
 	for r.entry.InFlight() > 0 && time.Now().Before(last) {
 		wait(ctx, drainPoll)
 	}
--- a/io/router/router_test.go
+++ b/io/router/router_test.go
@@ -360,6 +360,30 @@
 	}
 }
 
+// A stopping instance still takes what ends before it does: the platform may send it
+// requests for as long as others are not ready either.
+func TestStoppingInstanceTakesShortRequests(t *testing.T) {
+	w := newWorld(t, func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/stream/") {
+			time.Sleep(time.Second)
+		}
+		_, _ = w.Write([]byte("done"))
+	})
+	var g errgroup.Group
+	g.Go(func() error {
+		w.call(http.MethodPost, "/stream/1", "Cranberryrail-Request-Deadline: 3000") // keeps the instance from ending
+		return nil
+	})
+	time.Sleep(100 * time.Millisecond)
+	w.stop()
+	time.Sleep(200 * time.Millisecond)
+	assertAnswer(t, w.call(http.MethodPost, "/post/1", "Cranberryrail-Request-Deadline: 500"), http.StatusOK, "done")
+	a := w.call(http.MethodPost, "/post/2", "Cranberryrail-Request-Deadline: 9000")
+	assertAnswer(t, a, http.StatusServiceUnavailable, "stopping")
+	assert.Equal(t, a.header.Get("Retry-After"), "0.05")
+	assert.NilError(t, g.Wait())
+}
+
 // An instance that can't draw tokens sends callers to others, and comes back by itself.
 func TestStarvedInstanceTakesNoNewConnections(t *testing.T) {
 	w := newWorld(t, func(w http.ResponseWriter, _ *http.Request) { stand.Events(w, 1, 1) })
