fix: a partition of the budgets that is out of reach refuses nothing of the others

Found by reading: one flag told for all partitions whether the log answers, so that an outage of some partitions refused requests whose budgets lie in others. Test: TestOnePartitionOutOfReach.

--- a/core/purse/book.go
+++ b/core/purse/book.go
@@ -47,6 +47,7 @@
 
 // account is the state of one organisation's budget at this instance.
 type account struct {
+	organisation string
 	// paid is what was paid for; table.Unlimited without a budget.
 	paid int64
 	// granted is what all instances together were handed, as the log has it.
@@ -81,14 +82,16 @@
 	// Wanted is told that tokens of an organisation should be drawn or given back, and whether a
 	// request waits for them; it must not block.
 	Wanted func(organisation string, urgent bool)
+	// Reached reports whether the log answers for an organisation's budget; it must not block.
+	Reached func(organisation string) bool
 
 	mu       sync.Mutex
 	accounts map[string]*account
 	// instances is the number of instances that share the budgets; 0 while it is not known.
 	instances int64
-	// known tells that the state of the log was read, and reached that the log answers.
-	known, reached bool
-	stopping       bool
+	// known tells that the state of the log was read.
+	known    bool
+	stopping bool
 }
 
 // String names the book for logs.
@@ -108,6 +111,9 @@
 	if b.Wanted == nil {
 		b.Wanted = func(string, bool) {}
 	}
+	if b.Reached == nil {
+		b.Reached = func(string) bool { return true }
+	}
 	if b.accounts == nil {
 		b.accounts = map[string]*account{}
 	}
@@ -116,7 +122,7 @@
 func (b *Book) account(organisation string) *account {
 	a := b.accounts[organisation]
 	if a == nil {
-		a = &account{paid: table.Unlimited}
+		a = &account{organisation: organisation, paid: table.Unlimited}
 		b.accounts[organisation] = a
 	}
 	return a
@@ -249,7 +255,7 @@
 	switch {
 	case !b.known:
 		return codes.Refuse(codes.LedgerStale, RetryLog, "the budgets have not been read yet")
-	case !b.reached:
+	case !b.Reached(a.organisation):
 		return codes.Refuse(codes.LogUnavailable, RetryLog, "%d tokens are left, but the log is out of reach", a.left())
 	default:
 		return nil
@@ -263,7 +269,7 @@
 	if a.short.IsZero() {
 		a.short = now
 	}
-	if b.reached && now.Sub(a.short) >= SettleTime {
+	if b.Reached(a.organisation) && now.Sub(a.short) >= SettleTime {
 		return codes.Refuse(codes.BudgetExhausted, 0, "%d of %d tokens are left, the request may use %d; top up the budget",
 			a.free+a.left(), a.paid, tokens)
 	}
@@ -366,14 +372,11 @@
 	b.serveAll()
 }
 
-// SetReached tells whether the log answers.
-func (b *Book) SetReached(reached bool) {
+// Retry decides again on the reservations that wait.
+func (b *Book) Retry() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.reached != reached {
-		b.reached = reached
-		b.serveAll()
-	}
+	b.serveAll()
 }
 
 func (b *Book) serveAll() {
--- a/core/purse/keeper.go
+++ b/core/purse/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
@@ -54,15 +55,14 @@
 	Unsettled func(sequence, tokens int64)
 	// Unreadable is told of a record that can't be read; optional.
 	Unreadable func(key string, err error)
-	// Lost and Back are told when the log goes out of reach and comes back; optional.
-	Lost func(err error)
-	Back func(away time.Duration)
+	// Lost and Back are told when a partition goes out of reach and comes back; optional.
+	Lost func(part int, err error)
+	Back func(part int, away time.Duration)
 
 	shards []*shard
 	// urgent wakes the writer of a shard at once, and refill at its next look.
 	urgent        []chan struct{}
 	refill        []atomic.Bool
-	lost          atomic.Int64
 	organisations atomic.Pointer[[]string]
 }
 
@@ -87,10 +87,10 @@
 		k.Unreadable = func(string, error) {}
 	}
 	if k.Lost == nil {
-		k.Lost = func(error) {}
+		k.Lost = func(int, error) {}
 	}
 	if k.Back == nil {
-		k.Back = func(time.Duration) {}
+		k.Back = func(int, time.Duration) {}
 	}
 	k.Shards = max(k.Shards, 1)
 	k.refill = make([]atomic.Bool, k.Shards)
@@ -99,6 +99,7 @@
 		k.urgent = append(k.urgent, make(chan struct{}, 1))
 	}
 	k.Book.Wanted = k.want
+	k.Book.Reached = func(organisation string) bool { return k.shards[k.shardOf(organisation)].lost.Load() == 0 }
 	k.Book.Default()
 }
 
@@ -181,7 +182,7 @@
 func (k *Keeper) visit(ctx context.Context, s *shard) error {
 	err := s.write(ctx, k.of(s.part))
 	if ctx.Err() == nil {
-		k.reached(err)
+		k.reached(s, err)
 	}
 	return err
 }
@@ -189,12 +190,11 @@
 // Visit reads all shards once and writes what the book wants. Run does it whenever it is
 // due; Visit is for callers that keep the time themselves.
 func (k *Keeper) Visit(ctx context.Context) error {
+	var failed error
 	for _, s := range k.shards {
-		if err := k.visit(ctx, s); err != nil {
-			return err
-		}
+		failed = errors.Join(failed, k.visit(ctx, s))
 	}
-	return nil
+	return failed
 }
 
 // rest waits until something is due.
@@ -213,17 +213,18 @@
 	}
 }
 
-// reached tells the book and the log whether the platform's log answers.
-func (k *Keeper) reached(err error) {
-	k.Book.SetReached(err == nil)
+// reached notes whether the platform's log answers for a shard.
+func (k *Keeper) reached(s *shard, err error) {
 	now := time.Now().UnixNano()
-	switch {
-	case err != nil && k.lost.CompareAndSwap(0, now):
-		k.Lost(err)
-	case err == nil:
-		if since := k.lost.Swap(0); since != 0 {
-			k.Back(time.Duration(now - since))
+	if err == nil {
+		if since := s.lost.Swap(0); since != 0 {
+			k.Back(s.part, time.Duration(now-since))
 		}
+		return
+	}
+	if s.lost.CompareAndSwap(0, now) {
+		k.Lost(s.part, err)
+		k.Book.Retry()
 	}
 }
 
--- a/core/purse/shard.go
+++ b/core/purse/shard.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cranberryrail/core/logs"
@@ -47,6 +48,8 @@
 type shard struct {
 	keeper *Keeper
 	part   int
+	// lost is when a call last began to fail, in Unix nanoseconds; 0 while the log answers.
+	lost atomic.Int64
 
 	mu    sync.Mutex
 	known bool
--- a/core/purse/soak_test.go
+++ b/core/purse/soak_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"cranberryrail/core/logs"
 	"cranberryrail/core/purse"
 	"cranberryrail/core/table"
 	"cranberryrail/fake/memlog"
@@ -175,3 +176,44 @@
 		assert.Assert(t, f.spent <= paid)
 	})
 }
+
+// A partition that is out of reach does not refuse what another one has.
+func TestOnePartitionOutOfReach(t *testing.T) {
+	log := &memlog.Server{}
+	k := &purse.Keeper{Log: log.Log(), Topic: "keyed.budgets", Shards: 8, Instance: "i", Inc: "i#1", Book: &purse.Book{}}
+	down := ""
+	read := k.Log.Read
+	k.Log.Read = func(ctx context.Context, topic string, part int, from int64, wait time.Duration) ([]logs.Record, int64, error) {
+		if fmt.Sprint(part) == down {
+			return nil, 0, context.DeadlineExceeded
+		}
+		return read(ctx, topic, part, from, wait)
+	}
+	k.Default()
+	var organisations []table.Organisation
+	for i := range 8 {
+		organisations = append(organisations, table.Organisation{Name: fmt.Sprintf("o%d", i), Prepaid: paid})
+	}
+	k.Pay(organisations)
+	assert.NilError(t, k.Visit(t.Context()))
+	time.Sleep(40 * time.Millisecond) // until the state that was read is too old for an append
+	down = "0"
+	reached, lost := 0, 0
+	for _, o := range organisations {
+		var g errgroup.Group
+		g.Go(func() error {
+			_, err := k.Book.Reserve(t.Context(), o.Name, 10)
+			return err
+		})
+		time.Sleep(5 * time.Millisecond)
+		_ = k.Visit(t.Context()) // it fails where the partition is down
+		err := g.Wait()
+		if err == nil {
+			reached++
+			continue
+		}
+		assert.ErrorContains(t, err, "log_unavailable")
+		lost++
+	}
+	assert.Assert(t, reached > 0 && reached+lost == 8, "%d reached, %d lost", reached, lost)
+}
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -157,7 +157,8 @@
 	r.keeper = &purse.Keeper{
 		Log: r.Store, Topic: r.Platform.BudgetTopic, Shards: s.Shards, Instance: r.Settings.Instance.ID, Inc: r.Inc, Book: r.book,
 		Changed: r.holdingChanged, Unsettled: r.unsettled, Unreadable: r.unreadable(r.Platform.BudgetTopic),
-		Lost: r.lost(r.Platform.BudgetTopic), Back: r.back(r.Platform.BudgetTopic),
+		Lost: func(part int, err error) { r.lost(fmt.Sprintf("%s/%d", r.Platform.BudgetTopic, part))(err) },
+		Back: func(part int, away time.Duration) { r.back(fmt.Sprintf("%s/%d", r.Platform.BudgetTopic, part))(away) },
 	}
 	r.keeper.Default()
 }
