fix: a stop during an outage keeps trying to give back its tokens

Found by reading: the return of tokens ended with the first call that failed, so that a stop while the store is out of reach for some seconds stranded all that the instance held. It now tries until its time is over, and begins while requests are still in flight. Test: TestReturnWaitsForTheLog.

--- a/core/purse/keeper.go
+++ b/core/purse/keeper.go
@@ -265,11 +265,15 @@
 func (k *Keeper) Return(ctx context.Context) error {
 	k.Book.Stop()
 	for _, s := range k.shards {
-		if !s.readable() {
-			continue // nothing was drawn
-		}
-		if err := s.write(ctx, k.of(s.part)); err != nil {
-			return fmt.Errorf("give back tokens: %w", err)
+		for s.readable() { // nothing was drawn of one that was not read
+			err := s.write(ctx, k.of(s.part))
+			if err == nil {
+				break
+			}
+			if ctx.Err() != nil {
+				return fmt.Errorf("give back tokens: %w", err)
+			}
+			pause(ctx, retryPause/2+rand.N(retryPause/2))
 		}
 	}
 	return nil
--- a/core/purse/soak_test.go
+++ b/core/purse/soak_test.go
@@ -190,7 +190,7 @@
 		return read(ctx, topic, part, from, wait)
 	}
 	k.Default()
-	var organisations []table.Organisation
+	organisations := make([]table.Organisation, 0, 8)
 	for i := range 8 {
 		organisations = append(organisations, table.Organisation{Name: fmt.Sprintf("o%d", i), Prepaid: paid})
 	}
@@ -217,3 +217,35 @@
 	}
 	assert.Assert(t, reached > 0 && reached+lost == 8, "%d reached, %d lost", reached, lost)
 }
+
+// A stop during an outage gives back its tokens when the log answers again.
+func TestReturnWaitsForTheLog(t *testing.T) {
+	log := &memlog.Server{}
+	now := time.Unix(1000, 0)
+	k := &purse.Keeper{Log: log.Log(), Topic: "keyed.budgets", Instance: "i", Inc: "i#1", Book: &purse.Book{Now: func() time.Time { return now }}}
+	k.Default()
+	k.Pay([]table.Organisation{{Name: "travel", Prepaid: paid}})
+	assert.NilError(t, k.Visit(t.Context()))
+	var g errgroup.Group
+	g.Go(func() error {
+		_, err := k.Book.Reserve(t.Context(), "travel", 100)
+		return err
+	})
+	time.Sleep(5 * time.Millisecond)
+	assert.NilError(t, k.Visit(t.Context()))
+	assert.NilError(t, g.Wait())
+	k.Book.Settle(purse.Grant{Organisation: "travel", Tokens: 100}, 40)
+	assert.Equal(t, k.Book.Balance("travel").Free, int64(60))
+	back := time.Now().Add(300 * time.Millisecond)
+	log.Fault = func(string) memlog.Fault {
+		if time.Now().Before(back) {
+			return memlog.Refuse
+		}
+		return memlog.None
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	assert.NilError(t, k.Return(ctx))
+	assert.Equal(t, k.Book.Balance("travel").Free, int64(0))
+	assert.Equal(t, k.Book.Balance("travel").Granted, int64(40))
+}
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -312,6 +312,7 @@
 	wait(ctx, s.NoticeS.Duration())
 	last := time.Now().Add(s.GraceS.Duration() - s.NoticeS.Duration() - exitTime - returnTime)
 	r.entry.Stop(last)
+	r.returnEarly(ctx, last)
 	for r.entry.InFlight() > 0 && time.Now().Before(last) {
 		wait(ctx, drainPoll)
 	}
@@ -328,6 +329,19 @@
 	return nil
 }
 
+// returnEarly gives back what requests in flight do not need, so that it is not lost with a
+// machine that is taken away before its time, and there is time to try again.
+func (r *Router) returnEarly(ctx context.Context, last time.Time) {
+	if r.entry.InFlight() == 0 {
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, last)
+	defer cancel()
+	if err := r.keeper.Return(ctx); err != nil {
+		events.Log(r.Log, events.TopicLost).Str("topic", r.Platform.BudgetTopic).Err(err).Send()
+	}
+}
+
 func wait(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
