--- a/core/purse/policy.go
+++ b/core/purse/policy.go
@@ -14,8 +14,8 @@
 	// each budget whether they have seen use of it or not.
 	basePart = 16
 	// shareMost is how many times its fair share of what is left an instance holds at most:
-	// callers of an organisation reach instances unevenly.
-	shareMost = 3
+	// callers of an organisation reach instances unevenly, and a kill strands what one holds.
+	shareMost = 2
 	// lowCover is the least time of usual use that is held ready.
 	lowCover = time.Second
 	// leastDraws is the least number of draws that would take all that is left, so that no
