--- a/cmd/route.go
+++ b/cmd/route.go
@@ -57,7 +57,7 @@
 		m.StoreCall(call, result, sent, received)
 	}}
 	r := &router.Router{
-		Settings: settings, Log: log, Dropped: dropped.Load, Meter: m, Store: store.Log(), Platform: speech(),
+		Settings: settings, Log: log, Dropped: dropped.Load, Meter: m, Store: store.Log(), Platform: platform.Speech(),
 		Reload: func() (opts.Router, error) { return opts.LoadRouter(path) }, Hangup: hangups(ctx),
 	}
 	r.Default()
@@ -77,16 +77,6 @@
 // megabyte is the unit of the setting of memory, in bytes.
 const megabyte = 1 << 20
 
-// speech returns how the users' platform speaks.
-func speech() router.Platform {
-	return router.Platform{
-		ConfigTopic: platform.ConfigTopic, ConfigKey: platform.ConfigKey, TargetTopic: platform.TargetTopic,
-		BudgetTopic: platform.BudgetTopic, ReadyPath: platform.ReadyPath,
-		Config: platform.Config, Target: platform.Target, Request: platform.Request, Header: platform.Header,
-		Ours: platform.Ours, Reply: platform.Read, Refuse: platform.Refuse,
-	}
-}
-
 // routerLog returns a log that never blocks: lines that are not taken fast enough are
 // dropped.
 func routerLog(out io.Writer, s opts.RouterLog) zerolog.Logger {
--- a/core/logs/follow.go
+++ b/core/logs/follow.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"cranberryrail/core/pause"
 )
 
 // Defaults of Follower.
@@ -82,7 +84,7 @@
 		for err == nil {
 			from, err = f.read(ctx, from)
 			if err == nil && f.Pause > 0 {
-				sleep(ctx, f.Pause)
+				pause.For(ctx, f.Pause)
 			}
 			err = f.survive(ctx, err)
 		}
@@ -159,15 +161,5 @@
 		f.Lost(err)
 	}
 	least := f.Backoff / 4
-	sleep(ctx, least+rand.N(f.Backoff-least))
-}
-
-// sleep waits for a time or the end of the context.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	pause.For(ctx, least+rand.N(f.Backoff-least))
 }
--- a/core/purse/keeper.go
+++ b/core/purse/keeper.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"cranberryrail/core/logs"
+	"cranberryrail/core/pause"
 	"cranberryrail/core/table"
 )
 
@@ -171,7 +172,7 @@
 		}
 		if err != nil {
 			refill.Store(true)
-			pause(ctx, retryPause/2+rand.N(retryPause/2))
+			pause.For(ctx, retryPause/2+rand.N(retryPause/2))
 			continue
 		}
 		k.rest(ctx, s, look.C, urgent, refill)
@@ -273,17 +274,8 @@
 			if ctx.Err() != nil {
 				return fmt.Errorf("give back tokens: %w", err)
 			}
-			pause(ctx, retryPause/2+rand.N(retryPause/2))
+			pause.For(ctx, retryPause/2+rand.N(retryPause/2))
 		}
 	}
 	return nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/core/purse/shard.go
+++ b/core/purse/shard.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"cranberryrail/core/logs"
+	"cranberryrail/core/pause"
 )
 
 // instancePrefix begins the keys of records that tell which instances take part; they are
@@ -230,7 +231,7 @@
 		if err != nil || !again {
 			return err
 		}
-		pause(ctx, rand.N(min(time.Duration(lost)*lostPause, lostPauseMost)))
+		pause.For(ctx, rand.N(min(time.Duration(lost)*lostPause, lostPauseMost)))
 		if err := s.refresh(ctx); err != nil {
 			return err
 		}
--- a/core/tail/writer.go
+++ b/core/tail/writer.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"cranberryrail/core/pause"
 )
 
 // Times of the writer.
@@ -208,15 +210,8 @@
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
+	if d > 0 {
+		pause.For(ctx, d)
 	}
+	return ctx.Err()
 }
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -22,6 +22,7 @@
 	"cranberryrail/core/agent"
 	"cranberryrail/core/events"
 	"cranberryrail/core/logs"
+	"cranberryrail/core/pause"
 	"cranberryrail/core/purse"
 	"cranberryrail/core/relay"
 	"cranberryrail/core/roster"
@@ -309,12 +310,12 @@
 	ctx, cancel := context.WithTimeout(ctx, s.GraceS.Duration()-exitTime)
 	defer cancel()
 	r.entry.Leave()
-	wait(ctx, s.NoticeS.Duration())
+	pause.For(ctx, s.NoticeS.Duration())
 	last := time.Now().Add(s.GraceS.Duration() - s.NoticeS.Duration() - exitTime - returnTime)
 	r.entry.Stop(last)
 	r.returnEarly(ctx, last)
 	for r.entry.InFlight() > 0 && time.Now().Before(last) {
-		wait(ctx, drainPoll)
+		pause.For(ctx, drainPoll)
 	}
 	cut := r.entry.InFlight()
 	if err := r.keeper.Return(ctx); err != nil {
@@ -342,15 +343,6 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // reloads reads the settings again when it is told that they may have changed.
 func (r *Router) reloads(ctx context.Context) error {
 	for {
