--- a/cmd/route.go
+++ b/cmd/route.go
@@ -3,17 +3,13 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
-	"sync/atomic"
 	"syscall"
 
-	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
-
 	"cranberryrail/core/events"
+	"cranberryrail/io/logio"
 	"cranberryrail/io/meter"
 	"cranberryrail/io/opts"
 	"cranberryrail/io/router"
@@ -41,13 +37,10 @@
 	debug.SetMemoryLimit(int64(settings.Memory.LimitMB * memoryPart * megabyte))
 	m := &meter.Meter{}
 	m.Default()
-	var dropped atomic.Int64
-	out := diode.NewWriter(a.Stdout, settings.Log.Lines, 0, func(lines int) {
-		dropped.Add(int64(lines))
-		m.LinesDropped(lines)
-	})
-	defer func() { _ = out.Close() }() // writes what waits; nothing can be done when that fails
-	log := routerLog(out, settings.Log)
+	out := &logio.Writer{Out: a.Stdout, Most: settings.Log.Lines, Level: string(settings.Log.Level), Lost: m.LinesDropped}
+	out.Default()
+	defer out.Close()
+	log := out.Log()
 	events.Log(log, events.SettingsLoaded).Str("path", path).Send()
 	store := &platform.Store{Addr: settings.Store.Address, Called: func(call string, err error, sent, received int) {
 		result := meter.Granted
@@ -57,7 +50,7 @@
 		m.StoreCall(call, result, sent, received)
 	}}
 	r := &router.Router{
-		Settings: settings, Log: log, Dropped: dropped.Load, Meter: m, Store: store.Log(), Platform: platform.Speech(),
+		Settings: settings, Log: log, Dropped: out.Dropped, Meter: m, Store: store.Log(), Platform: platform.Speech(),
 		Reload: func() (opts.Router, error) { return opts.LoadRouter(path) }, Hangup: hangups(ctx),
 	}
 	r.Default()
@@ -77,16 +70,6 @@
 // megabyte is the unit of the setting of memory, in bytes.
 const megabyte = 1 << 20
 
-// routerLog returns a log that never blocks: lines that are not taken fast enough are
-// dropped.
-func routerLog(out io.Writer, s opts.RouterLog) zerolog.Logger {
-	level, err := zerolog.ParseLevel(string(s.Level))
-	if err != nil {
-		level = zerolog.InfoLevel
-	}
-	return zerolog.New(out).Level(level).With().Timestamp().Logger()
-}
-
 // hangups returns a channel that tells of SIGHUP until the context ends.
 func hangups(ctx context.Context) <-chan os.Signal {
 	signals := make(chan os.Signal, 1)
--- /dev/null
+++ b/io/logio/logio_test.go
@@ -0,0 +1,67 @@
+package logio_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cranberryrail/io/logio"
+)
+
+// pipe is a reader that takes nothing until it is opened.
+type pipe struct {
+	open chan struct{}
+	mu   sync.Mutex
+	got  bytes.Buffer
+}
+
+func (p *pipe) Write(data []byte) (int, error) {
+	<-p.open
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.got.Write(data)
+}
+
+func (p *pipe) text() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.got.String()
+}
+
+func TestFullPipeBlocksNothing(t *testing.T) {
+	p := &pipe{open: make(chan struct{})}
+	w := &logio.Writer{Out: p, Most: 100, Level: "info"}
+	w.Default()
+	log := w.Log()
+	began := time.Now()
+	for range 10_000 {
+		log.Info().Str("request", "r1").Msg("A request ended.")
+	}
+	assert.Assert(t, time.Since(began) < 2*time.Second)
+	w.Close()
+	assert.Assert(t, time.Since(began) < 3*time.Second, "the end of the process must not wait for the pipe")
+	close(p.open)
+}
+
+func TestLinesAreWrittenAndDropsCounted(t *testing.T) {
+	p := &pipe{open: make(chan struct{})}
+	lost := make(chan int, 10_000)
+	w := &logio.Writer{Out: p, Most: 10, Level: "warn", Lost: func(n int) { lost <- n }}
+	w.Default()
+	log := w.Log()
+	log.Info().Msg("below the level")
+	for range 100 {
+		log.Warn().Msg("kept or counted")
+	}
+	close(p.open)
+	w.Close()
+	written := strings.Count(p.text(), "kept or counted")
+	assert.Assert(t, written > 0)
+	assert.Equal(t, int64(written)+w.Dropped(), int64(100))
+	assert.Assert(t, !strings.Contains(p.text(), "below"))
+	assert.Assert(t, len(lost) > 0)
+}
