--- a/core/purse/shard.go
+++ b/core/purse/shard.go
@@ -67,16 +67,19 @@
 }
 
 // reset takes the newest records. An own batch that may be among what was missed counts
-// as lost: what it drew is not spent, and what it gave back is not taken back.
-func (s *shard) reset(records []logs.Record, end int64) {
+// as lost: what it drew is not spent, and what it gave back is not taken back. Without
+// every record read it is not known what was granted, and the state does not count as read.
+func (s *shard) reset(records []logs.Record, end int64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.read = time.Now()
 	if s.known && end < s.end {
-		return
+		return nil
 	}
 	for _, r := range records {
-		s.fold(r)
+		if _, err := s.fold(r); err != nil {
+			return fmt.Errorf("read the budget of %s: %w", r.Key, err)
+		}
 	}
 	if s.pending != nil && end > s.pending.at {
 		s.keeper.Unsettled(s.pending.sequence, s.pending.tokens())
@@ -86,6 +89,7 @@
 		s.loaded = s.read
 	}
 	s.end, s.known = end, true
+	return nil
 }
 
 // tokens returns the sum of the changes of a batch.
@@ -106,30 +110,37 @@
 		if r.Offset < s.end {
 			continue
 		}
-		written := s.fold(r)
+		written, _ := s.fold(r) // a record that can't be read granted nothing
 		s.end = r.Offset + 1
 		s.resolve(r.Offset, written)
 	}
 }
 
+// errNegative tells that a record grants less than nothing.
+var errNegative = errors.New("the number of granted tokens is negative")
+
 // fold takes one record into the state and returns its value. A record that can't be read
 // changes nothing: its writer was not an instance.
-func (s *shard) fold(r logs.Record) entry {
+func (s *shard) fold(r logs.Record) (entry, error) {
 	var e entry
 	if len(r.Value) == 0 {
-		return e
+		return e, nil
 	}
-	if err := json.Unmarshal(r.Value, &e); err != nil || e.Granted < 0 {
+	err := json.Unmarshal(r.Value, &e)
+	if err == nil && e.Granted < 0 {
+		err = errNegative
+	}
+	if err != nil {
 		s.keeper.Unreadable(r.Key, err)
-		return entry{}
+		return entry{}, err
 	}
 	if name, ok := strings.CutPrefix(r.Key, instancePrefix); ok {
 		s.instances[name] = true
-		return e
+		return e, nil
 	}
 	s.granted[r.Key] = e.Granted
 	s.keeper.Book.Granted(r.Key, e.Granted)
-	return e
+	return e, nil
 }
 
 // resolve settles the own batch once the record at its offset is known.
@@ -143,7 +154,7 @@
 	if landed {
 		// The records of a batch stand together; the others follow.
 		for _, r := range b.records[1:] {
-			s.fold(r)
+			_, _ = s.fold(r) // own records can be read
 		}
 		s.end = b.at + int64(len(b.records))
 	}
@@ -280,7 +291,9 @@
 	if err != nil {
 		return err
 	}
-	s.reset(records, end)
+	if err := s.reset(records, end); err != nil {
+		return err
+	}
 	s.keeper.loaded()
 	return nil
 }
--- a/core/purse/soak_test.go
+++ b/core/purse/soak_test.go
@@ -249,3 +249,20 @@
 	assert.Equal(t, k.Book.Balance("travel").Free, int64(0))
 	assert.Equal(t, k.Book.Balance("travel").Granted, int64(40))
 }
+
+// What a record that can't be read has granted is not known, so that a process that starts
+// spends nothing of such a budget. One that runs knows what was granted before.
+func TestRecordThatCannotBeRead(t *testing.T) {
+	for name, value := range map[string]string{"no JSON": "\xff", "negative": `{"granted":-5}`, "another type": `{"granted":"all"}`} {
+		t.Run(name, func(t *testing.T) {
+			log := &memlog.Server{}
+			log.Put("keyed.budgets", 0, "travel", []byte(value))
+			k := &purse.Keeper{Log: log.Log(), Topic: "keyed.budgets", Instance: "i", Inc: "i#1", Book: &purse.Book{}}
+			k.Default()
+			k.Pay([]table.Organisation{{Name: "travel", Prepaid: paid}})
+			assert.ErrorContains(t, k.Visit(t.Context()), "travel")
+			_, err := k.Book.Reserve(t.Context(), "travel", 1)
+			assert.ErrorContains(t, err, "ledger_stale")
+		})
+	}
+}
