fix: an instance is ready once the budgets are read; the time for an answer begins when the request is sent

The tests' targets now read a request before they break off, since closing with unread bytes drops what was written; the assertions are unchanged.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -256,8 +256,8 @@
 // exchange writes the request and reads the head of the answer.
 func (a *Answer) exchange(ctx context.Context, r *Request) *Error {
 	k := a.conn
-	_ = k.SetDeadline(time.Now().Add(r.FirstWait)) // fails only on a closed connection, as the write then does
 	message := message(r)
+	_ = k.SetDeadline(time.Now().Add(r.FirstWait)) // fails only on a closed connection, as the write then does
 	if len(message) <= inlineBody {
 		n, err := k.Write(message)
 		if err != nil {
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -189,11 +189,11 @@
 // request because it could not draw tokens: some questions of the platform.
 const starvedFor = 3 * time.Second
 
-// Ready reports whether the instance takes requests: it knows the configuration and the
-// targets, can cover requests, and does not stop.
+// Ready reports whether the instance takes requests: it knows the configuration, the
+// targets and the budgets, can cover requests, and does not stop.
 func (r *Router) Ready() bool {
 	starved := time.Since(time.Unix(0, r.starved.Load())) < starvedFor
-	return r.open.Load() && r.table.Current() != nil && r.listed.Load() && !starved
+	return r.open.Load() && r.table.Current() != nil && r.listed.Load() && r.book.Known() && !starved
 }
 
 // answerReady tells the platform whether the instance takes requests.
