refactor: remove the follower's unused hook and offset, and the second unit of memory

Found by reading the whole change: nothing set Follower.Contact or used the end that Reset and Apply were given, and the bytes of the setting of memory were worked out in two places. One fault is mended on the way: the gauge log_reached stayed 0 until the platform was lost once and came back.

--- a/cmd/route.go
+++ b/cmd/route.go
@@ -34,7 +34,7 @@
 
 // runRouter runs one instance until the context ends and its graceful shutdown is done.
 func (a *App) runRouter(ctx context.Context, settings opts.Router, path string) error {
-	debug.SetMemoryLimit(int64(settings.Memory.LimitMB * memoryPart * megabyte))
+	debug.SetMemoryLimit(settings.Memory.Bytes(memoryPart))
 	m := &meter.Meter{}
 	m.Default()
 	out := &logio.Writer{Out: a.Stdout, Most: settings.Log.Lines, Level: string(settings.Log.Level), Lost: m.LinesDropped}
@@ -67,9 +67,6 @@
 // below; the rest is for stacks and buffers outside of it.
 const memoryPart = 0.75
 
-// megabyte is the unit of the setting of memory, in bytes.
-const megabyte = 1 << 20
-
 // hangups returns a channel that tells of SIGHUP until the context ends.
 func hangups(ctx context.Context) <-chan os.Signal {
 	signals := make(chan os.Signal, 1)
--- a/core/logs/follow.go
+++ b/core/logs/follow.go
@@ -37,11 +37,9 @@
 	Backoff time.Duration
 	// Reset takes the newest record of every key, at the start and whenever records were
 	// missed.
-	Reset func(records []Record, end int64)
+	Reset func(records []Record)
 	// Apply takes later records in order.
-	Apply func(records []Record, end int64)
-	// Contact is told of each call that succeeded; optional.
-	Contact func()
+	Apply func(records []Record)
 	// Lost is told of the first call that failed after one that succeeded, or at the start;
 	// optional.
 	Lost func(err error)
@@ -65,9 +63,6 @@
 	if f.Backoff == 0 {
 		f.Backoff = DefaultBackoff
 	}
-	if f.Contact == nil {
-		f.Contact = func() {}
-	}
 	if f.Lost == nil {
 		f.Lost = func(error) {}
 	}
@@ -105,7 +100,7 @@
 		return 0, err
 	}
 	f.succeeded()
-	f.Reset(records, end)
+	f.Reset(records)
 	return end, nil
 }
 
@@ -117,7 +112,7 @@
 	}
 	call, cancel := context.WithTimeout(ctx, f.Wait+f.Margin)
 	defer cancel()
-	records, end, err := f.Log.Read(call, f.Topic, f.Part, from, wait)
+	records, _, err := f.Log.Read(call, f.Topic, f.Part, from, wait)
 	if err != nil {
 		return from, err
 	}
@@ -126,7 +121,7 @@
 		return from, nil
 	}
 	next := records[len(records)-1].Offset + 1
-	f.Apply(records, end)
+	f.Apply(records)
 	return next, nil
 }
 
@@ -142,7 +137,6 @@
 }
 
 func (f *Follower) succeeded() {
-	f.Contact()
 	if f.lost.IsZero() {
 		return
 	}
--- a/core/logs/follow_test.go
+++ b/core/logs/follow_test.go
@@ -33,7 +33,7 @@
 	}
 }
 
-func (v *view) reset(records []logs.Record, _ int64) {
+func (v *view) reset(records []logs.Record) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.resets++
@@ -41,7 +41,7 @@
 	v.put(records)
 }
 
-func (v *view) apply(records []logs.Record, _ int64) {
+func (v *view) apply(records []logs.Record) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.put(records)
--- a/io/opts/router.go
+++ b/io/opts/router.go
@@ -71,6 +71,12 @@
 	LimitMB float64 `toml:"limit_mb" unit:"MB" default:"128" allowed:"32..1048576" doc:"Memory that the process may use."`
 }
 
+// Bytes returns a part of the memory, in bytes.
+func (m RouterMemory) Bytes(part float64) int64 { return int64(m.LimitMB * part * megabyte) }
+
+// megabyte is the unit of the setting, in bytes.
+const megabyte = 1 << 20
+
 // RouterStopping parameterises the graceful shutdown.
 type RouterStopping struct {
 	GraceS  Seconds `toml:"grace_s" unit:"s" default:"8" allowed:"1..3600" doc:"Time after which a stopping process is ended from outside."`
--- a/io/router/follow.go
+++ b/io/router/follow.go
@@ -12,7 +12,7 @@
 // followConfig follows the operators' configuration.
 func (r *Router) followConfig() *logs.Follower {
 	topic := r.Platform.ConfigTopic
-	take := func(records []logs.Record, _ int64) {
+	take := func(records []logs.Record) {
 		for _, record := range records {
 			if record.Key == r.Platform.ConfigKey && len(record.Value) > 0 {
 				r.configure(record)
@@ -49,7 +49,7 @@
 	lost, back := r.lost(topic), r.back(topic)
 	return &logs.Follower{
 		Log: r.Store, Topic: topic, Pause: r.Settings.Store.ListPauseMS.Duration(),
-		Reset: func(records []logs.Record, _ int64) {
+		Reset: func(records []logs.Record) {
 			ids := make([]string, 0, len(records))
 			for _, record := range records {
 				if len(record.Value) > 0 {
@@ -59,8 +59,9 @@
 			r.relist(func(l *roster.List) bool { return l.Missing(ids) })
 			r.entries(records)
 			r.listed.Store(true)
+			r.Meter.LogReached(true)
 		},
-		Apply: func(records []logs.Record, _ int64) { r.entries(records) },
+		Apply: r.entries,
 		Lost: func(err error) {
 			r.relist(func(l *roster.List) bool { l.Away(); return false })
 			r.Meter.LogReached(false)
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -109,12 +109,8 @@
 // String names the instance for logs.
 func (r *Router) String() string { return "instance " + r.Settings.Instance.ID }
 
-// heldPart is the part of the memory that bodies of requests in flight may take, as a
-// divisor.
-const heldPart = 4
-
-// megabyte is the unit of the settings of memory, in bytes.
-const megabyte = 1 << 20
+// heldPart is the part of the memory that bodies of requests in flight may take.
+const heldPart = 0.25
 
 // Default makes the parts of the instance.
 func (r *Router) Default() {
@@ -138,7 +134,7 @@
 	}
 	r.relay.Default()
 	r.entry = &entry.Server{
-		BodyBytes: s.Caller.BodyBytes, HeldBytes: int64(s.Memory.LimitMB * megabyte / heldPart),
+		BodyBytes: s.Caller.BodyBytes, HeldBytes: s.Memory.Bytes(heldPart),
 		Read: r.Platform.Request, Serve: r.relay.Serve, Refuse: r.Platform.Refuse, Ended: r.ended, Panicked: r.panicked,
 	}
 	r.ready = &httpd.Server{Whom: "the platform", Setting: "caller.ready"}
