feat: the successor of a killed process takes over what it held and had not spent

Opening holdings slice by slice in the log was ruled out before, since nothing can be opened while the log is out of reach.

Change: an instance promises in the log, several times a second, not to spend most of what it holds before a point 2.5 s later on the machine's monotonic clock. It spends promised tokens after a newer record, or once the promise has ended, so that an outage is still ridden out. A process of the same instance that started before that point, on the same boot, takes them over. The clock is one clock compared with itself; a pause between the check and a dispatch changes nothing, since the successor exists only when the process is gone. After a boot nothing is taken over.

Ruled out: the time of day (it steps), membership with a time to live (it pauses while the store is down), the log's order alone (an outage leaves no trace in it).

Test: TestSuccessorTakesOver and others; the randomised run counts what all processes hold against what the log granted.

--- a/core/events/table.go
+++ b/core/events/table.go
@@ -39,6 +39,9 @@
 	BudgetExhausted   = Event{3009, "budget_exhausted", Info, "A request was refused, because the budget does not cover it."}
 	HoldingChanged    = Event{3010, "holding_changed", Info, "Tokens of a budget were drawn or given back; the fields say how many and whether the log took it."}
 	HoldingUnsettled  = Event{3011, "holding_unsettled", Warn, "Whether the log took a draw can't be known any more; its tokens are not spent."}
+	PromiseTaken      = Event{3012, "promise_taken", Info, "Tokens that an earlier process of this instance held and certainly did not spend were taken over."}
+	PromiseLapsed     = Event{3013, "promise_lapsed", Warn, "Tokens that an earlier process of this instance held may have been spent and stay so, because its machine was started anew or it was away for too long."}
+	PromisesOff       = Event{3014, "promises_off", Warn, "The boot of the machine can't be told, so that what this process holds can't be taken over if it is killed."}
 	ClaimWon          = Event{4001, "claim_won", Debug, "This instance holds the claim of a non-idempotent call and may dispatch it."}
 	ClaimLost         = Event{4002, "claim_lost", Info, "Another instance holds the claim of a non-idempotent call."}
 	ClaimVoided       = Event{4003, "claim_voided", Info, "A claim was voided before dispatch."}
@@ -74,7 +77,7 @@
 		KindUnknown, Trimmed, SnapshotWritten, SnapshotLoaded,
 		StateFetched, SnapshotFailed, TopicLost, TopicBack, RecordUnreadable,
 		DrawGranted, DrawRefused, AllowanceReturned, AllowanceLent,
-		DoubleCharge, TopUpAccepted, BudgetExhausted, HoldingChanged, HoldingUnsettled,
+		DoubleCharge, TopUpAccepted, BudgetExhausted, HoldingChanged, HoldingUnsettled, PromiseTaken, PromiseLapsed, PromisesOff,
 		ClaimWon, ClaimLost, ClaimVoided, OutcomeUnknown,
 		TargetLeaving, TargetSilent, StreamResumed,
 		StreamCut, FrameForeign, AttemptFailed, RequestEnded, TargetJoined, TargetRemoved, TargetInvalid,
--- a/core/purse/book.go
+++ b/core/purse/book.go
@@ -55,6 +55,8 @@
 	// free is what this instance may still spend, and reserved what its requests in flight may.
 	free, reserved int64
 	use            meter
+	// size is the usual size of a request, in tokens.
+	size int64
 	// waiting are the reservations that wait for tokens, in the order in which they came.
 	waiting []*waiter
 	// short is since when what is left in the log has not covered a reservation; zero when it
@@ -82,8 +84,12 @@
 	// Wanted is told that tokens of an organisation should be drawn or given back, and whether a
 	// request waits for them; it must not block.
 	Wanted func(organisation string, urgent bool)
+	// Promised is told that a request waits for tokens that are promised; it must not block.
+	Promised func()
 	// Reached reports whether the log answers for an organisation's budget; it must not block.
 	Reached func(organisation string) bool
+	// Uptime is the machine's clock. Promises depend on it.
+	Uptime func() time.Duration
 
 	mu       sync.Mutex
 	accounts map[string]*account
@@ -92,6 +98,8 @@
 	// known tells that the state of the log was read.
 	known    bool
 	stopping bool
+	// promises are those that a record of the log may hold.
+	promises []*Promise
 }
 
 // String names the book for logs.
@@ -111,6 +119,13 @@
 	if b.Wanted == nil {
 		b.Wanted = func(string, bool) {}
 	}
+	if b.Promised == nil {
+		b.Promised = func() {}
+	}
+	if b.Uptime == nil {
+		start := time.Now()
+		b.Uptime = func() time.Duration { return time.Since(start) }
+	}
 	if b.Reached == nil {
 		b.Reached = func(string) bool { return true }
 	}
@@ -184,7 +199,8 @@
 		return nil, nil
 	}
 	a.use.add(tokens, b.Now())
-	if len(a.waiting) == 0 && a.take(tokens) {
+	a.size += (tokens - a.size) / sizeParts
+	if len(a.waiting) == 0 && b.take(a, tokens) {
 		b.want(organisation, a)
 		return nil, nil
 	}
@@ -193,13 +209,20 @@
 	}
 	w := &waiter{tokens: tokens, decided: make(chan struct{})}
 	a.waiting = append(a.waiting, w)
-	b.Wanted(organisation, true)
+	if a.need() <= a.free {
+		b.Promised()
+	} else {
+		b.Wanted(organisation, true)
+	}
 	return w, nil
 }
 
+// sizeParts is the weight of one request in the usual size of a request, as a divisor.
+const sizeParts = 8
+
 // take reserves tokens of the own holding, if it covers them.
-func (a *account) take(tokens int64) bool {
-	if a.granted > a.paid || a.free < tokens {
+func (b *Book) take(a *account, tokens int64) bool {
+	if a.granted > a.paid || b.usable(a) < tokens {
 		return false
 	}
 	a.free -= tokens
@@ -220,7 +243,7 @@
 func (b *Book) serve(a *account) {
 	for len(a.waiting) > 0 {
 		w := a.waiting[0]
-		if !a.take(w.tokens) {
+		if !b.take(a, w.tokens) {
 			refused := b.refusal(a, w.tokens)
 			if refused == nil {
 				return
@@ -307,6 +330,13 @@
 	b.instances = int64(n)
 }
 
+// Instances returns how many instances share the budgets; 0 while it is not known.
+func (b *Book) Instances() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.instances
+}
+
 // Draw returns by how much the holding of an organisation should change, in tokens: above
 // 0 is to be drawn from the log, below 0 to be given back. What is given back is no longer
 // free; it comes back by Undrawn if the log did not take it.
@@ -412,9 +442,11 @@
 	Paid         int64  `json:"paid"`
 	// Granted is what all instances were handed.
 	Granted int64 `json:"granted"`
-	// Free and Reserved are parts of what this instance was handed.
+	// Free and Reserved are parts of what this instance was handed, and Promised the part of
+	// Free that it has promised not to spend yet.
 	Free     int64 `json:"free"`
 	Reserved int64 `json:"reserved"`
+	Promised int64 `json:"promised"`
 }
 
 // Balance returns the budget of an organisation.
@@ -422,5 +454,5 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(organisation)
-	return Balance{Organisation: organisation, Paid: a.paid, Granted: a.granted, Free: a.free, Reserved: a.reserved}
+	return Balance{Organisation: organisation, Paid: a.paid, Granted: a.granted, Free: a.free, Reserved: a.reserved, Promised: b.promised(a)}
 }
--- a/core/purse/keeper.go
+++ b/core/purse/keeper.go
@@ -44,6 +44,13 @@
 	// Instance is the id of this instance, and Inc the incarnation of its process; no other
 	// process ever has the same.
 	Instance, Inc string
+	// PromiseTopic is the keyed topic of promises, and PromiseParts the number of its partitions.
+	PromiseTopic string
+	PromiseParts int
+	// Boot is the present boot of the machine; without it no promises are made.
+	Boot string
+	// Started is when the process began at the latest, on the machine's clock, which Book has.
+	Started time.Duration
 	// Book is what this instance holds.
 	Book *Book
 	// Timeout bounds one call to the log.
@@ -59,8 +66,15 @@
 	// Lost and Back are told when a partition goes out of reach and comes back; optional.
 	Lost func(part int, err error)
 	Back func(part int, away time.Duration)
+	// PromiseLost and PromiseBack are told the same of the topic of promises; optional.
+	PromiseLost func(err error)
+	PromiseBack func(away time.Duration)
+	// Inherited is told what an earlier process of this instance had promised, and whether it
+	// was taken over; optional.
+	Inherited func(tokens map[string]int64, taken bool)
 
-	shards []*shard
+	promiser *promiser
+	shards   []*shard
 	// urgent wakes the writer of a shard at once, and refill at its next look.
 	urgent        []chan struct{}
 	refill        []atomic.Bool
@@ -93,6 +107,17 @@
 	if k.Back == nil {
 		k.Back = func(int, time.Duration) {}
 	}
+	if k.PromiseLost == nil {
+		k.PromiseLost = func(error) {}
+	}
+	if k.PromiseBack == nil {
+		k.PromiseBack = func(time.Duration) {}
+	}
+	if k.Inherited == nil {
+		k.Inherited = func(map[string]int64, bool) {}
+	}
+	k.promiser = newPromiser(k)
+	k.Book.Promised = k.promiser.want
 	k.Shards = max(k.Shards, 1)
 	k.refill = make([]atomic.Bool, k.Shards)
 	for i := range k.Shards {
@@ -154,6 +179,7 @@
 // Run keeps the budgets until the context ends.
 func (k *Keeper) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return k.promiser.run(ctx) })
 	for i, s := range k.shards {
 		g.Go(func() error { return k.keep(ctx, s, k.urgent[i], &k.refill[i]) })
 	}
@@ -191,7 +217,10 @@
 // Visit reads all shards once and writes what the book wants. Run does it whenever it is
 // due; Visit is for callers that keep the time themselves.
 func (k *Keeper) Visit(ctx context.Context) error {
-	var failed error
+	failed := k.promiser.renew(ctx)
+	if ctx.Err() == nil {
+		k.promiser.reached(failed)
+	}
 	for _, s := range k.shards {
 		failed = errors.Join(failed, k.visit(ctx, s))
 	}
@@ -242,11 +271,17 @@
 // count tells the book how many instances take part, once those that start together had
 // the time to write so.
 func (k *Keeper) count(s *shard) {
-	if s.part == 0 && time.Since(s.loaded) >= joinTime {
+	if s.part == 0 && k.Book.Now().Sub(s.loaded) >= joinTime {
 		k.Book.SetInstances(len(s.instances))
 	}
 }
 
+// promiseEvery returns the time between two promises. With many instances it grows, so that
+// they don't make more calls together than some sixty a second.
+func (k *Keeper) promiseEvery() time.Duration {
+	return max(promiseEvery, time.Duration(k.Book.Instances())*promiseShare)
+}
+
 // readable reports whether the state of the shard was read.
 func (s *shard) readable() bool {
 	s.mu.Lock()
@@ -265,6 +300,9 @@
 // returns when the log has taken it, or an error when the context ends before.
 func (k *Keeper) Return(ctx context.Context) error {
 	k.Book.Stop()
+	if err := k.promiser.release(ctx); err != nil {
+		return fmt.Errorf("give back tokens: %w", err)
+	}
 	for _, s := range k.shards {
 		for s.readable() { // nothing was drawn of one that was not read
 			err := s.write(ctx, k.of(s.part))
--- a/core/purse/policy.go
+++ b/core/purse/policy.go
@@ -62,8 +62,11 @@
 // most returns the most that one draw takes of what is left, unless a request needs more.
 func (b *Book) most(left int64) int64 { return left / max(leastDraws, b.instances/2) }
 
-// surplus returns what this instance should give back.
-func (b *Book) surplus(a *account) int64 {
+// surplus returns what this instance should give back, of what it has not promised to keep.
+func (b *Book) surplus(a *account) int64 { return min(b.excess(a), b.usable(a)) }
+
+// excess returns what this instance holds too much.
+func (b *Book) excess(a *account) int64 {
 	switch {
 	case a.paid == table.Unlimited:
 		return 0
--- a/core/purse/shard.go
+++ b/core/purse/shard.go
@@ -86,7 +86,7 @@
 		s.pending = nil
 	}
 	if !s.known {
-		s.loaded = s.read
+		s.loaded = s.keeper.Book.Now()
 	}
 	s.end, s.known = end, true
 	return nil
--- a/core/purse/soak_test.go
+++ b/core/purse/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -31,7 +32,9 @@
 	log     *memlog.Server
 	members []*member
 	starts  int
-	now     time.Time
+	// boots counts the boots of the machines.
+	boots int
+	now   time.Time
 	// spent is what all processes ever spent, and reserved what their requests in flight may,
 	// also those of processes that were killed: their targets go on.
 	spent, reserved, paid int64
@@ -40,15 +43,20 @@
 
 func (f *fleet) start(instance string) *member {
 	f.starts++
-	m := &member{book: &purse.Book{Now: func() time.Time { return f.now }, Wait: time.Nanosecond}}
+	m := &member{book: &purse.Book{Now: func() time.Time { return f.now }, Wait: time.Nanosecond, Uptime: f.uptime}}
 	m.keeper = &purse.Keeper{
 		Log: f.log.Log(), Topic: "keyed.budgets", Shards: 1, Instance: instance, Inc: fmt.Sprintf("%s#%d", instance, f.starts), Book: m.book,
+		PromiseTopic: "keyed.promises", PromiseParts: 1, Boot: fmt.Sprintf("boot-%d", f.boots), Started: f.uptime(),
 	}
 	m.keeper.Default()
+	m.keeper.Pause = time.Nanosecond // each visit reads
 	f.pay(m)
 	return m
 }
 
+// uptime is the machines' clock.
+func (f *fleet) uptime() time.Duration { return f.now.Sub(time.Unix(0, 0)) }
+
 func (f *fleet) pay(m *member) {
 	m.keeper.Pay([]table.Organisation{{Name: "travel", Prepaid: f.paid}})
 }
@@ -66,14 +74,24 @@
 	return i, f.members[i]
 }
 
+// check holds the fleet to what was paid, and what it has or spent to what the log granted.
 func (f *fleet) check() {
 	assert.Assert(f.t, f.spent+f.reserved <= f.paid, "spent %d, reserved %d of %d", f.spent, f.reserved, f.paid)
+	var grants struct{ Granted int64 }
+	if value := f.log.Value("keyed.budgets", 0, "travel"); value != nil {
+		assert.NilError(f.t, json.Unmarshal(value, &grants))
+	}
+	var free int64
+	for _, m := range f.members {
+		free += m.book.Balance("travel").Free
+	}
+	assert.Assert(f.t, free+f.spent+f.reserved <= grants.Granted, "free %d, spent %d, reserved %d of %d", free, f.spent, f.reserved, grants.Granted)
 }
 
 // step does one thing at random.
 func (f *fleet) step() {
 	i, m := f.member()
-	switch rapid.SampledFrom([]string{"reserve", "reserve", "settle", "visit", "visit", "visit", "kill", "land", "drop", "top_up"}).Draw(f.t, "step") {
+	switch rapid.SampledFrom([]string{"reserve", "reserve", "settle", "visit", "visit", "visit", "kill", "kill", "land", "drop", "top_up", "pass", "boot"}).Draw(f.t, "step") {
 	case "reserve":
 		g, err := m.book.Reserve(context.Background(), "travel", int64(rapid.IntRange(1, paid/10).Draw(f.t, "tokens")))
 		if err == nil {
@@ -98,7 +116,12 @@
 			f.reserved -= g.Tokens
 			f.spent += g.Tokens
 		}
+		f.now = f.now.Add(time.Duration(rapid.IntRange(0, 30).Draw(f.t, "away")) * 100 * time.Millisecond)
 		f.members[i] = f.start(fmt.Sprintf("i-%d", i))
+	case "pass":
+		f.now = f.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(f.t, "pass")) * time.Millisecond)
+	case "boot":
+		f.boots++ // of processes that start from now on
 	case "land":
 		f.log.Land()
 	case "drop":
@@ -266,3 +289,82 @@
 		})
 	}
 }
+
+// hold starts a process and lets it promise most of what it holds.
+func hold(t *testing.T, f *fleet) *member {
+	t.Helper()
+	m := f.start("i-0")
+	for range 4 {
+		assert.NilError(t, m.keeper.Visit(t.Context()))
+		f.now = f.now.Add(500 * time.Millisecond)
+	}
+	assert.NilError(t, m.keeper.Visit(t.Context()))
+	assert.Assert(t, m.book.Balance("travel").Promised > paid/40, "%+v", m.book.Balance("travel"))
+	return m
+}
+
+// What a killed process held and had not spent comes back when its successor on the same
+// machine starts soon enough, however long the log is out of reach of it. After another boot,
+// or when the process may have spent it, it stays spent.
+func TestSuccessorTakesOver(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		away  time.Duration
+		boot  bool
+		taken bool
+	}{
+		{"at once", 0, false, true},
+		{"after 2 s", 2 * time.Second, false, true},
+		{"after 3 s", 3 * time.Second, false, false},
+		{"after a boot", 0, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := &fleet{log: &memlog.Server{}, paid: paid, now: time.Unix(1000, 0)}
+			killed := hold(t, f).book.Balance("travel")
+			f.now = f.now.Add(c.away)
+			if c.boot {
+				f.boots++
+			}
+			m := f.start("i-0")
+			f.log.SetFault(func(string) memlog.Fault { return memlog.Lose })
+			assert.Assert(t, m.keeper.Visit(t.Context()) != nil)
+			f.now = f.now.Add(10 * time.Second)
+			f.log.SetFault(nil)
+			assert.NilError(t, m.keeper.Visit(t.Context()))
+			b := m.book.Balance("travel")
+			want := int64(0)
+			if c.taken {
+				want = killed.Promised
+			}
+			assert.Equal(t, b.Free-(b.Granted-killed.Granted), want, "%+v after %+v", b, killed)
+		})
+	}
+}
+
+// A process spends nothing that a successor could take over, and all it holds once none can.
+func TestPromiseBindsUntilItEnds(t *testing.T) {
+	f := &fleet{log: &memlog.Server{}, paid: paid, now: time.Unix(1000, 0)}
+	m := hold(t, f)
+	f.log.SetFault(func(string) memlog.Fault { return memlog.Lose })
+	held := m.book.Balance("travel")
+	_, err := m.book.Reserve(t.Context(), "travel", held.Free)
+	assert.Assert(t, err != nil)
+	f.now = f.now.Add(2400 * time.Millisecond)
+	_, err = m.book.Reserve(t.Context(), "travel", held.Free)
+	assert.Assert(t, err != nil)
+	f.now = f.now.Add(200 * time.Millisecond)
+	_, err = m.book.Reserve(t.Context(), "travel", held.Free)
+	assert.NilError(t, err)
+}
+
+// A process that stops gives back what it had promised too, before a successor can take it.
+func TestStopEndsPromises(t *testing.T) {
+	f := &fleet{log: &memlog.Server{}, paid: paid, now: time.Unix(1000, 0)}
+	m := hold(t, f)
+	assert.NilError(t, m.keeper.Return(t.Context()))
+	assert.Equal(t, m.book.Balance("travel").Free, int64(0))
+	assert.Equal(t, m.book.Balance("travel").Granted, int64(0))
+	next := f.start("i-0")
+	assert.NilError(t, next.keeper.Visit(t.Context()))
+	assert.Equal(t, next.book.Balance("travel").Free, next.book.Balance("travel").Granted)
+}
--- a/fake/memlog/memlog.go
+++ b/fake/memlog/memlog.go
@@ -101,6 +101,13 @@
 	p.put(key, value)
 }
 
+// Value returns the newest value of a key, nil without one.
+func (s *Server) Value(topic string, part int, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.partition(topic, part).newest[key].Value
+}
+
 func (s *Server) partition(topic string, part int) *partition {
 	if s.parts == nil {
 		s.parts = map[string]*partition{}
--- a/io/router/follow.go
+++ b/io/router/follow.go
@@ -157,3 +157,16 @@
 func (r *Router) unsettled(sequence, tokens int64) {
 	events.Log(r.Log, events.HoldingUnsettled).Int64("sequence", sequence).Int64("tokens", tokens).Send()
 }
+
+// inherited logs what an earlier process of this instance had promised not to spend yet.
+func (r *Router) inherited(tokens map[string]int64, taken bool) {
+	event := events.PromiseLapsed
+	if taken {
+		event = events.PromiseTaken
+	}
+	var sum int64
+	for _, n := range tokens {
+		sum += n
+	}
+	events.Log(r.Log, event).Int64("tokens", sum).Int("organisations", len(tokens)).Send()
+}
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -33,14 +33,16 @@
 	"cranberryrail/io/httpd"
 	"cranberryrail/io/meter"
 	"cranberryrail/io/opts"
+	"cranberryrail/io/uptime"
 )
 
 // Platform is how the users' platform speaks: names, and translations into the product's
 // types.
 type Platform struct {
 	// ConfigTopic holds the configuration under ConfigKey, TargetTopic an entry for each target
-	// by its id, and BudgetTopic the prepaid budgets.
-	ConfigTopic, ConfigKey, TargetTopic, BudgetTopic string
+	// by its id, BudgetTopic the prepaid budgets, and PromiseTopic what instances hold of them
+	// and don't spend yet.
+	ConfigTopic, ConfigKey, TargetTopic, BudgetTopic, PromiseTopic string
 	// ReadyPath is where the platform asks whether the instance takes requests.
 	ReadyPath string
 	// Config and Target read records of the topics.
@@ -150,9 +152,15 @@
 
 func (r *Router) makeBudgets() {
 	s := r.Settings.Budget
-	r.book = &purse.Book{Cover: s.CoverMS.Duration(), Wait: s.WaitMS.Duration()}
+	r.book = &purse.Book{Cover: s.CoverMS.Duration(), Wait: s.WaitMS.Duration(), Uptime: uptime.Now}
+	boot, err := uptime.Boot()
+	if err != nil {
+		events.Log(r.Log, events.PromisesOff).Err(err).Send()
+	}
 	r.keeper = &purse.Keeper{
 		Log: r.Store, Topic: r.Platform.BudgetTopic, Shards: s.Shards, Instance: r.Settings.Instance.ID, Inc: r.Inc, Book: r.book,
+		PromiseTopic: r.Platform.PromiseTopic, PromiseParts: s.Shards, Boot: boot, Started: uptime.Now(),
+		PromiseLost: r.lost(r.Platform.PromiseTopic), PromiseBack: r.back(r.Platform.PromiseTopic), Inherited: r.inherited,
 		Changed: r.holdingChanged, Unsettled: r.unsettled, Unreadable: r.unreadable(r.Platform.BudgetTopic),
 		Lost: func(part int, err error) { r.lost(fmt.Sprintf("%s/%d", r.Platform.BudgetTopic, part))(err) },
 		Back: func(part int, away time.Duration) { r.back(fmt.Sprintf("%s/%d", r.Platform.BudgetTopic, part))(away) },
