perf: what is held beyond the target is given back at any time

Cause: the target shrinks as a budget is spent, but what was held above it was given back only when a twelfth of the budget was left. Until then it was stranded by a loss of power.

--- a/core/purse/policy.go
+++ b/core/purse/policy.go
@@ -30,7 +30,7 @@
 	// refillPart is the part of the target below which a holding is refilled.
 	refillPart = 0.7
 	// returnPart is the multiple of the target above which a holding is given back.
-	returnPart = 2.0
+	returnPart = 1.5
 )
 
 // left returns what the log can still hand out.
@@ -74,9 +74,6 @@
 		return 0
 	case b.stopping || a.granted > a.paid:
 		return a.free
-	case !a.low():
-		// Others find enough in the log.
-		return 0
 	}
 	keep := b.target(a)
 	if float64(a.free) <= returnPart*float64(keep) || a.free-keep < a.quantum() {
