--- a/core/purse/book.go
+++ b/core/purse/book.go
@@ -31,7 +31,7 @@
 	// don't need within about as long.
 	RetryElsewhere = 800 * time.Millisecond
 	// RetryLog is for a budget whose rest can't be drawn, because the log is out of reach of
-	// this instance; another one may hold tokens.
+	// this instance or slow; another one may hold tokens.
 	RetryLog = 50 * time.Millisecond
 	// SettleTime is how long a budget must be too small for a request before it is refused for
 	// good: other instances have given back by then what they do not need.
@@ -266,7 +266,7 @@
 		return
 	}
 	a.waiting = slices.Delete(a.waiting, i, i+1)
-	w.err = codes.Refuse(codes.BudgetElsewhere, RetryElsewhere, "%d tokens are left and could not be drawn in time", a.left())
+	w.err = codes.Refuse(codes.BudgetElsewhere, RetryLog, "%d tokens are left and could not be drawn in time", a.left())
 	b.serve(a)
 }
 
