fix: a stop closes no idle connection

The library's SetKeepAlivesEnabled(false) closes connections that it counts as idle until a whole request has been read from them; a request that had just arrived was still served, and its connection closed under it.

Ruled out: the target (it reports that its run was cut, not that it broke off).

Change: answers of a stopping instance close their connections, idle ones stay open to the end of the process. Before that the instance refuses all requests and waits for those in flight. Test: TestLeaveKeepsIdleConnections failed first.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -56,7 +56,9 @@
 
 	server httpd.Server
 	// until is when the server ends, in Unix nanoseconds; 0 while it does not stop.
-	until    atomic.Int64
+	until atomic.Int64
+	// leaving tells that answers close their connections.
+	leaving  atomic.Bool
 	inFlight atomic.Int64
 	held     atomic.Int64
 }
@@ -84,10 +86,12 @@
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
 // Leave makes each answer close its connection, so that callers move on, while requests are
-// still served.
-func (s *Server) Leave() { s.server.SetKeepAlivesEnabled(false) }
+// still served. Idle connections stay open: the library would also close one on which a
+// request has just arrived, after which the request would still be served.
+func (s *Server) Leave() { s.leaving.Store(true) }
 
-// Stop refuses new requests that may take until after the given time.
+// Stop refuses new requests that may take until after the given time, all of them once it
+// has come.
 func (s *Server) Stop(until time.Time) { s.until.Store(until.UnixNano()) }
 
 // ends reports whether the server may end before a request does.
@@ -113,7 +117,7 @@
 		return
 	}
 	req.Arrived = began
-	result := s.Serve(r.Context(), req, sink(w))
+	result := s.Serve(r.Context(), req, s.sink(w))
 	s.Ended(result, time.Since(began))
 	switch {
 	case result.Cut || result.Gone:
@@ -175,7 +179,7 @@
 }
 
 // sink passes an answer on to a caller.
-func sink(w http.ResponseWriter) relay.Sink {
+func (s *Server) sink(w http.ResponseWriter) relay.Sink {
 	controller := http.NewResponseController(w)
 	stream := false
 	return relay.Sink{
@@ -188,6 +192,9 @@
 				h.Set("Content-Length", strconv.FormatInt(length, 10))
 			}
 			stream = length < 0
+			if s.leaving.Load() {
+				h.Set("Connection", "close")
+			}
 			w.WriteHeader(status)
 		},
 		Write: func(p []byte) error {
@@ -227,7 +234,7 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	if e.Code == codes.LogUnavailable {
+	if e.Code == codes.LogUnavailable || s.leaving.Load() {
 		// The caller's next connection goes to an instance that can cover its requests.
 		w.Header().Set("Connection", "close")
 	}
--- /dev/null
+++ b/io/entry/entry_test.go
@@ -0,0 +1,83 @@
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"cranberryrail/core/relay"
+	"cranberryrail/io/entry"
+)
+
+// start returns a server that answers each request with 200 and no body.
+func start(t *testing.T) *entry.Server {
+	t.Helper()
+	s := &entry.Server{
+		BodyBytes: 1000, HeldBytes: 1000,
+		Read: func(*http.Request) (*relay.Request, error) { return &relay.Request{Patience: time.Second}, nil },
+		Serve: func(_ context.Context, _ *relay.Request, sink relay.Sink) relay.Result {
+			sink.Head(http.StatusOK, nil, 0)
+			return relay.Result{}
+		},
+		Refuse: func(http.Header, string, time.Duration) {}, Ended: func(relay.Result, time.Duration) {},
+		Panicked: func(reason any) { t.Error(reason) },
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	assert.NilError(t, s.Listen(ctx, "127.0.0.1:0"))
+	var g errgroup.Group
+	g.Go(func() error { return s.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, g.Wait())
+	})
+	return s
+}
+
+// ask sends a request on a connection and returns the answer.
+func ask(t *testing.T, c net.Conn) *http.Response {
+	t.Helper()
+	assert.NilError(t, c.SetDeadline(time.Now().Add(5*time.Second)))
+	_, err := fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	return resp
+}
+
+// An idle connection is not closed by a server that leaves, since a request may just have
+// arrived on it. The answer to its next request closes it.
+func TestLeaveKeepsIdleConnections(t *testing.T) {
+	s := start(t)
+	c, err := net.Dial("tcp", s.Addr())
+	assert.NilError(t, err)
+	defer c.Close()
+	assert.Assert(t, !ask(t, c).Close)
+	s.Leave()
+	resp := ask(t, c)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Assert(t, resp.Close)
+}
+
+// A server that has stopped refuses every request, with the word that it did not run.
+func TestStopRefusesAll(t *testing.T) {
+	s := start(t)
+	s.Leave()
+	s.Stop(time.Now().Add(time.Minute))
+	for _, want := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+		c, err := net.Dial("tcp", s.Addr())
+		assert.NilError(t, err)
+		resp := ask(t, c)
+		assert.NilError(t, c.Close())
+		assert.Equal(t, resp.StatusCode, want)
+		assert.Assert(t, resp.Close)
+		s.Stop(time.Now())
+	}
+}
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -321,8 +321,13 @@
 	for r.entry.InFlight() > 0 && time.Now().Before(last) {
 		pause.For(ctx, drainPoll)
 	}
+	err := r.keeper.Return(ctx)
+	r.entry.Stop(time.Now())
+	for r.entry.InFlight() > 0 && ctx.Err() == nil {
+		pause.For(ctx, drainPoll)
+	}
 	cut := r.entry.InFlight()
-	if err := r.keeper.Return(ctx); err != nil {
+	if err != nil {
 		events.Log(r.Log, events.StopGaveUp).Int64("in_flight", cut).Err(err).Send()
 		return nil // what was not given back stays spent
 	}
