fix: a draw serves the request that it was made for; a budget is refused for good after a second

Cause 1: the record of an own draw was taken as "all is granted" before its tokens were credited, so that a request that needed the last tokens of a budget was refused and they came too late. Found by TestRefusedForGood, which failed first.

--- a/core/purse/book.go
+++ b/core/purse/book.go
@@ -33,9 +33,10 @@
 	// RetryLog is for a budget whose rest can't be drawn, because the log is out of reach of
 	// this instance or slow; another one may hold tokens.
 	RetryLog = 50 * time.Millisecond
-	// SettleTime is how long a budget must be too small for a request before it is refused for
-	// good: other instances have given back by then what they do not need.
-	SettleTime = 3 * time.Second
+	// SettleTime is how long at least a budget must be too small for a request before it is
+	// refused for good: some times the time in which other instances give back what they do not
+	// need.
+	SettleTime = time.Second
 )
 
 // Grant is the right to spend tokens. It ends with exactly one call of Settle.
@@ -59,9 +60,8 @@
 	size int64
 	// waiting are the reservations that wait for tokens, in the order in which they came.
 	waiting []*waiter
-	// short is since when what is left in the log has not covered a reservation; zero when it
-	// does.
-	short time.Time
+	// seen is the most that could be reserved at once of late.
+	seen peak
 }
 
 // waiter is a reservation that waits for tokens.
@@ -151,7 +151,7 @@
 		a := b.account(o.Name)
 		if o.Prepaid != a.paid {
 			a.paid = o.Prepaid
-			a.short = time.Time{}
+			b.see(a)
 			b.serve(a)
 		}
 	}
@@ -285,14 +285,14 @@
 	}
 }
 
+// see notes what could be reserved at once.
+func (b *Book) see(a *account) { a.seen.add(a.free+a.left(), b.Now()) }
+
 // exhausted refuses a reservation that neither the own holding nor the log covers. It is
-// for good once other instances had the time to give back what they do not need.
+// for good if that was so for SettleTime: other instances had the time to give back what
+// they do not need.
 func (b *Book) exhausted(a *account, tokens int64) *codes.Error {
-	now := b.Now()
-	if a.short.IsZero() {
-		a.short = now
-	}
-	if b.Reached(a.organisation) && now.Sub(a.short) >= SettleTime {
+	if b.Reached(a.organisation) && tokens > a.seen.most(b.Now()) {
 		return codes.Refuse(codes.BudgetExhausted, 0, "%d of %d tokens are left, the request may use %d; top up the budget",
 			a.free+a.left(), a.paid, tokens)
 	}
@@ -312,6 +312,7 @@
 	a.reserved -= g.Tokens
 	a.free += g.Tokens - used
 	a.use.add(used-g.Tokens, b.Now())
+	b.see(a)
 	b.serve(a)
 	b.want(g.Organisation, a)
 }
@@ -365,6 +366,7 @@
 	a := b.account(organisation)
 	if change > 0 {
 		a.free += change
+		b.see(a)
 		b.serve(a)
 	}
 }
@@ -381,16 +383,14 @@
 	}
 }
 
-// Granted takes what all instances together were handed, as the log has it.
+// Granted takes what all instances together were handed, as the log has it. The
+// reservations that wait are decided on by Retry, once it is known what was drawn for them.
 func (b *Book) Granted(organisation string, granted int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(organisation)
-	if granted < a.granted {
-		a.short = time.Time{}
-	}
 	a.granted = granted
-	b.serve(a)
+	b.see(a)
 	b.want(organisation, a)
 }
 
@@ -399,6 +399,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.known = true
+	for _, a := range b.accounts {
+		a.seen.add(a.paid, b.Now()) // what others hold was not seen yet
+	}
 	b.serveAll()
 }
 
--- a/core/purse/policy.go
+++ b/core/purse/policy.go
@@ -137,3 +137,31 @@
 	m.decay(now)
 	return m.perSecond
 }
+
+// peak is the most of a quantity in the present period of SettleTime and the one before.
+type peak struct {
+	began           time.Time
+	present, before int64
+}
+
+// add takes a value of the quantity.
+func (p *peak) add(n int64, now time.Time) {
+	p.turn(now)
+	p.present = max(p.present, n)
+}
+
+// turn begins a new period when the present one is over.
+func (p *peak) turn(now time.Time) {
+	switch passed := now.Sub(p.began); {
+	case passed >= 2*SettleTime:
+		p.began, p.before, p.present = now, 0, 0
+	case passed >= SettleTime:
+		p.began, p.before, p.present = now, p.present, 0
+	}
+}
+
+// most returns the most of the last one to two periods.
+func (p *peak) most(now time.Time) int64 {
+	p.turn(now)
+	return max(p.present, p.before)
+}
--- a/core/purse/shard.go
+++ b/core/purse/shard.go
@@ -89,6 +89,7 @@
 		s.loaded = s.keeper.Book.Now()
 	}
 	s.end, s.known = end, true
+	s.keeper.Book.Retry()
 	return nil
 }
 
@@ -114,6 +115,7 @@
 		s.end = r.Offset + 1
 		s.resolve(r.Offset, written)
 	}
+	s.keeper.Book.Retry()
 }
 
 // errNegative tells that a record grants less than nothing.
--- a/core/purse/soak_test.go
+++ b/core/purse/soak_test.go
@@ -368,3 +368,43 @@
 	assert.NilError(t, next.keeper.Visit(t.Context()))
 	assert.Equal(t, next.book.Balance("travel").Free, next.book.Balance("travel").Granted)
 }
+
+// A budget whose rest other instances hold is refused for good only after they had the time
+// to give back, and not once they did. A request that is larger than all that was paid is
+// refused for good at once.
+func TestRefusedForGood(t *testing.T) {
+	f := &fleet{log: &memlog.Server{}, paid: paid, now: time.Unix(1000, 0)}
+	holder, other := f.start("i-0"), f.start("i-1")
+	assert.NilError(t, holder.keeper.Visit(t.Context()))
+	holder.book.Wait, other.book.Wait = time.Second, 20*time.Millisecond
+	var g errgroup.Group
+	var held purse.Grant
+	g.Go(func() (err error) {
+		held, err = holder.book.Reserve(t.Context(), "travel", paid)
+		return err
+	})
+	time.Sleep(5 * time.Millisecond)
+	assert.NilError(t, holder.keeper.Visit(t.Context()))
+	assert.NilError(t, g.Wait())
+	assert.NilError(t, other.keeper.Visit(t.Context()))
+	refused := func(want string) {
+		t.Helper()
+		_, err := other.book.Reserve(t.Context(), "travel", 1000)
+		assert.ErrorContains(t, err, want)
+	}
+	_, err := other.book.Reserve(t.Context(), "travel", paid+1)
+	assert.ErrorContains(t, err, "budget_exhausted")
+	refused("budget_elsewhere")
+	f.now = f.now.Add(purse.SettleTime - time.Millisecond)
+	refused("budget_elsewhere")
+	f.now = f.now.Add(2 * purse.SettleTime)
+	refused("budget_exhausted")
+	holder.book.Settle(held, 0)
+	f.now = f.now.Add(time.Second)
+	assert.NilError(t, holder.keeper.Visit(t.Context()))
+	time.Sleep(40 * time.Millisecond) // until the state that was read is too old
+	assert.NilError(t, other.keeper.Visit(t.Context()))
+	g2, err := other.book.Reserve(t.Context(), "travel", 1000)
+	assert.NilError(t, err)
+	assert.Equal(t, g2.Tokens, int64(1000))
+}
