--- a/core/purse/book.go
+++ b/core/purse/book.go
@@ -56,8 +56,6 @@
 	// free is what this instance may still spend, and reserved what its requests in flight may.
 	free, reserved int64
 	use            meter
-	// size is the usual size of a request, in tokens.
-	size int64
 	// waiting are the reservations that wait for tokens, in the order in which they came.
 	waiting []*waiter
 	// seen is the most that could be reserved at once of late.
@@ -199,7 +197,6 @@
 		return nil, nil
 	}
 	a.use.add(tokens, b.Now())
-	a.size += (tokens - a.size) / sizeParts
 	if len(a.waiting) == 0 && b.take(a, tokens) {
 		b.want(organisation, a)
 		return nil, nil
@@ -217,9 +214,6 @@
 	return w, nil
 }
 
-// sizeParts is the weight of one request in the usual size of a request, as a divisor.
-const sizeParts = 8
-
 // take reserves tokens of the own holding, if it covers them.
 func (b *Book) take(a *account, tokens int64) bool {
 	if a.granted > a.paid || b.usable(a) < tokens {
--- a/core/purse/promise.go
+++ b/core/purse/promise.go
@@ -16,9 +16,9 @@
 	// instance in the time between two of one instance: all together append one in that time.
 	promiseEvery = 300 * time.Millisecond
 	promiseShare = 15 * time.Millisecond
-	// usableCover is the time of usual use that is not promised: it lasts until the last promise
-	// has ended when the log is lost.
-	usableCover = promiseTime + promiseEvery
+	// usableCover is the time of usual use that is not promised. A kill strands it; more of it
+	// did not serve more when the log was lost.
+	usableCover = time.Second
 )
 
 // mostPromised is the number of organisations in one promise: one record of the log holds
@@ -55,7 +55,7 @@
 	if a.paid == table.Unlimited || b.stopping || a.granted > a.paid {
 		return 0
 	}
-	usable := max(a.need(), int64(a.use.rate(b.Now())*usableCover.Seconds())+a.size)
+	usable := max(a.need(), int64(a.use.rate(b.Now())*usableCover.Seconds()))
 	return max(0, min(a.free-usable, b.target(a)))
 }
 
