feat: `cranberryrail state` prints what an instance on the platform takes to be true

The listener for metrics serves the configuration's version and age, topics out of reach, targets and budgets with the age of what was read, without keys.

--- a/cmd/root.go
+++ b/cmd/root.go
@@ -69,6 +69,7 @@
 		a.usage(),
 		a.targets(),
 		a.instances(),
+		a.state(),
 		a.report(),
 		a.burn(),
 	}
--- /dev/null
+++ b/cmd/state.go
@@ -0,0 +1,54 @@
+package cmd
+
+import (
+	"context"
+	"net/http"
+
+	"cranberryrail/core/table"
+	"cranberryrail/io/router"
+)
+
+func (a *App) state() command {
+	sub := newSub("state", "show what an instance on the users' platform takes to be true", "state --instance http://127.0.0.1:7340")
+	c := a.newClient(sub)
+	return command{sub, func(ctx context.Context) error {
+		var s router.State
+		if err := c.call(ctx, http.MethodGet, router.StatePath, nil, &s); err != nil {
+			return err
+		}
+		if c.json {
+			return a.printJSON(s)
+		}
+		return a.printState(s)
+	}}
+}
+
+// printState prints three tables: the instance, its targets and its budgets.
+func (a *App) printState(s router.State) error {
+	rows := [][]any{
+		{"instance", s.Instance}, {"incarnation", s.Incarnation}, {"zone", s.Zone}, {"ready", s.Ready}, {"stopping", s.Stopping},
+		{"in flight", s.InFlight}, {"config version", s.ConfigVersion}, {"config age ms", s.ConfigAgeMS},
+	}
+	for topic, ms := range s.LostMS {
+		rows = append(rows, []any{"lost ms " + topic, ms})
+	}
+	if err := a.printTable([]string{"what", "is"}, rows); err != nil {
+		return err
+	}
+	rows = rows[:0]
+	for _, t := range s.Targets {
+		rows = append(rows, []any{t.ID, t.Service, t.Zone, t.Addr, t.State})
+	}
+	if err := a.printTable([]string{"target", "service", "zone", "address", "state"}, rows); err != nil {
+		return err
+	}
+	rows = rows[:0]
+	for _, b := range s.Budgets {
+		paid := any(b.Paid)
+		if b.Paid == table.Unlimited {
+			paid = "unlimited"
+		}
+		rows = append(rows, []any{b.Organisation, paid, b.Granted, b.Free, b.Promised, b.Reserved, b.AgeMS, b.Reached})
+	}
+	return a.printTable([]string{"organisation", "paid", "granted", "free", "promised", "reserved", "age ms", "reached"}, rows)
+}
--- a/core/events/table.go
+++ b/core/events/table.go
@@ -15,6 +15,7 @@
 	Reloaded          = Event{1009, "settings_reloaded", Info, "The settings were read again; the fields say what changed."}
 	ReloadFailed      = Event{1010, "reload_failed", Error, "The settings that were read again are not valid; those from before stay in force."}
 	LinesDropped      = Event{1011, "lines_dropped", Warn, "Lines of the log were dropped, because they were not taken fast enough."}
+	StateUnsent       = Event{1012, "state_unsent", Warn, "An operator asked for the state of the process and could not be answered."}
 	LogUnreachable    = Event{2001, "log_unreachable", Warn, "The platform's log can't be reached, neither directly nor through another instance."}
 	LogBack           = Event{2002, "log_back", Info, "The platform's log is reached again."}
 	RelayUsed         = Event{2003, "relay_used", Warn, "The platform's log is reached through another instance."}
@@ -72,7 +73,7 @@
 func All() []Event {
 	return []Event{
 		Start, SettingsLoaded, Ready, NotReady, StopBegan, StopDone,
-		StopGaveUp, ListenFailed, Reloaded, ReloadFailed, LinesDropped,
+		StopGaveUp, ListenFailed, Reloaded, ReloadFailed, LinesDropped, StateUnsent,
 		LogUnreachable, LogBack, RelayUsed, ListUnreachable, ListBack, FormatUnknown,
 		KindUnknown, Trimmed, SnapshotWritten, SnapshotLoaded,
 		StateFetched, SnapshotFailed, TopicLost, TopicBack, RecordUnreadable,
--- a/core/purse/book.go
+++ b/core/purse/book.go
@@ -444,6 +444,10 @@
 	Free     int64 `json:"free"`
 	Reserved int64 `json:"reserved"`
 	Promised int64 `json:"promised"`
+	// AgeMS is the time since the log was read, and Reached tells whether it answers; only
+	// Keeper.Balances sets them.
+	AgeMS   int64 `json:"age_ms"`
+	Reached bool  `json:"reached"`
 }
 
 // Balance returns the budget of an organisation.
--- a/io/router/follow.go
+++ b/io/router/follow.go
@@ -38,6 +38,7 @@
 // applied takes a configuration that came into force.
 func (r *Router) applied(t *table.Table) {
 	r.keeper.Pay(t.Organisations)
+	r.configured.Store(time.Now().UnixNano())
 	r.Meter.ConfigVersion(t.Version)
 	events.Log(r.Log, events.ConfApplied).Int64("version", t.Version).Int("routes", len(t.Routes)).
 		Int("organisations", len(t.Organisations)).Send()
@@ -129,12 +130,16 @@
 
 // lost logs that a topic can't be read.
 func (r *Router) lost(topic string) func(err error) {
-	return func(err error) { events.Log(r.Log, events.TopicLost).Str("topic", topic).Err(err).Send() }
+	return func(err error) {
+		r.lostTopics.Store(topic, time.Now())
+		events.Log(r.Log, events.TopicLost).Str("topic", topic).Err(err).Send()
+	}
 }
 
 // back logs that a topic is read again.
 func (r *Router) back(topic string) func(away time.Duration) {
 	return func(away time.Duration) {
+		r.lostTopics.Delete(topic)
 		events.Log(r.Log, events.TopicBack).Str("topic", topic).Dur("away", away).Send()
 	}
 }
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -94,6 +94,11 @@
 	ready   *httpd.Server
 	metrics *httpd.Server
 
+	// configured is when the configuration came into force, in Unix nanoseconds.
+	configured atomic.Int64
+	// lostTopics holds by topic since when it can't be reached.
+	lostTopics sync.Map
+
 	listMu sync.Mutex
 	list   *roster.List
 	listed atomic.Bool
@@ -143,7 +148,10 @@
 	r.ready.Handler = http.HandlerFunc(r.answerReady)
 	r.ready.ReadHeaderTimeout = readyTimeout
 	r.metrics = &httpd.Server{Whom: "metrics", Setting: "metrics.listen"}
-	r.metrics.Handler = r.Meter.Handler()
+	mux := http.NewServeMux()
+	mux.Handle("/", r.Meter.Handler())
+	mux.HandleFunc("GET "+StatePath, r.serveState)
+	r.metrics.Handler = mux
 	r.metrics.ReadHeaderTimeout = readyTimeout
 }
 
--- /dev/null
+++ b/io/router/state.go
@@ -0,0 +1,66 @@
+package router
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"cranberryrail/core/events"
+	"cranberryrail/core/purse"
+	"cranberryrail/core/roster"
+)
+
+// StatePath is where the listener for metrics serves State.
+const StatePath = "/state"
+
+// State is what an instance takes to be true, for operators.
+type State struct {
+	Instance    string `json:"instance"`
+	Incarnation string `json:"incarnation"`
+	Zone        string `json:"zone"`
+	Ready       bool   `json:"ready"`
+	Stopping    bool   `json:"stopping"`
+	InFlight    int64  `json:"in_flight"`
+	// ConfigVersion is that of the configuration in force, 0 without one, and ConfigAgeMS the
+	// time since it came into force.
+	ConfigVersion int64 `json:"config_version"`
+	ConfigAgeMS   int64 `json:"config_age_ms"`
+	// LostMS is, by topic of the platform's log, for how long it could not be reached.
+	LostMS map[string]int64 `json:"lost_ms"`
+	// Targets are those that requests may be sent to, and those that leave.
+	Targets []roster.Target `json:"targets"`
+	Budgets []purse.Balance `json:"budgets"`
+}
+
+// State returns what the instance takes to be true now.
+func (r *Router) State() State {
+	s := State{
+		Instance: r.Settings.Instance.ID, Incarnation: r.Inc, Zone: r.Settings.Instance.Zone, Ready: r.Ready(), Stopping: !r.open.Load(),
+		InFlight: r.entry.InFlight(), LostMS: map[string]int64{}, Budgets: r.keeper.Balances(),
+	}
+	if t := r.table.Current(); t != nil {
+		s.ConfigVersion = t.Version
+		s.ConfigAgeMS = time.Since(time.Unix(0, r.configured.Load())).Milliseconds()
+	}
+	r.lostTopics.Range(func(topic, since any) bool {
+		s.LostMS[topic.(string)] = time.Since(since.(time.Time)).Milliseconds()
+		return true
+	})
+	r.listMu.Lock()
+	defer r.listMu.Unlock()
+	s.Targets = slices.SortedFunc(slices.Values(r.list.Targets()), func(a, b roster.Target) int {
+		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.ID, b.ID))
+	})
+	return s
+}
+
+// serveState answers with the state as JSON.
+func (r *Router) serveState(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(r.State()); err != nil {
+		events.Log(r.Log, events.StateUnsent).Err(err).Send()
+	}
+}
