perf: use is averaged over the time since it was first seen

Holdings are to cover 12 s, yet requests were refused after three: an average with a time constant of 6 s that starts at zero shows 56 % of the use after five seconds, and every process starts so.

Change: the sum is divided by the weight of the time since the first request. Test: TestCoverAfterAShortTime failed first.

--- a/core/purse/policy.go
+++ b/core/purse/policy.go
@@ -109,18 +109,24 @@
 	return want
 }
 
-// meter observes use as an exponentially decaying average.
+// meter observes use as an exponentially decaying average over the time since it began.
 type meter struct {
 	perSecond float64
-	at        time.Time
+	began, at time.Time
 }
 
 // meterTime is the time constant of the observed use: long enough to even out single
 // requests, and short against the length of a peak.
 const meterTime = 6 * time.Second
 
+// meterLeast is the least time that use is averaged over: some requests.
+const meterLeast = 2 * time.Second
+
 // add counts tokens; a negative number takes back what was counted too much.
 func (m *meter) add(tokens int64, now time.Time) {
+	if m.began.IsZero() {
+		m.began = now
+	}
 	m.decay(now)
 	m.perSecond = max(0, m.perSecond+float64(tokens)/meterTime.Seconds())
 }
@@ -132,10 +138,12 @@
 	}
 }
 
-// rate returns the average in tokens a second.
+// rate returns the average in tokens a second. The weights of the time since the meter began
+// add up to 1 - exp(-time/meterTime), by which the sum is divided.
 func (m *meter) rate(now time.Time) float64 {
 	m.decay(now)
-	return m.perSecond
+	weight := 1 - math.Exp(-max(now.Sub(m.began), meterLeast).Seconds()/meterTime.Seconds())
+	return m.perSecond / weight
 }
 
 // peak is the most of a quantity in the present period of SettleTime and the one before.
--- a/core/purse/soak_test.go
+++ b/core/purse/soak_test.go
@@ -149,7 +149,7 @@
 }
 
 // reserve makes a reservation while the keeper of the member does its work.
-func reserve(t *rapid.T, m *member, tokens int64) (purse.Grant, error) {
+func reserve(t assert.TestingT, m *member, tokens int64) (purse.Grant, error) {
 	type answer struct {
 		grant purse.Grant
 		err   error
@@ -408,3 +408,25 @@
 	assert.NilError(t, err)
 	assert.Equal(t, g2.Tokens, int64(1000))
 }
+
+// An instance that has seen five seconds of steady use holds what covers the promised time of
+// that use, although its average is over more than five seconds.
+func TestCoverAfterAShortTime(t *testing.T) {
+	const perSecond, steps = 1000, 50
+	f := &fleet{log: &memlog.Server{}, paid: paid, now: time.Unix(1000, 0)}
+	m := f.start("i-0")
+	m.book.Wait = time.Second
+	assert.NilError(t, m.keeper.Visit(t.Context()))
+	f.now = f.now.Add(2 * time.Second) // until the instances are counted
+	assert.NilError(t, m.keeper.Visit(t.Context()))
+	for range steps {
+		f.now = f.now.Add(5 * time.Second / steps)
+		g, err := reserve(t, m, perSecond*5/steps)
+		assert.NilError(t, err)
+		m.book.Settle(g, g.Tokens)
+		assert.NilError(t, m.keeper.Visit(t.Context()))
+	}
+	b := m.book.Balance("travel")
+	cover := int64(purse.DefaultCover.Seconds()*perSecond) * (b.Paid - b.Granted) / b.Paid
+	assert.Assert(t, b.Free >= cover*7/10, "%+v, %d cover the time", b, cover) // holdings are refilled below seven tenths
+}
