perf: what a refusal depends on is read again at once, other budgets every six seconds

Cause: a request was refused by what had been read up to three seconds before, although other instances had given back since; and every partition was read every three seconds, also when nothing depended on it.

Change: a refusal makes the instance read the partition at its next look, 0.3 s later at most; without one it looks every six seconds. Test: TestRefusalReadsAgain failed first.

--- a/core/purse/book.go
+++ b/core/purse/book.go
@@ -82,6 +82,9 @@
 	// Wanted is told that tokens of an organisation should be drawn or given back, and whether a
 	// request waits for them; it must not block.
 	Wanted func(organisation string, urgent bool)
+	// Outdated is told that a request is refused by what was read of the log before; it must not
+	// block.
+	Outdated func(organisation string)
 	// Promised is told that a request waits for tokens that are promised; it must not block.
 	Promised func()
 	// Reached reports whether the log answers for an organisation's budget; it must not block.
@@ -117,6 +120,9 @@
 	if b.Wanted == nil {
 		b.Wanted = func(string, bool) {}
 	}
+	if b.Outdated == nil {
+		b.Outdated = func(string) {}
+	}
 	if b.Promised == nil {
 		b.Promised = func() {}
 	}
@@ -286,6 +292,7 @@
 // for good if that was so for SettleTime: other instances had the time to give back what
 // they do not need.
 func (b *Book) exhausted(a *account, tokens int64) *codes.Error {
+	b.Outdated(a.organisation)
 	if b.Reached(a.organisation) && tokens > a.seen.most(b.Now()) {
 		return codes.Refuse(codes.BudgetExhausted, 0, "%d of %d tokens are left, the request may use %d; top up the budget",
 			a.free+a.left(), a.paid, tokens)
--- a/core/purse/keeper.go
+++ b/core/purse/keeper.go
@@ -21,9 +21,9 @@
 	// DefaultTimeout bounds one call to the log: some hundred times the usual time of an answer,
 	// and less than the outages that are to be noticed.
 	DefaultTimeout = 800 * time.Millisecond
-	// DefaultPause is the time between two looks at what other instances wrote: they give back
-	// tokens of a low budget within about as long.
-	DefaultPause = 3 * time.Second
+	// DefaultPause is the time between two looks at what other instances wrote, while no request
+	// depends on it.
+	DefaultPause = 6 * time.Second
 	// gather is how long changes that no request waits for are gathered for one append.
 	gather = 300 * time.Millisecond
 	// joinTime is how long after the first read of the budgets an instance waits before it
@@ -125,6 +125,7 @@
 		k.urgent = append(k.urgent, make(chan struct{}, 1))
 	}
 	k.Book.Wanted = k.want
+	k.Book.Outdated = k.outdated
 	k.Book.Reached = func(organisation string) bool { return k.shards[k.shardOf(organisation)].lost.Load() == 0 }
 	k.Book.Default()
 }
@@ -142,6 +143,13 @@
 	}
 }
 
+// outdated makes the writer of an organisation's shard read it at its next look.
+func (k *Keeper) outdated(organisation string) {
+	i := k.shardOf(organisation)
+	k.shards[i].outdated.Store(true)
+	k.refill[i].Store(true)
+}
+
 // shardOf returns the shard that has an organisation's budget.
 func (k *Keeper) shardOf(organisation string) int {
 	return int(xxhash.Sum64String(organisation) % uint64(k.Shards)) //nolint:gosec // less than the number of shards
--- a/core/purse/shard.go
+++ b/core/purse/shard.go
@@ -51,6 +51,8 @@
 	part   int
 	// lost is when a call last began to fail, in Unix nanoseconds; 0 while the log answers.
 	lost atomic.Int64
+	// outdated tells that a request was refused by what was read before.
+	outdated atomic.Bool
 
 	mu    sync.Mutex
 	known bool
@@ -256,7 +258,7 @@
 	s.mu.Lock()
 	due := !s.known || s.pending != nil || time.Since(s.read) >= s.keeper.Pause
 	s.mu.Unlock()
-	return due || slices.ContainsFunc(organisations, s.keeper.Book.Due)
+	return s.outdated.Swap(false) || due || slices.ContainsFunc(organisations, s.keeper.Book.Due)
 }
 
 // A writer that lost against another instance pauses at random up to lostPause, which is
--- a/core/purse/soak_test.go
+++ b/core/purse/soak_test.go
@@ -430,3 +430,24 @@
 	cover := int64(purse.DefaultCover.Seconds()*perSecond) * (b.Paid - b.Granted) / b.Paid
 	assert.Assert(t, b.Free >= cover*7/10, "%+v, %d cover the time", b, cover) // holdings are refilled below seven tenths
 }
+
+// A refusal by what was read before makes the instance read again, so that tokens that were
+// given back meanwhile are found without waiting for the next look.
+func TestRefusalReadsAgain(t *testing.T) {
+	f := &fleet{log: &memlog.Server{}, paid: paid, now: time.Unix(1000, 0)}
+	holder, other := f.start("i-0"), f.start("i-1")
+	other.keeper.Pause = time.Hour
+	holder.book.Wait, other.book.Wait = time.Second, time.Second
+	assert.NilError(t, holder.keeper.Visit(t.Context()))
+	held, err := reserve(t, holder, paid)
+	assert.NilError(t, err)
+	assert.NilError(t, other.keeper.Visit(t.Context()))
+	holder.book.Settle(held, 0)
+	assert.NilError(t, holder.keeper.Visit(t.Context()))
+	time.Sleep(40 * time.Millisecond) // until the state that was read is too old for an append
+	_, err = other.book.Reserve(t.Context(), "travel", 1000)
+	assert.ErrorContains(t, err, "budget_elsewhere")
+	assert.NilError(t, other.keeper.Visit(t.Context()))
+	_, err = reserve(t, other, 1000)
+	assert.NilError(t, err)
+}
