--- a/core/purse/book.go
+++ b/core/purse/book.go
@@ -1,8 +1,9 @@
 // Package purse keeps prepaid budgets over the platform's log. The newest record of an
 // organisation says how many of its tokens have been handed to instances. An instance adds
 // to it by a conditional append before it spends, so that all instances together never
-// hold more than was paid, whatever clocks, connections and restarts do. What an instance
-// held when its process died stays spent.
+// hold more than was paid, whatever clocks, connections and restarts do. Of what a process
+// held when it was killed, its successor takes over what it had promised not to spend yet;
+// the rest stays spent.
 package purse
 
 import (
@@ -73,7 +74,7 @@
 // Book holds what this instance may spend of each organisation's budget. Exported fields
 // are set before Default; its methods may be called from any goroutine.
 type Book struct {
-	// Now is the clock; it only steers, no promise depends on it.
+	// Now is the clock of the process; it only steers.
 	Now func() time.Time
 	// Cover is the time of usual use that is held ready.
 	Cover time.Duration
@@ -89,7 +90,7 @@
 	Promised func()
 	// Reached reports whether the log answers for an organisation's budget; it must not block.
 	Reached func(organisation string) bool
-	// Uptime is the machine's clock. Promises depend on it.
+	// Uptime is the machine's clock, which all its processes have in common.
 	Uptime func() time.Duration
 
 	mu       sync.Mutex
@@ -439,28 +440,3 @@
 	defer b.mu.Unlock()
 	return b.known
 }
-
-// Balance is one organisation's budget as this instance sees it, in tokens.
-type Balance struct {
-	Organisation string `json:"organisation"`
-	Paid         int64  `json:"paid"`
-	// Granted is what all instances were handed.
-	Granted int64 `json:"granted"`
-	// Free and Reserved are parts of what this instance was handed, and Promised the part of
-	// Free that it has promised not to spend yet.
-	Free     int64 `json:"free"`
-	Reserved int64 `json:"reserved"`
-	Promised int64 `json:"promised"`
-	// AgeMS is the time since the log was read, and Reached tells whether it answers; only
-	// Keeper.Balances sets them.
-	AgeMS   int64 `json:"age_ms"`
-	Reached bool  `json:"reached"`
-}
-
-// Balance returns the budget of an organisation.
-func (b *Book) Balance(organisation string) Balance {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	a := b.account(organisation)
-	return Balance{Organisation: organisation, Paid: a.paid, Granted: a.granted, Free: a.free, Reserved: a.reserved, Promised: b.promised(a)}
-}
--- a/core/purse/keeper.go
+++ b/core/purse/keeper.go
@@ -290,22 +290,6 @@
 	return max(promiseEvery, time.Duration(k.Book.Instances())*promiseShare)
 }
 
-// Balances returns the budgets of all organisations as this instance sees them.
-func (k *Keeper) Balances() []Balance {
-	all := k.organisations.Load()
-	if all == nil {
-		return nil
-	}
-	balances := make([]Balance, 0, len(*all))
-	for _, name := range *all {
-		s := k.shards[k.shardOf(name)]
-		b := k.Book.Balance(name)
-		b.AgeMS, b.Reached = s.age().Milliseconds(), s.lost.Load() == 0
-		balances = append(balances, b)
-	}
-	return balances
-}
-
 // readable reports whether the state of the shard was read.
 func (s *shard) readable() bool {
 	s.mu.Lock()
