--- a/core/purse/promise.go
+++ b/core/purse/promise.go
@@ -50,7 +50,7 @@
 func (b *Book) usable(a *account) int64 { return max(0, a.free-b.promised(a)) }
 
 // promisable returns the tokens of an account that are to be promised: what is held beyond
-// the use of the next seconds, but nothing that is to be given back.
+// the use of usableCover, but nothing that is to be given back.
 func (b *Book) promisable(a *account) int64 {
 	if a.paid == table.Unlimited || b.stopping || a.granted > a.paid {
 		return 0
