--- a/core/purse/keeper_test.go
+++ b/core/purse/keeper_test.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
+	"cranberryrail/core/codes"
 	"cranberryrail/core/logs"
 	"cranberryrail/core/purse"
 	"cranberryrail/core/table"
@@ -187,3 +188,33 @@
 	_, err = reserve(t, other, 1000)
 	assert.NilError(t, err)
 }
+
+// What an instance holds beyond the use that it sees is given back while most of the budget
+// is left, so that a loss of the machine strands little.
+func TestExcessIsGivenBack(t *testing.T) {
+	f := &fleet{log: &memlog.Server{}, paid: paid, now: time.Unix(1000, 0)}
+	m := f.start("i-0")
+	m.book.Wait = time.Second
+	assert.NilError(t, m.keeper.Visit(t.Context()))
+	g, err := reserve(t, m, paid/2)
+	assert.NilError(t, err)
+	m.book.Settle(g, 0)
+	for range 10 {
+		f.now = f.now.Add(6 * time.Second) // the use is forgotten
+		assert.NilError(t, m.keeper.Visit(t.Context()))
+	}
+	b := m.book.Balance("travel")
+	assert.Assert(t, b.Granted < paid/8, "%+v", b)
+	assert.Equal(t, b.Free, b.Granted)
+}
+
+// A request whose tokens could not be drawn in time comes back soon, since the log has them
+// for another instance.
+func TestSlowDrawComesBackSoon(t *testing.T) {
+	f := &fleet{log: &memlog.Server{}, paid: paid, now: time.Unix(1000, 0)}
+	m := f.start("i-0")
+	assert.NilError(t, m.keeper.Visit(t.Context()))
+	m.book.Wait = time.Millisecond
+	_, err := m.book.Reserve(t.Context(), "travel", paid/2)
+	assert.Equal(t, codes.From(err, codes.NotRun).RetryAfter, purse.RetryLog)
+}
