fix: what a successor takes over is part of its promise before the promise is seen

Cause: found by reading the change. The tokens of the earlier process were added to a promise after the book had it, so that a request at that moment read a map that was being written, which ends a Go process. The book now makes the whole promise under its lock, with the one that stands in the log beside it; two more calls of Bound are gone with it. TestTakeOverBesideRequests fails under the race detector without it.

Also, without a change of behaviour: since when a partition is lost, the wake-up of a writer and the choice of a partition stood twice in core/purse; outage, notify and partOf serve both.

--- a/core/purse/balance.go
+++ b/core/purse/balance.go
@@ -35,7 +35,7 @@
 	for _, name := range *all {
 		s := k.shards[k.shardOf(name)]
 		b := k.Book.Balance(name)
-		b.AgeMS, b.Reached = s.age().Milliseconds(), s.lost.Load() == 0
+		b.AgeMS, b.Reached = s.age().Milliseconds(), !s.outage.lasts()
 		balances = append(balances, b)
 	}
 	return balances
--- a/core/purse/keeper.go
+++ b/core/purse/keeper.go
@@ -126,7 +126,7 @@
 	}
 	k.Book.Wanted = k.want
 	k.Book.Outdated = k.outdated
-	k.Book.Reached = func(organisation string) bool { return k.shards[k.shardOf(organisation)].lost.Load() == 0 }
+	k.Book.Reached = func(organisation string) bool { return !k.shards[k.shardOf(organisation)].outage.lasts() }
 	k.Book.Default()
 }
 
@@ -134,11 +134,15 @@
 func (k *Keeper) want(organisation string, urgent bool) {
 	i := k.shardOf(organisation)
 	k.refill[i].Store(true)
-	if !urgent {
-		return
+	if urgent {
+		notify(k.urgent[i])
 	}
+}
+
+// notify wakes who waits for the channel, which has room for one; it never blocks.
+func notify(wake chan<- struct{}) {
 	select {
-	case k.urgent[i] <- struct{}{}:
+	case wake <- struct{}{}:
 	default:
 	}
 }
@@ -151,8 +155,11 @@
 }
 
 // shardOf returns the shard that has an organisation's budget.
-func (k *Keeper) shardOf(organisation string) int {
-	return int(xxhash.Sum64String(organisation) % uint64(k.Shards)) //nolint:gosec // less than the number of shards
+func (k *Keeper) shardOf(organisation string) int { return partOf(organisation, k.Shards) }
+
+// partOf returns the partition, of a number of them, that a key belongs to.
+func partOf(key string, parts int) int {
+	return int(xxhash.Sum64String(key) % uint64(parts)) //nolint:gosec // less than the number of partitions
 }
 
 // Pay takes the organisations of the configuration.
@@ -253,17 +260,11 @@
 
 // reached notes whether the platform's log answers for a shard.
 func (k *Keeper) reached(s *shard, err error) {
-	now := time.Now().UnixNano()
-	if err == nil {
-		if since := s.lost.Swap(0); since != 0 {
-			k.Back(s.part, time.Duration(now-since))
-		}
-		return
-	}
-	if s.lost.CompareAndSwap(0, now) {
+	lost := func(err error) {
 		k.Lost(s.part, err)
 		k.Book.Retry()
 	}
+	s.outage.note(err, lost, func(away time.Duration) { k.Back(s.part, away) })
 }
 
 // loaded tells the book once all shards were read.
--- a/core/purse/promise.go
+++ b/core/purse/promise.go
@@ -59,19 +59,23 @@
 	return max(0, min(a.free-usable, b.target(a)))
 }
 
-// Promise makes a promise that binds from now on. With empty set, it holds no tokens.
-func (b *Book) Promise(empty bool) *Promise {
+// Promise makes a promise that binds from now on, beside the one that the log holds. It has
+// what an earlier process promised and, unless probe is set, what this one holds.
+func (b *Book) Promise(kept *Promise, inherited map[string]int64, probe bool) *Promise {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := &Promise{Until: b.Uptime() + promiseTime, Tokens: map[string]int64{}}
-	if !empty && b.known {
+	if !probe && b.known {
 		for _, a := range b.accounts {
 			if tokens := b.promisable(a); tokens > a.quantum() && len(p.Tokens) < mostPromised {
 				p.Tokens[a.organisation] = tokens
 			}
 		}
 	}
-	b.promises = append(b.promises, p)
+	for organisation, tokens := range inherited {
+		p.Tokens[organisation] += tokens
+	}
+	b.promises = []*Promise{kept, p}
 	return p
 }
 
@@ -87,11 +91,11 @@
 	return true
 }
 
-// Bound tells which promises still bind: those that a record of the log may hold.
-func (b *Book) Bound(promises ...*Promise) {
+// Bound tells that no other promise binds than the one that the log holds.
+func (b *Book) Bound(kept *Promise) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.promises = promises
+	b.promises = []*Promise{kept}
 	b.serveAll()
 }
 
--- a/core/purse/promise_test.go
+++ b/core/purse/promise_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"cranberryrail/fake/memlog"
@@ -87,3 +88,27 @@
 	assert.NilError(t, next.keeper.Visit(t.Context()))
 	assert.Equal(t, next.book.Balance("travel").Free, next.book.Balance("travel").Granted)
 }
+
+// Requests may come while the successor takes over.
+func TestTakeOverBesideRequests(t *testing.T) {
+	f := &fleet{log: &memlog.Server{}, paid: paid, now: time.Unix(1000, 0)}
+	hold(t, f)
+	m := f.start("i-0")
+	var g errgroup.Group
+	g.Go(func() error {
+		for range 2000 {
+			m.book.Balance("travel")
+		}
+		return nil
+	})
+	f.log.SetFault(func(call string) memlog.Fault {
+		if call == "append" {
+			return memlog.Refuse // each try makes a new promise
+		}
+		return memlog.None
+	})
+	for range 200 {
+		assert.Assert(t, m.keeper.Visit(t.Context()) != nil)
+	}
+	assert.NilError(t, g.Wait())
+}
--- a/core/purse/promiser.go
+++ b/core/purse/promiser.go
@@ -6,11 +6,8 @@
 	"errors"
 	"fmt"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"cranberryrail/core/logs"
 	"cranberryrail/core/pause"
 )
@@ -34,9 +31,8 @@
 	keeper *Keeper
 	part   int
 	// wake tells that a request waits for promised tokens.
-	wake chan struct{}
-	// lost is when a call last began to fail, in Unix nanoseconds; 0 while the log answers.
-	lost atomic.Int64
+	wake   chan struct{}
+	outage outage
 
 	mu     sync.Mutex
 	loaded bool
@@ -54,17 +50,11 @@
 }
 
 func newPromiser(k *Keeper) *promiser {
-	part := int(xxhash.Sum64String(k.Instance) % uint64(max(k.PromiseParts, 1))) //nolint:gosec // less than the number of partitions
-	return &promiser{keeper: k, part: part, wake: make(chan struct{}, 1), kept: &Promise{}}
+	return &promiser{keeper: k, part: partOf(k.Instance, max(k.PromiseParts, 1)), wake: make(chan struct{}, 1), kept: &Promise{}}
 }
 
 // want wakes the writer; it never blocks.
-func (p *promiser) want() {
-	select {
-	case p.wake <- struct{}{}:
-	default:
-	}
-}
+func (p *promiser) want() { notify(p.wake) }
 
 // run keeps the promises until the context ends.
 func (p *promiser) run(ctx context.Context) error {
@@ -96,18 +86,7 @@
 }
 
 // reached notes whether the log takes promises.
-func (p *promiser) reached(err error) {
-	now := time.Now().UnixNano()
-	if err != nil {
-		if p.lost.CompareAndSwap(0, now) {
-			p.keeper.PromiseLost(err)
-		}
-		return
-	}
-	if since := p.lost.Swap(0); since != 0 {
-		p.keeper.PromiseBack(time.Duration(now - since))
-	}
-}
+func (p *promiser) reached(err error) { p.outage.note(err, p.keeper.PromiseLost, p.keeper.PromiseBack) }
 
 // renew writes the next promise.
 func (p *promiser) renew(ctx context.Context) error {
@@ -148,14 +127,9 @@
 		return nil
 	}
 	p.next, p.uncertain = nil, false
-	book.Bound(p.kept)
-	failing := p.lost.Load() != 0
-	next := book.Promise(failing)
-	for organisation, tokens := range p.inherited {
-		next.Tokens[organisation] += tokens
-	}
+	failing := p.outage.lasts()
+	next := book.Promise(p.kept, p.inherited, failing)
 	if len(next.Tokens) == 0 && len(p.kept.Tokens) == 0 && !failing {
-		book.Bound(p.kept)
 		return nil
 	}
 	value, err := json.Marshal(promiseRecord{
--- a/core/purse/shard.go
+++ b/core/purse/shard.go
@@ -49,8 +49,7 @@
 type shard struct {
 	keeper *Keeper
 	part   int
-	// lost is when a call last began to fail, in Unix nanoseconds; 0 while the log answers.
-	lost atomic.Int64
+	outage outage
 	// outdated tells that a request was refused by what was read before.
 	outdated atomic.Bool
 
