--- a/cmd/state.go
+++ b/cmd/state.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 
 	"cranberryrail/core/table"
 	"cranberryrail/io/router"
@@ -29,8 +31,8 @@
 		{"instance", s.Instance}, {"incarnation", s.Incarnation}, {"zone", s.Zone}, {"ready", s.Ready}, {"stopping", s.Stopping},
 		{"in flight", s.InFlight}, {"config version", s.ConfigVersion}, {"config age ms", s.ConfigAgeMS},
 	}
-	for topic, ms := range s.LostMS {
-		rows = append(rows, []any{"lost ms " + topic, ms})
+	for _, topic := range slices.Sorted(maps.Keys(s.LostMS)) {
+		rows = append(rows, []any{"lost ms " + topic, s.LostMS[topic]})
 	}
 	if err := a.printTable([]string{"what", "is"}, rows); err != nil {
 		return err
