refactor: only budgets whose records were taken are decided on again; one wait for idle

Each read of a partition went over all accounts, also when nothing had been written. The two waits for requests in flight at a stop are one function with the same bounds.

--- a/core/purse/book.go
+++ b/core/purse/book.go
@@ -386,7 +386,7 @@
 }
 
 // Granted takes what all instances together were handed, as the log has it. The
-// reservations that wait are decided on by Retry, once it is known what was drawn for them.
+// reservations that wait are decided on by Decide, once it is known what was drawn for them.
 func (b *Book) Granted(organisation string, granted int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -407,7 +407,16 @@
 	b.serveAll()
 }
 
-// Retry decides again on the reservations that wait.
+// Decide decides again on the reservations that wait for tokens of an organisation.
+func (b *Book) Decide(organisation string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if a := b.accounts[organisation]; a != nil {
+		b.serve(a)
+	}
+}
+
+// Retry decides again on all reservations that wait.
 func (b *Book) Retry() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/core/purse/shard.go
+++ b/core/purse/shard.go
@@ -90,7 +90,7 @@
 		s.loaded = s.keeper.Book.Now()
 	}
 	s.end, s.known = end, true
-	s.keeper.Book.Retry()
+	s.decide(records)
 	return nil
 }
 
@@ -116,7 +116,14 @@
 		s.end = r.Offset + 1
 		s.resolve(r.Offset, written)
 	}
-	s.keeper.Book.Retry()
+	s.decide(records)
+}
+
+// decide decides again on the reservations that wait for budgets whose records were taken.
+func (s *shard) decide(records []logs.Record) {
+	for _, r := range records {
+		s.keeper.Book.Decide(r.Key)
+	}
 }
 
 // errNegative tells that a record grants less than nothing.
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -326,14 +326,10 @@
 	last := time.Now().Add(s.GraceS.Duration() - s.NoticeS.Duration() - exitTime - returnTime)
 	r.entry.Stop(last)
 	r.returnEarly(ctx, last)
-	for r.entry.InFlight() > 0 && time.Now().Before(last) {
-		pause.For(ctx, drainPoll)
-	}
+	r.awaitIdle(ctx, last)
 	err := r.keeper.Return(ctx)
 	r.entry.Stop(time.Now())
-	for r.entry.InFlight() > 0 && ctx.Err() == nil {
-		pause.For(ctx, drainPoll)
-	}
+	r.awaitIdle(ctx, last.Add(returnTime))
 	cut := r.entry.InFlight()
 	if err != nil {
 		events.Log(r.Log, events.StopGaveUp).Int64("in_flight", cut).Err(err).Send()
@@ -347,6 +343,13 @@
 	return nil
 }
 
+// awaitIdle waits until no request is in flight, up to a time or the end of the context.
+func (r *Router) awaitIdle(ctx context.Context, until time.Time) {
+	for r.entry.InFlight() > 0 && ctx.Err() == nil && time.Now().Before(until) {
+		pause.For(ctx, drainPoll)
+	}
+}
+
 // returnEarly gives back what requests in flight do not need, so that it is not lost with a
 // machine that is taken away before its time, and there is time to try again.
 func (r *Router) returnEarly(ctx context.Context, last time.Time) {
