feat: leaving and pauses that targets announce in their responses

A target that leaves adds Server-Leaving: 1 to all its responses, and one that rejects a request with 503 may add Retry-After, for which time it wants nothing from this instance. Both headers were ignored.

Change: a target is leaving from the first such response on, until it restarts, whatever its entry states; the response is forwarded whole. A paused target is not chosen; if that holds for all targets of a service, requests are refused at once with the time that remains. Malformed headers are ignored and logged once for each start of a target (event 5015), pauses as event 5014.

--- a/core/events/table.go
+++ b/core/events/table.go
@@ -57,6 +57,8 @@
 	TargetJoined      = Event{5011, "target_joined", Info, "A target is listed and accepts requests."}
 	TargetRemoved     = Event{5012, "target_removed", Info, "A target is no longer listed and receives no requests."}
 	TargetInvalid     = Event{5013, "target_invalid", Warn, "The entry of a target could not be decoded and is handled as a removal of the target."}
+	TargetPaused      = Event{5014, "target_paused", Info, "A target rejected a request and asked for a pause; it receives no requests from this instance until the pause ends."}
+	HeaderIgnored     = Event{5015, "header_ignored", Warn, "A malformed header in a target's response was ignored. It is logged once for each start of a target."}
 	ConfApplied       = Event{6001, "configuration_applied", Info, "A configuration change is in force at this instance."}
 	ConfRefused       = Event{6002, "configuration_refused", Info, "A configuration change was refused."}
 	OperatorRefused   = Event{6004, "operator_refused", Warn, "A request with a missing or wrong operator key was refused."}
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -84,6 +84,12 @@
 	IsEventStream bool
 	// Load is the load that the target reports; nil if it reports none.
 	Load *roster.Load
+	// Leaving is set if the target announces that it is leaving.
+	Leaving bool
+	// Pause is how long the target wants no requests from this instance; 0 if it does not request a pause.
+	Pause time.Duration
+	// Ignored describes malformed headers, which were ignored; nil if there are none.
+	Ignored error
 	// Header holds the headers to forward to the caller.
 	Header http.Header
 }
--- a/core/roster/list.go
+++ b/core/roster/list.go
@@ -125,6 +125,21 @@
 	return l.remove(id)
 }
 
+// MarkLeaving records that an incarnation of a target announced itself, rather than in its entry, that it is
+// leaving, and reports whether the targets changed. A later entry of the same incarnation does not revert it.
+func (l *TargetList) MarkLeaving(id, incarnation string) bool {
+	known := l.entries[id]
+	if known == nil || known.leaving || known.incarnation() != incarnation {
+		return false
+	}
+	known.leaving = true
+	l.OnChange(id, Drained, nil)
+	return known.present
+}
+
+// incarnation identifies the start of the target.
+func (r *record) incarnation() string { return r.ID + "@" + strconv.FormatInt(r.StartedAtMS, 10) }
+
 // Remove handles the removal of an entry and reports whether the targets changed. Around an outage
 // of the platform, it keeps the target until Expire.
 func (l *TargetList) Remove(id string) bool {
@@ -188,7 +203,7 @@
 			continue
 		}
 		t := known.Target
-		t.Incarnation = id + "@" + strconv.FormatInt(known.StartedAtMS, 10)
+		t.Incarnation = known.incarnation()
 		t.State = Live
 		if known.leaving {
 			t.State = Leaving
--- a/core/roster/list_test.go
+++ b/core/roster/list_test.go
@@ -43,6 +43,23 @@
 	assert.Assert(t, slices.Equal(liveIDs(l), ids), "live targets are %v, want %v", liveIDs(l), ids)
 }
 
+// A target that announced in a response that it is leaving stays so, whatever its entry states, until it restarts.
+func TestListKeepsAnnouncedLeaving(t *testing.T) {
+	l, _ := newList()
+	l.Put(entryOf("a", 1, 1, roster.Live))
+	assert.Assert(t, !l.MarkLeaving("a", "a@7"), "another start of the target")
+	assertLive(t, l, "a")
+	assert.Assert(t, l.MarkLeaving("a", "a@1"))
+	assert.Assert(t, !l.MarkLeaving("a", "a@1"))
+	assertLive(t, l)
+	l.Put(entryOf("a", 1, 9, roster.Live))
+	l.Remove("a")
+	l.Put(entryOf("a", 1, 10, roster.Live))
+	assertLive(t, l)
+	l.Put(entryOf("a", 2, 1, roster.Live))
+	assertLive(t, l, "a")
+}
+
 func TestListKeepsLeavingUntilRestart(t *testing.T) {
 	l, _ := newList()
 	assert.Assert(t, l.Put(entryOf("a", 1, 1, roster.Live)))
--- a/core/route/actor.go
+++ b/core/route/actor.go
@@ -38,6 +38,11 @@
 		Targets   []roster.Target
 		Instances int
 	}
+	// PauseMsg excludes an incarnation of a target from the choice for a time.
+	PauseMsg struct {
+		ID, Incarnation string
+		Pause           time.Duration
+	}
 	// LeavingMsg marks incarnations as leaving.
 	LeavingMsg struct{ Incarnations []string }
 	// LeavingQuery requests the incarnations that are marked as leaving. The actor responds with *LeavingReply.
@@ -102,6 +107,8 @@
 		if m.Instances > 0 {
 			a.Balancer.Instances = m.Instances
 		}
+	case *PauseMsg:
+		a.Balancer.Pause(m.ID, m.Incarnation, m.Pause)
 	case *LeavingMsg:
 		for _, incarnation := range m.Incarnations {
 			a.Balancer.MarkLeaving(incarnation)
@@ -175,6 +182,11 @@
 	c.Root.Send(c.PID, &SetTargetsMsg{Targets: list, Instances: instances})
 }
 
+// Pause excludes an incarnation of a target from the choice for a time, at the target's own request.
+func (c *Client) Pause(id, incarnation string, pause time.Duration) {
+	c.Root.Send(c.PID, &PauseMsg{ID: id, Incarnation: incarnation, Pause: pause})
+}
+
 // MarkLeaving marks incarnations as leaving.
 func (c *Client) MarkLeaving(incarnations ...string) {
 	c.Root.Send(c.PID, &LeavingMsg{Incarnations: incarnations})
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -40,7 +40,12 @@
 		return Choice{}, codes.Refuse(codes.NoTarget, NoTargetRetryAfter,
 			"no live target for model %q version %q service %q; check the configuration and the list of targets", r.Model, r.Version, r.Service)
 	}
-	usable := usable(untried(serving, r.Avoid), now)
+	unpaused := filter(serving, func(c *target) bool { return !now.Before(c.pausedUntil) })
+	if len(unpaused) == 0 {
+		return Choice{}, codes.Refuse(codes.Overloaded, b.pauseRetryAfter(serving, now),
+			"all %d targets have asked for a pause; retry later, or add targets", len(serving))
+	}
+	usable := usable(untried(unpaused, r.Avoid), now)
 	admissible := filter(usable, func(c *target) bool {
 		return b.estimate(c, now) < b.admissionLimit(c, r.Priority) && !c.load.full(now) && (b.MaxInFlightPerTarget == 0 || c.load.inFlight < b.MaxInFlightPerTarget)
 	})
@@ -157,6 +162,19 @@
 	return min(max(shortest+jitter, MinOverloadRetryAfter), MaxOverloadRetryAfter)
 }
 
+// pauseRetryAfter returns the time until the first pause of the targets ends, with jitter that spreads the
+// retries behind it.
+func (b *Balancer) pauseRetryAfter(paused []*target, now time.Time) time.Duration {
+	first := paused[0].pausedUntil
+	for _, c := range paused {
+		if c.pausedUntil.Before(first) {
+			first = c.pausedUntil
+		}
+	}
+	rest := first.Sub(now)
+	return max(rest+time.Duration(maxRetryJitter*b.rand.Float64()*float64(rest)), MinOverloadRetryAfter)
+}
+
 // drawShare picks one of the shares that match a candidate at random by weight and returns its candidates.
 func (b *Balancer) drawShare(r Request, candidates []*target) []*target {
 	if len(r.Shares) == 0 {
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -139,6 +139,8 @@
 	seenIncarnations []string
 	load             load
 	health           health
+	// pausedUntil is until when the target wants no requests from this instance.
+	pausedUntil time.Time
 }
 
 type dispatch struct {
@@ -245,6 +247,18 @@
 	}
 }
 
+// Pause excludes an incarnation of a target from the choice for a time, at the target's own request. A
+// shorter pause does not end an earlier one.
+func (b *Balancer) Pause(id, incarnation string, pause time.Duration) {
+	entry := b.targetByID(id)
+	if entry == nil || entry.Incarnation != incarnation {
+		return
+	}
+	if until := b.Now().Add(pause); until.After(entry.pausedUntil) {
+		entry.pausedUntil = until
+	}
+}
+
 // LeavingIncarnations returns the incarnations that are marked as leaving in ascending order, to be sent to peers.
 func (b *Balancer) LeavingIncarnations() []string {
 	return slices.Sorted(slices.Values(b.leaving.Keys()))
@@ -282,6 +296,7 @@
 	entry.Incarnation = incarnation
 	entry.load = load{}
 	entry.health = health{}
+	entry.pausedUntil = time.Time{}
 }
 
 func (b *Balancer) targetByID(id string) *target {
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -119,6 +119,34 @@
 	})
 }
 
+func TestPause(t *testing.T) {
+	t.Run("excludes the target until it ends", func(t *testing.T) {
+		f := newFixture(2)
+		f.Pause("e0", "e0/first", time.Second)
+		f.Pause("e0", "e0/first", time.Millisecond)
+		assertFirstTargetUsed(t, f, false)
+		f.now = f.now.Add(time.Second)
+		assertFirstTargetUsed(t, f, true)
+	})
+	t.Run("of all targets refuses requests until the first one ends", func(t *testing.T) {
+		f := newFixture(2)
+		f.Pause("e0", "e0/first", 3*time.Second)
+		f.Pause("e1", "e1/first", 2*time.Second)
+		_, err := f.Pick(route.Request{Model: modelName})
+		assertRefused(t, err, codes.Overloaded)
+		after := codes.From(err, codes.NotRun).RetryAfter
+		assert.Assert(t, after >= 2*time.Second && after <= 3*time.Second, "%v", after)
+	})
+	t.Run("does not apply to another incarnation", func(t *testing.T) {
+		f := newFixture(2)
+		f.Pause("e0", "e0/other", time.Second)
+		assertFirstTargetUsed(t, f, true)
+		f.Pause("e0", "e0/first", time.Hour)
+		f.SetTargets([]roster.Target{engine("e0", "second"), f.list[1]})
+		assertFirstTargetUsed(t, f, true)
+	})
+}
+
 func TestCandidates(t *testing.T) {
 	f := newFixture(2)
 	f.list[1].Models[0].Version = "2"
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -16,6 +16,7 @@
 
 	"github.com/asynkron/protoactor-go/actor"
 	"github.com/google/uuid"
+	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
@@ -107,6 +108,8 @@
 	// logRefusedAt is when a request was last refused because the platform's log was unreachable,
 	// in Unix nanoseconds.
 	logRefusedAt atomic.Int64
+	// headersIgnored holds the incarnations of targets with a malformed header that was logged.
+	headersIgnored *lru.Cache[string, struct{}]
 	// loggedReady is the readiness that was logged last.
 	loggedReady atomic.Bool
 	// loggedDropped is the number of dropped lines that was logged last.
@@ -133,6 +136,7 @@
 	r.conns.Default()
 	r.list = &roster.TargetList{OnChange: r.targetChanged}
 	r.list.Default()
+	r.headersIgnored, _ = lru.New[string, struct{}](route.MaxLeavingIncarnations) // fails only for a size below 1
 	r.initBudgets()
 	r.table.OnApplied = r.configApplied
 	r.relay = &relay.Server{
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -9,6 +9,7 @@
 	"cranberryrail/core/codes"
 	"cranberryrail/core/events"
 	"cranberryrail/core/relay"
+	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
 	"cranberryrail/io/conns"
 	"cranberryrail/io/meter"
@@ -35,13 +36,32 @@
 			return n, err
 		},
 	}
-	if response.Load != nil {
-		response.Load.Incarnation = d.Target.Incarnation
-		r.routeClient.Report(d.Target.ID, *response.Load)
-	}
+	r.applyResponseHead(d.Target, response.ResponseHead)
 	return response, nil
 }
 
+// applyResponseHead applies what a target says of itself in the head of a response, before the response is
+// forwarded.
+func (r *Router) applyResponseHead(t roster.Target, head relay.ResponseHead) {
+	if head.Load != nil {
+		head.Load.Incarnation = t.Incarnation
+		r.routeClient.Report(t.ID, *head.Load)
+	}
+	if head.Leaving {
+		r.routeClient.MarkLeaving(t.Incarnation) // takes effect even if the target is not listed at present
+		r.updateTargets(func(l *roster.TargetList) bool { return l.MarkLeaving(t.ID, t.Incarnation) })
+	}
+	if head.Pause > 0 {
+		r.routeClient.Pause(t.ID, t.Incarnation, head.Pause)
+		events.Log(r.Log, events.TargetPaused).Str("target", t.ID).Dur("pause", head.Pause).Send()
+	}
+	if head.Ignored != nil {
+		if _, logged := r.headersIgnored.ContainsOrAdd(t.Incarnation, struct{}{}); !logged {
+			events.Log(r.Log, events.HeaderIgnored).Str("target", t.ID).Err(head.Ignored).Send()
+		}
+	}
+}
+
 // attemptError converts the error of an exchange to a *relay.AttemptError.
 func attemptError(err error) *relay.AttemptError {
 	f := &relay.AttemptError{Kind: relay.Broken, Sent: true, Err: err}
