feat: budgets of large fleets are drawn by holders and lent to the others

An instance sees a request of an organisation every few seconds, so that its own use says little, and what it holds is about one request, so that an outage of the paths to the store refuses most of them.

Weighed on paper: claims without a condition that are judged by their order need a key for each writer and organisation, 11,800 keys, and each draw reads what 295 others wrote, about 30 KB.

Change: eight instances a budget, chosen by rendezvous hashing over the registered ones, draw ahead of use; the others borrow over io/peer, which holders do too when the log is away or all is granted. Fleets of up to eight keep their way. A 429 is an outage only after a second of nothing else. Nothing is promised of a holding of two requests. Partitions without a held budget are read less often, and the list of targets the less often the more time a leaving target has (target.leave_ms).

--- a/core/budget/book.go
+++ b/core/budget/book.go
@@ -59,7 +59,11 @@
 	// unreserved is the part of this instance's holding that is not reserved, and reserved the part that
 	// its requests in flight may spend.
 	unreserved, reserved int64
-	usage                rateMeter
+	// usage measures the tokens that this instance reserves or lends. requestSize is the moving average of the
+	// tokens of one reservation.
+	usage       rateMeter
+	requestSize float64
+	borrowing   borrowState
 	// waiters are the reservations that wait for tokens, in order of arrival.
 	waiters []*waiter
 	// availablePeak is the recent maximum of the tokens that one request could have reserved.
@@ -90,6 +94,13 @@
 	// OnStaleRefusal is called when a request is refused on the basis of state read from the log
 	// earlier. It must not block.
 	OnStaleRefusal func(organisation string)
+	// OnShortage is called when a request waits for tokens that the log can't provide soon. It returns
+	// false if other instances can't be asked now; otherwise EndBorrowing must be called afterwards. It must
+	// not block. Optional.
+	OnShortage func(organisation string) bool
+	// IsHolder reports whether this instance is a holder of an organisation's budget: it draws tokens from the log
+	// ahead of their use and lends them to the other instances. Optional; without it every instance is a holder.
+	IsHolder func(organisation string) bool
 	// OnPromiseBlocking is called when a request waits for promised tokens. It must not block.
 	OnPromiseBlocking func()
 	// LogReachable reports whether the log partition of an organisation's budget is reachable. It
@@ -130,6 +141,12 @@
 	if b.OnStaleRefusal == nil {
 		b.OnStaleRefusal = func(string) {}
 	}
+	if b.OnShortage == nil {
+		b.OnShortage = func(string) bool { return false }
+	}
+	if b.IsHolder == nil {
+		b.IsHolder = func(string) bool { return true }
+	}
 	if b.OnPromiseBlocking == nil {
 		b.OnPromiseBlocking = func() {}
 	}
@@ -170,8 +187,14 @@
 
 // Reserve reserves the maximum number of tokens that a request may use. The error is a *codes.Error.
 func (b *Book) Reserve(ctx context.Context, organisation string, tokens int64) (Reservation, error) {
-	r := Reservation{Organisation: organisation, Tokens: tokens}
-	w, err := b.reserve(organisation, tokens)
+	return b.await(ctx, Reservation{Organisation: organisation, Tokens: tokens}, true)
+}
+
+// await makes a reservation and waits for its tokens if the instance's holding does not cover it. It asks other instances
+// for tokens only if borrow is set.
+func (b *Book) await(ctx context.Context, r Reservation, borrow bool) (Reservation, error) {
+	organisation := r.Organisation
+	w, err := b.reserve(organisation, r.Tokens, borrow)
 	if err != nil {
 		return Reservation{}, err
 	}
@@ -180,10 +203,20 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, b.MaxWait)
 	defer cancel()
-	select {
-	case <-w.done:
-	case <-ctx.Done():
-		b.cancelWait(organisation, w)
+	slow := time.NewTimer(borrowDelay)
+	defer slow.Stop()
+	for waiting := true; waiting; {
+		select {
+		case <-w.done:
+			waiting = false
+		case <-slow.C:
+			if borrow {
+				b.borrowIfMissing(organisation)
+			}
+		case <-ctx.Done():
+			b.cancelWait(organisation, w)
+			waiting = false
+		}
 	}
 	if w.err != nil {
 		return Reservation{}, w.err
@@ -202,32 +235,48 @@
 	return r
 }
 
-// reserve reserves tokens, refuses, or queues the reservation and returns its waiter.
-func (b *Book) reserve(organisation string, tokens int64) (*waiter, error) {
+// reserve reserves tokens, refuses, or queues the reservation and returns its waiter. It asks other instances for tokens
+// only if borrow is set.
+func (b *Book) reserve(organisation string, tokens int64, borrow bool) (*waiter, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(organisation)
 	if a.paid == table.Unlimited {
 		return nil, nil
 	}
-	a.usage.add(tokens, b.Now())
+	a.recordRequest(tokens, b.Now())
 	if len(a.waiters) == 0 && b.tryReserve(a, tokens) {
 		b.notifyIfDue(organisation, a)
 		return nil, nil
 	}
-	if refused := b.refusal(a, tokens); refused != nil {
+	refused := b.refusal(a, tokens)
+	borrowing := borrow && (refused != nil || !b.IsHolder(organisation)) && b.tryBorrowing(a, a.demand()+tokens-b.spendable(a))
+	if refused != nil && !borrowing {
 		return nil, refused
 	}
 	w := &waiter{tokens: tokens, done: make(chan struct{})}
 	a.waiters = append(a.waiters, w)
-	if a.demand() <= a.unreserved {
+	switch {
+	case a.demand() <= a.unreserved:
 		b.OnPromiseBlocking()
-	} else {
+	case !borrowing:
 		b.OnAdjustmentDue(organisation, true)
 	}
 	return w, nil
 }
 
+// recordRequest adds a request to the measured usage.
+func (a *account) recordRequest(tokens int64, now time.Time) {
+	a.usage.add(tokens, now)
+	if a.requestSize == 0 {
+		a.requestSize = float64(tokens)
+	}
+	a.requestSize += (float64(tokens) - a.requestSize) / requestSizeDivisor
+}
+
+// requestSizeDivisor is the reciprocal of the weight of one request in the moving average of their size.
+const requestSizeDivisor = 16
+
 // tryReserve reserves tokens from the instance's holding and reports whether it covers them.
 func (b *Book) tryReserve(a *account, tokens int64) bool {
 	if a.granted > a.paid || b.spendable(a) < tokens {
@@ -254,7 +303,7 @@
 		w := a.waiters[0]
 		if !b.tryReserve(a, w.tokens) {
 			refused := b.refusal(a, w.tokens)
-			if refused == nil {
+			if refused == nil || a.borrowing.active {
 				return
 			}
 			w.err = refused
@@ -275,7 +324,11 @@
 		return
 	}
 	a.waiters = slices.Delete(a.waiters, i, i+1)
-	w.err = codes.Refuse(codes.BudgetElsewhere, RetryAfterLogUnavailable, "%d tokens are left but could not be drawn from the log in time", a.ungranted())
+	if refused := b.refusal(a, w.tokens); refused != nil {
+		w.err = refused
+	} else {
+		w.err = codes.Refuse(codes.BudgetElsewhere, RetryAfterLogUnavailable, "%d tokens are left but could not be drawn from the log in time", a.ungranted())
+	}
 	b.serveWaiters(a)
 }
 
@@ -365,6 +418,18 @@
 	return adjustment
 }
 
+// Waiting reports whether reservations of one of the organisations wait for tokens.
+func (b *Book) Waiting(organisations []string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, organisation := range organisations {
+		if a := b.accounts[organisation]; a != nil && len(a.waiters) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // AdjustmentDue reports whether the holding of an organisation should change.
 func (b *Book) AdjustmentDue(organisation string) bool {
 	b.mu.Lock()
--- /dev/null
+++ b/core/budget/borrow_test.go
@@ -0,0 +1,194 @@
+package budget_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"cranberryrail/core/budget"
+	"cranberryrail/core/logs"
+	"cranberryrail/core/table"
+	"cranberryrail/fake/memlog"
+)
+
+// lendingFleet is a fleet of running instances that lend tokens to each other.
+type lendingFleet struct {
+	log     *memlog.Server
+	members map[string]*member
+
+	mu sync.Mutex
+	// unreached holds the instances that do not reply, and asked counts the calls to each instance.
+	unreached map[string]bool
+	asked     map[string]int
+}
+
+// runLendingFleet runs instances in virtual time and calls play once they have counted each other.
+func runLendingFleet(t *testing.T, instances int, play func(f *lendingFleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &lendingFleet{log: &memlog.Server{}, members: map[string]*member{}, unreached: map[string]bool{}, asked: map[string]int{}}
+		ctx, cancel := context.WithCancel(t.Context())
+		var g errgroup.Group
+		for i := range instances {
+			id := fmt.Sprintf("i-%d", i)
+			m := &member{book: &budget.Book{}}
+			m.syncer = &budget.Syncer{
+				Log: f.log.Log(), Topic: "keyed.budgets", Instance: id, Incarnation: id + "#1", PeerAddr: id, Book: m.book,
+			}
+			m.syncer.Default()
+			m.syncer.SetOrganisations([]table.Organisation{{Name: "travel", Prepaid: paid}})
+			lender := &budget.Borrower{Book: m.book, Lenders: m.syncer.Lenders, Ask: f.ask}
+			lender.Default()
+			f.members[id] = m
+			g.Go(func() error { return m.syncer.Run(ctx) })
+			g.Go(func() error { return lender.Run(ctx) })
+		}
+		time.Sleep(10 * time.Second)
+		play(f)
+		cancel()
+		assert.NilError(t, g.Wait())
+	})
+}
+
+var errSilent = errors.New("no reply")
+
+func (f *lendingFleet) ask(ctx context.Context, addr, organisation string, tokens, least int64) (int64, error) {
+	f.mu.Lock()
+	f.asked[addr]++
+	unreached := f.unreached[addr]
+	f.mu.Unlock()
+	time.Sleep(time.Millisecond)
+	if unreached {
+		time.Sleep(250 * time.Millisecond)
+		return 0, errSilent
+	}
+	return f.members[addr].book.Lend(ctx, organisation, tokens, least), nil
+}
+
+// partFromLog makes the log unreachable for all instances.
+func (f *lendingFleet) partFromLog() {
+	f.log.SetFault(func(string) memlog.Fault { return memlog.LoseRequest })
+	time.Sleep(20 * time.Second) // until each instance has noticed
+}
+
+// borrowerAndHolders returns an instance that is not a holder of the budget, and the holders.
+func (f *lendingFleet) borrowerAndHolders(t *testing.T) (*member, []string) {
+	t.Helper()
+	for id, m := range f.members {
+		holders, _ := m.syncer.Lenders("travel")
+		if len(holders) == budget.MaxHolders && !slices.Contains(holders, id) {
+			return m, holders
+		}
+	}
+	t.Fatal("each instance is a holder")
+	return nil, nil
+}
+
+func reserveSoon(m *member, tokens int64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 75*time.Millisecond)
+	defer cancel()
+	_, err := m.book.Reserve(ctx, "travel", tokens)
+	return err
+}
+
+// TestBorrowing checks that an instance that is not a holder of a budget gets tokens from the holders, whether or not
+// the log is reachable, and from the other instances if some of the holders do not reply.
+func TestBorrowing(t *testing.T) {
+	const instances, tokens = 20, paid / 1000
+	t.Run("from the first holder while the log is reachable", func(t *testing.T) {
+		runLendingFleet(t, instances, func(f *lendingFleet) {
+			m, holders := f.borrowerAndHolders(t)
+			assert.NilError(t, reserveSoon(m, tokens))
+			assert.DeepEqual(t, f.asked, map[string]int{holders[0]: 1})
+		})
+	})
+	t.Run("while the log is unreachable", func(t *testing.T) {
+		runLendingFleet(t, instances, func(f *lendingFleet) {
+			m, _ := f.borrowerAndHolders(t)
+			f.partFromLog()
+			for range 10 {
+				assert.NilError(t, reserveSoon(m, tokens))
+			}
+		})
+	})
+	t.Run("while half of the holders do not reply", func(t *testing.T) {
+		runLendingFleet(t, instances, func(f *lendingFleet) {
+			m, holders := f.borrowerAndHolders(t)
+			f.partFromLog()
+			for _, id := range holders[:budget.MaxHolders/2] {
+				f.unreached[id] = true
+			}
+			assert.NilError(t, reserveSoon(m, tokens))
+		})
+	})
+	t.Run("a request that nobody can cover is refused in time", func(t *testing.T) {
+		runLendingFleet(t, instances, func(f *lendingFleet) {
+			m, _ := f.borrowerAndHolders(t)
+			f.partFromLog()
+			started := time.Now()
+			err := reserveSoon(m, paid/2)
+			assert.ErrorContains(t, err, "log_unavailable")
+			assert.Assert(t, time.Since(started) <= 75*time.Millisecond, "%v", time.Since(started))
+		})
+	})
+}
+
+// TestHoldersAgree checks that all instances agree on the holders of a budget, and that all instances of a small fleet
+// are holders.
+func TestHoldersAgree(t *testing.T) {
+	for _, instances := range []int{3, budget.MaxHolders, 30} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			runLendingFleet(t, instances, func(f *lendingFleet) {
+				holders := 0
+				for _, m := range f.members {
+					if m.book.IsHolder("travel") {
+						holders++
+					}
+				}
+				assert.Equal(t, holders, min(instances, budget.MaxHolders))
+			})
+		})
+	}
+}
+
+// TestBusyLogIsNoOutage checks that calls that the log refuses as too many are delayed, and that requests are not
+// refused because of an outage meanwhile, unless all calls are refused for longer.
+func TestBusyLogIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &memlog.Server{}
+		outages := 0
+		syncer := &budget.Syncer{
+			Log: log.Log(), Topic: "keyed.budgets", Instance: "i", Incarnation: "i#1", Book: &budget.Book{},
+			OnOutage: func(int, error) { outages++ },
+		}
+		busyUntil := time.Now()
+		read := syncer.Log.Read
+		syncer.Log.Read = func(ctx context.Context, topic string, part int, from int64, wait time.Duration) ([]logs.Record, int64, error) {
+			if time.Now().Before(busyUntil) {
+				return nil, 0, &logs.RefusedError{Status: 429, Reason: "too many calls"}
+			}
+			return read(ctx, topic, part, from, wait)
+		}
+		syncer.Default()
+		syncer.SetOrganisations([]table.Organisation{{Name: "travel", Prepaid: paid}})
+		assert.NilError(t, syncer.Sync(t.Context()))
+		for busy, want := range map[time.Duration]int{500 * time.Millisecond: 0, 5 * time.Second: 1} {
+			time.Sleep(time.Minute)
+			outages, busyUntil = 0, time.Now().Add(busy)
+			for time.Now().Before(busyUntil) {
+				assert.Assert(t, syncer.Sync(t.Context()) != nil)
+				time.Sleep(100 * time.Millisecond)
+			}
+			assert.NilError(t, syncer.Sync(t.Context()))
+			assert.Equal(t, outages, want, "busy for %v", busy)
+		}
+	})
+}
--- a/core/budget/partition.go
+++ b/core/budget/partition.go
@@ -27,6 +27,8 @@
 	// By is the incarnation id of the writer, and Sequence the number of its batch.
 	By       string `json:"by"`
 	Sequence int64  `json:"sequence"`
+	// Peer is the address at which an instance lends tokens; only in records that register instances.
+	Peer string `json:"peer,omitempty"`
 }
 
 // adjustment is a draw, or a return if tokens is negative.
@@ -53,6 +55,8 @@
 	outage outage
 	// stale is set when a request was refused on the basis of state read earlier.
 	stale atomic.Bool
+	// wake triggers a sync immediately, and due one after the batch interval. retry ends the delay after a failed call.
+	wake, due, retry chan struct{}
 
 	mu     sync.Mutex
 	loaded bool
@@ -61,11 +65,24 @@
 	end      int64
 	readAt   time.Time
 	granted  map[string]int64
-	// instances holds the ids of all instances ever registered.
-	instances map[string]bool
+	// instances maps the ids of all instances ever registered to their addresses for loans, and joinedAt is when
+	// the last one was seen to register.
+	instances map[string]string
+	joinedAt  time.Time
 	pending   *batch
 	// sequence numbers the batches of this instance.
 	sequence int64
+	// conflicts is the number of appends in a row that lost against another instance while no request
+	// waited, and backgroundAt the time before which no such append is attempted.
+	conflicts    int
+	backgroundAt time.Time
+}
+
+func newPartition(sy *Syncer, index int) *partition {
+	return &partition{
+		syncer: sy, index: index, wake: make(chan struct{}, 1), due: make(chan struct{}, 1), retry: make(chan struct{}, 1),
+		granted: map[string]int64{}, instances: map[string]string{},
+	}
 }
 
 // applySnapshot rebuilds the state from the newest records. A pending batch that may be among the
@@ -146,7 +163,9 @@
 		return grantRecord{}, err
 	}
 	if name, ok := strings.CutPrefix(r.Key, instancePrefix); ok {
-		p.instances[name] = true
+		if address, known := p.instances[name]; !known || address != e.Peer {
+			p.instances[name], p.joinedAt = e.Peer, p.syncer.Book.Now()
+		}
 		return e, nil
 	}
 	p.granted[r.Key] = e.Granted
@@ -189,7 +208,6 @@
 	if !p.loaded {
 		return nil
 	}
-	p.syncer.updateInstanceCount(p)
 	b := &batch{offset: p.end, sequence: p.sequence + 1}
 	for _, name := range organisations {
 		tokens := p.syncer.Book.BeginAdjustment(name)
@@ -197,10 +215,7 @@
 			continue
 		}
 		b.adjustments = append(b.adjustments, adjustment{name, tokens})
-		b.records = append(b.records, p.newRecord(b, name, p.granted[name]+tokens))
-	}
-	if p.index == 0 && !p.instances[p.syncer.Instance] {
-		b.records = append(b.records, p.newRecord(b, instancePrefix+p.syncer.Instance, 0))
+		b.records = append(b.records, p.newRecord(b, name, grantRecord{Granted: p.granted[name] + tokens}))
 	}
 	if len(b.records) == 0 {
 		return nil
@@ -211,8 +226,9 @@
 }
 
 // newRecord returns the next record of a batch.
-func (p *partition) newRecord(b *batch, key string, granted int64) logs.Record {
-	value, err := json.Marshal(grantRecord{Granted: granted, By: p.syncer.Incarnation, Sequence: b.sequence})
+func (p *partition) newRecord(b *batch, key string, e grantRecord) logs.Record {
+	e.By, e.Sequence = p.syncer.Incarnation, b.sequence
+	value, err := json.Marshal(e)
 	if err != nil {
 		panic(fmt.Sprintf("encode budget record: %v", err)) // the type can always be encoded
 	}
@@ -233,8 +249,8 @@
 }
 
 // maxFreshAge is the maximum age of the state at which a batch is appended without reading first:
-// about the duration of one call.
-const maxFreshAge = 30 * time.Millisecond
+// less than the usual time between the appends of two instances of a large fleet.
+const maxFreshAge = 5 * time.Millisecond
 
 // syncHoldings reads the partition and adjusts the holdings of this instance as the book requests.
 func (p *partition) syncHoldings(ctx context.Context, organisations []string) error {
@@ -244,6 +260,9 @@
 	if err := p.refresh(ctx); err != nil {
 		return err
 	}
+	if err := p.register(ctx); err != nil {
+		return err
+	}
 	for conflicts := 1; ; conflicts++ {
 		b := p.prepare(organisations)
 		if b == nil || ctx.Err() != nil {
@@ -251,8 +270,13 @@
 		}
 		retry, err := p.append(ctx, b)
 		if err != nil || !retry {
+			p.recordConflict(false)
 			return err
 		}
+		if conflicts >= maxBackgroundAttempts && !p.syncer.Book.Waiting(organisations) {
+			p.recordConflict(true)
+			return nil
+		}
 		pause.For(ctx, rand.N(min(time.Duration(conflicts)*conflictBackoff, maxConflictBackoff)))
 		if err := p.refresh(ctx); err != nil {
 			return err
@@ -263,8 +287,9 @@
 // syncDue reports whether the partition must be synced: its state is missing, stale or older than the
 // poll interval, or there is a batch or an adjustment to write.
 func (p *partition) syncDue(organisations []string) bool {
+	interval := p.pollInterval()
 	p.mu.Lock()
-	due := !p.loaded || p.pending != nil || time.Since(p.readAt) >= p.syncer.PollInterval
+	due := !p.loaded || p.pending != nil || time.Since(p.readAt) >= interval
 	p.mu.Unlock()
 	return p.stale.Swap(false) || due || slices.ContainsFunc(organisations, p.syncer.Book.AdjustmentDue)
 }
@@ -277,6 +302,59 @@
 	maxConflictBackoff = 64 * time.Millisecond
 )
 
+// register records this instance in the first partition, unless its record was read. The append is unconditional,
+// since instances that start together would otherwise lose it to each other.
+func (p *partition) register(ctx context.Context) error {
+	sy := p.syncer
+	p.mu.Lock()
+	sy.updateInstances(p)
+	addr, registered := p.instances[sy.Instance]
+	p.mu.Unlock()
+	if p.index != 0 || registered && addr == sy.PeerAddr {
+		return nil
+	}
+	value, err := json.Marshal(grantRecord{By: sy.Incarnation, Peer: sy.PeerAddr})
+	if err != nil {
+		return fmt.Errorf("encode registration: %w", err)
+	}
+	call, cancel := context.WithTimeout(ctx, sy.Timeout)
+	defer cancel()
+	if _, err := sy.Log.Append(call, sy.Topic, p.index, logs.AnyOffset, []logs.Record{{Key: instancePrefix + sy.Instance, Value: value}}); err != nil {
+		return err
+	}
+	return p.catchUp(ctx)
+}
+
+// Limits of appends that no request waits for. After maxBackgroundAttempts conflicts, the next attempt is delayed
+// by a backoff, which doubles with each time in a row.
+const (
+	maxBackgroundAttempts = 2
+	minBackgroundBackoff  = 100 * time.Millisecond
+	maxBackgroundBackoff  = 4 * time.Second
+)
+
+// recordConflict records whether an append that no request waited for lost against another instance, and delays
+// the next one if so.
+func (p *partition) recordConflict(lost bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !lost {
+		p.conflicts, p.backgroundAt = 0, time.Time{}
+		return
+	}
+	limit := min(minBackgroundBackoff<<min(p.conflicts, maxBackoffDoublings), maxBackgroundBackoff)
+	p.conflicts++
+	p.backgroundAt = time.Now().Add(limit/2 + rand.N(limit/2))
+	notify(p.due)
+}
+
+// backgroundDelay returns the time until an append that no request waits for may be attempted.
+func (p *partition) backgroundDelay() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Until(p.backgroundAt)
+}
+
 // refresh reads what other instances have written, unless the state is younger than maxFreshAge.
 func (p *partition) refresh(ctx context.Context) error {
 	p.mu.Lock()
@@ -311,8 +389,8 @@
 	return nil
 }
 
-// append writes a batch and reports whether to retry it: the append conflicted with one of another
-// instance or was not answered, and the partition has been read since.
+// append writes a batch and reports whether to read the partition and retry: the append conflicted with one of
+// another instance, or was not answered.
 func (p *partition) append(ctx context.Context, b *batch) (bool, error) {
 	call, cancel := context.WithTimeout(ctx, p.syncer.Timeout)
 	defer cancel()
@@ -329,6 +407,10 @@
 		}
 		return false, err
 	}
+	var conflict *logs.ConflictError
+	if errors.As(err, &conflict) {
+		return true, nil
+	}
 	if readErr := p.catchUp(ctx); readErr != nil {
 		return false, errors.Join(err, readErr)
 	}
@@ -342,6 +424,7 @@
 	if !logs.Refused(err) {
 		b.inDoubt = true
 	}
+	p.readAt = time.Time{} // the next refresh reads what was appended in the meantime
 	return b.inDoubt
 }
 
--- a/core/budget/policy.go
+++ b/core/budget/policy.go
@@ -22,8 +22,10 @@
 	// instance takes most of a budget that is nearly spent.
 	minDraws = 8
 	// quantumDivisor is the smallest adjustment that justifies an append, as a divisor of the
-	// tokens paid for, unless a request waits for it.
-	quantumDivisor = 1024
+	// tokens paid for, unless a request waits for it. In a large fleet, whose holdings are smaller,
+	// it is a fraction of the target holding, with the divisor targetQuantumDivisor.
+	quantumDivisor       = 1024
+	targetQuantumDivisor = 4
 	// lowDivisor is the fraction of the tokens paid for, as a divisor, below which the remaining
 	// tokens count as low. Instances then hold no base share and return their excess.
 	lowDivisor = 12
@@ -31,13 +33,25 @@
 	refillRatio = 0.7
 	// returnRatio is the multiple of the target holding above which the excess of a holding is returned.
 	returnRatio = 1.5
+	// minReturnRequests is the smallest excess that is returned while the remaining tokens are not low, in
+	// requests of mean size, and minReturnDivisor limits it to a fraction of the tokens paid for. It prevents
+	// the tokens of single requests from being returned and drawn again.
+	minReturnRequests = 2
+	minReturnDivisor  = 64
 )
 
+// MaxHolders is the number of holders of each budget. All instances of a smaller fleet are holders of all
+// budgets. In a larger one, the other instances borrow from the holders, because their conditional appends would be
+// lost to each other, and because their own usage is too small a sample to draw ahead.
+const MaxHolders = 8
+
 // ungranted returns the tokens that the log can still grant.
 func (a *account) ungranted() int64 { return a.paid - a.granted }
 
-// quantum returns the smallest adjustment that justifies an append.
-func (a *account) quantum() int64 { return a.paid / quantumDivisor }
+// quantum returns the smallest adjustment of a holding with the given target that justifies an append.
+func (a *account) quantum(target int64) int64 {
+	return min(a.paid/quantumDivisor, max(target/targetQuantumDivisor, 1))
+}
 
 // low reports whether few tokens remain to be granted.
 func (a *account) low() bool { return a.ungranted() < a.paid/lowDivisor }
@@ -52,8 +66,8 @@
 	if b.instanceCount == 0 {
 		return min(needed, b.maxDraw(ungranted)+a.unreserved)
 	}
-	share := (ungranted + a.unreserved) / b.instanceCount
-	if !a.low() {
+	share := (ungranted + a.unreserved) / b.holderCount()
+	if !a.low() && b.IsHolder(a.organisation) {
 		needed = max(needed, share/baseShareDivisor)
 	}
 	return min(needed, maxShareFactor*share, b.maxDraw(ungranted)+a.unreserved)
@@ -61,7 +75,17 @@
 
 // maxDraw returns the maximum that one draw takes of the remaining tokens, unless a request needs
 // more.
-func (b *Book) maxDraw(ungranted int64) int64 { return ungranted / max(minDraws, b.instanceCount/2) }
+func (b *Book) maxDraw(ungranted int64) int64 { return ungranted / max(minDraws, b.holderCount()/2) }
+
+// holders returns the number of holders of each budget.
+func (b *Book) holders() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.holderCount()
+}
+
+// holderCount returns the number of holders of each budget.
+func (b *Book) holderCount() int64 { return max(1, min(b.instanceCount, MaxHolders)) }
 
 // returnable returns the tokens that this instance should return now: its excess, as far as it is
 // not promised.
@@ -78,7 +102,11 @@
 		return a.unreserved
 	}
 	keep := b.target(a)
-	if float64(a.unreserved) <= returnRatio*float64(keep) || a.unreserved-keep < a.quantum() {
+	least := a.quantum(keep)
+	if !a.low() || !b.IsHolder(a.organisation) {
+		least = max(least, min(int64(minReturnRequests*a.requestSize), a.paid/minReturnDivisor))
+	}
+	if float64(a.unreserved) <= returnRatio*float64(keep) || a.unreserved-keep < least {
 		return 0
 	}
 	return a.unreserved - keep
@@ -97,8 +125,12 @@
 	}
 	ungranted := max(a.ungranted(), 0)
 	draw := a.demand() - a.unreserved
-	if target := b.target(a); float64(a.unreserved) < refillRatio*float64(target) {
-		if refill := min(target-a.unreserved, b.maxDraw(ungranted)); refill >= a.quantum() {
+	if !b.IsHolder(a.organisation) {
+		if a.borrowing.active {
+			draw = 0
+		}
+	} else if target := b.target(a); float64(a.unreserved) < refillRatio*float64(target) {
+		if refill := min(target-a.unreserved, b.maxDraw(ungranted)); refill >= a.quantum(target) {
 			draw = max(draw, refill)
 		}
 	}
--- a/core/budget/promise.go
+++ b/core/budget/promise.go
@@ -20,6 +20,9 @@
 	// unpromisedCover is the duration of usual usage that is left unpromised. A kill strands these
 	// tokens. A longer cover did not serve more requests during an outage of the log.
 	unpromisedCover = time.Second
+	// unpromisedRequests is the number of requests of mean size that are left unpromised at least. In a large
+	// fleet, whose holdings cover few requests, nothing is promised, and no request waits for promised tokens.
+	unpromisedRequests = 2
 )
 
 // maxPromisedOrganisations is the maximum number of organisations in one promise. With names of
@@ -56,7 +59,7 @@
 	if a.paid == table.Unlimited || b.stopping || a.granted > a.paid {
 		return 0
 	}
-	unpromised := max(a.demand(), int64(a.usage.rate(b.Now())*unpromisedCover.Seconds()))
+	unpromised := max(a.demand(), int64(a.usage.rate(b.Now())*unpromisedCover.Seconds()), int64(unpromisedRequests*a.requestSize))
 	return max(0, min(a.unreserved-unpromised, b.target(a)))
 }
 
@@ -71,7 +74,7 @@
 	p := &Promise{Until: b.Uptime() + promiseDuration, Tokens: map[string]int64{}}
 	if !probe && b.loaded {
 		for _, a := range b.accounts {
-			if tokens := b.promisable(a); tokens > a.quantum() && len(p.Tokens) < maxPromisedOrganisations {
+			if tokens := b.promisable(a); tokens > a.quantum(b.target(a)) && len(p.Tokens) < maxPromisedOrganisations {
 				p.Tokens[a.organisation] = tokens
 			}
 		}
--- a/core/budget/property_test.go
+++ b/core/budget/property_test.go
@@ -91,7 +91,7 @@
 // step performs one random operation.
 func (f *fleet) step() {
 	i, m := f.member()
-	switch rapid.SampledFrom([]string{"reserve", "reserve", "settle", "visit", "visit", "visit", "kill", "kill", "land", "drop", "top_up", "pass", "boot"}).Draw(f.t, "step") {
+	switch rapid.SampledFrom([]string{"reserve", "reserve", "settle", "visit", "visit", "visit", "kill", "kill", "land", "drop", "top_up", "pass", "boot", "lend"}).Draw(f.t, "step") {
 	case "reserve":
 		r, err := m.book.Reserve(context.Background(), "travel", int64(rapid.IntRange(1, paid/10).Draw(f.t, "tokens")))
 		if err == nil {
@@ -118,6 +118,12 @@
 		}
 		f.now = f.now.Add(time.Duration(rapid.IntRange(0, 30).Draw(f.t, "away")) * 100 * time.Millisecond)
 		f.members[i] = f.start(fmt.Sprintf("i-%d", i))
+	case "lend":
+		_, borrower := f.member()
+		lent := m.book.Lend(context.Background(), "travel", int64(rapid.IntRange(1, paid/10).Draw(f.t, "lent")), int64(rapid.IntRange(1, paid/20).Draw(f.t, "least")))
+		if rapid.Bool().Draw(f.t, "reply") { // otherwise the reply is lost, and the tokens count as spent
+			borrower.book.AddBorrowed("travel", lent)
+		}
 	case "pass":
 		f.now = f.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(f.t, "pass")) * time.Millisecond)
 	case "boot":
--- a/core/budget/syncer.go
+++ b/core/budget/syncer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -21,16 +22,31 @@
 	// DefaultTimeout limits one call to the log: about a hundred times the usual latency, and
 	// shorter than the outages that must be detected.
 	DefaultTimeout = 800 * time.Millisecond
-	// DefaultPollInterval is the time between two reads of what other instances wrote, while no
+	// DefaultPollInterval is the minimum time between two reads of what other instances wrote, while no
 	// request depends on it.
 	DefaultPollInterval = 6 * time.Second
-	// batchInterval is how long adjustments that no request waits for are collected for one append.
-	batchInterval = 300 * time.Millisecond
-	// joinDelay is how long after the first read of the budgets the instances are not counted yet,
-	// so that instances that start together are all included. Until then no base share is drawn.
+	// minBatchInterval is the minimum time for which adjustments that no request waits for are collected for one
+	// append, and batchIntervalPerWriter the time for each writer to a partition: several times the duration of a read
+	// and an append, so that most appends meet no other one.
+	minBatchInterval       = 300 * time.Millisecond
+	batchIntervalPerWriter = 40 * time.Millisecond
+	// pollIntervalInstances is the number of instances up to which the poll interval is PollInterval. With more, it
+	// grows in proportion.
+	pollIntervalInstances = 150
+	// unheldPollFactor is the factor by which the poll interval is longer for a partition with no budget that this
+	// instance is a holder of.
+	unheldPollFactor = 5
+	// joinDelay is how long after the first read of the budgets, and after the last of the instances that start
+	// together has registered, the instances are not counted yet. Until then no base share is drawn.
 	joinDelay = time.Second
-	// maxRetryDelay is the maximum delay after a failed call.
-	maxRetryDelay = 250 * time.Millisecond
+	// maxRetryDelay is the maximum delay after a failed call. It doubles with each further failure of a partition, up to
+	// maxOutageRetryDelay; a partition that is reachable again ends the delays of all others.
+	maxRetryDelay       = 250 * time.Millisecond
+	maxOutageRetryDelay = 4 * time.Second
+	// countingTime is how long after the first read of the budgets, and after the last instance has registered, the
+	// registered instances are read every countingInterval.
+	countingTime     = 3 * time.Second
+	countingInterval = time.Second
 )
 
 // Syncer synchronises the holdings of a Book with the budgets of all organisations, which are
@@ -44,6 +60,8 @@
 	// Instance is the id of this instance, and Incarnation the incarnation id of its process, which is
 	// unique to the process.
 	Instance, Incarnation string
+	// PeerAddr is the address at which this instance lends tokens to others; optional.
+	PeerAddr string
 	// PromiseTopic is the keyed topic of promises, and PromiseParts the number of its partitions.
 	PromiseTopic string
 	PromiseParts int
@@ -76,12 +94,11 @@
 	// and whether they were taken over; optional.
 	OnInherited func(tokens map[string]int64, taken bool)
 
-	promises   *promiseWriter
-	partitions []*partition
-	// wake triggers a sync of a partition immediately, and due at its next tick.
-	wake          []chan struct{}
-	due           []atomic.Bool
+	promises      *promiseWriter
+	partitions    []*partition
 	organisations atomic.Pointer[[]string]
+	// rank ranks the instances for each budget; nil while they are not counted.
+	rank atomic.Pointer[ranking]
 }
 
 // String returns the name used in logs.
@@ -122,27 +139,27 @@
 	sy.promises = newPromiseWriter(sy)
 	sy.Book.OnPromiseBlocking = sy.promises.scheduleRenewal
 	sy.Shards = max(sy.Shards, 1)
-	sy.due = make([]atomic.Bool, sy.Shards)
 	for i := range sy.Shards {
-		sy.partitions = append(sy.partitions, &partition{syncer: sy, index: i, granted: map[string]int64{}, instances: map[string]bool{}})
-		sy.wake = append(sy.wake, make(chan struct{}, 1))
+		sy.partitions = append(sy.partitions, newPartition(sy, i))
 	}
 	sy.Book.OnAdjustmentDue = sy.scheduleSync
 	sy.Book.OnStaleRefusal = sy.markStale
+	sy.Book.IsHolder = sy.isHolder
 	sy.Book.LogReachable = func(organisation string) bool {
 		return !sy.partitions[sy.partitionIndex(organisation)].outage.ongoing()
 	}
 	sy.Book.Default()
 }
 
-// scheduleSync schedules a sync of an organisation's partition: immediately if urgent, otherwise at the
-// next tick. It never blocks.
+// scheduleSync schedules a sync of an organisation's partition: immediately if urgent, otherwise after
+// the batch interval. It never blocks.
 func (sy *Syncer) scheduleSync(organisation string, urgent bool) {
-	i := sy.partitionIndex(organisation)
-	sy.due[i].Store(true)
+	p := sy.partitions[sy.partitionIndex(organisation)]
 	if urgent {
-		notify(sy.wake[i])
+		notify(p.wake)
+		return
 	}
+	notify(p.due)
 }
 
 // notify wakes the receiver of a channel that has a buffer of one. It never blocks.
@@ -153,11 +170,18 @@
 	}
 }
 
-// markStale makes an organisation's partition be read at its next tick.
+// markStale makes an organisation's partition be read after the batch interval.
 func (sy *Syncer) markStale(organisation string) {
-	i := sy.partitionIndex(organisation)
-	sy.partitions[i].stale.Store(true)
-	sy.due[i].Store(true)
+	p := sy.partitions[sy.partitionIndex(organisation)]
+	p.stale.Store(true)
+	notify(p.due)
+}
+
+// scheduleAll schedules a sync of all partitions after the batch interval.
+func (sy *Syncer) scheduleAll() {
+	for _, p := range sy.partitions {
+		notify(p.due)
+	}
 }
 
 // partitionIndex returns the index of the partition that stores an organisation's budget.
@@ -179,9 +203,7 @@
 	names = sorted(names)
 	sy.organisations.Store(&names)
 	sy.Book.SetPaid(organisations)
-	for i := range sy.due {
-		sy.due[i].Store(true)
-	}
+	sy.scheduleAll()
 }
 
 // organisationsOf returns the organisations whose budgets a partition stores.
@@ -203,28 +225,48 @@
 func (sy *Syncer) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return sy.promises.run(ctx) })
-	for i, p := range sy.partitions {
-		g.Go(func() error { return sy.runPartition(ctx, p, sy.wake[i], &sy.due[i]) })
+	for _, p := range sy.partitions {
+		g.Go(func() error { return sy.runPartition(ctx, p) })
 	}
 	return g.Wait()
 }
 
 // runPartition syncs a partition whenever that is due, until the context ends.
-func (sy *Syncer) runPartition(ctx context.Context, p *partition, wake <-chan struct{}, due *atomic.Bool) error {
-	ticker := time.NewTicker(batchInterval)
-	defer ticker.Stop()
-	for {
-		due.Store(false)
+func (sy *Syncer) runPartition(ctx context.Context, p *partition) error {
+	for failures := 0; ; {
 		err := sy.syncPartition(ctx, p)
 		if ctx.Err() != nil {
 			return nil
 		}
-		if err != nil {
-			due.Store(true)
-			pause.For(ctx, maxRetryDelay/2+rand.N(maxRetryDelay/2))
+		if err == nil {
+			if failures > 0 {
+				sy.retryAll()
+			}
+			failures = 0
+			p.waitUntilDue(ctx)
 			continue
 		}
-		sy.waitUntilDue(ctx, p, ticker.C, wake, due)
+		limit := min(maxRetryDelay<<min(failures, maxBackoffDoublings), maxOutageRetryDelay)
+		failures++
+		sy.waitToRetry(ctx, p, limit/2+rand.N(limit/2))
+	}
+}
+
+// retryAll ends the delays of all partitions after failed calls.
+func (sy *Syncer) retryAll() {
+	for _, p := range sy.partitions {
+		notify(p.retry)
+	}
+}
+
+// waitToRetry waits for a delay after a failed call. A waiting request does not shorten it.
+func (sy *Syncer) waitToRetry(ctx context.Context, p *partition, delay time.Duration) {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-p.retry:
 	}
 }
 
@@ -251,19 +293,53 @@
 }
 
 // waitUntilDue waits until a sync of the partition is due.
-func (sy *Syncer) waitUntilDue(ctx context.Context, p *partition, tick <-chan time.Time, wake <-chan struct{}, due *atomic.Bool) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-wake:
-			return
-		case <-tick:
-		}
-		if due.Load() || p.age() >= sy.PollInterval {
-			return
-		}
+func (p *partition) waitUntilDue(ctx context.Context) {
+	poll := time.NewTimer(max(0, p.pollInterval()-p.age()))
+	defer poll.Stop()
+	select {
+	case <-ctx.Done():
+		return
+	case <-p.wake:
+		return
+	case <-poll.C:
+		return
+	case <-p.due:
 	}
+	interval := p.batchInterval()
+	batch := time.NewTimer(max(interval*3/4+rand.N(interval/2), p.backgroundDelay()))
+	defer batch.Stop()
+	select {
+	case <-ctx.Done():
+	case <-p.wake:
+	case <-batch.C:
+	}
+}
+
+// batchInterval returns how long adjustments that no request waits for are collected for one append. The writers are
+// the holders of the partition's budgets.
+func (p *partition) batchInterval() time.Duration {
+	writers := p.syncer.Book.holders() * int64(len(p.syncer.organisationsOf(p.index)))
+	return max(minBatchInterval, time.Duration(writers)*batchIntervalPerWriter)
+}
+
+// pollInterval returns the time between two reads of what other instances wrote, while no request depends on it.
+func (sy *Syncer) pollInterval() time.Duration {
+	return max(sy.PollInterval, sy.PollInterval*time.Duration(sy.Book.InstanceCount())/pollIntervalInstances)
+}
+
+// pollInterval returns the time between two reads of the partition while no request depends on it.
+func (p *partition) pollInterval() time.Duration {
+	sy := p.syncer
+	interval := sy.pollInterval()
+	if p.index != 0 && !slices.ContainsFunc(sy.organisationsOf(p.index), sy.isHolder) {
+		interval *= unheldPollFactor
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now := sy.Book.Now(); p.index == 0 && p.loaded && (now.Sub(p.loadedAt) < countingTime || now.Sub(p.joinedAt) < countingTime) {
+		interval = min(interval, countingInterval)
+	}
+	return interval
 }
 
 // recordOutcome records whether a partition is reachable.
@@ -285,12 +361,19 @@
 	sy.Book.SetLoaded()
 }
 
-// updateInstanceCount sets the book's number of instances, once joinDelay has passed and instances
-// that started together have recorded themselves.
-func (sy *Syncer) updateInstanceCount(p *partition) {
-	if p.index == 0 && sy.Book.Now().Sub(p.loadedAt) >= joinDelay {
-		sy.Book.SetInstanceCount(len(p.instances))
+// updateInstances updates the number of instances and the holders of budgets, once instances that started together
+// have registered. The caller holds the partition's lock.
+func (sy *Syncer) updateInstances(p *partition) {
+	now := sy.Book.Now()
+	if p.index != 0 || !p.loaded || now.Sub(p.loadedAt) < joinDelay || sy.Book.InstanceCount() == 0 && now.Sub(p.joinedAt) < joinDelay {
+		return
+	}
+	if len(p.instances) == int(sy.Book.InstanceCount()) {
+		return
 	}
+	sy.Book.SetInstanceCount(len(p.instances))
+	sy.rank.Store(rankInstances(sy.Instance, p.instances))
+	sy.scheduleAll()
 }
 
 // promiseInterval returns the time between two promises. It grows with the number of instances, so
@@ -322,8 +405,9 @@
 	}
 	for _, p := range sy.partitions {
 		for p.isLoaded() { // nothing was drawn from a partition that was never read
-			err := p.syncHoldings(ctx, sy.organisationsOf(p.index))
-			if err == nil {
+			organisations := sy.organisationsOf(p.index)
+			err := p.syncHoldings(ctx, organisations)
+			if err == nil && !slices.ContainsFunc(organisations, sy.Book.AdjustmentDue) {
 				break
 			}
 			if ctx.Err() != nil {
--- a/core/logs/logs.go
+++ b/core/logs/logs.go
@@ -7,9 +7,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 )
 
+// AnyOffset makes an append unconditional.
+const AnyOffset int64 = -1
+
 // Record is one record of a keyed topic.
 type Record struct {
 	// Offset is the position of the record in its partition.
@@ -30,8 +34,8 @@
 
 // Log provides access to the platform's log. Its functions may be called concurrently.
 type Log struct {
-	// Append atomically adds the records to a partition if its end is the offset at, and returns
-	// the new end. The error is a *ConflictError if the partition has another end, a *RefusedError
+	// Append atomically adds the records to a partition if its end is the offset at, or at any offset if at is
+	// AnyOffset, and returns the new end. The error is a *ConflictError if the partition has another end, a *RefusedError
 	// if nothing was or will be written, and of another type if the records may have been written or
 	// may still be written.
 	Append func(ctx context.Context, topic string, part int, at int64, records []Record) (end int64, err error)
@@ -78,6 +82,12 @@
 	return fmt.Sprintf("platform refused the call with status %d: %s", e.Status, e.Reason)
 }
 
+// Busy reports whether err shows that the platform refused the call only because of too many calls.
+func Busy(err error) bool {
+	var refused *RefusedError
+	return errors.As(err, &refused) && refused.Status == http.StatusTooManyRequests
+}
+
 // Refused reports whether err shows that the call had no effect.
 func Refused(err error) bool {
 	var refused *RefusedError
--- a/fake/memlog/memlog.go
+++ b/fake/memlog/memlog.go
@@ -173,7 +173,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.partition(topic, part)
-	if p.end() != at {
+	if at != logs.AnyOffset && p.end() != at {
 		return 0, &logs.ConflictError{End: p.end()}
 	}
 	for _, r := range records {
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -202,7 +202,7 @@
 
 // lend lets another instance spend a part of this instance's holding. The log still counts the tokens as held by this
 // incarnation, which is returned with their number.
-func (n *Node) lend(l peer.LoanRequest) (string, int64) {
+func (n *Node) lend(_ context.Context, l peer.LoanRequest) (string, int64) {
 	id := ledger.LoanID{Borrower: l.Borrower, Number: l.Number}
 	lent, err := n.LedgerOf(l.Budget).Lend(id, l.Budget, l.Tokens, l.Least)
 	if err != nil || lent == 0 {
--- a/io/opts/router.go
+++ b/io/opts/router.go
@@ -19,6 +19,7 @@
 	Instance Instance      `toml:"instance"`
 	Caller   RouterCaller  `toml:"caller"`
 	Metrics  RouterMetrics `toml:"metrics"`
+	Peer     RouterPeer    `toml:"peer"`
 	Store    RouterStore   `toml:"store"`
 	Budget   RouterBudget  `toml:"budget"`
 	Target   RouterTarget  `toml:"target"`
@@ -40,6 +41,11 @@
 	Listen string `toml:"listen" allowed:"ip:port or empty" doc:"Address that metrics are served at; none are served when empty."`
 }
 
+// RouterPeer configures the listener for other instances.
+type RouterPeer struct {
+	Listen string `toml:"listen" allowed:"ip:port or empty" doc:"Address at which other instances borrow tokens; when empty, the instance neither lends nor borrows."`
+}
+
 // RouterStore configures the access to the platform's store.
 type RouterStore struct {
 	Address      string       `toml:"address" allowed:"ip:port" doc:"Address of the platform's store."`
@@ -56,6 +62,8 @@
 
 // RouterTarget configures the selection of a target.
 type RouterTarget struct {
+	LeaveMS Milliseconds `toml:"leave_ms" unit:"ms" default:"2000" allowed:"100..600000" doc:"Time within which a target that is leaving must get no more work; the list of targets is read the less often the longer it is."`
+
 	Bound float64 `toml:"bound" default:"3" allowed:"1..100" doc:"Multiple of the mean load up to which a target gets the requests whose prompts share a part that it has read."`
 }
 
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -172,7 +172,7 @@
 			}
 			return want, nil
 		}
-		s.Lend = func(l peer.LoanRequest) (string, int64) {
+		s.Lend = func(_ context.Context, l peer.LoanRequest) (string, int64) {
 			return "inc-" + l.Budget, l.Tokens - l.Least
 		}
 		s.Report = func(kind string) ([]byte, error) { return []byte(`"` + kind + `"`), nil }
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -19,7 +19,11 @@
 // codeRefused marks errors of handlers, so that the client can distinguish them from connection errors.
 const codeRefused = 1
 
-// Server serves the calls of other instances. Exported fields must be set before Run.
+// errNotServed refuses calls for which the server has no function.
+var errNotServed = errors.New("this instance does not serve the call")
+
+// Server serves the calls of other instances. Exported fields must be set before Run. Calls of functions that are not
+// set are refused.
 type Server struct {
 	// Listen is the address to listen on.
 	Listen string
@@ -36,7 +40,7 @@
 	State func(stream string) (tail.State, error)
 	// Lend lends a part of this instance's allowance. It returns the incarnation that holds the tokens, and their
 	// number.
-	Lend func(l LoanRequest) (holder string, lent int64)
+	Lend func(ctx context.Context, l LoanRequest) (holder string, lent int64)
 	// Confirm opens a further slice of a grant and returns its tokens; optional.
 	Confirm func(holder, budget, grant string, tokens int64) int64
 	// Report returns a report of this instance in JSON.
@@ -50,6 +54,23 @@
 
 // Default sets the defaults of empty fields.
 func (s *Server) Default() {
+	if s.LocalView == nil {
+		s.LocalView = func() roster.PeerView { return roster.PeerView{} }
+	}
+	if s.Log.Append == nil {
+		s.Log.Append = func(context.Context, string, []byte) (int64, error) { return 0, errNotServed }
+	}
+	if s.Log.Read == nil {
+		s.Log.Read = func(context.Context, string, int64, time.Duration) (tail.Page, error) {
+			return tail.Page{}, errNotServed
+		}
+	}
+	if s.State == nil {
+		s.State = func(string) (tail.State, error) { return tail.State{}, errNotServed }
+	}
+	if s.Report == nil {
+		s.Report = func(string) ([]byte, error) { return nil, errNotServed }
+	}
 	if s.OtherViews == nil {
 		s.OtherViews = func(int) []roster.PeerView { return nil }
 	}
@@ -153,8 +174,8 @@
 }
 
 // Lend lends a part of the allowance.
-func (s *rpcHandler) Lend(_ context.Context, in *peerpb.LendRequest) (*peerpb.LendReply, error) {
-	holder, lent := s.Server.Lend(LoanRequest{
+func (s *rpcHandler) Lend(ctx context.Context, in *peerpb.LendRequest) (*peerpb.LendReply, error) {
+	holder, lent := s.Server.Lend(ctx, LoanRequest{
 		Borrower: in.GetBorrower(), Number: in.GetNumber(), Budget: in.GetBudget(), Tokens: in.GetTokens(), Least: in.GetLeast(),
 	})
 	return &peerpb.LendReply{Holder: holder, Tokens: lent}, nil
--- a/io/router/follow.go
+++ b/io/router/follow.go
@@ -49,7 +49,7 @@
 	topic := r.Platform.TargetTopic
 	onUnreachable, onRecovered := r.topicUnreachable(topic), r.topicRecovered(topic)
 	return &logs.Follower{
-		Log: r.Store, Topic: topic, Pause: r.Settings.Store.ListPauseMS.Duration(),
+		Log: r.Store, Topic: topic, Pause: r.listPause(),
 		Reset: func(records []logs.Record) {
 			ids := make([]string, 0, len(records))
 			for _, record := range records {
@@ -76,6 +76,18 @@
 	}
 }
 
+// The list of targets is read with a pause of a tenth of the time within which a leaving target must get no more
+// work, after outageNotice of it: the time in which the end of an outage of the log is noticed.
+const (
+	listPauseDivisor = 10
+	outageNotice     = time.Second
+)
+
+// listPause returns the time between two reads of the list of targets.
+func (r *Router) listPause() time.Duration {
+	return max(r.Settings.Store.ListPauseMS.Duration(), (r.Settings.Target.LeaveMS.Duration()-outageNotice)/listPauseDivisor)
+}
+
 // applyTargetRecords applies records to the list of targets.
 func (r *Router) applyTargetRecords(records []logs.Record) {
 	r.updateTargets(func(l *roster.TargetList) bool {
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -34,6 +34,7 @@
 	"cranberryrail/io/httpd"
 	"cranberryrail/io/meter"
 	"cranberryrail/io/opts"
+	"cranberryrail/io/peer"
 	"cranberryrail/io/uptime"
 )
 
@@ -90,6 +91,9 @@
 	conns       *conns.Client
 	budgets     *budget.Book
 	budgetSync  *budget.Syncer
+	borrower    *budget.Borrower
+	peerServer  *peer.Server
+	peerClient  *peer.Client
 	relay       *relay.Server
 	entry       *entry.Server
 	ready       *httpd.Server
@@ -171,7 +175,7 @@
 	}
 	r.budgetSync = &budget.Syncer{
 		Log: r.Store, Topic: r.Platform.BudgetTopic, Shards: s.Shards, Instance: r.Settings.Instance.ID, Incarnation: r.Incarnation, Book: r.budgets,
-		PromiseTopic: r.Platform.PromiseTopic, PromiseParts: s.Shards, Boot: boot, Started: uptime.Now(),
+		PeerAddr: r.Settings.Peer.Listen, PromiseTopic: r.Platform.PromiseTopic, PromiseParts: s.Shards, Boot: boot, Started: uptime.Now(),
 		OnPromiseOutage: r.topicUnreachable(r.Platform.PromiseTopic), OnPromiseRecovery: r.topicRecovered(r.Platform.PromiseTopic), OnInherited: r.promisesInherited,
 		OnAdjusted: r.holdingChanged, OnUnsettled: r.batchUnsettled, OnInvalidRecord: r.recordUnreadable(r.Platform.BudgetTopic),
 		OnOutage: func(part int, err error) { r.topicUnreachable(fmt.Sprintf("%s/%d", r.Platform.BudgetTopic, part))(err) },
@@ -180,6 +184,7 @@
 		},
 	}
 	r.budgetSync.Default()
+	r.initLoans()
 }
 
 // Listen opens all listeners.
@@ -191,6 +196,9 @@
 	if r.Settings.Metrics.Listen != "" {
 		listens = append(listens, func() error { return r.metrics.Listen(ctx, r.Settings.Metrics.Listen) })
 	}
+	if r.peerServer != nil {
+		listens = append(listens, func() error { return r.peerServer.Bind(ctx) })
+	}
 	for _, listen := range listens {
 		if err := listen(); err != nil {
 			events.Log(r.Log, events.ListenFailed).Err(err).Send()
@@ -251,6 +259,9 @@
 	})
 	err := g.Wait()
 	r.conns.Close()
+	if r.peerClient != nil {
+		err = errors.Join(err, r.peerClient.Close())
+	}
 	return errors.Join(err, r.Meter.Close())
 }
 
@@ -262,6 +273,9 @@
 	if r.Settings.Metrics.Listen != "" {
 		runs = append(runs, r.metrics.Run)
 	}
+	if r.peerServer != nil {
+		runs = append(runs, r.peerServer.Run, r.borrower.Run)
+	}
 	return runs
 }
 
