fix: a request that comes while borrowing ends is covered by another attempt

And a request that came between the last check and the end of the attempt was refused without any instance being asked (TestRequestAtEndOfBorrowing, which fails before). Change: an attempt ends once what was missing at the start of a round has been lent, and its end begins another one for the reservations that have come since. The check is unchanged.

--- a/core/budget/borrow.go
+++ b/core/budget/borrow.go
@@ -116,14 +116,21 @@
 	b.serveWaiters(a)
 }
 
-// EndBorrowing records that no further instances are asked for tokens of an organisation, and refuses the waiting
-// reservations that the log can't cover.
-func (b *Book) EndBorrowing(organisation string) {
+// EndBorrowing ends an attempt to borrow tokens of an organisation, which leaves the given number missing, and refuses
+// the waiting reservations that the log can't cover. After an attempt that left none missing, another one begins for
+// the reservations that have come since.
+func (b *Book) EndBorrowing(organisation string, missing int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(organisation)
 	s := &a.borrowing
 	s.active = false
+	if missing == 0 {
+		s.failed, s.failures, s.retryAt = 0, 0, time.Time{}
+		if later := b.missing(a); later == 0 || b.tryBorrowing(a, later) {
+			return
+		}
+	}
 	if s.failed = b.missing(a); s.failed == 0 {
 		s.failures, s.retryAt = 0, time.Time{}
 		return
--- a/core/budget/borrow_test.go
+++ b/core/budget/borrow_test.go
@@ -192,3 +192,36 @@
 		}
 	})
 }
+
+// TestRequestAtEndOfBorrowing checks that a request that comes when an attempt to borrow has covered the requests before
+// it, but has not ended, is covered by another attempt and not refused because of the first.
+func TestRequestAtEndOfBorrowing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shortages := 0
+		book := &budget.Book{
+			OnShortage:   func(string) bool { shortages++; return true },
+			IsHolder:     func(string) bool { return false },
+			LogReachable: func(string) bool { return false },
+		}
+		book.Default()
+		book.SetPaid([]table.Organisation{{Name: "travel", Prepaid: paid}})
+		book.SetLoaded()
+		var g errgroup.Group
+		request := func() error {
+			_, err := book.Reserve(t.Context(), "travel", 100)
+			return err
+		}
+		g.Go(request)
+		synctest.Wait()
+		book.AddBorrowed("travel", 100)
+		assert.NilError(t, g.Wait())
+		g.Go(request)
+		synctest.Wait()
+		book.EndBorrowing("travel", 0)
+		assert.Equal(t, shortages, 2)
+		book.AddBorrowed("travel", 100)
+		book.EndBorrowing("travel", 0)
+		assert.NilError(t, g.Wait())
+		assert.Equal(t, shortages, 2)
+	})
+}
--- a/core/budget/borrower.go
+++ b/core/budget/borrower.go
@@ -88,8 +88,8 @@
 	}
 }
 
-// borrow asks the first holder, then the other holders, then other instances at random, until they have lent what is
-// missing.
+// borrow asks the first holder, then the other holders, then other instances at random, until they have lent what was
+// missing. Requests that come after that are the matter of another attempt, which asks all of them again.
 func (b *Borrower) borrow(ctx context.Context, organisation string) {
 	peers := b.candidates(organisation)
 	asked, lent := 0, int64(0)
@@ -100,11 +100,16 @@
 			size = 1
 		}
 		round := peers[asked:min(asked+size, len(peers))]
-		lent += b.askRound(ctx, round, organisation, missing, wanted)
+		received := b.askRound(ctx, round, organisation, missing, wanted)
+		lent += received
 		asked += len(round)
+		if received >= missing {
+			missing = 0
+			break
+		}
 		missing, wanted = b.Book.Wanted(organisation)
 	}
-	b.Book.EndBorrowing(organisation)
+	b.Book.EndBorrowing(organisation, missing)
 	b.OnEnd(organisation, asked, lent, missing)
 }
 
