fix: large fleets promise nothing that binds only part of the time

Cause, traced in the model: beyond 166 instances the time between two promises of an instance exceeds the 2.5 s that one binds, and what was left unpromised when it was made is used up when an outage begins. Of refusals while parted most met holders whose whole holding was promised (317,692 of 321,714 tokens of one budget). Change: from nine instances on, the usage from when a promise is made until it no longer binds is left unpromised, and nothing is promised where promises would bind only part of the time: a kill strands most all the same.

--- a/core/budget/promise.go
+++ b/core/budget/promise.go
@@ -19,7 +19,7 @@
 	promiseIntervalPerInstance = 15 * time.Millisecond
 	// unpromisedCover is the duration of usual usage that an instance of a small fleet leaves unpromised. A kill
 	// strands these tokens. In a larger fleet few instances serve a budget, and an outage of the log affects all of them
-	// at once, so that they leave the usage unpromised for as long as a promise binds.
+	// at once, so that they leave the usage unpromised from when a promise is made until it no longer binds.
 	unpromisedCover = time.Second
 	// unpromisedRequests is the number of requests of mean size that are left unpromised at least. In a large
 	// fleet, whose holdings cover few requests, nothing is promised, and no request waits for promised tokens.
@@ -54,6 +54,12 @@
 // spendable returns the tokens of an account that may be spent now.
 func (b *Book) spendable(a *account) int64 { return max(0, a.unreserved-b.promised(a)) }
 
+// promiseInterval returns the time between two promises of an instance. It grows with the number of instances, so
+// that together they make at most about sixty calls per second.
+func promiseInterval(instances int64) time.Duration {
+	return max(minPromiseInterval, time.Duration(instances)*promiseIntervalPerInstance)
+}
+
 // promisable returns the tokens of an account to promise: the holding beyond the usage that is left unpromised, except
 // tokens that are to be returned.
 func (b *Book) promisable(a *account) int64 {
@@ -61,8 +67,10 @@
 		return 0
 	}
 	cover := unpromisedCover
-	if b.instanceCount > MaxHolders {
-		cover = promiseDuration
+	if interval := promiseInterval(b.instanceCount); interval > promiseDuration {
+		return 0 // a kill would strand most tokens all the same
+	} else if b.instanceCount > MaxHolders {
+		cover = interval + promiseDuration
 	}
 	unpromised := max(a.demand(), int64(a.usage.rate(b.Now())*cover.Seconds()), int64(unpromisedRequests*a.requestSize))
 	return max(0, min(a.unreserved-unpromised, b.target(a)))
--- a/core/budget/promise_writer.go
+++ b/core/budget/promise_writer.go
@@ -78,7 +78,7 @@
 		p.syncer.Book.ServeAllWaiters()
 		return
 	}
-	timer := time.NewTimer(p.syncer.promiseInterval())
+	timer := time.NewTimer(promiseInterval(p.syncer.Book.InstanceCount()))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/core/budget/syncer.go
+++ b/core/budget/syncer.go
@@ -376,12 +376,6 @@
 	sy.scheduleAll()
 }
 
-// promiseInterval returns the time between two promises. It grows with the number of instances, so
-// that together they make at most about sixty calls per second.
-func (sy *Syncer) promiseInterval() time.Duration {
-	return max(minPromiseInterval, time.Duration(sy.Book.InstanceCount())*promiseIntervalPerInstance)
-}
-
 // isLoaded reports whether the state of the partition was read.
 func (p *partition) isLoaded() bool {
 	p.mu.Lock()
