feat: instances give back tokens of budgets that they are not holders of

Cause: an instance that borrowed for a request borrowed up to another one's tokens as a reserve, and kept what the request did not use. Change: a reserve is borrowed only by instances that expect several requests within 3 s. Every half second an instance transfers what it does not need to a holder, unless all such instances together keep less than a 64th of what remains (rpc GiveBack, new in the peers' protocol; an instance of an earlier build refuses it, and the tokens stay). Tokens of a transfer without a reply count as spent, event 3016.

--- a/core/budget/borrow.go
+++ b/core/budget/borrow.go
@@ -16,8 +16,11 @@
 	// cover. It doubles with each such failure in a row, up to maxBorrowBackoff.
 	minBorrowBackoff = 250 * time.Millisecond
 	maxBorrowBackoff = 4 * time.Second
-	// borrowedCover is the duration of usual usage that an instance borrows in addition to what a request misses.
-	borrowedCover = 3 * time.Second
+	// reserveWindow is the time within which an instance must expect several requests, minReserveRequests, to borrow the
+	// tokens of one in addition to what a request misses. In a large fleet, whose instances see a request of an
+	// organisation every few seconds, such reserves would take most of the budget.
+	reserveWindow      = 3 * time.Second
+	minReserveRequests = 4
 )
 
 // borrowState is the state of borrowing tokens of one organisation.
@@ -97,20 +100,33 @@
 }
 
 // Wanted returns the tokens to borrow for an organisation: those that waiting reservations miss, which are
-// returned first, and a reserve for the next requests.
+// returned first, and a reserve for the next request if the instance is busy with the organisation.
 func (b *Book) Wanted(organisation string) (missing, wanted int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(organisation)
 	missing = b.missing(a)
-	return missing, missing + min(int64(a.usage.rate(b.Now())*borrowedCover.Seconds()), int64(a.requestSize))
+	return missing, missing + a.usage.reserveFor(b.Now(), a.requestSize)
+}
+
+// reserveFor returns the tokens for the next request that an instance with this usage keeps: those of one request if it
+// is busy with the organisation, else none.
+func (m *rateMeter) reserveFor(now time.Time, requestSize float64) int64 {
+	if m.rate(now)*reserveWindow.Seconds() < minReserveRequests*requestSize {
+		return 0
+	}
+	return int64(requestSize)
 }
 
 // AddBorrowed adds tokens that another instance has lent.
 func (b *Book) AddBorrowed(organisation string, tokens int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	a := b.account(organisation)
+	b.addTransferred(b.account(organisation), tokens)
+}
+
+// addTransferred adds tokens that were granted to another instance.
+func (b *Book) addTransferred(a *account, tokens int64) {
 	a.unreserved += tokens
 	b.recordAvailable(a)
 	b.serveWaiters(a)
--- a/core/budget/borrower.go
+++ b/core/budget/borrower.go
@@ -37,6 +37,11 @@
 	// Ask asks an instance for up to the given tokens of an organisation, and at least least, and returns how many it
 	// lent. After an error, lent tokens count as spent.
 	Ask func(ctx context.Context, addr, organisation string, tokens, least int64) (int64, error)
+	// GiveBack transfers tokens of an organisation to an instance. After an error that is not ErrNotAdded they count as
+	// spent. Optional; without it this instance keeps what it does not need.
+	GiveBack func(ctx context.Context, addr, organisation string, tokens int64) error
+	// OnTransferLost is called when it is not known whether given tokens were added; optional.
+	OnTransferLost func(organisation string, tokens int64, err error)
 	// OnEnd is called at the end of each attempt with the number of instances that were asked, the tokens that
 	// they lent in time, and those still missing; optional.
 	OnEnd func(organisation string, asked int, lent, missing int64)
@@ -57,6 +62,9 @@
 	if b.OnEnd == nil {
 		b.OnEnd = func(string, int, int64, int64) {}
 	}
+	if b.OnTransferLost == nil {
+		b.OnTransferLost = func(string, int64, error) {}
+	}
 	b.shortages = make(chan string, maxShortages)
 	b.silentUntil = map[string]time.Time{}
 	b.Book.OnShortage = b.schedule
@@ -73,8 +81,11 @@
 	}
 }
 
-// Run handles shortages until the context ends.
+// Run handles shortages and gives back tokens until the context ends.
 func (b *Borrower) Run(ctx context.Context) error {
+	if b.GiveBack != nil {
+		b.group.Go(func() error { return b.runGiveBack(ctx) })
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -168,6 +179,13 @@
 	return lent
 }
 
+// silent reports whether an instance did not reply recently.
+func (b *Borrower) silent(addr string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Now().Before(b.silentUntil[addr])
+}
+
 // recordReply records whether an instance replied.
 func (b *Borrower) recordReply(addr string, err error) {
 	b.mu.Lock()
--- a/fake/loads/loads.go
+++ b/fake/loads/loads.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"cranberryrail/core/budget"
+	"cranberryrail/core/pause"
 	"cranberryrail/core/table"
 	"cranberryrail/fake/memlog"
 )
@@ -61,18 +62,27 @@
 	Calls, Appends, Conflicts, TooMany int
 	// Spent, Granted and Paid are tokens of all organisations.
 	Spent, Granted, Paid int64
+	// Idle is the highest sum, seen once a second, of the tokens that instances other than the holders of their budgets
+	// held without a request for them.
+	Idle int64
 }
 
 // String returns the figures of the report.
 func (r Report) String() string {
-	return fmt.Sprintf("%d of %d requests refused, %d of %d of them while parted; %d calls, %d appends, %d conflicts, %d too many; %d spent of %d granted of %d",
-		r.Refused, r.Requests, r.RefusedParted, r.RequestsParted, r.Calls, r.Appends, r.Conflicts, r.TooMany, r.Spent, r.Granted, r.Paid)
+	return fmt.Sprintf("%d of %d requests refused, %d of %d of them while parted; %d calls, %d appends, %d conflicts, %d too many; %d spent of %d granted of %d, %d idle",
+		r.Refused, r.Requests, r.RefusedParted, r.RequestsParted, r.Calls, r.Appends, r.Conflicts, r.TooMany, r.Spent, r.Granted, r.Paid, r.Idle)
 }
 
 // Properties of the load.
 const (
 	// waitLimit is how long a request waits for tokens: an eighth of the usual objectives.
 	waitLimit = 75 * time.Millisecond
+	// unrunDivisor is the reciprocal of the share of requests that spend nothing, because no target ran them. The others
+	// spend all but a share of unusedDivisor, since a response is shorter than the request permits.
+	unrunDivisor  = 20
+	unusedDivisor = 32
+	// idleInterval is the time between two sums of idle tokens.
+	idleInterval = time.Second
 	// serviceTime is the time from the reservation of a request to its settlement.
 	serviceTime = time.Second
 	// sizeSpread is the standard deviation of the logarithm of a request's tokens.
@@ -121,6 +131,10 @@
 		instances.Go(func() error { return m.syncer.Run(ctx) })
 		instances.Go(func() error { return m.lender.Run(ctx) })
 	}
+	instances.Go(func() error {
+		f.measureIdle(ctx, organisations)
+		return nil
+	})
 	f.load(ctx, &requests)
 	_ = requests.Wait() // requests return no errors
 	cancel()
@@ -155,23 +169,41 @@
 		PromiseTopic: "keyed.promises", PromiseParts: f.Partitions, Boot: "boot",
 	}
 	m.syncer.Default()
-	m.lender = &budget.Borrower{Book: m.book, Lenders: m.syncer.Lenders, Ask: f.ask}
+	m.lender = &budget.Borrower{Book: m.book, Lenders: m.syncer.Lenders, Ask: f.ask, GiveBack: f.giveBack}
 	m.lender.Default()
 	return m
 }
 
-// ask is a call of one instance to another one.
+// ask is a call of one instance to another one for tokens.
 func (f *fleet) ask(ctx context.Context, addr, organisation string, tokens, least int64) (int64, error) {
+	m, err := f.call(ctx, addr)
+	if err != nil {
+		return 0, err
+	}
+	return m.book.Lend(ctx, organisation, tokens, least), nil
+}
+
+// giveBack is a call of one instance to another one that transfers tokens.
+func (f *fleet) giveBack(ctx context.Context, addr, organisation string, tokens int64) error {
+	m, err := f.call(ctx, addr)
+	if err != nil {
+		return err
+	}
+	return m.book.TakeBack(organisation, tokens)
+}
+
+// call returns the instance with an address after the duration of a call to it.
+func (f *fleet) call(ctx context.Context, addr string) (*member, error) {
 	if f.PeersParted && f.parted() {
 		<-ctx.Done()
-		return 0, ctx.Err()
+		return nil, ctx.Err()
 	}
 	time.Sleep(peerDelay)
 	var i int
 	if _, err := fmt.Sscanf(addr, "i-%d", &i); err != nil {
-		return 0, fmt.Errorf("parse address %q: %w", addr, err)
+		return nil, fmt.Errorf("parse address %q: %w", addr, err)
 	}
-	return f.members[i].book.Lend(ctx, organisation, tokens, least), nil
+	return f.members[i], nil
 }
 
 // parted reports whether the instances do not reach the log now.
@@ -226,10 +258,31 @@
 func (f *fleet) request(ctx context.Context, m *member, organisation string, tokens int64) {
 	parted := f.parted()
 	r, err := m.book.Reserve(ctx, organisation, tokens)
-	f.countRequest(parted, err != nil, r.Tokens)
+	spent := r.Tokens - r.Tokens/unusedDivisor
+	if tokens%unrunDivisor == 0 {
+		spent = 0
+	}
+	f.countRequest(parted, err != nil, spent)
 	if err == nil {
 		time.Sleep(serviceTime)
-		m.book.Settle(r, r.Tokens)
+		m.book.Settle(r, spent)
+	}
+}
+
+// measureIdle records the highest sum of idle tokens until the context ends.
+func (f *fleet) measureIdle(ctx context.Context, organisations []table.Organisation) {
+	for pause.For(ctx, idleInterval); ctx.Err() == nil; pause.For(ctx, idleInterval) {
+		idle := int64(0)
+		for _, o := range organisations {
+			for _, m := range f.members {
+				if !m.book.IsHolder(o.Name) {
+					idle += m.book.Balance(o.Name).Free
+				}
+			}
+		}
+		f.mu.Lock()
+		f.report.Idle = max(f.report.Idle, idle)
+		f.mu.Unlock()
 	}
 }
 
--- a/fake/loads/loads_test.go
+++ b/fake/loads/loads_test.go
@@ -52,3 +52,14 @@
 	r := play(t, p)
 	assert.Assert(t, 10*r.RefusedParted <= r.RequestsParted, "more than 10%% refused: %s", r)
 }
+
+// TestBudgetsOfManyInstancesAreSpent plays a load that spends most of the budgets, and requires that instances which see a
+// request of an organisation every few seconds keep few tokens from the others.
+func TestBudgetsOfManyInstancesAreSpent(t *testing.T) {
+	p := manyInstances()
+	p.Name, p.Instances, p.RequestsPerSecond = "budgets that are spent", 295, 1100
+	p.PaidFor, p.Length = 20*time.Second, 20*time.Second
+	r := play(t, p)
+	assert.Assert(t, 100*r.Refused <= r.Requests, "more than 1%% refused: %s", r)
+	assert.Assert(t, 100*r.Idle <= 3*r.Paid, "more than 3%% idle: %s", r)
+}
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -144,6 +144,13 @@
 	return reply.GetHolder(), reply.GetTokens(), err
 }
 
+// GiveBack transfers tokens of a budget to another instance. After an error they may have been transferred, unless it
+// is a *CallError of the kind Refused.
+func (c *Client) GiveBack(ctx context.Context, addr, budget string, tokens int64) error {
+	_, err := call(ctx, c, addr, "GiveBack", c.Timeout, peerpb.DRPCPeerClient.GiveBack, &peerpb.GiveBackRequest{Budget: budget, Tokens: tokens})
+	return err
+}
+
 // Report returns a report of another instance in JSON.
 func (c *Client) Report(ctx context.Context, addr, kind string) ([]byte, error) {
 	in := &peerpb.ReportRequest{Kind: kind}
--- a/io/router/loans.go
+++ b/io/router/loans.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"time"
 
 	"cranberryrail/core/budget"
@@ -21,9 +23,9 @@
 	}
 	r.peerClient = &peer.Client{Timeout: loanTimeout}
 	r.peerClient.Default()
-	r.peerServer = &peer.Server{Listen: r.Settings.Peer.Listen, Lend: r.lend}
+	r.peerServer = &peer.Server{Listen: r.Settings.Peer.Listen, Lend: r.lend, TakeBack: r.budgets.TakeBack}
 	r.peerServer.Default()
-	r.borrower = &budget.Borrower{Book: r.budgets, Lenders: r.budgetSync.Lenders, Ask: r.askForLoan, OnEnd: r.borrowingEnded}
+	r.borrower = &budget.Borrower{Book: r.budgets, Lenders: r.budgetSync.Lenders, Ask: r.askForLoan, GiveBack: r.giveBack, OnTransferLost: r.transferLost, OnEnd: r.borrowingEnded}
 	r.borrower.Default()
 }
 
@@ -38,6 +40,21 @@
 	return lent, err
 }
 
+// giveBack transfers tokens of an organisation to another instance.
+func (r *Router) giveBack(ctx context.Context, addr, organisation string, tokens int64) error {
+	err := r.peerClient.GiveBack(ctx, addr, organisation, tokens)
+	var failed *peer.CallError
+	if errors.As(err, &failed) && failed.Kind == peer.Refused {
+		return fmt.Errorf("%w: %w", budget.ErrNotAdded, err)
+	}
+	return err
+}
+
+// transferLost logs tokens that were given back and count as spent, because their transfer was not answered.
+func (r *Router) transferLost(organisation string, tokens int64, err error) {
+	events.Log(r.Log, events.TransferLost).Str("organisation", organisation).Int64("tokens", tokens).Err(err).Send()
+}
+
 // borrowingEnded logs the outcome of an attempt to borrow tokens.
 func (r *Router) borrowingEnded(organisation string, asked int, lent, missing int64) {
 	events.Log(r.Log, events.TokensBorrowed).Str("organisation", organisation).Int("asked", asked).Int64("tokens", lent).Int64("missing", missing).Send()
