fix: only an instance that is asked alone draws tokens for a loan

When the first holder can't lend, five instances at a time are asked for what they have, and each drew one token from the log to have some. Change: such a request states 0 as the least that helps, and draws nothing. Tokens that are given back no longer count as usage of the holder, which lent them before, and the model can part a share of the instances from the log.

--- a/core/budget/borrow.go
+++ b/core/budget/borrow.go
@@ -65,11 +65,11 @@
 
 // Lend removes tokens of an organisation from what this instance may spend, for another instance to spend, and
 // returns their number: up to tokens, and at least least. If it has fewer, it draws them from the log first; it
-// returns 0 if that fails within the time that a request waits. The log does not record a loan. Tokens whose transfer
-// fails count as spent.
+// returns 0 if that fails within the time that a request waits. If least is 0, it lends what it has and draws nothing. The
+// log does not record a loan. Tokens whose transfer fails count as spent.
 func (b *Book) Lend(ctx context.Context, organisation string, tokens, least int64) int64 {
-	least = max(min(least, tokens), 1)
-	if lent := b.lendSpendable(organisation, tokens, least); lent > 0 {
+	least = min(least, tokens)
+	if lent := b.lendSpendable(organisation, tokens, max(least, 1)); lent > 0 || least <= 0 {
 		return lent
 	}
 	r, err := b.await(ctx, Reservation{Organisation: organisation, Tokens: least}, false)
--- a/core/budget/borrower.go
+++ b/core/budget/borrower.go
@@ -35,7 +35,7 @@
 	// other instances.
 	Lenders func(organisation string) (holders, others []string)
 	// Ask asks an instance for up to the given tokens of an organisation, and at least least, and returns how many it
-	// lent. After an error, lent tokens count as spent.
+	// lent. It draws none from the log if least is 0. After an error, lent tokens count as spent.
 	Ask func(ctx context.Context, addr, organisation string, tokens, least int64) (int64, error)
 	// GiveBack transfers tokens of an organisation to an instance. After an error that is not ErrNotAdded they count as
 	// spent. Optional; without it this instance keeps what it does not need.
@@ -147,11 +147,12 @@
 }
 
 // askRound asks instances at the same time and returns the tokens that were lent within roundTimeout. One instance is
-// asked for all that is missing and a reserve. Of several, each is asked for what it has, up to half of what is missing.
+// asked for all that is missing and a reserve, which it draws from the log if it must. Of several, each is asked for what
+// it has, up to half of what is missing, because draws of several would be lost to each other.
 func (b *Borrower) askRound(ctx context.Context, peers []string, organisation string, missing, wanted int64) int64 {
 	least := missing
 	if len(peers) > 1 {
-		wanted, least = missing-missing/2, 1
+		wanted, least = missing-missing/2, 0
 	}
 	replies := make(chan int64, len(peers))
 	for _, addr := range peers {
--- a/core/budget/giveback.go
+++ b/core/budget/giveback.go
@@ -61,6 +61,7 @@
 		return fmt.Errorf("take back %d tokens of %q: %w", tokens, organisation, ErrNotAdded)
 	}
 	b.addTransferred(a, tokens)
+	a.usage.add(-tokens, b.Now()) // they counted as usage when they were lent
 	b.notifyIfDue(organisation, a)
 	return nil
 }
--- a/fake/loads/loads.go
+++ b/fake/loads/loads.go
@@ -43,8 +43,9 @@
 	// Settling is the time from the start of the load after which calls are counted. Before, the holdings grow to the
 	// usage.
 	Settling time.Duration
-	// Parted are the times at which no instance reaches the log.
-	Parted []Window
+	// Parted are the times at which instances do not reach the log: PartedShare of them, or all if it is 0.
+	Parted      []Window
+	PartedShare float64
 	// PeersParted is set if instances do not reach each other while they do not reach the log.
 	PeersParted bool
 	// Seed seeds the random requests.
@@ -109,6 +110,7 @@
 
 // member is one instance.
 type member struct {
+	number int
 	book   *budget.Book
 	syncer *budget.Syncer
 	lender *budget.Borrower
@@ -162,10 +164,10 @@
 }
 
 func (f *fleet) newMember(i int) *member {
-	m := &member{book: &budget.Book{MaxWait: waitLimit}}
+	m := &member{number: i, book: &budget.Book{MaxWait: waitLimit}}
 	id := fmt.Sprintf("i-%d", i)
 	m.syncer = &budget.Syncer{
-		Log: f.store.log(), Topic: "keyed.budgets", Shards: f.Partitions, Instance: id, Incarnation: id + "#1", PeerAddr: id, Book: m.book,
+		Log: f.store.log(i), Topic: "keyed.budgets", Shards: f.Partitions, Instance: id, Incarnation: id + "#1", PeerAddr: id, Book: m.book,
 		PromiseTopic: "keyed.promises", PromiseParts: f.Partitions, Boot: "boot",
 	}
 	m.syncer.Default()
@@ -194,20 +196,23 @@
 
 // call returns the instance with an address after the duration of a call to it.
 func (f *fleet) call(ctx context.Context, addr string) (*member, error) {
-	if f.PeersParted && f.parted() {
-		<-ctx.Done()
-		return nil, ctx.Err()
-	}
-	time.Sleep(peerDelay)
 	var i int
 	if _, err := fmt.Sscanf(addr, "i-%d", &i); err != nil {
 		return nil, fmt.Errorf("parse address %q: %w", addr, err)
 	}
+	if f.PeersParted && f.parted(i) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	time.Sleep(peerDelay)
 	return f.members[i], nil
 }
 
-// parted reports whether the instances do not reach the log now.
-func (f *fleet) parted() bool {
+// parted reports whether an instance does not reach the log now.
+func (f *fleet) parted(instance int) bool {
+	if f.PartedShare > 0 && float64(instance) >= f.PartedShare*float64(f.Instances) {
+		return false
+	}
 	at := time.Since(f.start)
 	for _, w := range f.Parted {
 		if w.contains(at) {
@@ -256,7 +261,7 @@
 
 // request reserves the tokens of one request and spends them.
 func (f *fleet) request(ctx context.Context, m *member, organisation string, tokens int64) {
-	parted := f.parted()
+	parted := f.parted(m.number)
 	r, err := m.book.Reserve(ctx, organisation, tokens)
 	spent := r.Tokens - r.Tokens/unusedDivisor
 	if tokens%unrunDivisor == 0 {
--- a/fake/loads/store.go
+++ b/fake/loads/store.go
@@ -34,11 +34,12 @@
 	reads, writes int
 }
 
-func (s *store) log() logs.Log {
+// log returns the log as an instance reaches it.
+func (s *store) log(instance int) logs.Log {
 	inner := s.fleet.log.Log()
 	return logs.Log{
 		Append: func(ctx context.Context, topic string, part int, at int64, records []logs.Record) (int64, error) {
-			if err := s.begin(ctx, &s.writes, writesPerSecond); err != nil {
+			if err := s.begin(ctx, instance, &s.writes, writesPerSecond); err != nil {
 				return 0, err
 			}
 			s.awaitPartition(fmt.Sprint(topic, part))
@@ -47,13 +48,13 @@
 			return end, err
 		},
 		Read: func(ctx context.Context, topic string, part int, from int64, _ time.Duration) ([]logs.Record, int64, error) {
-			if err := s.begin(ctx, &s.reads, readsPerSecond); err != nil {
+			if err := s.begin(ctx, instance, &s.reads, readsPerSecond); err != nil {
 				return nil, 0, err
 			}
 			return inner.Read(ctx, topic, part, from, 0)
 		},
 		Newest: func(ctx context.Context, topic string, part int, after string) (logs.Page, error) {
-			if err := s.begin(ctx, &s.reads, readsPerSecond); err != nil {
+			if err := s.begin(ctx, instance, &s.reads, readsPerSecond); err != nil {
 				return logs.Page{}, err
 			}
 			return inner.Newest(ctx, topic, part, after)
@@ -62,8 +63,8 @@
 }
 
 // begin waits for the duration of a call. It returns an error if the call exceeds the rate or gets no reply.
-func (s *store) begin(ctx context.Context, count *int, limit int) error {
-	if s.fleet.parted() {
+func (s *store) begin(ctx context.Context, instance int, count *int, limit int) error {
+	if s.fleet.parted(instance) {
 		<-ctx.Done()
 		return ctx.Err()
 	}
