--- a/cmd/route.go
+++ b/cmd/route.go
@@ -53,6 +53,7 @@
 		Settings: settings, Log: log, Dropped: out.Dropped, Meter: m, Store: store.Log(), Platform: platform.Adapter(),
 		Reload: func() (opts.Router, error) { return opts.LoadRouter(path) }, ReloadSignals: notifyReload(ctx),
 	}
+	store.Eras.OnNewEra, store.Eras.OnInvalid = r.RecordLogRestored, r.RecordInvalidEra
 	r.Default()
 	if err := r.Listen(ctx); err != nil {
 		return err
--- a/cmd/route_test.go
+++ b/cmd/route_test.go
@@ -9,11 +9,14 @@
 	"gotest.tools/v3/assert"
 )
 
-// renderRouterSettings returns the router settings template with its placeholders substituted, as the platform does.
+// renderRouterSettings returns the router settings template with its sections and placeholders substituted, as the
+// platform does at a start that is not the first one of the fleet.
 func renderRouterSettings(t *testing.T) string {
 	t.Helper()
 	template, err := os.ReadFile("../deploy/router.toml")
 	assert.NilError(t, err)
+	template = regexp.MustCompile(`\{\{#bootstrap}}.*?\{\{/bootstrap}}`).ReplaceAll(template, nil)
+	template = regexp.MustCompile(`\{\{\^bootstrap}}(.*?)\{\{/bootstrap}}`).ReplaceAll(template, []byte("$1"))
 	values := map[string]string{
 		"node_name|json": `"front-a-1"`, "zone|json": `"a"`, "ip": "127.0.0.1", "listen.front|json": `"127.0.0.1:8227"`,
 		"listen.readiness|json": `"127.0.0.1:8220"`, "platform.address|json": `"127.0.0.1:8223"`, "bounds.retry_budget_ratio": "0.2",
--- a/core/budget/balance.go
+++ b/core/budget/balance.go
@@ -6,6 +6,8 @@
 	Paid         int64  `json:"paid"`
 	// Granted is the total granted to all instances.
 	Granted int64 `json:"granted"`
+	// WrittenOff is the part of Granted that counts as granted because the log was restored from an older copy.
+	WrittenOff int64 `json:"written_off,omitempty"`
 	// Free and Reserved are the unspent parts of this instance's holding. Promised is the part of
 	// Free that the instance has promised not to spend yet.
 	Free     int64 `json:"free"`
@@ -22,7 +24,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(organisation)
-	return Balance{Organisation: organisation, Paid: a.paid, Granted: a.granted, Free: a.unreserved, Reserved: a.reserved, Promised: b.promised(a)}
+	return Balance{Organisation: organisation, Paid: a.paid, Granted: a.grants.Granted, WrittenOff: a.grants.WrittenOff, Free: a.unreserved, Reserved: a.reserved, Promised: b.promised(a)}
 }
 
 // Balances returns the budgets of all organisations as known to this instance.
--- a/core/budget/book.go
+++ b/core/budget/book.go
@@ -52,10 +52,19 @@
 // account is the state of one organisation's budget at this instance.
 type account struct {
 	organisation string
-	// paid is the number of tokens paid for; table.Unlimited without a budget.
-	paid int64
-	// granted is the total granted to all instances, as recorded in the log.
-	granted int64
+	// paid is the number of tokens paid for, table.Unlimited without a budget, and paidAt when it last changed.
+	// configuredAt is when the budget was first configured.
+	paid                 int64
+	paidAt, configuredAt time.Time
+	// grants is what the log records, and hasRecord whether it has a record. recordEra is the era that the record was
+	// written in, and era the one that it was read in.
+	grants         Grants
+	hasRecord      bool
+	recordEra, era int64
+	// restorable is set if the log may be restored from a copy. marks are then the sums of draws that were
+	// recorded within the age of a copy, in order.
+	restorable bool
+	marks      []drawMark
 	// unreserved is the part of this instance's holding that is not reserved, and reserved the part that
 	// its requests in flight may spend.
 	unreserved, reserved int64
@@ -81,9 +90,11 @@
 // Book tracks the tokens that this instance may spend of each organisation's budget. Exported
 // fields are set before Default. It is safe for concurrent use.
 type Book struct {
-	// Now is the clock of the process. It affects only when tokens are drawn, returned or refused,
-	// not how many may be spent.
+	// Now is the monotonic clock of the process. It affects when tokens are drawn, returned or refused, and, if the log may
+	// be restored from a copy, which draws each copy contains.
 	Now func() time.Time
+	// CopyAge is the maximum age of a copy from which the log may be restored.
+	CopyAge time.Duration
 	// Cover is the duration of usual usage that a holding covers.
 	Cover time.Duration
 	// MaxWait is the maximum time that a request waits for tokens.
@@ -135,6 +146,9 @@
 	if b.MaxWait == 0 {
 		b.MaxWait = DefaultMaxWait
 	}
+	if b.CopyAge == 0 {
+		b.CopyAge = DefaultCopyAge
+	}
 	if b.OnAdjustmentDue == nil {
 		b.OnAdjustmentDue = func(string, bool) {}
 	}
@@ -178,7 +192,10 @@
 	for _, o := range organisations {
 		a := b.account(o.Name)
 		if o.Prepaid != a.paid {
-			a.paid = o.Prepaid
+			if a.configuredAt.IsZero() {
+				a.configuredAt = b.Now()
+			}
+			a.paid, a.paidAt = o.Prepaid, b.Now()
 			b.recordAvailable(a)
 			b.serveWaiters(a)
 		}
@@ -279,7 +296,7 @@
 
 // tryReserve reserves tokens from the instance's holding and reports whether it covers them.
 func (b *Book) tryReserve(a *account, tokens int64) bool {
-	if a.granted > a.paid || b.spendable(a) < tokens {
+	if a.overgranted() || b.spendable(a) < tokens {
 		return false
 	}
 	a.unreserved -= tokens
@@ -343,6 +360,8 @@
 		return codes.Refuse(codes.LedgerStale, RetryAfterLogUnavailable, "the budgets have not been read yet")
 	case !b.LogReachable(a.organisation):
 		return codes.Refuse(codes.LogUnavailable, RetryAfterLogUnavailable, "%d tokens are left but the log is unreachable", a.ungranted())
+	case a.unreserved+b.drawable(a) < tokens:
+		return codes.Refuse(codes.BudgetElsewhere, RetryAfterElsewhere, "%d tokens are left but may not be drawn yet, in case the log is restored", a.ungranted())
 	default:
 		return nil
 	}
@@ -460,17 +479,6 @@
 	}
 }
 
-// SetGranted sets the total granted to all instances, as recorded in the log. It does not decide
-// waiting reservations; ServeWaiters does, once it is known what was drawn for them.
-func (b *Book) SetGranted(organisation string, granted int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	a := b.account(organisation)
-	a.granted = granted
-	b.recordAvailable(a)
-	b.notifyIfDue(organisation, a)
-}
-
 // SetLoaded marks the state of the log as read.
 func (b *Book) SetLoaded() {
 	b.mu.Lock()
--- a/core/budget/borrow.go
+++ b/core/budget/borrow.go
@@ -41,7 +41,7 @@
 	switch {
 	case s.active:
 		return true
-	case a.paid == 0 || a.granted > a.paid || missing > a.paid:
+	case a.paid == 0 || a.overgranted() || missing > a.paid:
 		return false
 	case missing >= s.failed && b.Now().Before(s.retryAt):
 		return false
@@ -86,7 +86,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.accounts[organisation]
-	if a == nil || a.paid == table.Unlimited || a.granted > a.paid || len(a.waiters) > 0 || b.spendable(a) < least {
+	if a == nil || a.paid == table.Unlimited || a.overgranted() || len(a.waiters) > 0 || b.spendable(a) < least {
 		return 0
 	}
 	if a.low() {
--- /dev/null
+++ b/core/budget/era.go
@@ -0,0 +1,167 @@
+package budget
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"cranberryrail/core/table"
+)
+
+// A log that was restored from a copy lacks the newest draws, whose tokens may be spent. The process that drew them may
+// have ended, so no process can be asked for them. Draws are therefore limited: those that no copy is certain to contain
+// must not exceed a fraction of the budget, and after a restore this fraction counts as granted.
+const (
+	// DefaultCopyAge is the maximum age of a copy from which the log may be restored.
+	DefaultCopyAge = 10 * time.Second
+	// riskDivisor is the limit on draws that a restored log may lack, as a divisor of the tokens paid for. Within
+	// DefaultCopyAge a fleet draws what its holdings cover, and what it uses.
+	riskDivisor = 2
+	// marksPerCopyAge is the number of marks of the draws that are kept for the age of a copy.
+	marksPerCopyAge = 8
+)
+
+// Grants is what the log records about an organisation's budget, in tokens.
+type Grants struct {
+	// Era is the era of the log in which the record was written.
+	Era int64
+	// Granted is the total granted to all instances.
+	Granted int64
+	// Drawn is the sum of all draws, without returns. Kept is a sum of draws that each copy from which the log may be
+	// restored contains, and RiskLimit the maximum by which Drawn exceeds it. They are 0 in a log without eras.
+	Drawn, Kept, RiskLimit int64
+	// WrittenOff is the part of Granted that counts as granted because the log was restored.
+	WrittenOff int64
+}
+
+// drawMark is the sum of draws that was recorded in the log at a time.
+type drawMark struct {
+	at    time.Time
+	drawn int64
+}
+
+// eraPrefix is the prefix of the keys of records in all eras but 0. A key names the era, so that an append of an earlier
+// era that commits late replaces no record of the present one.
+const eraPrefix = "era/"
+
+// recordKey returns the key of an organisation's record in an era.
+func recordKey(organisation string, era int64) string {
+	if era == 0 {
+		return organisation
+	}
+	return eraPrefix + strconv.FormatInt(era, 10) + "/" + organisation
+}
+
+// parseRecordKey returns the organisation and the era of a record.
+func parseRecordKey(key string) (organisation string, era int64) {
+	rest, ok := strings.CutPrefix(key, eraPrefix)
+	if !ok {
+		return key, 0
+	}
+	text, organisation, ok := strings.Cut(rest, "/")
+	era, err := strconv.ParseInt(text, 10, 64)
+	if !ok || err != nil {
+		return key, 0
+	}
+	return organisation, era
+}
+
+// RecordGrants sets what the log records about a budget, given the present era of the log and whether it may be restored
+// from a copy. A record of an earlier era lacks what was drawn after the copy: as much as RiskLimit for each era counts
+// as granted. It does not decide waiting reservations; ServeWaiters does, once it is known what was drawn for them.
+func (b *Book) RecordGrants(organisation string, g Grants, era int64, restorable bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.account(organisation)
+	if a.era == era && g.Era < a.recordEra {
+		return // an append of an earlier era that committed late
+	}
+	if a.era != era {
+		a.marks = nil
+	}
+	a.recordEra, a.era, a.restorable = g.Era, era, restorable
+	if lost := (era - g.Era) * a.paidRisk(g.RiskLimit); lost > 0 {
+		g.Granted += lost
+		g.WrittenOff += lost
+		g.Kept = g.Drawn
+	}
+	a.grants, a.hasRecord = g, true
+	if now := b.Now(); restorable && (len(a.marks) == 0 || now.Sub(a.marks[len(a.marks)-1].at) >= b.CopyAge/marksPerCopyAge) {
+		a.marks = append(a.marks, drawMark{now, g.Drawn})
+	}
+	b.recordAvailable(a)
+	b.notifyIfDue(organisation, a)
+}
+
+// paidRisk returns the limit on draws that a restored log may lack, at least the given one.
+func (a *account) paidRisk(least int64) int64 {
+	if a.paid == table.Unlimited {
+		return least
+	}
+	return max(least, a.paid/riskDivisor)
+}
+
+// riskLimit returns the limit on draws beyond those that are kept. It is raised after a top-up once every copy of the
+// log contains the top-up, so that who restores the budget knows it.
+func (b *Book) riskLimit(a *account) int64 {
+	if a.grants.RiskLimit > 0 && b.Now().Sub(a.paidAt) < b.CopyAge {
+		return a.grants.RiskLimit
+	}
+	return a.paidRisk(a.grants.RiskLimit)
+}
+
+// kept returns a sum of draws that each copy from which the log may be restored contains: those of records that were
+// read at least CopyAge ago.
+func (b *Book) kept(a *account) int64 {
+	now := b.Now()
+	for len(a.marks) > 0 && now.Sub(a.marks[0].at) >= b.CopyAge {
+		a.grants.Kept = max(a.grants.Kept, a.marks[0].drawn)
+		a.marks = a.marks[1:]
+	}
+	return a.grants.Kept
+}
+
+// drawable returns the tokens that may be drawn from the log now.
+func (b *Book) drawable(a *account) int64 {
+	ungranted := max(a.ungranted(), 0)
+	if !a.restorable {
+		return ungranted
+	}
+	return max(0, min(ungranted, b.kept(a)+b.riskLimit(a)-a.grants.Drawn))
+}
+
+// NextGrants returns the record that adds a draw, or a return if tokens is negative, to those in the log.
+func (b *Book) NextGrants(organisation string, tokens int64) Grants {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.account(organisation)
+	g := a.grants
+	g.Era = a.era
+	g.Granted += tokens
+	if a.restorable {
+		g.Drawn += max(tokens, 0)
+		g.Kept, g.RiskLimit = b.kept(a), b.riskLimit(a)
+	}
+	return g
+}
+
+// missingGrants returns what counts as recorded about a budget that has no record in an era of the log, given since when
+// the log was read in this era, and whether that is so. If a record may have been lost in a restored log, it is what the
+// book knows from an earlier era. Without that, nothing can be drawn, since the log may have been restored repeatedly.
+func (b *Book) missingGrants(organisation string, era int64, since time.Time) (Grants, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.account(organisation)
+	switch {
+	case a.hasRecord && a.era == era:
+		return Grants{}, false
+	case a.hasRecord:
+		g := a.grants
+		g.Era = a.era
+		return g, true
+	case era == 0 || a.configuredAt.Sub(since) >= b.CopyAge: // the organisation is younger than any copy
+		return Grants{Era: era}, true
+	default:
+		return Grants{Era: era - riskDivisor}, true
+	}
+}
--- a/core/budget/partition.go
+++ b/core/budget/partition.go
@@ -27,6 +27,11 @@
 	// By is the incarnation id of the writer, and Sequence the number of its batch.
 	By       string `json:"by"`
 	Sequence int64  `json:"sequence"`
+	// Drawn, Kept, RiskLimit and WrittenOff are those of Grants; the era is in the key.
+	Drawn      int64 `json:"drawn,omitempty"`
+	Kept       int64 `json:"kept,omitempty"`
+	RiskLimit  int64 `json:"risk_limit,omitempty"`
+	WrittenOff int64 `json:"written_off,omitempty"`
 	// Peer is the address at which an instance lends tokens; only in records that register instances.
 	Peer string `json:"peer,omitempty"`
 }
@@ -60,11 +65,16 @@
 
 	mu     sync.Mutex
 	loaded bool
-	// loadedAt is when the state was first read.
+	// era is the era of the log that the state was read in. newFleetEra is the era that it was first read in if that was
+	// before any instance of a new fleet could draw, else noEra.
+	era, newFleetEra int64
+	// firstLoaded is set once the state was read, and drawsFrom is the time before which nothing is drawn for a new fleet.
+	firstLoaded bool
+	drawsFrom   time.Time
+	// loadedAt is when the state was first read in this era.
 	loadedAt time.Time
 	end      int64
 	readAt   time.Time
-	granted  map[string]int64
 	// instances maps the ids of all instances ever registered to their addresses for loans, and joinedAt is when
 	// the last one was seen to register.
 	instances map[string]string
@@ -81,37 +91,95 @@
 func newPartition(sy *Syncer, index int) *partition {
 	return &partition{
 		syncer: sy, index: index, wake: make(chan struct{}, 1), due: make(chan struct{}, 1), retry: make(chan struct{}, 1),
-		granted: map[string]int64{}, instances: map[string]string{},
+		newFleetEra: noEra, instances: map[string]string{},
 	}
 }
 
+// noEra is no era of the log.
+const noEra = -1
+
+// Timing of the start of a new fleet, whose instances start at the same time, so that all of them have read the log before
+// the first draw. An instance that reads it later can't tell a new log from one that was restored.
+const (
+	newFleetLoadTime  = 2 * time.Second
+	newFleetDrawDelay = 3 * time.Second
+)
+
 // applySnapshot rebuilds the state from the newest records. A pending batch that may be among the
 // skipped records counts as unsettled: its draws are not spent, and its returns are not reverted.
 // If any record is invalid, it is not known what was granted, and the state does not count as read.
-func (p *partition) applySnapshot(records []logs.Record, end int64) error {
+func (p *partition) applySnapshot(s logs.Snapshot) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.readAt = time.Now()
-	if p.loaded && end < p.end {
+	if p.loaded && s.Era < p.era || p.loaded && s.Era == p.era && s.End < p.end {
 		return nil
 	}
-	for _, r := range records {
+	if p.loaded && s.Era > p.era {
+		p.reset()
+	}
+	p.era = s.Era
+	for _, r := range s.Records {
 		if _, err := p.applyRecord(r); err != nil {
 			return fmt.Errorf("read the budget record of %s: %w", r.Key, err)
 		}
 	}
-	if p.pending != nil && end > p.pending.offset {
-		p.syncer.OnUnsettled(p.pending.sequence, p.pending.tokens())
-		p.pending = nil
+	if p.pending != nil && s.End > p.pending.offset {
+		p.dropPending()
 	}
 	if !p.loaded {
 		p.loadedAt = p.syncer.Book.Now()
 	}
-	p.end, p.loaded = end, true
-	p.serveWaiters(records)
+	if p.syncer.FirstStart && !p.firstLoaded {
+		p.beginNewFleet()
+	}
+	p.firstLoaded = true
+	p.end, p.loaded = s.End, true
+	p.serveWaiters(s.Records)
 	return nil
 }
 
+// beginNewFleet records that the state was first read when the fleet starts for the first time.
+func (p *partition) beginNewFleet() {
+	sy := p.syncer
+	if !sy.Log.HasEras() {
+		return
+	}
+	p.drawsFrom = sy.Book.Now().Add(newFleetDrawDelay)
+	if sy.Book.Uptime()-sy.Started <= newFleetLoadTime {
+		p.newFleetEra = p.era
+	}
+}
+
+// dropPending counts the pending batch as unsettled: its draws are not spent, and its returns are not reverted.
+func (p *partition) dropPending() {
+	p.syncer.OnUnsettled(p.pending.sequence, p.pending.tokens())
+	p.pending = nil
+}
+
+// reset drops the state when the log was restored from an older copy. What this instance holds stays spendable, since
+// the records of the new era count it as granted.
+func (p *partition) reset() {
+	if p.pending != nil {
+		p.dropPending()
+	}
+	p.loaded, p.end, p.readAt = false, 0, time.Time{}
+	p.instances = map[string]string{}
+}
+
+// checkEra returns logs.ErrNewEra, and drops the state, if the log was restored since the state was read. A reply counts
+// only if that is not so after it.
+func (p *partition) checkEra() error {
+	era := p.syncer.Log.CurrentEra()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.loaded || p.era == era {
+		return nil
+	}
+	p.reset()
+	return logs.ErrNewEra
+}
+
 // tokens returns the sum of the adjustments of a batch.
 func (b *batch) tokens() int64 {
 	var sum int64
@@ -140,12 +208,13 @@
 // serveWaiters re-evaluates the reservations that wait for budgets whose records were applied.
 func (p *partition) serveWaiters(records []logs.Record) {
 	for _, r := range records {
-		p.syncer.Book.ServeWaiters(r.Key)
+		organisation, _ := parseRecordKey(r.Key)
+		p.syncer.Book.ServeWaiters(organisation)
 	}
 }
 
-// errNegativeGrant is returned for a record with a negative number of granted tokens.
-var errNegativeGrant = errors.New("the number of granted tokens is negative")
+// errNegativeGrant is returned for a record with a negative number of tokens.
+var errNegativeGrant = errors.New("the number of granted or drawn tokens is negative")
 
 // applyRecord applies one record to the state and returns its value. An invalid record changes
 // nothing: its writer was not an instance.
@@ -155,7 +224,7 @@
 		return e, nil
 	}
 	err := json.Unmarshal(r.Value, &e)
-	if err == nil && e.Granted < 0 {
+	if err == nil && min(e.Granted, e.Drawn, e.Kept, e.RiskLimit, e.WrittenOff) < 0 {
 		err = errNegativeGrant
 	}
 	if err != nil {
@@ -168,11 +237,28 @@
 		}
 		return e, nil
 	}
-	p.granted[r.Key] = e.Granted
-	p.syncer.Book.SetGranted(r.Key, e.Granted)
+	organisation, era := parseRecordKey(r.Key)
+	p.recordGrants(organisation, Grants{era, e.Granted, e.Drawn, e.Kept, e.RiskLimit, e.WrittenOff})
 	return e, nil
 }
 
+func (p *partition) recordGrants(organisation string, g Grants) {
+	p.syncer.Book.RecordGrants(organisation, g, p.era, p.syncer.Log.HasEras())
+}
+
+// recordMissing handles organisations without a record in the log.
+func (p *partition) recordMissing(organisations []string) {
+	sy := p.syncer
+	for _, name := range organisations {
+		if g, missing := sy.Book.missingGrants(name, p.era, p.loadedAt); missing {
+			if p.newFleetEra == p.era {
+				g = Grants{Era: p.era}
+			}
+			p.recordGrants(name, g)
+		}
+	}
+}
+
 // resolve commits or aborts the pending batch once the record at its offset is known.
 func (p *partition) resolve(offset int64, written grantRecord) {
 	b := p.pending
@@ -205,9 +291,10 @@
 	if p.pending != nil {
 		return p.pending
 	}
-	if !p.loaded {
+	if !p.loaded || p.syncer.Book.Now().Before(p.drawsFrom) {
 		return nil
 	}
+	p.recordMissing(organisations)
 	b := &batch{offset: p.end, sequence: p.sequence + 1}
 	for _, name := range organisations {
 		tokens := p.syncer.Book.BeginAdjustment(name)
@@ -215,7 +302,7 @@
 			continue
 		}
 		b.adjustments = append(b.adjustments, adjustment{name, tokens})
-		b.records = append(b.records, p.newRecord(b, name, grantRecord{Granted: p.granted[name] + tokens}))
+		b.records = append(b.records, p.newRecord(b, name, tokens))
 	}
 	if len(b.records) == 0 {
 		return nil
@@ -225,14 +312,18 @@
 	return b
 }
 
-// newRecord returns the next record of a batch.
-func (p *partition) newRecord(b *batch, key string, e grantRecord) logs.Record {
-	e.By, e.Sequence = p.syncer.Incarnation, b.sequence
+// newRecord returns the next record of a batch, which adds a draw or a return to those in the log.
+func (p *partition) newRecord(b *batch, organisation string, tokens int64) logs.Record {
+	g := p.syncer.Book.NextGrants(organisation, tokens)
+	e := grantRecord{
+		Granted: g.Granted, By: p.syncer.Incarnation, Sequence: b.sequence,
+		Drawn: g.Drawn, Kept: g.Kept, RiskLimit: g.RiskLimit, WrittenOff: g.WrittenOff,
+	}
 	value, err := json.Marshal(e)
 	if err != nil {
 		panic(fmt.Sprintf("encode budget record: %v", err)) // the type can always be encoded
 	}
-	return logs.Record{Offset: b.offset + int64(len(b.records)), Key: key, Value: value}
+	return logs.Record{Offset: b.offset + int64(len(b.records)), Key: recordKey(organisation, g.Era), Value: value}
 }
 
 // abort reverts a batch that certainly was not and will not be written.
@@ -252,8 +343,21 @@
 // less than the usual time between the appends of two instances of a large fleet.
 const maxFreshAge = 5 * time.Millisecond
 
-// syncHoldings reads the partition and adjusts the holdings of this instance as the book requests.
+// syncHoldings reads the partition and adjusts the holdings of this instance as the book requests. It starts again when
+// the log was restored meanwhile.
 func (p *partition) syncHoldings(ctx context.Context, organisations []string) error {
+	for {
+		err := p.checkEra()
+		if err == nil {
+			err = p.trySyncHoldings(ctx, organisations)
+		}
+		if !errors.Is(err, logs.ErrNewEra) || ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
+func (p *partition) trySyncHoldings(ctx context.Context, organisations []string) error {
 	if !p.syncDue(organisations) {
 		return nil
 	}
@@ -378,15 +482,15 @@
 func (p *partition) load(ctx context.Context) error {
 	call, cancel := context.WithTimeout(ctx, p.syncer.Timeout)
 	defer cancel()
-	records, end, err := p.syncer.Log.NewestAll(call, p.syncer.Topic, p.index)
+	s, err := p.syncer.Log.NewestAll(call, p.syncer.Topic, p.index)
 	if err != nil {
 		return err
 	}
-	if err := p.applySnapshot(records, end); err != nil {
+	if err := p.applySnapshot(s); err != nil {
 		return err
 	}
 	p.syncer.markLoaded()
-	return nil
+	return p.checkEra()
 }
 
 // append writes a batch and reports whether to read the partition and retry: the append conflicted with one of
@@ -395,6 +499,9 @@
 	call, cancel := context.WithTimeout(ctx, p.syncer.Timeout)
 	defer cancel()
 	_, err := p.syncer.Log.Append(call, p.syncer.Topic, p.index, b.offset, b.records)
+	if changed := p.checkEra(); changed != nil {
+		return false, changed
+	}
 	if err == nil {
 		p.apply(b.records)
 		return false, nil
@@ -437,6 +544,9 @@
 		call, cancel := context.WithTimeout(ctx, p.syncer.Timeout)
 		records, end, err := p.syncer.Log.Read(call, p.syncer.Topic, p.index, from, 0)
 		cancel()
+		if changed := p.checkEra(); changed != nil {
+			return changed
+		}
 		if err != nil {
 			return fmt.Errorf("read %s/%d from offset %d: %w", p.syncer.Topic, p.index, from, err)
 		}
--- a/core/budget/policy.go
+++ b/core/budget/policy.go
@@ -45,8 +45,17 @@
 // lost to each other, and because their own usage is too small a sample to draw ahead.
 const MaxHolders = 8
 
-// ungranted returns the tokens that the log can still grant.
-func (a *account) ungranted() int64 { return a.paid - a.granted }
+// ungranted returns the tokens that the log can still grant; fewer than 0 if more was granted than is paid for.
+func (a *account) ungranted() int64 {
+	if a.overgranted() {
+		return a.paid - a.grants.Granted
+	}
+	return max(0, a.paid-a.grants.Granted)
+}
+
+// overgranted reports whether more was granted than is paid for, because the amount paid was reduced. Tokens that
+// only count as granted do not matter.
+func (a *account) overgranted() bool { return a.grants.Granted-a.grants.WrittenOff > a.paid }
 
 // quantum returns the smallest adjustment of a holding with the given target that justifies an append.
 func (a *account) quantum(target int64) int64 {
@@ -98,7 +107,7 @@
 		return 0
 	case len(a.waiters) > 0:
 		return 0
-	case b.stopping || a.granted > a.paid:
+	case b.stopping || a.overgranted():
 		return a.unreserved
 	}
 	keep := b.target(a)
@@ -123,7 +132,7 @@
 	if b.stopping {
 		return 0
 	}
-	ungranted := max(a.ungranted(), 0)
+	ungranted := b.drawable(a)
 	draw := a.demand() - a.unreserved
 	if !b.IsHolder(a.organisation) {
 		if a.borrowing.active {
--- a/core/budget/promise.go
+++ b/core/budget/promise.go
@@ -63,7 +63,7 @@
 // promisable returns the tokens of an account to promise: the holding beyond the usage that is left unpromised, except
 // tokens that are to be returned.
 func (b *Book) promisable(a *account) int64 {
-	if a.paid == table.Unlimited || b.stopping || a.granted > a.paid {
+	if a.paid == table.Unlimited || b.stopping || a.overgranted() {
 		return 0
 	}
 	cover := unpromisedCover
--- a/core/budget/promise_test.go
+++ b/core/budget/promise_test.go
@@ -39,7 +39,7 @@
 		{"does not take over after a reboot", 0, true, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			f := &fleet{log: &memlog.Server{}, paid: paid, now: time.Unix(1000, 0)}
+			f := &fleet{log: &memlog.Server{}, paid: paid, now: startTime}
 			killed := startWithPromise(t, f).book.Balance("travel")
 			f.now = f.now.Add(c.away)
 			if c.boot {
@@ -64,7 +64,7 @@
 // TestPromiseBindsUntilExpiry checks that a process spends no tokens that a successor could take
 // over, and can spend its whole holding once the promise has expired.
 func TestPromiseBindsUntilExpiry(t *testing.T) {
-	f := &fleet{log: &memlog.Server{}, paid: paid, now: time.Unix(1000, 0)}
+	f := &fleet{log: &memlog.Server{}, paid: paid, now: startTime}
 	m := startWithPromise(t, f)
 	f.log.SetFault(func(string) memlog.Fault { return memlog.LoseRequest })
 	held := m.book.Balance("travel")
@@ -81,7 +81,7 @@
 // TestStopReleasesPromises checks that a process that stops returns its promised tokens too, and
 // that its successor does not take them over again.
 func TestStopReleasesPromises(t *testing.T) {
-	f := &fleet{log: &memlog.Server{}, paid: paid, now: time.Unix(1000, 0)}
+	f := &fleet{log: &memlog.Server{}, paid: paid, now: startTime}
 	m := startWithPromise(t, f)
 	assert.NilError(t, m.syncer.ReturnTokens(t.Context()))
 	assert.Equal(t, m.book.Balance("travel").Free, int64(0))
@@ -94,7 +94,7 @@
 // TestTakeOverDuringRequests guards against data races between requests and a take-over whose
 // promises are renewed repeatedly.
 func TestTakeOverDuringRequests(t *testing.T) {
-	f := &fleet{log: &memlog.Server{}, paid: paid, now: time.Unix(1000, 0)}
+	f := &fleet{log: &memlog.Server{}, paid: paid, now: startTime}
 	startWithPromise(t, f)
 	m := f.start("i-0")
 	var g errgroup.Group
--- a/core/budget/promise_writer.go
+++ b/core/budget/promise_writer.go
@@ -22,6 +22,8 @@
 	Until int64 `json:"until_ns"`
 	// Tokens holds the promised tokens by organisation.
 	Tokens map[string]int64 `json:"tokens"`
+	// Era is the era of the log. A promise of an earlier one may have been followed by another one that was lost.
+	Era int64 `json:"era,omitempty"`
 }
 
 // promiseWriter writes the promises of this instance, and takes over what an earlier process of
@@ -37,6 +39,8 @@
 
 	mu     sync.Mutex
 	loaded bool
+	// era is the era of the log that the state was read in.
+	era int64
 	// committed is set once the log holds a record of this process. From then on no earlier process
 	// can write.
 	committed bool
@@ -100,12 +104,15 @@
 		return nil // no other process could determine how long a promise binds
 	}
 	for {
+		p.checkEra()
 		if err := p.prepare(ctx); err != nil || p.pending == nil {
 			return err
 		}
 		err := p.append(ctx)
 		var conflict *logs.ConflictError
 		switch {
+		case p.checkEra():
+			continue
 		case err == nil:
 			p.commit()
 			return nil
@@ -119,6 +126,18 @@
 	}
 }
 
+// checkEra drops the state if the log was restored from an older copy since it was read, and reports whether that is
+// so. No successor takes over what was promised before, so that no promise binds any more.
+func (p *promiseWriter) checkEra() bool {
+	if !p.loaded || p.era == p.syncer.Log.CurrentEra() {
+		return false
+	}
+	p.loaded, p.committed, p.inDoubt = false, false, false
+	p.recorded, p.pending, p.inherited = &Promise{}, nil, nil
+	p.syncer.Book.ResetPromises(p.recorded)
+	return true
+}
+
 // prepare creates the next promise, unless a pending one still binds.
 func (p *promiseWriter) prepare(ctx context.Context) error {
 	if !p.loaded {
@@ -138,6 +157,7 @@
 	}
 	value, err := json.Marshal(promiseRecord{
 		By: p.syncer.Incarnation, Boot: p.syncer.Boot, Made: int64(next.Until - promiseDuration), Until: int64(next.Until), Tokens: next.Tokens,
+		Era: p.era,
 	})
 	if err != nil {
 		return fmt.Errorf("encode promise: %w", err)
@@ -151,13 +171,13 @@
 	sy := p.syncer
 	call, cancel := context.WithTimeout(ctx, sy.Timeout)
 	defer cancel()
-	records, end, err := sy.Log.NewestAll(call, sy.PromiseTopic, p.partition)
+	s, err := sy.Log.NewestAll(call, sy.PromiseTopic, p.partition)
 	if err != nil {
 		return err
 	}
-	p.loaded, p.end = true, end
+	p.loaded, p.end, p.era = true, s.End, s.Era
 	var r promiseRecord
-	for _, record := range records {
+	for _, record := range s.Records {
 		if record.Key != sy.Instance {
 			continue
 		}
@@ -166,20 +186,24 @@
 		}
 	}
 	if r.By == sy.Incarnation {
-		p.commit() // an append that was not answered has committed
+		if r.Era == p.era && p.pending != nil {
+			p.commit() // an append that was not answered has committed
+		}
 		return nil
 	}
 	p.pending, p.inDoubt = nil, false // no earlier append committed, and none will
-	p.inherited = sy.inheritable(r)
+	p.inherited = p.inheritable(r)
 	return nil
 }
 
 // inheritable returns the promised tokens of an earlier process that certainly ended before it
 // could spend them: this process started after the promise was made and before it expired, and the
-// times are on the same clock, because both processes ran on the same boot of the machine.
-func (sy *Syncer) inheritable(r promiseRecord) map[string]int64 {
+// times are on the same clock, because both processes ran on the same boot of the machine. The log was not restored
+// since, so that no later promise was lost.
+func (p *promiseWriter) inheritable(r promiseRecord) map[string]int64 {
+	sy := p.syncer
 	started := int64(sy.Started)
-	if r.Boot != sy.Boot || started < r.Made || started >= r.Until {
+	if r.Era != p.era || r.Boot != sy.Boot || started < r.Made || started >= r.Until {
 		if len(r.Tokens) > 0 {
 			sy.OnInherited(r.Tokens, false)
 		}
--- a/core/budget/property_test.go
+++ b/core/budget/property_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,6 +19,9 @@
 
 const paid = 100_000
 
+// startTime is when a fleet starts.
+var startTime = time.Unix(1000, 0)
+
 // member is one process of the fleet.
 type member struct {
 	book         *budget.Book
@@ -38,14 +42,28 @@
 	// may spend. Reservations of a killed process count as spent, since its targets continue to run.
 	spent, reserved, paid int64
 	noFaults              bool
+	// maxWait is how long a request waits for tokens, in real time.
+	maxWait time.Duration
+	// copies are copies of the log with the times that they were made at.
+	copies   []timedCopy
+	restores int64
+}
+
+type timedCopy struct {
+	at time.Time
+	memlog.Copy
 }
 
 func (f *fleet) start(instance string) *member {
 	f.starts++
-	m := &member{book: &budget.Book{Now: func() time.Time { return f.now }, MaxWait: time.Nanosecond, Uptime: f.uptime}}
+	if f.maxWait == 0 {
+		f.maxWait = time.Nanosecond
+	}
+	m := &member{book: &budget.Book{Now: func() time.Time { return f.now }, MaxWait: f.maxWait, Uptime: f.uptime}}
 	m.syncer = &budget.Syncer{
 		Log: f.log.Log(), Topic: "keyed.budgets", Shards: 1, Instance: instance, Incarnation: fmt.Sprintf("%s#%d", instance, f.starts), Book: m.book,
 		PromiseTopic: "keyed.promises", PromiseParts: 1, Boot: fmt.Sprintf("boot-%d", f.boots), Started: f.uptime(),
+		FirstStart: f.now.Equal(startTime),
 	}
 	m.syncer.Default()
 	m.syncer.PollInterval = time.Nanosecond // each sync reads the log
@@ -88,10 +106,13 @@
 	assert.Assert(f.t, free+f.spent+f.reserved <= record.Granted, "free %d, spent %d, reserved %d of %d", free, f.spent, f.reserved, record.Granted)
 }
 
-// step performs one random operation.
-func (f *fleet) step() {
+// steps are the operations of a run, the more frequent ones repeatedly.
+var steps = []string{"reserve", "reserve", "settle", "visit", "visit", "visit", "kill", "kill", "land", "drop", "top_up", "pass", "boot", "lend"}
+
+// step performs one random operation of the given ones.
+func (f *fleet) step(steps []string) {
 	i, m := f.member()
-	switch rapid.SampledFrom([]string{"reserve", "reserve", "settle", "visit", "visit", "visit", "kill", "kill", "land", "drop", "top_up", "pass", "boot", "lend"}).Draw(f.t, "step") {
+	switch rapid.SampledFrom(steps).Draw(f.t, "step") {
 	case "reserve":
 		r, err := m.book.Reserve(context.Background(), "travel", int64(rapid.IntRange(1, paid/10).Draw(f.t, "tokens")))
 		if err == nil {
@@ -132,24 +153,115 @@
 		f.log.ApplyLate()
 	case "drop":
 		f.log.Truncate()
+	case "use":
+		f.use(m)
+	case "copy":
+		f.copies = append(f.copies, timedCopy{f.now, f.log.Copy()})
+	case "restore":
+		f.restore()
 	case "top_up":
 		f.paid += paid / 10
 		f.pay(m)
 	}
 }
 
+// use draws tokens from the log for a large request, and spends some of them.
+func (f *fleet) use(m *member) {
+	tokens := int64(rapid.IntRange(paid/20, paid/5).Draw(f.t, "need"))
+	reservations := make(chan budget.Reservation, 1)
+	var g errgroup.Group
+	g.Go(func() error {
+		r, _ := m.book.Reserve(context.Background(), "travel", tokens) // refused if the budget or the log permits no more
+		reservations <- r
+		return nil
+	})
+	for {
+		select {
+		case r := <-reservations:
+			used := r.Tokens * int64(rapid.IntRange(0, 4).Draw(f.t, "quarters")) / 4
+			m.book.Settle(r, used)
+			f.spent += used
+			return
+		default:
+			_ = m.syncer.Sync(context.Background()) // calls fail at random
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// restore restores the log from a random copy that is young enough.
+func (f *fleet) restore() {
+	i := slices.IndexFunc(f.copies, func(c timedCopy) bool { return f.now.Sub(c.at) < budget.DefaultCopyAge })
+	if i < 0 {
+		return
+	}
+	f.restores++
+	f.log.Restore(f.copies[rapid.IntRange(i, len(f.copies)-1).Draw(f.t, "copy")].Copy)
+}
+
+// grantedInEras returns the tokens that the newest record grants, with half of the budget for each restore since.
+func (f *fleet) grantedInEras() int64 {
+	eras := int64(0)
+	for ; eras < f.log.CurrentEra(); eras++ {
+		value := f.log.Value("keyed.budgets", 0, fmt.Sprintf("era/%d/travel", f.log.CurrentEra()-eras))
+		if value == nil {
+			continue
+		}
+		var record struct{ Granted int64 }
+		assert.NilError(f.t, json.Unmarshal(value, &record))
+		return record.Granted + eras*f.paid/2
+	}
+	return f.restores * f.paid / 2
+}
+
+// checkRestored asserts that spent, reserved and free tokens do not exceed what was paid, nor what the log granted.
+func (f *fleet) checkRestored() {
+	free := int64(0)
+	for _, m := range f.members {
+		free += m.book.Balance("travel").Free
+	}
+	assert.Assert(f.t, free+f.spent+f.reserved <= f.paid, "free %d, spent %d, reserved %d of %d", free, f.spent, f.reserved, f.paid)
+	granted := f.grantedInEras()
+	assert.Assert(f.t, free+f.spent+f.reserved <= granted, "free %d, spent %d, reserved %d of %d granted", free, f.spent, f.reserved, granted)
+}
+
+// TestSpendingNeverExceedsBudgetInRestoredLog runs the operations of TestSpendingNeverExceedsBudget on a log that is
+// restored from copies, several times in a row, with appends of earlier eras under way, and with the processes killed that
+// made the draws that a copy lacks.
+func TestSpendingNeverExceedsBudgetInRestoredLog(t *testing.T) {
+	steps := append(slices.Clone(steps), "use", "use", "use", "use", "copy", "copy", "restore")
+	rapid.Check(t, func(t *rapid.T) {
+		rapid.SyncTest(t, func(r *rapid.T) {
+			f := &fleet{t: r, log: &memlog.Server{Era: rapid.Int64Range(1, 3).Draw(r, "era")}, paid: paid, now: startTime, maxWait: 2 * time.Millisecond}
+			f.log.SetFault(f.fault)
+			f.noFaults = rapid.Bool().Draw(r, "calm")
+			for i := range 3 {
+				f.members = append(f.members, f.start(fmt.Sprintf("i-%d", i)))
+			}
+			for _, m := range f.members {
+				_ = m.syncer.Sync(context.Background()) // calls fail at random
+			}
+			f.now = f.now.Add(3 * time.Second) // a new fleet draws nothing before
+			for range rapid.IntRange(20, 150).Draw(r, "steps") {
+				f.step(steps)
+				f.checkRestored()
+			}
+		})
+	})
+}
+
 // TestSpendingNeverExceedsBudget runs random operations on several processes while the log refuses
 // calls, loses calls and replies, commits writes late and drops its history, and while processes are
 // killed and machines reboot.
 func TestSpendingNeverExceedsBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		f := &fleet{t: t, log: &memlog.Server{}, paid: paid, now: time.Unix(1000, 0)}
+		f := &fleet{t: t, log: &memlog.Server{}, paid: paid, now: startTime}
 		f.log.SetFault(f.fault)
 		for i := range 3 {
 			f.members = append(f.members, f.start(fmt.Sprintf("i-%d", i)))
 		}
 		for range rapid.IntRange(20, 150).Draw(t, "steps") {
-			f.step()
+			f.step(steps)
 			f.check()
 		}
 	})
@@ -182,7 +294,7 @@
 // from one instance to the next.
 func TestNearlyWholeBudgetCanBeSpent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		f := &fleet{t: t, log: &memlog.Server{}, paid: paid, now: time.Unix(1000, 0), noFaults: true}
+		f := &fleet{t: t, log: &memlog.Server{Era: rapid.Int64Range(0, 1).Draw(t, "era")}, paid: paid, now: startTime, noFaults: true}
 		for i := range 4 {
 			f.members = append(f.members, f.start(fmt.Sprintf("i-%d", i)))
 			f.members[i].book.MaxWait = 3 * time.Millisecond
--- a/core/budget/syncer.go
+++ b/core/budget/syncer.go
@@ -67,6 +67,8 @@
 	PromiseParts int
 	// Boot is the id of the current boot of the machine; without it no promises are made.
 	Boot string
+	// FirstStart is set if the fleet starts for the first time, so that the log has no records of it.
+	FirstStart bool
 	// Started is the latest possible start time of the process, on the clock of Book.Uptime.
 	Started time.Duration
 	// Book tracks the holdings of this instance.
@@ -177,8 +179,8 @@
 	notify(p.due)
 }
 
-// scheduleAll schedules a sync of all partitions after the batch interval.
-func (sy *Syncer) scheduleAll() {
+// ScheduleAll schedules a sync of all partitions after the batch interval. It never blocks.
+func (sy *Syncer) ScheduleAll() {
 	for _, p := range sy.partitions {
 		notify(p.due)
 	}
@@ -203,7 +205,7 @@
 	names = sorted(names)
 	sy.organisations.Store(&names)
 	sy.Book.SetPaid(organisations)
-	sy.scheduleAll()
+	sy.ScheduleAll()
 }
 
 // organisationsOf returns the organisations whose budgets a partition stores.
@@ -373,7 +375,7 @@
 	}
 	sy.Book.SetInstanceCount(len(p.instances))
 	sy.rank.Store(rankInstances(sy.Instance, p.instances))
-	sy.scheduleAll()
+	sy.ScheduleAll()
 }
 
 // isLoaded reports whether the state of the partition was read.
--- a/core/budget/syncer_test.go
+++ b/core/budget/syncer_test.go
@@ -113,7 +113,7 @@
 // time to return the tokens they hold, and is granted once they did. A request for more than was
 // paid is refused permanently at once.
 func TestPermanentRefusal(t *testing.T) {
-	f := &fleet{log: &memlog.Server{}, paid: paid, now: time.Unix(1000, 0)}
+	f := &fleet{log: &memlog.Server{}, paid: paid, now: startTime}
 	holder, other := f.start("i-0"), f.start("i-1")
 	assert.NilError(t, holder.syncer.Sync(t.Context()))
 	holder.book.MaxWait, other.book.MaxWait = time.Second, 20*time.Millisecond
@@ -153,7 +153,7 @@
 // covers that usage for DefaultCover, although the time constant of the average is longer.
 func TestCoverAfterShortUsage(t *testing.T) {
 	const perSecond, steps = 1000, 50
-	f := &fleet{log: &memlog.Server{}, paid: paid, now: time.Unix(1000, 0)}
+	f := &fleet{log: &memlog.Server{}, paid: paid, now: startTime}
 	m := f.start("i-0")
 	m.book.MaxWait = time.Second
 	assert.NilError(t, m.syncer.Sync(t.Context()))
@@ -175,7 +175,7 @@
 // instance read the log again, so that tokens returned in the meantime are found before the poll
 // interval has passed.
 func TestRefusalTriggersRead(t *testing.T) {
-	f := &fleet{log: &memlog.Server{}, paid: paid, now: time.Unix(1000, 0)}
+	f := &fleet{log: &memlog.Server{}, paid: paid, now: startTime}
 	holder, other := f.start("i-0"), f.start("i-1")
 	other.syncer.PollInterval = time.Hour
 	holder.book.MaxWait, other.book.MaxWait = time.Second, time.Second
@@ -196,7 +196,7 @@
 // TestExcessIsReturned checks that an instance returns what it holds beyond its usage while most of
 // the budget remains, so that losing its machine strands few tokens.
 func TestExcessIsReturned(t *testing.T) {
-	f := &fleet{log: &memlog.Server{}, paid: paid, now: time.Unix(1000, 0)}
+	f := &fleet{log: &memlog.Server{}, paid: paid, now: startTime}
 	m := f.start("i-0")
 	m.book.MaxWait = time.Second
 	assert.NilError(t, m.syncer.Sync(t.Context()))
@@ -215,7 +215,7 @@
 // TestSlowDrawIsRetriedSoon checks that a request whose tokens could not be drawn in time gets a
 // short retry-after time, since another instance can draw them from the log.
 func TestSlowDrawIsRetriedSoon(t *testing.T) {
-	f := &fleet{log: &memlog.Server{}, paid: paid, now: time.Unix(1000, 0)}
+	f := &fleet{log: &memlog.Server{}, paid: paid, now: startTime}
 	m := f.start("i-0")
 	assert.NilError(t, m.syncer.Sync(t.Context()))
 	m.book.MaxWait = time.Millisecond
--- a/core/events/table.go
+++ b/core/events/table.go
@@ -31,6 +31,8 @@
 	TopicLost         = Event{2015, "topic_lost", Warn, "A topic of the platform's log cannot be accessed; the records read last stay in force."}
 	TopicBack         = Event{2016, "topic_back", Info, "A topic of the platform's log can be read again."}
 	RecordUnreadable  = Event{2017, "record_unreadable", Warn, "A record of the platform's log could not be decoded and is ignored."}
+	LogRestored       = Event{2018, "log_restored", Warn, "The platform's log was restored from an older copy and began a new era; everything is read from it again, and the draws that it may lack count as granted."}
+	EraInvalid        = Event{2019, "era_invalid", Warn, "A reply of the platform's log showed no valid era and was not used. It is logged once."}
 	DrawGranted       = Event{3001, "draw_granted", Debug, "A draw on a budget was granted."}
 	DrawRefused       = Event{3002, "draw_refused", Info, "A draw on a budget was refused; the field cause states the reason."}
 	AllowanceReturned = Event{3003, "allowance_returned", Info, "Unused allowance was returned to its budget."}
@@ -80,7 +82,7 @@
 		StopGaveUp, ListenFailed, Reloaded, ReloadFailed, LinesDropped, StateUnsent,
 		LogUnreachable, LogBack, RelayUsed, ListUnreachable, ListBack, FormatUnknown,
 		KindUnknown, Trimmed, SnapshotWritten, SnapshotLoaded,
-		StateFetched, SnapshotFailed, TopicLost, TopicBack, RecordUnreadable,
+		StateFetched, SnapshotFailed, TopicLost, TopicBack, RecordUnreadable, LogRestored, EraInvalid,
 		DrawGranted, DrawRefused, AllowanceReturned, AllowanceLent,
 		DoubleCharge, TopUpAccepted, BudgetExhausted, HoldingChanged, HoldingUnsettled, PromiseTaken, PromiseLapsed, PromisesOff, TokensBorrowed, TransferLost,
 		ClaimWon, ClaimLost, ClaimVoided, OutcomeUnknown,
--- a/core/logs/follow.go
+++ b/core/logs/follow.go
@@ -35,9 +35,11 @@
 	CallMargin time.Duration
 	// MaxBackoff is the longest backoff after a failed call.
 	MaxBackoff time.Duration
-	// Reset receives the newest record of every key, at the start and whenever unread records were
-	// dropped from the log.
+	// Reset receives the newest record of every key, at the start, whenever unread records were dropped from the log,
+	// and when it was restored from an older copy.
 	Reset func(records []Record)
+	// OnRestored is called before Reset if the log was restored from an older copy since the reset before; optional.
+	OnRestored func()
 	// Apply receives later records in order.
 	Apply func(records []Record)
 	// OnOutage is called with the error of the first call that fails, at the start or after a call that
@@ -47,6 +49,9 @@
 	OnRecovery func(duration time.Duration)
 
 	failingSince time.Time
+	// started is set once the newest records were read, and era the era of the log that they were read in.
+	started bool
+	era     int64
 }
 
 // String returns the name of the follower for log lines.
@@ -66,6 +71,9 @@
 	if f.OnOutage == nil {
 		f.OnOutage = func(error) {}
 	}
+	if f.OnRestored == nil {
+		f.OnRestored = func() {}
+	}
 	if f.OnRecovery == nil {
 		f.OnRecovery = func(time.Duration) {}
 	}
@@ -83,25 +91,34 @@
 			}
 			err = f.handleReadError(ctx, err)
 		}
-		var gone *GoneError
-		if !errors.As(err, &gone) {
+		if !requiresReset(err) {
 			f.recordFailure(ctx, err)
 		}
 	}
 	return nil
 }
 
+// requiresReset reports whether an error of a read means that the newest records must be read again.
+func requiresReset(err error) bool {
+	var gone *GoneError
+	return errors.As(err, &gone) || errors.Is(err, ErrNewEra)
+}
+
 // reset reads the newest record of every key and returns the offset to continue from.
 func (f *Follower) reset(ctx context.Context) (int64, error) {
 	call, cancel := context.WithTimeout(ctx, f.Wait+f.CallMargin)
 	defer cancel()
-	records, end, err := f.Log.NewestAll(call, f.Topic, f.Partition)
+	s, err := f.Log.NewestAll(call, f.Topic, f.Partition)
 	if err != nil {
 		return 0, err
 	}
 	f.recordSuccess()
-	f.Reset(records)
-	return end, nil
+	if f.started && f.era != s.Era {
+		f.OnRestored()
+	}
+	f.started, f.era = true, s.Era
+	f.Reset(s.Records)
+	return s.End, nil
 }
 
 // read reads the records from an offset on and returns the offset after the last one.
@@ -117,6 +134,9 @@
 		return from, err
 	}
 	f.recordSuccess()
+	if f.Log.CurrentEra() != f.era {
+		return from, ErrNewEra
+	}
 	if len(records) == 0 {
 		return from, nil
 	}
@@ -126,10 +146,9 @@
 }
 
 // handleReadError records an error and returns nil if the read is to be retried from the same offset. It returns
-// an error if the records from there on are no longer retained or the context has ended.
+// an error if the newest records must be read again or the context has ended.
 func (f *Follower) handleReadError(ctx context.Context, err error) error {
-	var gone *GoneError
-	if err == nil || errors.As(err, &gone) {
+	if err == nil || requiresReset(err) {
 		return err
 	}
 	f.recordFailure(ctx, err)
--- a/core/logs/follow_test.go
+++ b/core/logs/follow_test.go
@@ -138,3 +138,18 @@
 	assert.Equal(t, v.back, 1)
 	assert.Assert(t, v.resets >= 2)
 }
+
+// TestFollowerResetsInNewEra checks that a follower reads the newest records again when the log was restored from an older
+// copy, although the offset that it reads from exists again.
+func TestFollowerResetsInNewEra(t *testing.T) {
+	s := &memlog.Server{Era: 1}
+	s.Put("t", 0, "a", []byte("1"))
+	v := startFollower(t, s)
+	assertValues(t, v, map[string]string{"a": "1"})
+	older := s.Copy()
+	s.Put("t", 0, "b", []byte("lost"))
+	assertValues(t, v, map[string]string{"a": "1", "b": "lost"})
+	s.Restore(older)
+	s.Put("t", 0, "c", []byte("at the same offset"))
+	assertValues(t, v, map[string]string{"a": "1", "c": "at the same offset"})
+}
--- a/core/logs/logs.go
+++ b/core/logs/logs.go
@@ -30,10 +30,28 @@
 	End int64
 	// More reports whether further keys follow the last one of the page.
 	More bool
+	// Era is the era of the log that the page was read in.
+	Era int64
+}
+
+// Snapshot is the newest record of every key of a partition.
+type Snapshot struct {
+	Records []Record
+	// End is the offset from which Read returns all later changes.
+	End int64
+	// Era is the era of the log that all of it was read in.
+	Era int64
 }
 
 // Log provides access to the platform's log. Its functions may be called concurrently.
+//
+// The log has eras. A new one begins when the log was restored from a copy that lacks the newest records of the era
+// before: offsets are lower than they were, and other records follow at the same ones. State that was built from records
+// of one era says nothing about records of another.
 type Log struct {
+	// Era returns the highest era that a reply has shown, and whether one has shown any. A caller that finds the same
+	// era before and after a call knows that the reply is of this era. Optional; without it the log has one era.
+	Era func() (era int64, known bool)
 	// Append atomically adds the records to a partition if its end is the offset at, or at any offset if at is
 	// AnyOffset, and returns the new end. The error is a *ConflictError if the partition has another end, a *RefusedError
 	// if nothing was or will be written, and of another type if the records may have been written or
@@ -95,24 +113,43 @@
 	return errors.As(err, &refused) || errors.As(err, &conflict)
 }
 
-// NewestAll returns the newest record of every key, and the offset from which Read returns all
-// later changes.
-func (l Log) NewestAll(ctx context.Context, topic string, part int) ([]Record, int64, error) {
-	var all []Record
-	from := int64(-1)
-	after := ""
-	for {
+// CurrentEra returns the highest era that a reply has shown, 0 if none has.
+func (l Log) CurrentEra() int64 {
+	if l.Era == nil {
+		return 0
+	}
+	era, _ := l.Era()
+	return era
+}
+
+// HasEras reports whether the log shows its era, so that it may be restored from an older copy.
+func (l Log) HasEras() bool {
+	if l.Era == nil {
+		return false
+	}
+	_, known := l.Era()
+	return known
+}
+
+// NewestAll returns the newest record of every key. All pages are of one era.
+func (l Log) NewestAll(ctx context.Context, topic string, part int) (Snapshot, error) {
+	var s Snapshot
+	for after, first := "", true; ; first = false {
 		page, err := l.Newest(ctx, topic, part, after)
 		if err != nil {
-			return nil, 0, fmt.Errorf("read the newest records of %s/%d: %w", topic, part, err)
+			return Snapshot{}, fmt.Errorf("read the newest records of %s/%d: %w", topic, part, err)
+		}
+		if !first && page.Era != s.Era {
+			s, after, first = Snapshot{}, "", true
+			continue
 		}
-		if from < 0 {
+		if first {
 			// Later ends are unsafe: later pages may miss changes made meanwhile to keys of earlier pages.
-			from = page.End
+			s.End, s.Era = page.End, page.Era
 		}
-		all = append(all, page.Records...)
+		s.Records = append(s.Records, page.Records...)
 		if !page.More || len(page.Records) == 0 {
-			return all, from, nil
+			return s, nil
 		}
 		after = page.Records[len(page.Records)-1].Key
 	}
--- a/core/roster/list.go
+++ b/core/roster/list.go
@@ -54,6 +54,8 @@
 	// leaving, once set, stays set until the target restarts.
 	leaving bool
 	present bool
+	// removed is set once the entry was removed, until the target writes a newer one.
+	removed bool
 	// removalPending reports whether the entry was removed around an outage and may be renewed.
 	removalPending bool
 }
@@ -91,13 +93,13 @@
 	if known == nil {
 		known = &record{Entry: e}
 		l.entries[e.ID] = known
-	} else if isOlder(e, known.Entry) {
-		// A delayed write does not describe the present state.
+	} else if isOlder(e, known.Entry) || known.removed && !isOlder(known.Entry, e) {
+		// A delayed write, or a removed entry in a restored log, does not describe the present state.
 		return false
 	}
 	before := *known
 	restarted := e.StartedAtMS > known.StartedAtMS
-	known.Entry, known.present, known.removalPending = e, true, false
+	known.Entry, known.present, known.removed, known.removalPending = e, true, false, false
 	known.leaving = e.State == Leaving || known.leaving && !restarted
 	switch {
 	case known.leaving && (!before.leaving || restarted):
@@ -162,7 +164,7 @@
 	if known == nil || !known.present {
 		return false
 	}
-	known.present, known.removalPending = false, false
+	known.present, known.removed, known.removalPending = false, true, false
 	l.OnChange(id, Removed, nil)
 	return true
 }
--- a/core/roster/list_test.go
+++ b/core/roster/list_test.go
@@ -136,3 +136,15 @@
 	assert.Assert(t, l.Expire())
 	assertLive(t, l)
 }
+
+// TestListKeepsRemovedTargets checks that an entry that was removed does not come back with a restored copy of the list,
+// but does when the target writes it again.
+func TestListKeepsRemovedTargets(t *testing.T) {
+	l, _ := newList()
+	l.Put(entryOf("a", 1, 5, roster.Live))
+	l.Remove("a")
+	assert.Assert(t, !l.Put(entryOf("a", 1, 5, roster.Live)))
+	assertLive(t, l)
+	assert.Assert(t, l.Put(entryOf("a", 1, 6, roster.Live)))
+	assertLive(t, l, "a")
+}
--- a/fake/loads/store.go
+++ b/fake/loads/store.go
@@ -38,6 +38,7 @@
 func (s *store) log(instance int) logs.Log {
 	inner := s.fleet.log.Log()
 	return logs.Log{
+		Era: inner.Era,
 		Append: func(ctx context.Context, topic string, part int, at int64, records []logs.Record) (int64, error) {
 			if err := s.begin(ctx, instance, &s.writes, writesPerSecond); err != nil {
 				return 0, err
--- a/fake/memlog/memlog.go
+++ b/fake/memlog/memlog.go
@@ -44,6 +44,9 @@
 
 // Server is the fake log. Its zero value is ready to use; its methods are safe for concurrent use.
 type Server struct {
+	// Era is the era of the log, which replies show; 0 for a log without eras. It is set before the first call.
+	Era int64
+
 	mu         sync.Mutex
 	faultFor   func(call string) Fault
 	partitions map[string]*partition
@@ -61,9 +64,10 @@
 // String describes the server for logs.
 func (s *Server) String() string { return "fake of the platform's log" }
 
-// Log returns the client interface of the log.
+// Log returns the interface of a client of the log, which knows the eras that its replies have shown.
 func (s *Server) Log() logs.Log {
-	return logs.Log{Append: s.append, Read: s.read, Newest: s.readNewest}
+	c := &client{server: s}
+	return logs.Log{Append: c.append, Read: c.read, Newest: c.newest, Era: c.eras.Current}
 }
 
 // SetFault sets the function that selects the fault of each call by its name (append, read or newest); nil disables
@@ -204,10 +208,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.partition(topic, part)
-	if from < p.first {
+	if from < p.first || from > p.end() {
 		return nil, 0, &logs.GoneError{First: p.first}
 	}
-	if from >= p.end() {
+	if from == p.end() {
 		return nil, p.end(), nil
 	}
 	return slices.Clone(p.records[from-p.first:]), p.end(), nil
@@ -220,7 +224,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.partition(topic, part)
-	page := logs.Page{End: p.end()}
+	page := logs.Page{End: p.end(), Era: s.Era}
 	for key, r := range p.newest {
 		if key > after {
 			page.Records = append(page.Records, r)
--- a/io/opts/router.go
+++ b/io/opts/router.go
@@ -58,8 +58,20 @@
 	Shards  int          `toml:"shards" unit:"partitions" default:"6" allowed:"1..64" doc:"Number of partitions that budgets are spread over; the same at every instance."`
 	CoverMS Milliseconds `toml:"cover_ms" unit:"ms" default:"12000" allowed:"0..600000" doc:"Time of usual use for which tokens are held ready."`
 	WaitMS  Milliseconds `toml:"wait_ms" unit:"ms" default:"200" allowed:"0..60000" doc:"Longest time that a request waits for tokens."`
+
+	CopyAgeMS Milliseconds `toml:"copy_age_ms" unit:"ms" default:"10000" allowed:"100..3600000" doc:"Greatest age of a copy from which the platform's store may be restored; in a store that announces this, no more than half of a budget is drawn in this time."`
+	Fleet     FleetState   `toml:"fleet" default:"running" allowed:"new|running" doc:"Whether the whole fleet starts for the first time, so that the store has no budgets yet."`
 }
 
+// FleetState is the state of the fleet when a process starts.
+type FleetState string
+
+// States of a fleet.
+const (
+	NewFleet     FleetState = "new"
+	RunningFleet FleetState = "running"
+)
+
 // RouterTarget configures the selection of a target.
 type RouterTarget struct {
 	LeaveMS Milliseconds `toml:"leave_ms" unit:"ms" default:"2000" allowed:"100..600000" doc:"Time within which a target that is leaving must get no more work; the list of targets is read the less often the longer it is."`
--- a/io/router/follow.go
+++ b/io/router/follow.go
@@ -63,6 +63,14 @@
 			r.Meter.LogReached(true)
 		},
 		Apply: r.applyTargetRecords,
+		// Targets write their entries again, as after an outage.
+		OnRestored: func() {
+			r.updateTargets(func(l *roster.TargetList) bool {
+				l.RecordOutage()
+				l.RecordRecovery()
+				return false
+			})
+		},
 		OnOutage: func(err error) {
 			r.updateTargets(func(l *roster.TargetList) bool { l.RecordOutage(); return false })
 			r.Meter.LogReached(false)
@@ -123,6 +131,15 @@
 	}
 }
 
+// RecordLogRestored logs that the log was restored from an older copy, and triggers that the budgets are read again.
+func (r *Router) RecordLogRestored(era int64) {
+	events.Log(r.Log, events.LogRestored).Int64("era", era).Send()
+	r.budgetSync.ScheduleAll()
+}
+
+// RecordInvalidEra logs a reply of the log that shows no valid era.
+func (r *Router) RecordInvalidEra(err error) { events.Log(r.Log, events.EraInvalid).Err(err).Send() }
+
 // expireTargets removes targets whose entries expired during an outage and were not renewed.
 func (r *Router) expireTargets() { r.updateTargets((*roster.TargetList).Expire) }
 
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -168,14 +168,14 @@
 
 func (r *Router) initBudgets() {
 	s := r.Settings.Budget
-	r.budgets = &budget.Book{Cover: s.CoverMS.Duration(), MaxWait: s.WaitMS.Duration(), Uptime: uptime.Now}
+	r.budgets = &budget.Book{Cover: s.CoverMS.Duration(), MaxWait: s.WaitMS.Duration(), CopyAge: s.CopyAgeMS.Duration(), Uptime: uptime.Now}
 	boot, err := uptime.BootID()
 	if err != nil {
 		events.Log(r.Log, events.PromisesOff).Err(err).Send()
 	}
 	r.budgetSync = &budget.Syncer{
 		Log: r.Store, Topic: r.Platform.BudgetTopic, Shards: s.Shards, Instance: r.Settings.Instance.ID, Incarnation: r.Incarnation, Book: r.budgets,
-		PeerAddr: r.Settings.Peer.Listen, PromiseTopic: r.Platform.PromiseTopic, PromiseParts: s.Shards, Boot: boot, Started: uptime.Now(),
+		PeerAddr: r.Settings.Peer.Listen, PromiseTopic: r.Platform.PromiseTopic, PromiseParts: s.Shards, Boot: boot, Started: uptime.Now(), FirstStart: s.Fleet == opts.NewFleet,
 		OnPromiseOutage: r.topicUnreachable(r.Platform.PromiseTopic), OnPromiseRecovery: r.topicRecovered(r.Platform.PromiseTopic), OnInherited: r.promisesInherited,
 		OnAdjusted: r.holdingChanged, OnUnsettled: r.batchUnsettled, OnInvalidRecord: r.recordUnreadable(r.Platform.BudgetTopic),
 		OnOutage: func(part int, err error) { r.topicUnreachable(fmt.Sprintf("%s/%d", r.Platform.BudgetTopic, part))(err) },
