--- a/core/budget/property_test.go
+++ b/core/budget/property_test.go
@@ -112,7 +112,7 @@
 // step performs one random operation of the given ones.
 func (f *fleet) step(steps []string) {
 	i, m := f.member()
-	switch rapid.SampledFrom(steps).Draw(f.t, "step") {
+	switch step := rapid.SampledFrom(steps).Draw(f.t, "step"); step {
 	case "reserve":
 		r, err := m.book.Reserve(context.Background(), "travel", int64(rapid.IntRange(1, paid/10).Draw(f.t, "tokens")))
 		if err == nil {
@@ -147,21 +147,29 @@
 		}
 	case "pass":
 		f.now = f.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(f.t, "pass")) * time.Millisecond)
+	case "use":
+		f.use(m)
 	case "boot":
 		f.boots++ // applies to processes that start later
+	case "top_up":
+		f.paid += paid / 10
+		f.pay(m)
+	default:
+		f.stepLog(step)
+	}
+}
+
+// stepLog performs one random operation of the log.
+func (f *fleet) stepLog(step string) {
+	switch step {
 	case "land":
 		f.log.ApplyLate()
 	case "drop":
 		f.log.Truncate()
-	case "use":
-		f.use(m)
 	case "copy":
 		f.copies = append(f.copies, timedCopy{f.now, f.log.Copy()})
 	case "restore":
 		f.restore()
-	case "top_up":
-		f.paid += paid / 10
-		f.pay(m)
 	}
 }
 
--- a/core/logs/logs.go
+++ b/core/logs/logs.go
@@ -134,18 +134,17 @@
 // NewestAll returns the newest record of every key. All pages are of one era.
 func (l Log) NewestAll(ctx context.Context, topic string, part int) (Snapshot, error) {
 	var s Snapshot
-	for after, first := "", true; ; first = false {
+	for after := ""; ; {
 		page, err := l.Newest(ctx, topic, part, after)
-		if err != nil {
+		switch {
+		case err != nil:
 			return Snapshot{}, fmt.Errorf("read the newest records of %s/%d: %w", topic, part, err)
-		}
-		if !first && page.Era != s.Era {
-			s, after, first = Snapshot{}, "", true
-			continue
-		}
-		if first {
+		case after == "":
 			// Later ends are unsafe: later pages may miss changes made meanwhile to keys of earlier pages.
 			s.End, s.Era = page.End, page.Era
+		case page.Era != s.Era:
+			s, after = Snapshot{}, ""
+			continue
 		}
 		s.Records = append(s.Records, page.Records...)
 		if !page.More || len(page.Records) == 0 {
