fix: a caller that leaves does not count against the target, and output is billed by the admitting configuration

Cause 1: an attempt that ended because the caller left or its deadline passed was recorded as broken or silent, and three of these ejected a healthy target. Change: it is recorded as cancelled, unless the target had sent nothing for the time after which it counts as silent. Cause 2: settle read the newest configuration, so that the output of a request was not billed after its service was removed. Change: the configuration that admitted the request. TestCallersThatLeaveDoNotCountAgainstTargets and TestOutputIsBilledByAdmittingConfiguration fail before.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -38,12 +38,13 @@
 	d := r.newDispatch(choice.Target)
 	r.Attempts++
 	r.Target = choice.Target
+	r.progressAt = r.Now()
 	failed := r.exchange(ctx, d)
 	if failed == nil {
 		r.Done(choice.DispatchID, r.responseOutcome())
 		return nil, nil
 	}
-	r.Done(choice.DispatchID, failureOutcome(failed))
+	r.Done(choice.DispatchID, r.failureOutcome(ctx, failed))
 	if failed.Sent {
 		r.SentFailures++
 	}
@@ -102,7 +103,12 @@
 	if !r.route.Retryable() || r.SentFailures+1 >= r.route.MaxAttempts || !r.Retries.AllowsRetry(r.Service) {
 		return left
 	}
-	return min(left, max(headerTimeoutFactor*r.route.LatencyObjective, minHeaderTimeout))
+	return min(left, r.silenceBound())
+}
+
+// silenceBound returns the time without a byte of the response after which a target counts as silent.
+func (r *relayedRequest) silenceBound() time.Duration {
+	return max(headerTimeoutFactor*r.route.LatencyObjective, minHeaderTimeout)
 }
 
 // exchange sends the request and forwards the response.
@@ -270,6 +276,7 @@
 		r.lastEventID = e.id
 	}
 	r.Events++
+	r.progressAt = r.Now()
 	if err := r.sink.Write(e.raw); err != nil {
 		return &AttemptError{Kind: Cancelled, Sent: true, Err: err}
 	}
@@ -297,10 +304,11 @@
 	return route.OK
 }
 
-// failureOutcome returns the outcome to record for a target whose attempt failed.
-func failureOutcome(failed *AttemptError) route.Outcome {
-	if failed == nil {
-		return route.OK
+// failureOutcome returns the outcome to record for a target whose attempt failed. A request that its caller or its deadline
+// ended says nothing of the target, unless the target had been silent for long by then.
+func (r *relayedRequest) failureOutcome(ctx context.Context, failed *AttemptError) route.Outcome {
+	if ctx.Err() != nil && failed.Sent && r.Now().Sub(r.progressAt) < r.silenceBound() {
+		return route.Cancelled
 	}
 	switch failed.Kind {
 	case Silent:
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -56,8 +56,10 @@
 type relayedRequest struct {
 	*Server
 	Result
-	req         *Request
-	sink        Sink
+	req  *Request
+	sink Sink
+	// table is the configuration that the request was admitted by.
+	table       *table.Table
 	route       *table.Route
 	org         *table.Organisation
 	reservation budget.Reservation
@@ -69,6 +71,8 @@
 	mayHaveRun bool
 	// headSent is set once the head of a response was forwarded.
 	headSent bool
+	// progressAt is when the last attempt began, or when its last event was forwarded.
+	progressAt time.Time
 	// lastEventID is the id of the last event that was forwarded.
 	lastEventID string
 	// fallback is an error response of a target, which the caller receives if no other attempt
@@ -123,7 +127,7 @@
 	if t == nil {
 		return codes.Refuse(codes.NotReady, retryAfterNotReady, "no configuration has been read yet")
 	}
-	r.Version = t.Version
+	r.Version, r.table = t.Version, t
 	r.route = t.Route(r.req.Host, r.req.Path)
 	if r.route == nil {
 		return codes.Refuse(codes.UnknownRoute, 0, "no route matches host %q and the path of the request", r.req.Host)
@@ -207,7 +211,7 @@
 // request, and the output by the number of forwarded events.
 func (r *relayedRequest) settle() {
 	if r.mayHaveRun && r.req.Prompt != nil {
-		output := int64(r.Events) * int64(r.Table().Service(r.Service).EventTokens)
+		output := int64(r.Events) * int64(r.table.Service(r.Service).EventTokens)
 		r.Spent = r.req.Prompt.Tokens + min(output, r.req.Prompt.MaxOutput)
 	}
 	r.Settle(r.reservation, r.Spent)
--- /dev/null
+++ b/core/relay/relay_test.go
@@ -0,0 +1,116 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cranberryrail/core/budget"
+	"cranberryrail/core/relay"
+	"cranberryrail/core/route"
+	"cranberryrail/core/table"
+)
+
+const objective = 400 * time.Millisecond
+
+// fixture relays requests of one organisation to one target.
+type fixture struct {
+	relay.Server
+	outcomes []route.Outcome
+	spent    int64
+}
+
+func newFixture(dispatch func(ctx context.Context, d relay.Dispatch) (*relay.Response, error)) *fixture {
+	f := &fixture{}
+	config := table.New(table.Config{
+		Routes:        []table.Route{{Name: "r", Host: "h", Prefix: "/", Kind: table.Streaming, LatencyObjective: objective, MaxAttempts: 1, Shares: []table.Share{{Service: "draft", Weight: 1}}}},
+		Services:      []table.Service{{Name: "draft", EventTokens: 5}},
+		Organisations: []table.Organisation{{Name: "travel", Keys: []string{"key"}, Prepaid: 1000}},
+	})
+	f.Server = relay.Server{
+		Table: func() *table.Table { return config },
+		Reserve: func(_ context.Context, organisation string, tokens int64) (budget.Reservation, error) {
+			return budget.Reservation{Organisation: organisation, Tokens: tokens}, nil
+		},
+		Settle:   func(_ budget.Reservation, used int64) { f.spent += used },
+		Pick:     func(route.Request) (route.Choice, error) { return route.Choice{}, nil },
+		Done:     func(_ int64, o route.Outcome) { f.outcomes = append(f.outcomes, o) },
+		Retries:  &route.RetryWindow{Length: time.Second},
+		Dispatch: dispatch, Random: func(int) int { return 0 },
+	}
+	f.Retries.Default()
+	f.Default()
+	return f
+}
+
+// serve relays a request with 100 tokens in its prompt and up to 50 as output.
+func (f *fixture) serve(ctx context.Context) relay.Result {
+	req := &relay.Request{
+		ID: "1", Host: "h", Path: "/x", Key: "key", Prompt: &relay.Prompt{Tokens: 100, MaxOutput: 50}, Arrived: time.Now(), Timeout: 10 * time.Second,
+	}
+	return f.Serve(ctx, req, relay.Sink{Head: func(int, http.Header, int64) {}, Write: func([]byte) error { return nil }})
+}
+
+// TestCallersThatLeaveDoNotCountAgainstTargets checks which outcome is recorded for a target when the request ends before
+// its response.
+func TestCallersThatLeaveDoNotCountAgainstTargets(t *testing.T) {
+	awaitEnd := func(ctx context.Context, _ relay.Dispatch) (*relay.Response, error) {
+		<-ctx.Done()
+		return nil, &relay.AttemptError{Kind: relay.Broken, Sent: true, Err: ctx.Err()}
+	}
+	for name, c := range map[string]struct {
+		after time.Duration
+		want  route.Outcome
+	}{
+		"soon":                        {objective / 2, route.Cancelled},
+		"after the target was silent": {4 * objective, route.Failed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(awaitEnd)
+				ctx, cancel := context.WithCancel(t.Context())
+				time.AfterFunc(c.after, cancel)
+				f.serve(ctx)
+				assert.DeepEqual(t, f.outcomes, []route.Outcome{c.want})
+			})
+		})
+	}
+	t.Run("a failure of the target counts", func(t *testing.T) {
+		f := newFixture(func(context.Context, relay.Dispatch) (*relay.Response, error) {
+			return nil, &relay.AttemptError{Kind: relay.Broken, Sent: true, Err: errors.New("reset")}
+		})
+		f.serve(t.Context())
+		assert.DeepEqual(t, f.outcomes, []route.Outcome{route.Failed})
+	})
+}
+
+// TestOutputIsBilledByAdmittingConfiguration checks that the output of a request is billed although its service was removed
+// from the configuration meanwhile.
+func TestOutputIsBilledByAdmittingConfiguration(t *testing.T) {
+	events := []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}
+	var f *fixture
+	f = newFixture(func(context.Context, relay.Dispatch) (*relay.Response, error) {
+		f.Table = func() *table.Table { return table.New(table.Config{Version: 2}) }
+		return &relay.Response{
+			Status: http.StatusOK, ResponseHead: relay.ResponseHead{HasSignature: true, IsEventStream: true},
+			Read: func(p []byte) (int, error) {
+				if len(events) == 0 {
+					return 0, io.EOF
+				}
+				n := copy(p, events[0])
+				events = events[1:]
+				return n, nil
+			},
+			SetReadTimeout: func(time.Duration) {}, Close: func() {},
+		}, nil
+	})
+	result := f.serve(t.Context())
+	assert.Equal(t, result.Events, 2)
+	assert.Equal(t, f.spent, int64(110))
+}
