--- a/core/budget/book.go
+++ b/core/budget/book.go
@@ -82,9 +82,10 @@
 // waiter is a reservation that waits for tokens.
 type waiter struct {
 	tokens int64
-	// done is closed once the reservation is decided; err is set before.
-	done chan struct{}
-	err  error
+	// done is closed once the reservation is decided; err is set before, and unlimited if the budget was removed meanwhile.
+	done      chan struct{}
+	err       error
+	unlimited bool
 }
 
 // Book tracks the tokens that this instance may spend of each organisation's budget. Exported
@@ -235,8 +236,11 @@
 			waiting = false
 		}
 	}
-	if w.err != nil {
+	switch {
+	case w.err != nil:
 		return Reservation{}, w.err
+	case w.unlimited:
+		r.Tokens = 0
 	}
 	return r, nil
 }
@@ -269,6 +273,7 @@
 	refused := b.refusal(a, tokens)
 	borrowing := borrow && (refused != nil || !b.IsHolder(organisation)) && b.tryBorrowing(a, a.demand()+tokens-b.spendable(a))
 	if refused != nil && !borrowing {
+		a.usage.add(-tokens, b.Now()) // what is not served is no usage
 		return nil, refused
 	}
 	w := &waiter{tokens: tokens, done: make(chan struct{})}
@@ -318,12 +323,14 @@
 func (b *Book) serveWaiters(a *account) {
 	for len(a.waiters) > 0 {
 		w := a.waiters[0]
-		if !b.tryReserve(a, w.tokens) {
+		if a.paid == table.Unlimited {
+			w.unlimited = true
+		} else if !b.tryReserve(a, w.tokens) {
 			refused := b.refusal(a, w.tokens)
 			if refused == nil || a.borrowing.active {
 				return
 			}
-			w.err = refused
+			b.refuse(a, w, refused)
 		}
 		a.waiters = a.waiters[1:]
 		close(w.done)
@@ -341,14 +348,20 @@
 		return
 	}
 	a.waiters = slices.Delete(a.waiters, i, i+1)
-	if refused := b.refusal(a, w.tokens); refused != nil {
-		w.err = refused
-	} else {
-		w.err = codes.Refuse(codes.BudgetElsewhere, RetryAfterLogUnavailable, "%d tokens are left but could not be drawn from the log in time", a.ungranted())
+	refused := b.refusal(a, w.tokens)
+	if refused == nil {
+		refused = codes.Refuse(codes.BudgetElsewhere, RetryAfterLogUnavailable, "%d tokens are left but could not be drawn from the log in time", a.ungranted())
 	}
+	b.refuse(a, w, refused)
 	b.serveWaiters(a)
 }
 
+// refuse decides a waiting reservation, which then no longer counts as usage.
+func (b *Book) refuse(a *account, w *waiter, refused *codes.Error) {
+	w.err = refused
+	a.usage.add(-w.tokens, b.Now())
+}
+
 // refusal returns the error for a reservation that the instance's holding does not cover, nil if it
 // may wait.
 func (b *Book) refusal(a *account, tokens int64) *codes.Error {
--- a/core/budget/partition.go
+++ b/core/budget/partition.go
@@ -361,7 +361,9 @@
 	if !p.syncDue(organisations) {
 		return nil
 	}
+	p.stale.Store(false)
 	if err := p.refresh(ctx); err != nil {
+		p.stale.Store(true) // a sync stays due until a read succeeds
 		return err
 	}
 	if err := p.register(ctx); err != nil {
@@ -395,7 +397,7 @@
 	p.mu.Lock()
 	due := !p.loaded || p.pending != nil || time.Since(p.readAt) >= interval
 	p.mu.Unlock()
-	return p.stale.Swap(false) || due || slices.ContainsFunc(organisations, p.syncer.Book.AdjustmentDue)
+	return p.stale.Load() || due || slices.ContainsFunc(organisations, p.syncer.Book.AdjustmentDue)
 }
 
 // After a conflict with the append of another instance, a writer backs off for a random time up to
--- a/core/budget/syncer_test.go
+++ b/core/budget/syncer_test.go
@@ -222,3 +222,64 @@
 	_, err := m.book.Reserve(t.Context(), "travel", paid/2)
 	assert.Equal(t, codes.From(err, codes.NotRun).RetryAfter, budget.RetryAfterLogUnavailable)
 }
+
+// TestOutageLastsUntilReadSucceeds checks that a partition whose read failed is read again by the next sync, and does not
+// count as reachable without a call.
+func TestOutageLastsUntilReadSucceeds(t *testing.T) {
+	f := &fleet{log: &memlog.Server{}, now: startTime}
+	m := f.start("i-0")
+	m.syncer.PollInterval, m.syncer.PromiseTopic = time.Hour, ""
+	assert.NilError(t, m.syncer.Sync(t.Context()))
+	_, err := m.book.Reserve(t.Context(), "travel", 1) // refused by state that was read before
+	assert.ErrorContains(t, err, "budget_exhausted")
+	f.log.SetFault(func(string) memlog.Fault { return memlog.LoseRequest })
+	time.Sleep(10 * time.Millisecond) // until the state is too old to refuse by
+	for range 3 {
+		assert.Assert(t, m.syncer.Sync(t.Context()) != nil)
+	}
+	f.log.SetFault(nil)
+	assert.NilError(t, m.syncer.Sync(t.Context()))
+}
+
+// TestRefusalsAreNoUsage checks that an instance does not draw ahead for requests that it refused, which their callers
+// send to other instances.
+func TestRefusalsAreNoUsage(t *testing.T) {
+	f := &fleet{log: &memlog.Server{}, paid: paid, now: startTime}
+	m := f.start("i-0")
+	assert.NilError(t, m.syncer.Sync(t.Context()))
+	f.now = f.now.Add(2 * time.Second)
+	assert.NilError(t, m.syncer.Sync(t.Context()))
+	held := m.book.Balance("travel").Free
+	f.log.SetFault(func(string) memlog.Fault { return memlog.LoseRequest })
+	assert.Assert(t, m.syncer.Sync(t.Context()) != nil)
+	for range 10 {
+		_, err := m.book.Reserve(t.Context(), "travel", paid/5)
+		assert.Assert(t, err != nil)
+	}
+	f.log.SetFault(nil)
+	assert.NilError(t, m.syncer.Sync(t.Context()))
+	assert.Equal(t, m.book.Balance("travel").Free, held)
+}
+
+// TestWaitingRequestOfRemovedBudget checks that a request that waits for tokens is served when its organisation no longer
+// has a budget.
+func TestWaitingRequestOfRemovedBudget(t *testing.T) {
+	f := &fleet{log: &memlog.Server{}, paid: paid, now: startTime}
+	m := f.start("i-0")
+	assert.NilError(t, m.syncer.Sync(t.Context()))
+	m.book.MaxWait = 5 * time.Second
+	var g errgroup.Group
+	var r budget.Reservation
+	g.Go(func() (err error) {
+		r, err = m.book.Reserve(t.Context(), "travel", paid/2)
+		return err
+	})
+	for !m.book.Waiting([]string{"travel"}) {
+		time.Sleep(time.Millisecond)
+	}
+	m.syncer.SetOrganisations([]table.Organisation{{Name: "travel", Prepaid: table.Unlimited}})
+	assert.NilError(t, g.Wait())
+	assert.Equal(t, r.Tokens, int64(0))
+	m.book.Settle(r, 0)
+	assert.Equal(t, m.book.Balance("travel").Reserved, int64(0))
+}
