--- a/core/budget/borrow_test.go
+++ b/core/budget/borrow_test.go
@@ -25,9 +25,11 @@
 	members map[string]*member
 
 	mu sync.Mutex
-	// unreached holds the instances that do not reply, and asked counts the calls to each instance.
+	// unreached holds the instances that do not reply, and asked counts the calls to each instance for tokens.
 	unreached map[string]bool
 	asked     map[string]int
+	// repaid is the sum of repaid tokens, and lost that of repayments without a reply.
+	repaid, lost int64
 }
 
 // runLendingFleet runs instances in virtual time and calls play once they have counted each other.
@@ -45,7 +47,7 @@
 			}
 			m.syncer.Default()
 			m.syncer.SetOrganisations([]table.Organisation{{Name: "travel", Prepaid: paid}})
-			lender := &budget.Borrower{Book: m.book, Lenders: m.syncer.Lenders, Ask: f.ask}
+			lender := &budget.Borrower{Book: m.book, Lenders: m.syncer.Lenders, Ask: f.ask, Repay: f.repay, OnTransferLost: f.transferLost}
 			lender.Default()
 			f.members[id] = m
 			g.Go(func() error { return m.syncer.Run(ctx) })
@@ -73,6 +75,32 @@
 	return f.members[addr].book.Lend(ctx, organisation, tokens, least), nil
 }
 
+// repay is a call of one instance to another one that transfers tokens.
+func (f *lendingFleet) repay(_ context.Context, addr, organisation string, tokens int64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.unreached[addr] {
+		return errSilent
+	}
+	f.repaid += tokens
+	return f.members[addr].book.AcceptRepayment(organisation, tokens)
+}
+
+func (f *lendingFleet) transferLost(_ string, tokens int64, _ error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lost += tokens
+}
+
+// free returns the tokens that all instances hold without a request for them.
+func (f *lendingFleet) free() int64 {
+	sum := int64(0)
+	for _, m := range f.members {
+		sum += m.book.Balance("travel").Free
+	}
+	return sum
+}
+
 // partFromLog makes the log unreachable for all instances.
 func (f *lendingFleet) partFromLog() {
 	f.log.SetFault(func(string) memlog.Fault { return memlog.LoseRequest })
@@ -141,6 +169,43 @@
 	})
 }
 
+// TestRepayment checks that an instance that is not a holder of a budget keeps no tokens that it does not need, that none
+// are lost or doubled on the way to a holder, and that those of a repayment without a reply count as spent.
+func TestRepayment(t *testing.T) {
+	const instances, tokens = 20, paid / 100
+	for name, c := range map[string]struct {
+		stopped, silent int
+		lost            int64
+	}{
+		"to the first holder":                      {0, 0, 0},
+		"to another holder if the first one stops": {1, 0, 0},
+		"kept if all holders stop":                 {budget.MaxHolders, 0, 0},
+		"counts as spent if there is no reply":     {0, budget.MaxHolders, tokens},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runLendingFleet(t, instances, func(f *lendingFleet) {
+				m, holders := f.borrowerAndHolders(t)
+				r, err := m.book.Reserve(context.Background(), "travel", tokens)
+				assert.NilError(t, err)
+				f.partFromLog() // so that what all hold changes only by transfers
+				for i, id := range holders {
+					if i < c.stopped {
+						f.members[id].book.Stop()
+					}
+					f.unreached[id] = i < c.silent
+				}
+				before := f.free()
+				m.book.Settle(r, 0)
+				time.Sleep(2 * time.Second)
+				assert.Equal(t, f.lost, c.lost)
+				assert.Equal(t, f.free(), before+tokens-c.lost)
+				kept := c.stopped == budget.MaxHolders
+				assert.Equal(t, m.book.Balance("travel").Free > 0, kept)
+			})
+		})
+	}
+}
+
 // TestHoldersAgree checks that all instances agree on the holders of a budget, and that all instances of a small fleet
 // are holders.
 func TestHoldersAgree(t *testing.T) {
--- a/core/budget/borrower.go
+++ b/core/budget/borrower.go
@@ -37,9 +37,9 @@
 	// Ask asks an instance for up to the given tokens of an organisation, and at least least, and returns how many it
 	// lent. It draws none from the log if least is 0. After an error, lent tokens count as spent.
 	Ask func(ctx context.Context, addr, organisation string, tokens, least int64) (int64, error)
-	// GiveBack transfers tokens of an organisation to an instance. After an error that is not ErrNotAdded they count as
+	// Repay transfers tokens of an organisation to an instance. After an error that is not ErrNotAdded they count as
 	// spent. Optional; without it this instance keeps what it does not need.
-	GiveBack func(ctx context.Context, addr, organisation string, tokens int64) error
+	Repay func(ctx context.Context, addr, organisation string, tokens int64) error
 	// OnTransferLost is called when it is not known whether given tokens were added; optional.
 	OnTransferLost func(organisation string, tokens int64, err error)
 	// OnEnd is called at the end of each attempt with the number of instances that were asked, the tokens that
@@ -81,10 +81,10 @@
 	}
 }
 
-// Run handles shortages and gives back tokens until the context ends.
+// Run handles shortages and repays surpluses until the context ends.
 func (b *Borrower) Run(ctx context.Context) error {
-	if b.GiveBack != nil {
-		b.group.Go(func() error { return b.runGiveBack(ctx) })
+	if b.Repay != nil {
+		b.group.Go(func() error { return b.runRepayments(ctx) })
 	}
 	for {
 		select {
--- a/core/budget/property_test.go
+++ b/core/budget/property_test.go
@@ -140,11 +140,7 @@
 		f.now = f.now.Add(time.Duration(rapid.IntRange(0, 30).Draw(f.t, "away")) * 100 * time.Millisecond)
 		f.members[i] = f.start(fmt.Sprintf("i-%d", i))
 	case "lend":
-		_, borrower := f.member()
-		lent := m.book.Lend(context.Background(), "travel", int64(rapid.IntRange(1, paid/10).Draw(f.t, "lent")), int64(rapid.IntRange(1, paid/20).Draw(f.t, "least")))
-		if rapid.Bool().Draw(f.t, "reply") { // otherwise the reply is lost, and the tokens count as spent
-			borrower.book.AddBorrowed("travel", lent)
-		}
+		f.lend(m)
 	case "pass":
 		f.now = f.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(f.t, "pass")) * time.Millisecond)
 	case "use":
@@ -173,6 +169,21 @@
 	}
 }
 
+// lend transfers tokens to another process as a loan or a repayment, or loses them on the way.
+func (f *fleet) lend(m *member) {
+	_, receiver := f.member()
+	lent := m.book.Lend(context.Background(), "travel", int64(rapid.IntRange(1, paid/10).Draw(f.t, "lent")), int64(rapid.IntRange(0, paid/20).Draw(f.t, "least")))
+	switch rapid.SampledFrom([]string{"loan", "repayment", "lost"}).Draw(f.t, "transfer") {
+	case "loan":
+		receiver.book.AddBorrowed("travel", lent)
+	case "repayment":
+		if receiver.book.AcceptRepayment("travel", lent) != nil {
+			m.book.AddBorrowed("travel", lent)
+		}
+	default: // the tokens count as spent
+	}
+}
+
 // use draws tokens from the log for a large request, and spends some of them.
 func (f *fleet) use(m *member) {
 	tokens := int64(rapid.IntRange(paid/20, paid/5).Draw(f.t, "need"))
--- a/core/budget/giveback.go
+++ b/core/budget/repay.go
@@ -15,8 +15,8 @@
 	// idleDivisor is the fraction of the remaining tokens of a budget, as a divisor, that all instances which are not
 	// holders of it together keep after their requests ended.
 	idleDivisor = 64
-	// giveBackInterval is the time between two checks for tokens to give back. The next request may use them until then.
-	giveBackInterval = 500 * time.Millisecond
+	// repayInterval is the time between two checks for surpluses. The next request may use them until then.
+	repayInterval = 500 * time.Millisecond
 )
 
 // ErrNotAdded is returned by a transfer whose tokens were certainly not added at the other instance.
@@ -51,14 +51,14 @@
 	return taken
 }
 
-// TakeBack adds tokens that another instance does not need. It returns an error, and adds none, unless this instance
+// AcceptRepayment adds tokens that another instance does not need. It returns an error, and adds none, unless this instance
 // runs with a budget of the organisation.
-func (b *Book) TakeBack(organisation string, tokens int64) error {
+func (b *Book) AcceptRepayment(organisation string, tokens int64) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.accounts[organisation]
 	if tokens <= 0 || a == nil || a.paid == table.Unlimited || !b.loaded || b.stopping {
-		return fmt.Errorf("take back %d tokens of %q: %w", tokens, organisation, ErrNotAdded)
+		return fmt.Errorf("add %d repaid tokens of %q: %w", tokens, organisation, ErrNotAdded)
 	}
 	b.addTransferred(a, tokens)
 	a.usage.add(-tokens, b.Now()) // they counted as usage when they were lent
@@ -66,12 +66,12 @@
 	return nil
 }
 
-// runGiveBack gives back what this instance does not need until the context ends.
-func (b *Borrower) runGiveBack(ctx context.Context) error {
-	for pause.For(ctx, giveBackInterval); ctx.Err() == nil; pause.For(ctx, giveBackInterval) {
+// runRepayments repays what this instance does not need until the context ends.
+func (b *Borrower) runRepayments(ctx context.Context) error {
+	for pause.For(ctx, repayInterval); ctx.Err() == nil; pause.For(ctx, repayInterval) {
 		for _, s := range b.Book.takeSurpluses() {
 			b.group.Go(func() error {
-				b.giveBack(ctx, s)
+				b.repay(ctx, s)
 				return nil
 			})
 		}
@@ -79,15 +79,15 @@
 	return nil
 }
 
-// giveBack transfers a surplus to the first holder that replies and takes it. Tokens of a transfer without a reply count
+// repay transfers a surplus to the first holder that replies and takes it. Tokens of a transfer without a reply count
 // as spent.
-func (b *Borrower) giveBack(ctx context.Context, s surplus) {
+func (b *Borrower) repay(ctx context.Context, s surplus) {
 	holders, _ := b.Lenders(s.organisation)
 	for _, addr := range holders {
 		if b.silent(addr) {
 			continue
 		}
-		err := b.GiveBack(ctx, addr, s.organisation, s.tokens)
+		err := b.Repay(ctx, addr, s.organisation, s.tokens)
 		if err == nil {
 			return
 		}
--- a/core/events/table.go
+++ b/core/events/table.go
@@ -46,7 +46,7 @@
 	PromiseLapsed     = Event{3013, "promise_lapsed", Warn, "Tokens that an earlier process of this instance held may have been spent and count as spent, because its machine was rebooted or it was down for too long."}
 	PromisesOff       = Event{3014, "promises_off", Warn, "The boot of the machine cannot be identified, so the tokens that this process holds cannot be taken over if it is killed."}
 	TokensBorrowed    = Event{3015, "tokens_borrowed", Debug, "Other instances were asked for tokens that a request needed and the log could not provide; the fields state how many they lent and how many are still missing."}
-	TransferLost      = Event{3016, "transfer_lost", Warn, "Tokens that this instance gave back to another one count as spent, because the transfer was not answered."}
+	TransferLost      = Event{3016, "transfer_lost", Warn, "Tokens that this instance repaid to another one count as spent, because the transfer was not answered."}
 	ClaimWon          = Event{4001, "claim_won", Debug, "This instance holds the claim of a non-idempotent call and may dispatch it."}
 	ClaimLost         = Event{4002, "claim_lost", Info, "Another instance holds the claim of a non-idempotent call."}
 	ClaimVoided       = Event{4003, "claim_voided", Info, "A claim was voided before dispatch."}
--- a/core/logs/logs.go
+++ b/core/logs/logs.go
@@ -47,7 +47,7 @@
 //
 // The log has eras. A new one begins when the log was restored from a copy that lacks the newest records of the era
 // before: offsets are lower than they were, and other records follow at the same ones. State that was built from records
-// of one era says nothing about records of another.
+// of one era does not apply to records of another.
 type Log struct {
 	// Era returns the highest era that a reply has shown, and whether one has shown any. A caller that finds the same
 	// era before and after a call knows that the reply is of this era. Optional; without it the log has one era.
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -305,7 +305,7 @@
 }
 
 // failureOutcome returns the outcome to record for a target whose attempt failed. A request that its caller or its deadline
-// ended says nothing of the target, unless the target had been silent for long by then.
+// ended has no bearing on the target, unless the target had been silent for long by then.
 func (r *relayedRequest) failureOutcome(ctx context.Context, failed *AttemptError) route.Outcome {
 	if ctx.Err() != nil && failed.Sent && r.Now().Sub(r.progressAt) < r.silenceBound() {
 		return route.Cancelled
--- a/fake/loads/loads.go
+++ b/fake/loads/loads.go
@@ -171,7 +171,7 @@
 		PromiseTopic: "keyed.promises", PromiseParts: f.Partitions, Boot: "boot",
 	}
 	m.syncer.Default()
-	m.lender = &budget.Borrower{Book: m.book, Lenders: m.syncer.Lenders, Ask: f.ask, GiveBack: f.giveBack}
+	m.lender = &budget.Borrower{Book: m.book, Lenders: m.syncer.Lenders, Ask: f.ask, Repay: f.repay}
 	m.lender.Default()
 	return m
 }
@@ -185,13 +185,13 @@
 	return m.book.Lend(ctx, organisation, tokens, least), nil
 }
 
-// giveBack is a call of one instance to another one that transfers tokens.
-func (f *fleet) giveBack(ctx context.Context, addr, organisation string, tokens int64) error {
+// repay is a call of one instance to another one that transfers tokens.
+func (f *fleet) repay(ctx context.Context, addr, organisation string, tokens int64) error {
 	m, err := f.call(ctx, addr)
 	if err != nil {
 		return err
 	}
-	return m.book.TakeBack(organisation, tokens)
+	return m.book.AcceptRepayment(organisation, tokens)
 }
 
 // call returns the instance with an address after the duration of a call to it.
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -144,10 +144,10 @@
 	return reply.GetHolder(), reply.GetTokens(), err
 }
 
-// GiveBack transfers tokens of a budget to another instance. After an error they may have been transferred, unless it
+// Repay transfers tokens of a budget to another instance. After an error they may have been transferred, unless it
 // is a *CallError of the kind Refused.
-func (c *Client) GiveBack(ctx context.Context, addr, budget string, tokens int64) error {
-	_, err := call(ctx, c, addr, "GiveBack", c.Timeout, peerpb.DRPCPeerClient.GiveBack, &peerpb.GiveBackRequest{Budget: budget, Tokens: tokens})
+func (c *Client) Repay(ctx context.Context, addr, budget string, tokens int64) error {
+	_, err := call(ctx, c, addr, "Repay", c.Timeout, peerpb.DRPCPeerClient.Repay, &peerpb.RepayRequest{Budget: budget, Tokens: tokens})
 	return err
 }
 
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -165,6 +165,7 @@
 
 func TestCalls(t *testing.T) {
 	want := tail.State{At: 41, Incarnations: map[string]tail.IncarnationState{"i": {Seq: 3, Closed: -1}}, Data: make([]byte, 5<<20)}
+	repaid := int64(0)
 	n := startNode(t, "a", &clock{}, func(s *peer.Server) {
 		s.State = func(name string) (tail.State, error) {
 			if name != stream {
@@ -175,6 +176,13 @@
 		s.Lend = func(_ context.Context, l peer.LoanRequest) (string, int64) {
 			return "inc-" + l.Budget, l.Tokens - l.Least
 		}
+		s.AcceptRepayment = func(budget string, tokens int64) error {
+			if budget != "main" {
+				return errors.New("no such budget")
+			}
+			repaid += tokens
+			return nil
+		}
 		s.Report = func(kind string) ([]byte, error) { return []byte(`"` + kind + `"`), nil }
 	})
 	t.Run("State returns a large state and reports a refusal", func(t *testing.T) {
@@ -185,6 +193,11 @@
 		assertKind(t, err, peer.Refused)
 		assert.ErrorContains(t, err, "no such stream")
 	})
+	t.Run("Repay reports that the tokens were refused", func(t *testing.T) {
+		assert.NilError(t, n.client.Repay(t.Context(), n.Addr(), "main", 7))
+		assertKind(t, n.client.Repay(t.Context(), n.Addr(), "other", 5), peer.Refused)
+		assert.Equal(t, repaid, int64(7))
+	})
 	t.Run("Lend returns the lender and the lent tokens", func(t *testing.T) {
 		holder, lent, err := n.client.Lend(t.Context(), n.Addr(), peer.LoanRequest{Borrower: "b", Budget: "main", Tokens: 9, Least: 2})
 		assert.NilError(t, err)
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -41,8 +41,8 @@
 	// Lend lends a part of this instance's allowance. It returns the incarnation that holds the tokens, and their
 	// number.
 	Lend func(ctx context.Context, l LoanRequest) (holder string, lent int64)
-	// TakeBack adds tokens of a budget that another instance does not need. After an error they were not added; optional.
-	TakeBack func(budget string, tokens int64) error
+	// AcceptRepayment adds tokens of a budget that another instance does not need. After an error they were not added; optional.
+	AcceptRepayment func(budget string, tokens int64) error
 	// Confirm opens a further slice of a grant and returns its tokens; optional.
 	Confirm func(holder, budget, grant string, tokens int64) int64
 	// Report returns a report of this instance in JSON.
@@ -79,8 +79,8 @@
 	if s.OnView == nil {
 		s.OnView = func(roster.PeerView) {}
 	}
-	if s.TakeBack == nil {
-		s.TakeBack = func(string, int64) error { return errNotServed }
+	if s.AcceptRepayment == nil {
+		s.AcceptRepayment = func(string, int64) error { return errNotServed }
 	}
 	if s.Confirm == nil {
 		s.Confirm = func(string, string, string, int64) int64 { return 0 }
@@ -186,12 +186,12 @@
 	return &peerpb.LendReply{Holder: holder, Tokens: lent}, nil
 }
 
-// GiveBack adds tokens that another instance does not need.
-func (s *rpcHandler) GiveBack(_ context.Context, in *peerpb.GiveBackRequest) (*peerpb.GiveBackReply, error) {
-	if err := s.TakeBack(in.GetBudget(), in.GetTokens()); err != nil {
+// Repay adds tokens that another instance does not need.
+func (s *rpcHandler) Repay(_ context.Context, in *peerpb.RepayRequest) (*peerpb.RepayReply, error) {
+	if err := s.AcceptRepayment(in.GetBudget(), in.GetTokens()); err != nil {
 		return nil, refusedError(err)
 	}
-	return &peerpb.GiveBackReply{}, nil
+	return &peerpb.RepayReply{}, nil
 }
 
 // Confirm opens a further slice of a grant.
--- a/io/router/loans.go
+++ b/io/router/loans.go
@@ -23,9 +23,9 @@
 	}
 	r.peerClient = &peer.Client{Timeout: loanTimeout}
 	r.peerClient.Default()
-	r.peerServer = &peer.Server{Listen: r.Settings.Peer.Listen, Lend: r.lend, TakeBack: r.budgets.TakeBack}
+	r.peerServer = &peer.Server{Listen: r.Settings.Peer.Listen, Lend: r.lend, AcceptRepayment: r.budgets.AcceptRepayment}
 	r.peerServer.Default()
-	r.borrower = &budget.Borrower{Book: r.budgets, Lenders: r.budgetSync.Lenders, Ask: r.askForLoan, GiveBack: r.giveBack, OnTransferLost: r.transferLost, OnEnd: r.borrowingEnded}
+	r.borrower = &budget.Borrower{Book: r.budgets, Lenders: r.budgetSync.Lenders, Ask: r.askForLoan, Repay: r.repay, OnTransferLost: r.transferLost, OnEnd: r.borrowingEnded}
 	r.borrower.Default()
 }
 
@@ -40,9 +40,9 @@
 	return lent, err
 }
 
-// giveBack transfers tokens of an organisation to another instance.
-func (r *Router) giveBack(ctx context.Context, addr, organisation string, tokens int64) error {
-	err := r.peerClient.GiveBack(ctx, addr, organisation, tokens)
+// repay transfers tokens of an organisation to another instance.
+func (r *Router) repay(ctx context.Context, addr, organisation string, tokens int64) error {
+	err := r.peerClient.Repay(ctx, addr, organisation, tokens)
 	var failed *peer.CallError
 	if errors.As(err, &failed) && failed.Kind == peer.Refused {
 		return fmt.Errorf("%w: %w", budget.ErrNotAdded, err)
@@ -50,7 +50,7 @@
 	return err
 }
 
-// transferLost logs tokens that were given back and count as spent, because their transfer was not answered.
+// transferLost logs repaid tokens that count as spent, because their transfer was not answered.
 func (r *Router) transferLost(organisation string, tokens int64, err error) {
 	events.Log(r.Log, events.TransferLost).Str("organisation", organisation).Int64("tokens", tokens).Err(err).Send()
 }
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -40,7 +40,7 @@
 	return response, nil
 }
 
-// applyResponseHead applies what a target says of itself in the head of a response, before the response is
+// applyResponseHead applies what a target reports in the head of a response, before the response is
 // forwarded.
 func (r *Router) applyResponseHead(t roster.Target, head relay.ResponseHead) {
 	if head.Load != nil {
