--- a/core/budget/era_test.go
+++ b/core/budget/era_test.go
@@ -103,3 +103,17 @@
 	_, err = reserve(t, m, paid*3/10)
 	assert.NilError(t, err)
 }
+
+// TestTopUpRaisesLimitLater checks that draws are limited by what was paid before a top-up until each copy of the log
+// contains the top-up, since who restores the budget may not know of it yet.
+func TestTopUpRaisesLimitLater(t *testing.T) {
+	f, m := newFleet(t)
+	assert.NilError(t, m.syncer.Sync(t.Context()))
+	f.paid *= 10
+	f.pay(m)
+	_, err := reserve(t, m, paid)
+	assert.ErrorContains(t, err, "budget_elsewhere")
+	f.now = f.now.Add(budget.DefaultCopyAge)
+	_, err = reserve(t, m, paid)
+	assert.NilError(t, err)
+}
