fix: the number of an era may be any

A record of a much earlier era multiplied the limit by the difference of the eras, which could overflow and then wrote nothing off. After three eras all of a budget counts as granted. TestBudgetOfDistantEra fails before for an era of 2^63-1.

--- a/core/budget/era.go
+++ b/core/budget/era.go
@@ -17,6 +17,8 @@
 	// riskDivisor is the limit on draws that a restored log may lack, as a divisor of the tokens paid for. Within
 	// DefaultCopyAge a fleet draws what its holdings cover, and what it uses.
 	riskDivisor = 2
+	// maxLostEras is the number of eras whose draws together exceed any budget.
+	maxLostEras = riskDivisor + 1
 	// marksPerCopyAge is the number of marks of the draws that are kept for the age of a copy.
 	marksPerCopyAge = 8
 )
@@ -80,7 +82,7 @@
 		a.marks = nil
 	}
 	a.recordEra, a.era, a.restorable = g.Era, era, restorable
-	if lost := (era - g.Era) * a.paidRisk(g.RiskLimit); lost > 0 {
+	if lost := min(era-g.Era, maxLostEras) * a.paidRisk(g.RiskLimit); lost > 0 {
 		g.Granted += lost
 		g.WrittenOff += lost
 		g.Kept = g.Drawn
@@ -162,6 +164,6 @@
 	case era == 0 || a.configuredAt.Sub(since) >= b.CopyAge: // the organisation is younger than any copy
 		return Grants{Era: era}, true
 	default:
-		return Grants{Era: era - riskDivisor}, true
+		return Grants{Era: era - maxLostEras}, true
 	}
 }
--- a/core/budget/era_test.go
+++ b/core/budget/era_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"testing"
 	"time"
 
@@ -104,6 +105,26 @@
 	assert.NilError(t, err)
 }
 
+// TestBudgetOfDistantEra checks that a budget whose record is of a much earlier era counts as granted, whatever the number
+// of the present one, and that a top-up makes it usable again.
+func TestBudgetOfDistantEra(t *testing.T) {
+	for _, era := range []int64{1, 4, 1 << 40, math.MaxInt64} {
+		f := &fleet{log: &memlog.Server{Era: era}, paid: paid, now: startTime.Add(time.Second), maxWait: 100 * time.Millisecond}
+		f.log.Put("keyed.budgets", 0, "travel", []byte(`{"granted":10}`))
+		m := f.start("i-0")
+		assert.NilError(t, m.syncer.Sync(t.Context()))
+		b := m.book.Balance("travel")
+		lost := paid / 2 * min(era, 3)
+		assert.Equal(t, b.WrittenOff, lost, "era %d", era)
+		assert.Equal(t, b.Granted-b.Free, lost+10, "era %d", era)
+		f.paid *= 3
+		f.pay(m)
+		f.now = f.now.Add(budget.DefaultCopyAge)
+		_, err := reserve(t, m, paid)
+		assert.NilError(t, err, "era %d", era)
+	}
+}
+
 // TestTopUpRaisesLimitLater checks that draws are limited by what was paid before a top-up until each copy of the log
 // contains the top-up, since who restores the budget may not know of it yet.
 func TestTopUpRaisesLimitLater(t *testing.T) {
