feat: an instance refuses requests that its link can't carry

Change: core/flow models the link as a queue that is emptied at its rate (setting link.mbps, from the platform's limits). From 60 ms of waiting data on, new requests are refused at once with code 5005, the connection is closed so that the caller reaches another instance, and the instance is not ready for 3 s.

--- a/cmd/route_test.go
+++ b/cmd/route_test.go
@@ -20,7 +20,7 @@
 	values := map[string]string{
 		"node_name|json": `"front-a-1"`, "zone|json": `"a"`, "ip": "127.0.0.1", "listen.front|json": `"127.0.0.1:8227"`,
 		"listen.readiness|json": `"127.0.0.1:8220"`, "platform.address|json": `"127.0.0.1:8223"`, "bounds.retry_budget_ratio": "0.2",
-		"bounds.budget_window_s": "10", "limits.memory_mb": "134", "platform.parts": "12", "bounds.grace_s": "8", "bounds.drain_ms": "2000", "internal_ports.1": "7355",
+		"bounds.budget_window_s": "10", "limits.memory_mb": "134", "platform.parts": "12", "bounds.grace_s": "8", "bounds.drain_ms": "2000", "internal_ports.1": "7355", "limits.link_mbps": "1000.0",
 	}
 	return regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(string(template), func(field string) string {
 		value, ok := values[field[2:len(field)-2]]
--- a/core/codes/table.go
+++ b/core/codes/table.go
@@ -35,6 +35,7 @@
 	Stopping         = Code{5002, "stopping", http.StatusServiceUnavailable, "The instance is stopping and takes no new requests."}
 	NotReady         = Code{5003, "not_ready", http.StatusServiceUnavailable, "The instance has not yet read the configuration."}
 	LogUnavailable   = Code{5004, "log_unavailable", http.StatusServiceUnavailable, "The platform's log could not be reached."}
+	LinkFull         = Code{5005, "link_full", http.StatusServiceUnavailable, "The network link of the instance is full."}
 	VersionConflict  = Code{6001, "version_conflict", http.StatusConflict, "The template was changed since the version that this publish is based on."}
 	BadTemplate      = Code{6002, "bad_template", http.StatusUnprocessableEntity, "The template is not valid."}
 	BadOperatorKey   = Code{6003, "bad_operator_key", http.StatusUnauthorized, "The operator key is missing or wrong."}
@@ -50,7 +51,7 @@
 		BudgetExhausted, BudgetUnknown, BudgetElsewhere, LedgerStale,
 		NoTarget, Overloaded, TargetFailed, TargetSilent, AnswerCut,
 		OutcomeUnknown, KeyReused, ClaimLost, ClaimUnavailable, KeyMissing, ClaimVoided, AnswerNotKept,
-		Internal, Stopping, NotReady, LogUnavailable,
+		Internal, Stopping, NotReady, LogUnavailable, LinkFull,
 		VersionConflict, BadTemplate, BadOperatorKey, TopUpReused, AcceptTimeout,
 	}
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -36,6 +36,16 @@
 	retryStopping = 50 * time.Millisecond
 	// retryBodyMemory is the Retry-After when buffered request bodies use all of their memory.
 	retryBodyMemory = 200 * time.Millisecond
+	// maxLinkDelay is the delay at the link from which on new requests are refused. It leaves room below the delays at
+	// which events of a stream count as late for what the requests in flight still send.
+	maxLinkDelay = 60 * time.Millisecond
+	// retryLink is the Retry-After of a request that the link can't carry. It is short, since another instance serves the
+	// retry.
+	retryLink = 50 * time.Millisecond
+	// overheadBytes is the size of the headers of a request and its response, and of the frames that carry them.
+	overheadBytes = 1500
+	// writeOverheadBytes is the size of the frames that carry one part of a stream.
+	writeOverheadBytes = 80
 )
 
 // Server is the listener for callers. Exported fields are set before Listen.
@@ -51,6 +61,10 @@
 	SetRefusalHeaders func(h http.Header, id string, after time.Duration)
 	// OnEnd is called at the end of each request.
 	OnEnd func(r relay.Result, took time.Duration)
+	// LinkDelay returns how long data waits at the link of the machine, and OnTraffic is called with the bytes that are
+	// received from callers, or sent to them, and pass the link on their way to and from a target; optional.
+	LinkDelay func() time.Duration
+	OnTraffic func(bytes int)
 	// OnPanic is called with the value of a panic that occurs while a request is served.
 	OnPanic func(reason any)
 
@@ -68,6 +82,12 @@
 
 // Listen opens the listener.
 func (s *Server) Listen(ctx context.Context, addr string) error {
+	if s.LinkDelay == nil {
+		s.LinkDelay = func() time.Duration { return 0 }
+	}
+	if s.OnTraffic == nil {
+		s.OnTraffic = func(int) {}
+	}
 	s.server.Clients, s.server.Setting = "callers", "caller.listen"
 	s.server.Server = http.Server{
 		Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -152,6 +172,10 @@
 	if s.stopsBefore(req) {
 		return req, codes.Refuse(codes.Stopping, retryStopping, "retry the request; another instance takes it")
 	}
+	if delay := s.LinkDelay(); delay > maxLinkDelay {
+		return req, codes.Refuse(codes.LinkFull, retryLink, "data waits %v at the link; retry the request, another instance takes it", delay)
+	}
+	s.OnTraffic(int(max(r.ContentLength, 0)) + overheadBytes)
 	if r.ContentLength == 0 {
 		return req, nil
 	}
@@ -202,6 +226,7 @@
 			w.WriteHeader(status)
 		},
 		Write: func(p []byte) error {
+			s.OnTraffic(len(p) + writeOverheadBytes)
 			if _, err := w.Write(p); err != nil {
 				return fmt.Errorf("write response: %w", err)
 			}
@@ -238,8 +263,8 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	if e.Code == codes.LogUnavailable || s.closeConns.Load() {
-		// The caller reconnects to an instance that has tokens for its requests.
+	if e.Code == codes.LogUnavailable || e.Code == codes.LinkFull || s.closeConns.Load() {
+		// The caller reconnects to an instance that can serve its requests.
 		w.Header().Set("Connection", "close")
 	}
 	w.WriteHeader(e.Code.Status)
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -12,12 +12,13 @@
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
+	"cranberryrail/core/flow"
 	"cranberryrail/core/relay"
 	"cranberryrail/io/entry"
 )
 
 // startServer starts a server that responds to each request with status 200 and no body.
-func startServer(t *testing.T) *entry.Server {
+func startServer(t *testing.T, configure ...func(s *entry.Server)) *entry.Server {
 	t.Helper()
 	s := &entry.Server{
 		MaxBodyBytes: 1000, MaxBufferedBytes: 1000,
@@ -29,6 +30,9 @@
 		SetRefusalHeaders: func(http.Header, string, time.Duration) {}, OnEnd: func(relay.Result, time.Duration) {},
 		OnPanic: func(reason any) { t.Error(reason) },
 	}
+	for _, set := range configure {
+		set(s)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	assert.NilError(t, s.Listen(ctx, "127.0.0.1:0"))
 	var g errgroup.Group
@@ -81,3 +85,20 @@
 		s.StopAt(time.Now())
 	}
 }
+
+// TestFullLinkRefusesRequests checks that an instance refuses requests that its link can't carry, with the connection closed,
+// so that their callers reach another instance.
+func TestFullLinkRefusesRequests(t *testing.T) {
+	link := &flow.Meter{BytesPerSecond: 10_000}
+	s := startServer(t, func(s *entry.Server) { s.LinkDelay, s.OnTraffic = link.Delay, link.Add })
+	statuses := map[int]int{}
+	for range 5 {
+		c, err := net.Dial("tcp", s.Addr())
+		assert.NilError(t, err)
+		resp := roundTrip(t, c)
+		assert.NilError(t, c.Close())
+		assert.Equal(t, resp.Close, resp.StatusCode != http.StatusOK)
+		statuses[resp.StatusCode]++
+	}
+	assert.DeepEqual(t, statuses, map[int]int{http.StatusOK: 1, http.StatusServiceUnavailable: 4})
+}
--- a/io/opts/router.go
+++ b/io/opts/router.go
@@ -25,6 +25,7 @@
 	Target   RouterTarget  `toml:"target"`
 	Retry    RouterRetry   `toml:"retry"`
 	Memory   RouterMemory  `toml:"memory"`
+	Link     RouterLink    `toml:"link"`
 	Stop     RouterStop    `toml:"stop"`
 	Log      RouterLog     `toml:"log"`
 }
@@ -97,6 +98,17 @@
 // megabyte is the unit of LimitMB, in bytes.
 const megabyte = 1 << 20
 
+// RouterLink describes the network link of the machine.
+type RouterLink struct {
+	MBPS float64 `toml:"mbps" unit:"Mbit/s" default:"0" allowed:"0..1000000" doc:"Rate of the link in each direction; requests that it can't carry are refused. 0 if it is unknown."`
+}
+
+// linkShare is the share of the link's rate that is left by the headers of its packets.
+const linkShare = 0.9
+
+// BytesPerSecond returns the rate at which the link carries data; 0 if it is unknown.
+func (l RouterLink) BytesPerSecond() float64 { return l.MBPS * 1e6 / 8 * linkShare }
+
 // RouterStop configures the graceful shutdown.
 type RouterStop struct {
 	GraceS  Seconds `toml:"grace_s" unit:"s" default:"8" allowed:"1..3600" doc:"Time after which a stopping process is ended from outside."`
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -23,6 +23,7 @@
 	"cranberryrail/core/actors"
 	"cranberryrail/core/budget"
 	"cranberryrail/core/events"
+	"cranberryrail/core/flow"
 	"cranberryrail/core/logs"
 	"cranberryrail/core/pause"
 	"cranberryrail/core/relay"
@@ -95,6 +96,7 @@
 	peerServer  *peer.Server
 	peerClient  *peer.Client
 	relay       *relay.Server
+	link        *flow.Meter
 	entry       *entry.Server
 	ready       *httpd.Server
 	metrics     *httpd.Server
@@ -109,9 +111,9 @@
 	targetsListed atomic.Bool
 	// running is set from the start until the shutdown begins.
 	running atomic.Bool
-	// logRefusedAt is when a request was last refused because the platform's log was unreachable,
+	// refusedAt is when a request was last refused because the platform's log was unreachable or the link was full,
 	// in Unix nanoseconds.
-	logRefusedAt atomic.Int64
+	refusedAt atomic.Int64
 	// headersIgnored holds the incarnations of targets with a malformed header that was logged.
 	headersIgnored *lru.Cache[string, struct{}]
 	// loggedReady is the readiness that was logged last.
@@ -148,7 +150,9 @@
 		Retries: r.retries, Dispatch: r.dispatch, OnAttemptFailed: r.attemptFailed, Zone: s.Instance.Zone, Random: rand.IntN,
 	}
 	r.relay.Default()
+	r.link = &flow.Meter{BytesPerSecond: s.Link.BytesPerSecond()}
 	r.entry = &entry.Server{
+		LinkDelay: r.link.Delay, OnTraffic: r.link.Add,
 		MaxBodyBytes: s.Caller.BodyBytes, MaxBufferedBytes: s.Memory.Bytes(bodyMemoryShare),
 		ParseRequest: r.Platform.ParseRequest, Serve: r.relay.Serve, SetRefusalHeaders: r.Platform.SetRefusalHeaders, OnEnd: r.requestEnded, OnPanic: r.logPanic,
 	}
@@ -211,14 +215,14 @@
 // Addr returns the address of the listener for callers.
 func (r *Router) Addr() string { return r.entry.Addr() }
 
-// logRefusalHold is how long an instance reports not ready after it refused a request because it
-// could not draw tokens. It spans several readiness checks of the platform.
-const logRefusalHold = 3 * time.Second
+// refusalHold is how long an instance reports not ready after it refused a request because it could not draw tokens or
+// its link was full. It spans several readiness checks of the platform.
+const refusalHold = 3 * time.Second
 
 // Ready reports whether the instance accepts requests: it has received the configuration, the
-// targets and the budgets, can draw tokens, and is not stopping.
+// targets and the budgets, can draw tokens, has room on its link, and is not stopping.
 func (r *Router) Ready() bool {
-	recentlyRefused := time.Since(time.Unix(0, r.logRefusedAt.Load())) < logRefusalHold
+	recentlyRefused := time.Since(time.Unix(0, r.refusedAt.Load())) < refusalHold
 	return r.running.Load() && r.table.Current() != nil && r.targetsListed.Load() && r.budgets.Loaded() && !recentlyRefused
 }
 
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -116,8 +116,8 @@
 		event.Bool("gone", true)
 	}
 	if refused := result.Refused; refused != nil {
-		if refused.Code == codes.LogUnavailable {
-			r.logRefusedAt.Store(time.Now().UnixNano())
+		if refused.Code == codes.LogUnavailable || refused.Code == codes.LinkFull {
+			r.refusedAt.Store(time.Now().UnixNano())
 		}
 		code = refused.Code
 		event.Int("code", code.Number).Str("run", string(refused.Run)).Dur("retry_after", refused.RetryAfter).Str("detail", refused.Detail)
