--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -60,10 +60,6 @@
 // TestCallersThatLeaveDoNotCountAgainstTargets checks which outcome is recorded for a target when the request ends before
 // its response.
 func TestCallersThatLeaveDoNotCountAgainstTargets(t *testing.T) {
-	awaitEnd := func(ctx context.Context, _ relay.Dispatch) (*relay.Response, error) {
-		<-ctx.Done()
-		return nil, &relay.AttemptError{Kind: relay.Broken, Sent: true, Err: ctx.Err()}
-	}
 	for name, c := range map[string]struct {
 		after time.Duration
 		want  route.Outcome
@@ -73,7 +69,10 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newFixture(awaitEnd)
+				f := newFixture(func(ctx context.Context, _ relay.Dispatch) (*relay.Response, error) {
+					<-ctx.Done()
+					return nil, &relay.AttemptError{Kind: relay.Broken, Sent: true, Err: ctx.Err()}
+				})
 				ctx, cancel := context.WithCancel(t.Context())
 				time.AfterFunc(c.after, cancel)
 				f.serve(ctx)
