--- a/core/budget/borrow_test.go
+++ b/core/budget/borrow_test.go
@@ -28,8 +28,8 @@
 	// unreached holds the instances that do not reply, and asked counts the calls to each instance for tokens.
 	unreached map[string]bool
 	asked     map[string]int
-	// repaid is the sum of repaid tokens, and lost that of repayments without a reply.
-	repaid, lost int64
+	// lost is the sum of the tokens of repayments without a reply.
+	lost int64
 }
 
 // runLendingFleet runs instances in virtual time and calls play once they have counted each other.
@@ -82,7 +82,6 @@
 	if f.unreached[addr] {
 		return errSilent
 	}
-	f.repaid += tokens
 	return f.members[addr].book.AcceptRepayment(organisation, tokens)
 }
 
@@ -92,6 +91,15 @@
 	f.lost += tokens
 }
 
+// silence makes instances not reply.
+func (f *lendingFleet) silence(ids []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range ids {
+		f.unreached[id] = true
+	}
+}
+
 // free returns the tokens that all instances hold without a request for them.
 func (f *lendingFleet) free() int64 {
 	sum := int64(0)
@@ -151,9 +159,7 @@
 		runLendingFleet(t, instances, func(f *lendingFleet) {
 			m, holders := f.borrowerAndHolders(t)
 			f.partFromLog()
-			for _, id := range holders[:budget.MaxHolders/2] {
-				f.unreached[id] = true
-			}
+			f.silence(holders[:budget.MaxHolders/2])
 			assert.NilError(t, reserveSoon(m, tokens))
 		})
 	})
@@ -188,16 +194,17 @@
 				r, err := m.book.Reserve(context.Background(), "travel", tokens)
 				assert.NilError(t, err)
 				f.partFromLog() // so that what all hold changes only by transfers
-				for i, id := range holders {
-					if i < c.stopped {
-						f.members[id].book.Stop()
-					}
-					f.unreached[id] = i < c.silent
+				for _, id := range holders[:c.stopped] {
+					f.members[id].book.Stop()
 				}
+				f.silence(holders[:c.silent])
 				before := f.free()
 				m.book.Settle(r, 0)
 				time.Sleep(2 * time.Second)
-				assert.Equal(t, f.lost, c.lost)
+				f.mu.Lock()
+				lost := f.lost
+				f.mu.Unlock()
+				assert.Equal(t, lost, c.lost)
 				assert.Equal(t, f.free(), before+tokens-c.lost)
 				kept := c.stopped == budget.MaxHolders
 				assert.Equal(t, m.book.Balance("travel").Free > 0, kept)
