--- a/core/budget/holders.go
+++ b/core/budget/holders.go
@@ -57,7 +57,7 @@
 	holders := ordered[:min(MaxHolders, len(ordered))]
 	l.isHolder = slices.ContainsFunc(holders, func(i rankedInstance) bool { return i.id == r.own })
 	if len(holders) > 0 {
-		start := int(xxhash.Sum64String(r.own) % uint64(len(holders))) //nolint:gosec // less than MaxHolders
+		start := bucketOf(r.own, len(holders))
 		l.holders = r.appendAddrs(r.appendAddrs(nil, holders[start:]), holders[:start])
 	}
 	l.others = r.appendAddrs(nil, ordered[len(holders):])
--- a/core/budget/promise_writer.go
+++ b/core/budget/promise_writer.go
@@ -56,7 +56,7 @@
 }
 
 func newPromiseWriter(sy *Syncer) *promiseWriter {
-	return &promiseWriter{syncer: sy, partition: partitionOf(sy.Instance, max(sy.PromiseParts, 1)), wake: make(chan struct{}, 1), recorded: &Promise{}}
+	return &promiseWriter{syncer: sy, partition: bucketOf(sy.Instance, max(sy.PromiseParts, 1)), wake: make(chan struct{}, 1), recorded: &Promise{}}
 }
 
 // scheduleRenewal triggers a renewal. It never blocks.
--- a/core/budget/syncer.go
+++ b/core/budget/syncer.go
@@ -188,12 +188,12 @@
 
 // partitionIndex returns the index of the partition that stores an organisation's budget.
 func (sy *Syncer) partitionIndex(organisation string) int {
-	return partitionOf(organisation, sy.Shards)
+	return bucketOf(organisation, sy.Shards)
 }
 
-// partitionOf returns the partition of a key, from 0 to partitions-1.
-func partitionOf(key string, partitions int) int {
-	return int(xxhash.Sum64String(key) % uint64(partitions)) //nolint:gosec // less than the number of partitions
+// bucketOf returns the bucket that a key is hashed to, from 0 to buckets-1.
+func bucketOf(key string, buckets int) int {
+	return int(xxhash.Sum64String(key) % uint64(buckets)) //nolint:gosec // less than the number of buckets
 }
 
 // SetOrganisations applies the organisations of the configuration and what they have paid for.
