feat: request_ended states the events of a stream and whether the target framed its response

The log of inc1 can't tell a response that ended with its connection from one with a length or chunks, nor a stream that ended early from one that was short. request_ended now has events for every stream, and unframed for a response with neither a length nor chunks.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -118,6 +118,7 @@
 		return r.recordFailure(err)
 	}
 	defer a.Close()
+	r.Unframed = a.Unframed
 	switch {
 	case a.NotRun:
 		return notRunError(a.Status)
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -65,6 +65,8 @@
 type Response struct {
 	ResponseHead
 	Status int
+	// Unframed is set if the body has neither a length nor chunks, so that it ends with the connection.
+	Unframed bool
 	// Read reads the body. The error is io.EOF at the end of a complete body and an *AttemptError
 	// otherwise.
 	Read func(p []byte) (int, error)
@@ -169,6 +171,8 @@
 	TimeToFirstByte time.Duration
 	// Events is the number of forwarded events.
 	Events int
+	// Unframed is set if the response of the last target had neither a length nor chunks.
+	Unframed bool
 	// Reserved and Spent are in tokens.
 	Reserved, Spent int64
 	// Truncated is set if a response was started and could not be completed.
--- a/io/conns/response.go
+++ b/io/conns/response.go
@@ -14,6 +14,8 @@
 type Response struct {
 	Status int
 	Header http.Header
+	// Unframed is set if the body has neither a length nor chunks, so that it ends with the connection.
+	Unframed bool
 
 	client    *Client
 	conn      *conn
@@ -73,8 +75,8 @@
 
 func (resp *Response) accept(head *http.Response) {
 	resp.Status, resp.Header, resp.body = head.StatusCode, head.Header, head.Body
-	unframed := head.ContentLength < 0 && len(head.TransferEncoding) == 0
-	resp.reusable = !head.Close && !unframed
+	resp.Unframed = head.ContentLength < 0 && len(head.TransferEncoding) == 0
+	resp.reusable = !head.Close && !resp.Unframed
 	if d, ok := parseKeepAlive(head.Header.Get("Keep-Alive")); ok {
 		resp.conn.idleTimeout = d
 	}
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -26,7 +26,7 @@
 		return nil, attemptError(err)
 	}
 	response := &relay.Response{
-		ResponseHead: r.Platform.ParseResponseHead(a.Status, a.Header), Status: a.Status, SetReadTimeout: a.SetReadTimeout, Close: a.Close,
+		ResponseHead: r.Platform.ParseResponseHead(a.Status, a.Header), Status: a.Status, Unframed: a.Unframed, SetReadTimeout: a.SetReadTimeout, Close: a.Close,
 		Read: func(p []byte) (int, error) {
 			n, err := a.Read(p)
 			var failed *conns.Error
@@ -108,8 +108,14 @@
 		event.Int64("reserved", result.Reserved).Int64("spent", result.Spent)
 		r.Meter.Billed(class, result.Spent)
 	}
+	if result.Events > 0 || result.Truncated {
+		event.Int("events", result.Events)
+	}
+	if result.Unframed {
+		event.Bool("unframed", true)
+	}
 	if result.Truncated {
-		event.Bool("cut", true).Int("events", result.Events)
+		event.Bool("cut", true)
 		r.Meter.StreamCut()
 	}
 	if result.CallerGone {
