fix: a stream that ends inside an event was passed on as complete

Cause: the event reader returned what was left at the end of the body as a last event, together with io.EOF. A body that ends with its connection ends with io.EOF wherever the target breaks it off, so the partial event was forwarded and the chunked response to the caller was closed in order. The same held for a body with a length or chunks that ends inside an event, and for one without framing that has no event at all. The class of the fault: the end of the bytes was taken for the end of the answer.

Fix: the reader returns io.EOF only between events; anything left is a broken attempt, whose partial event is dropped. A stream that may be resumed is resumed at another target after its last whole event, and any other is cut, so that the caller sees the break. A stream without framing that has no event counts as broken as well.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -245,31 +245,38 @@
 func (r *relayedRequest) relayEvents(ctx context.Context, a *Response) *AttemptError {
 	events := newEventReader(a.Read)
 	timeout := r.eventTimeout()
-	for {
+	for first := true; ; first = false {
 		a.SetReadTimeout(timeout)
 		event, err := events.next()
-		if err != nil && !isEOF(err) {
+		switch {
+		case isEOF(err):
+			return r.endEvents(a, first)
+		case err != nil:
 			return r.recordFailure(err)
 		}
-		if len(event.raw) > 0 || isEOF(err) {
-			if failed := r.relayEvent(ctx, a, event); failed != nil {
-				return failed
-			}
-		}
-		if isEOF(err) {
-			return nil
+		if failed := r.relayEvent(ctx, a, event); failed != nil {
+			return failed
 		}
 	}
 }
 
+// endEvents ends a stream that its target has completed. Without framing and events, nothing distinguishes a complete
+// stream from one that was broken off after its head.
+func (r *relayedRequest) endEvents(a *Response, empty bool) *AttemptError {
+	if empty && a.Unframed {
+		return &AttemptError{Kind: Broken, Sent: true, Err: errNoEvent}
+	}
+	if !r.headSent {
+		r.sendHead(a)
+	}
+	return nil
+}
+
 // relayEvent forwards one event. It fails if the event does not follow the last one forwarded.
 func (r *relayedRequest) relayEvent(ctx context.Context, a *Response, e event) *AttemptError {
 	if !r.headSent {
 		r.sendHead(a)
 	}
-	if len(e.raw) == 0 {
-		return nil
-	}
 	if e.id != "" {
 		if r.lastEventID != "" && !follows(e.id, r.lastEventID) {
 			return &AttemptError{Kind: Invalid, Sent: true, Err: errEventOrder}
--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -17,6 +17,8 @@
 
 var (
 	errEventOrder    = errors.New("an event of the stream is missing or repeated")
+	errPartialEvent  = fmt.Errorf("the stream ended inside an event: %w", io.ErrUnexpectedEOF)
+	errNoEvent       = fmt.Errorf("the stream ended with its connection and has no event: %w", io.ErrUnexpectedEOF)
 	errEventTooLarge = fmt.Errorf("an event of the stream has more than %d bytes", maxEventBytes)
 )
 
@@ -40,9 +42,9 @@
 	return &eventReader{lines: bufio.NewReaderSize(readFunc(read), eventBufferBytes)}
 }
 
-// next returns the next complete event. Its bytes are valid until the next call. At the end of a
-// complete stream it returns the remaining bytes with io.EOF; a partial event of a truncated stream
-// is dropped.
+// next returns the next complete event. Its bytes are valid until the next call. The error is io.EOF after the last
+// event of a complete stream. A stream that ends inside an event was broken off, however its end was framed; the partial
+// event is dropped.
 func (e *eventReader) next() (event, error) {
 	e.raw = e.raw[:0]
 	var id string
@@ -56,7 +58,10 @@
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case err == io.EOF: //nolint:errorlint // Read returns io.EOF itself
-			return event{raw: e.raw, id: id}, io.EOF
+			if len(e.raw) > 0 {
+				return event{}, &AttemptError{Kind: Broken, Sent: true, Err: errPartialEvent}
+			}
+			return event{}, io.EOF
 		case err != nil:
 			return event{}, err
 		}
