fix: a response that was broken off looked complete to a caller of HTTP/1.0

A caller of HTTP/1.0 gets no chunks; the end of its connection ends the response. When the relay broke a stream off, the connection was closed as after a whole one, so that such a caller took the part for the whole.

Fix: the connection of such a request is reset. Callers of HTTP/1.1 miss the last chunk and see the break as before.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -92,6 +92,7 @@
 	s.server.Server = http.Server{
 		Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return context.WithoutCancel(ctx) },
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 	}
 	return s.server.Listen(ctx, addr)
 }
@@ -142,12 +143,24 @@
 	s.OnEnd(result, time.Since(started))
 	switch {
 	case result.Truncated || result.CallerGone:
-		panic(http.ErrAbortHandler) // closes the connection, so that the response does not look complete
+		abort(r)
 	case result.Refused != nil:
 		s.writeRefusal(w, req, result.Refused)
 	}
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// abort closes the connection of a request, so that its response does not look complete. It does not return.
+func abort(r *http.Request) {
+	conn, ok := r.Context().Value(connKey{}).(*net.TCPConn)
+	if ok && !r.ProtoAtLeast(1, 1) {
+		_ = conn.SetLinger(0) // A response without chunks ends with its connection, unless that is reset.
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // recoverPanic reports a panic other than http.ErrAbortHandler and closes the connection.
 func (s *Server) recoverPanic() {
 	reason := recover()
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -102,3 +103,30 @@
 	}
 	assert.DeepEqual(t, statuses, map[int]int{http.StatusOK: 1, http.StatusServiceUnavailable: 4})
 }
+
+// TestTruncatedResponseLooksIncomplete guards against a response that was broken off and looks complete to its caller. A caller
+// of HTTP/1.0 gets no chunks, so that the end of its connection ends the response.
+func TestTruncatedResponseLooksIncomplete(t *testing.T) {
+	for _, proto := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		t.Run(proto, func(t *testing.T) {
+			s := startServer(t, func(s *entry.Server) {
+				s.Serve = func(_ context.Context, _ *relay.Request, sink relay.Sink) relay.Result {
+					sink.Head(http.StatusOK, nil, -1)
+					return relay.Result{Truncated: sink.Write([]byte("part")) == nil}
+				}
+			})
+			c, err := net.Dial("tcp", s.Addr())
+			assert.NilError(t, err)
+			defer c.Close()
+			assert.NilError(t, c.SetDeadline(time.Now().Add(5*time.Second)))
+			_, err = fmt.Fprintf(c, "GET / %s\r\nHost: a\r\n\r\n", proto)
+			assert.NilError(t, err)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err == nil {
+				defer resp.Body.Close()
+				_, err = io.ReadAll(resp.Body)
+			}
+			assert.Assert(t, err != nil, "the response looks complete")
+		})
+	}
+}
