fix: a response whose handler panicked looked complete to a caller of HTTP/1.0

Evidence: the subtest 'HTTP/1.0, panic true' of TestTruncatedResponseLooksIncomplete failed without the change, and passes ten of ten with it.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -127,7 +127,7 @@
 	started := time.Now()
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	defer s.recoverPanic()
+	defer s.recoverPanic(r)
 	req, refused := s.readRequest(w, r)
 	if req != nil {
 		defer s.bufferedBytes.Add(-int64(len(req.Body)))
@@ -143,7 +143,7 @@
 	s.OnEnd(result, time.Since(started))
 	switch {
 	case result.Truncated || result.CallerGone:
-		abort(r)
+		panic(http.ErrAbortHandler) // recoverPanic closes the connection, so that the response does not look complete
 	case result.Refused != nil:
 		s.writeRefusal(w, req, result.Refused)
 	}
@@ -162,7 +162,7 @@
 }
 
 // recoverPanic reports a panic other than http.ErrAbortHandler and closes the connection.
-func (s *Server) recoverPanic() {
+func (s *Server) recoverPanic(r *http.Request) {
 	reason := recover()
 	if reason == nil {
 		return
@@ -170,7 +170,7 @@
 	if err, ok := reason.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
 		s.OnPanic(reason)
 	}
-	panic(http.ErrAbortHandler)
+	abort(r)
 }
 
 // readRequest reads a request with its body and, unless it refuses the request, adds the size of the body to
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -107,12 +107,21 @@
 // TestTruncatedResponseLooksIncomplete guards against a response that was broken off and looks complete to its caller. A caller
 // of HTTP/1.0 gets no chunks, so that the end of its connection ends the response.
 func TestTruncatedResponseLooksIncomplete(t *testing.T) {
-	for _, proto := range []string{"HTTP/1.0", "HTTP/1.1"} {
-		t.Run(proto, func(t *testing.T) {
+	for _, c := range []struct {
+		proto  string
+		panics bool
+	}{{"HTTP/1.0", false}, {"HTTP/1.1", false}, {"HTTP/1.0", true}, {"HTTP/1.1", true}} {
+		proto := c.proto
+		t.Run(fmt.Sprintf("%s, panic %t", proto, c.panics), func(t *testing.T) {
 			s := startServer(t, func(s *entry.Server) {
+				s.OnPanic = func(any) {}
 				s.Serve = func(_ context.Context, _ *relay.Request, sink relay.Sink) relay.Result {
 					sink.Head(http.StatusOK, nil, -1)
-					return relay.Result{Truncated: sink.Write([]byte("part")) == nil}
+					err := sink.Write([]byte("part"))
+					if c.panics {
+						panic("a fault of the program")
+					}
+					return relay.Result{Truncated: err == nil}
 				}
 			})
 			c, err := net.Dial("tcp", s.Addr())
