fix: a target that sends a head without end filled the memory of an instance

Fix: the status line and headers of a response, with the interim responses before it, are limited to 64 KB; beyond that the connection is closed and the response counts as invalid at once.

Evidence: TestEndlessHeadIsRejected, four subtests (bytes that are no response, one header, headers, interim responses) failed without the change, each by the timeout of 2 s after 8 MB; they pass with it, with the race detector.

--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -14,11 +15,47 @@
 // readBufferBytes is the size of a connection's read buffer.
 const readBufferBytes = 4096
 
+// maxHeadBytes limits the status line and the headers of a response, with the interim responses before it.
+const maxHeadBytes = 64 << 10
+
+var errHeadTooLarge = fmt.Errorf("the head of the response has more than %d bytes", maxHeadBytes)
+
+// headLimiter reads from a connection. While a head is read, it limits how much is read.
+type headLimiter struct {
+	net.Conn
+
+	limited bool
+	// left is how many bytes may still be read, if limited is set.
+	left int
+}
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.Conn.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.Conn.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
+// limit limits the reads that follow until unlimit is called.
+func (l *headLimiter) limit() { l.limited, l.left = true, maxHeadBytes }
+
+func (l *headLimiter) unlimit() { l.limited = false }
+
+// exhausted reports whether the last limit was reached.
+func (l *headLimiter) exhausted() bool { return l.left <= 0 }
+
 // conn is a connection to one incarnation of a target.
 type conn struct {
 	net.Conn
 
 	poolKey string
+	input   *headLimiter
 	reader  *bufio.Reader
 	// idleTimeout is how long the connection may stay idle before it is closed.
 	idleTimeout time.Duration
@@ -28,7 +65,8 @@
 }
 
 func newConn(nc net.Conn, poolKey string, idleTimeout time.Duration) *conn {
-	return &conn{Conn: nc, poolKey: poolKey, idleTimeout: idleTimeout, reader: bufio.NewReaderSize(nc, readBufferBytes)}
+	input := &headLimiter{Conn: nc}
+	return &conn{Conn: nc, poolKey: poolKey, idleTimeout: idleTimeout, input: input, reader: bufio.NewReaderSize(input, readBufferBytes)}
 }
 
 func (cn *conn) close() {
--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -314,3 +314,30 @@
 	assert.ErrorIs(t, err, io.EOF)
 	assert.Assert(t, g.Wait() != nil)
 }
+
+// TestEndlessHeadIsRejected guards against a target that sends bytes without end before the body of a response: they must not
+// fill the memory until the timeout of the request.
+func TestEndlessHeadIsRejected(t *testing.T) {
+	for name, c := range map[string]struct{ begin, endless string }{
+		"bytes that are no response": {"", "x"},
+		"header":                     {"HTTP/1.1 200 OK\r\nId: ", "x"},
+		"headers":                    {"HTTP/1.1 200 OK\r\n", "A: x\r\n"},
+		"interim responses":          {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTarget(t)
+			r := s.request("1")
+			r.HeaderTimeout = 2 * time.Second
+			results := startExchange(t, newClient(), r)
+			p := s.accept(t)
+			p.readRequest(t)
+			p.send(t, c.begin)
+			// The connection is closed while this is written, or stays silent after it.
+			_, _ = io.WriteString(p, strings.Repeat(c.endless, 8<<20/len(c.endless)))
+			failed := <-results
+			var e *conns.Error
+			assert.Assert(t, errors.As(failed.err, &e), "%v", failed.err)
+			assert.Assert(t, e.Invalid && !e.Timeout, "%v", e)
+		})
+	}
+}
--- a/io/conns/response.go
+++ b/io/conns/response.go
@@ -39,8 +39,10 @@
 	for range maxForeignResponses + 1 {
 		head, err := resp.readFinalHead(r) //nolint:bodyclose // the body ends with its connection
 		if err != nil {
-			phase := Waiting
-			return &Error{Phase: phase, Timeout: isTimeout(err), Invalid: !isTimeout(err) && resp.conn.reader.Buffered() > 0, Err: err}
+			if resp.conn.input.exhausted() {
+				return &Error{Phase: Waiting, Invalid: true, Err: fmt.Errorf("%w: %w", errHeadTooLarge, err)}
+			}
+			return &Error{Phase: Waiting, Timeout: isTimeout(err), Invalid: !isTimeout(err) && resp.conn.reader.Buffered() > 0, Err: err}
 		}
 		if r.Matches(head.Header) {
 			resp.accept(head)
@@ -58,6 +60,8 @@
 
 // readFinalHead reads the headers of the next response, skipping interim (1xx) ones.
 func (resp *Response) readFinalHead(r *Request) (*http.Response, error) {
+	resp.conn.input.limit()
+	defer resp.conn.input.unlimit()
 	for {
 		head, err := http.ReadResponse(resp.conn.reader, &http.Request{Method: r.Method})
 		if err != nil || head.StatusCode >= http.StatusOK {
