fix: a body without end occupied an instance until the deadline of the request

Memory was bounded, since a long body is forwarded in parts, and an event has at most 1 MB; but a body without end, or events and empty lines without end, were forwarded at the rate of the link until the deadline of the request, some ten seconds.

Fix: a response, whatever its framing, has at most target.response_mb (64 MB, a new setting). Beyond that the attempt counts as invalid, and the response is cut, or resumed elsewhere.

Evidence: three of four subtests of TestEndlessBodyIsCut failed without the change (body, events, empty lines), one event that does not end was bounded before; all pass with it.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -118,6 +119,7 @@
 		return r.recordFailure(err)
 	}
 	defer a.Close()
+	a.Read = r.limitBody(a.Read)
 	r.Unframed = a.Unframed
 	switch {
 	case a.NotRun:
@@ -133,6 +135,18 @@
 	return r.relayBody(a)
 }
 
+// limitBody returns a function that reads a body and fails if it has more than MaxResponseBytes.
+func (r *relayedRequest) limitBody(read readFunc) readFunc {
+	left := r.MaxResponseBytes
+	return func(p []byte) (int, error) {
+		n, err := read(p)
+		if left -= int64(n); left < 0 {
+			return 0, &AttemptError{Kind: Invalid, Sent: true, Err: fmt.Errorf("the response has more than %d bytes", r.MaxResponseBytes)}
+		}
+		return n, err
+	}
+}
+
 // claimsNotRun reports whether a status implies that the request did not run. Such a response is
 // valid only if the target signed it.
 func claimsNotRun(status int) bool {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -34,6 +34,9 @@
 	Dispatch func(ctx context.Context, d Dispatch) (*Response, error)
 	// OnAttemptFailed is called for each failed attempt; optional.
 	OnAttemptFailed func(d Dispatch, f *AttemptError)
+	// MaxResponseBytes limits the body of a response, or the events of a stream together. A target that sends more is
+	// assumed to send without end. Optional; 0 means DefaultMaxResponseBytes.
+	MaxResponseBytes int64
 	// Zone is the availability zone of this instance.
 	Zone string
 	// Now returns the current time.
@@ -42,8 +45,14 @@
 	Random func(n int) int
 }
 
+// DefaultMaxResponseBytes is the default of MaxResponseBytes: several times the largest request body.
+const DefaultMaxResponseBytes = 64 << 20
+
 // Default sets unset optional fields to their defaults.
 func (s *Server) Default() {
+	if s.MaxResponseBytes == 0 {
+		s.MaxResponseBytes = DefaultMaxResponseBytes
+	}
 	if s.Now == nil {
 		s.Now = time.Now
 	}
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -113,3 +114,36 @@
 	assert.Equal(t, result.Events, 2)
 	assert.Equal(t, f.spent, int64(110))
 }
+
+// TestEndlessBodyIsCut guards against a target whose response does not end: it must not occupy the link and the processor until the
+// deadline of the request.
+func TestEndlessBodyIsCut(t *testing.T) {
+	const limit = 1 << 20
+	for name, c := range map[string]struct {
+		stream bool
+		text   string
+	}{
+		"body": {false, "x"}, "events": {true, "data: 1\n\n"}, "empty lines": {true, "\n"}, "an event": {true, "data: 1\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(func(context.Context, relay.Dispatch) (*relay.Response, error) {
+				read := 0
+				return &relay.Response{
+					Status: http.StatusOK, ResponseHead: relay.ResponseHead{HasSignature: true, IsEventStream: c.stream},
+					Read: func(p []byte) (int, error) {
+						if read += len(p); read > 4*limit {
+							return 0, &relay.AttemptError{Kind: relay.Silent, Sent: true, Err: errors.New("the deadline passed")}
+						}
+						return copy(p, strings.Repeat(c.text, len(p)/len(c.text))), nil
+					},
+					SetReadTimeout: func(time.Duration) {}, Close: func() {},
+				}, nil
+			})
+			f.MaxResponseBytes = limit
+			result := f.serve(t.Context())
+			assert.Assert(t, result.Truncated || result.Refused != nil)
+			assert.Equal(t, result.LastFailure.Kind, relay.Invalid)
+			assert.DeepEqual(t, f.outcomes, []route.Outcome{route.Failed})
+		})
+	}
+}
--- a/io/opts/router.go
+++ b/io/opts/router.go
@@ -77,9 +77,14 @@
 type RouterTarget struct {
 	LeaveMS Milliseconds `toml:"leave_ms" unit:"ms" default:"2000" allowed:"100..600000" doc:"Time within which a target that is leaving must get no more work; the list of targets is read the less often the longer it is."`
 
+	ResponseMB float64 `toml:"response_mb" unit:"MB" default:"64" allowed:"1..1048576" doc:"Largest body of a response, or largest stream; a target that sends more is taken to send without end, and its response is cut."`
+
 	Bound float64 `toml:"bound" default:"3" allowed:"1..100" doc:"Multiple of the mean load up to which a target gets the requests whose prompts share a part that it has read."`
 }
 
+// MaxResponseBytes returns the size of the largest response in bytes.
+func (t RouterTarget) MaxResponseBytes() int64 { return int64(t.ResponseMB * megabyte) }
+
 // RouterRetry configures the retry budget that all instances share.
 type RouterRetry struct {
 	Ratio   float64 `toml:"ratio" default:"0.2" allowed:"0..1" doc:"Repeats in proportion to requests, for each service."`
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -147,7 +147,7 @@
 	r.table.OnApplied = r.configApplied
 	r.relay = &relay.Server{
 		Table: r.table.Current, Reserve: r.budgets.Reserve, Settle: r.budgets.Settle, Pick: r.routeClient.Pick, Done: r.routeClient.Done,
-		Retries: r.retries, Dispatch: r.dispatch, OnAttemptFailed: r.attemptFailed, Zone: s.Instance.Zone, Random: rand.IntN,
+		Retries: r.retries, Dispatch: r.dispatch, OnAttemptFailed: r.attemptFailed, MaxResponseBytes: s.Target.MaxResponseBytes(), Zone: s.Instance.Zone, Random: rand.IntN,
 	}
 	r.relay.Default()
 	r.link = &flow.Meter{BytesPerSecond: s.Link.BytesPerSecond()}
