test: the fake engine breaks streams off inside an event, sends streams without framing and bytes without end

Randomised runs of the serving fleet (fake/chaos) and the demo's engine play them: half of the streams that end early now end inside an event, unframed_ratio gives streams neither a length nor chunks, and endless_ratio continues one with bytes that are no frame. The product's own interface needed no fix: its streams are complete only with the final frame, and a reply without a length counts as truncated.

--- a/fake/chaos/faults.go
+++ b/fake/chaos/faults.go
@@ -76,7 +76,7 @@
 func (r *Run) setEngineFaults(_ context.Context, rng *rand.Rand) error {
 	f := engine.NoFaults()
 	ratio := rng.Float64() / 2
-	switch rng.IntN(12) {
+	switch rng.IntN(14) {
 	case 0:
 		f.StallAfter, f.StallRatio = rng.IntN(20), ratio
 	case 1:
@@ -96,8 +96,12 @@
 	case 8:
 		f = engine.Faults{
 			StallAfter: rng.IntN(20), StallRatio: ratio / 4, CrossRatio: ratio / 4, TruncateRatio: ratio / 4,
-			DoubleRatio: ratio / 4, GapRatio: ratio / 4, FailRatio: ratio / 4,
+			DoubleRatio: ratio / 4, GapRatio: ratio / 4, FailRatio: ratio / 4, EndlessRatio: ratio / 4, UnframedRatio: ratio,
 		}
+	case 9:
+		f.UnframedRatio, f.TruncateRatio = 1, ratio
+	case 10:
+		f.EndlessRatio = ratio
 	}
 	r.fleet.EngineServers[rng.IntN(r.Engines)].SetFaults(f)
 	return nil
--- a/fake/engine/faults.go
+++ b/fake/engine/faults.go
@@ -16,8 +16,12 @@
 	Silent bool `json:"silent"`
 	// CrossRatio is the share of attempts that receive a frame with the ID of another request.
 	CrossRatio float64 `json:"cross_ratio"`
-	// TruncateRatio is the share of attempts whose stream ends cleanly before the final frame.
+	// TruncateRatio is the share of attempts whose stream ends cleanly before the final frame, half of them inside an event.
 	TruncateRatio float64 `json:"truncate_ratio"`
+	// UnframedRatio is the share of attempts whose stream has no chunks and ends with its connection.
+	UnframedRatio float64 `json:"unframed_ratio"`
+	// EndlessRatio is the share of attempts whose stream continues with bytes that are no frame, without end.
+	EndlessRatio float64 `json:"endless_ratio"`
 	// DoubleRatio is the share of attempts in which a token is sent twice.
 	DoubleRatio float64 `json:"double_ratio"`
 	// GapRatio is the share of attempts in which a token is omitted.
@@ -35,8 +39,8 @@
 
 // faultPlan holds the positions in the answer at which faults are injected into one attempt.
 type faultPlan struct {
-	fail                                 bool
-	stall, cross, truncate, double, skip int
+	fail, partial, unframed                       bool
+	stall, cross, truncate, double, skip, endless int
 }
 
 // plan draws the faults of an attempt that starts at position from in an answer of total tokens.
@@ -49,6 +53,8 @@
 		double:   drawPosition(r, f.DoubleRatio, from, total),
 		skip:     drawPosition(r, f.GapRatio, from, total),
 	}
+	p.partial, p.unframed = r.IntN(2) == 0, r.Float64() < f.UnframedRatio
+	p.endless = drawPosition(r, f.EndlessRatio, from, total+1)
 	if f.StallAfter >= 0 && r.Float64() < f.StallRatio {
 		p.stall = from + f.StallAfter
 	}
--- a/fake/engine/stream.go
+++ b/fake/engine/stream.go
@@ -1,10 +1,12 @@
 package engine
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -14,6 +16,9 @@
 	"cranberryrail/fake/engine/host"
 )
 
+// endlessPart is the size of one write of bytes without end.
+const endlessPart = 4 << 10
+
 // request is the body of /v1/generate; /v1/cancel uses its first two fields.
 type request struct {
 	RequestID  string `json:"request_id"`
@@ -148,6 +153,9 @@
 	}
 	s.prefixes.Add(prefix, struct{}{})
 	a.out.Header().Set("Content-Type", "text/event-stream")
+	if a.plan.unframed {
+		a.out.Header().Set("Transfer-Encoding", "identity") // net/http then ends the response with its connection
+	}
 	finished := s.stream(ctx, a)
 	switch {
 	case finished:
@@ -182,7 +190,12 @@
 func (a *attempt) applyFaults(ctx context.Context, i int) bool {
 	switch i {
 	case a.plan.truncate:
+		if a.plan.partial {
+			_, _ = io.WriteString(a.out, `data: {"request_id":`) // the client may have disconnected
+		}
 		return false
+	case a.plan.endless:
+		return a.sendEndless(ctx)
 	case a.plan.stall:
 		_ = http.NewResponseController(a.out).Flush()
 		<-ctx.Done()
@@ -193,6 +206,17 @@
 	return true
 }
 
+// sendEndless sends bytes that are no frame until the client disconnects. It returns false.
+func (a *attempt) sendEndless(ctx context.Context) bool {
+	junk := bytes.Repeat([]byte("x"), endlessPart)
+	for ctx.Err() == nil {
+		if _, err := a.out.Write(junk); err != nil {
+			break
+		}
+	}
+	return false
+}
+
 func (a *attempt) finalFrame() frame {
 	f := frame{
 		RequestID:        a.RequestID,
