feat: attempt_failed states the events that were forwarded and the shared parts of the prompt

The logs of second1 name the request and the target of a failed attempt, but not what the requests under which targets ended have in common, nor whether an answer had begun. Both are fields of attempt_failed now.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -40,12 +40,14 @@
 	r.Attempts++
 	r.Target = choice.Target
 	r.progressAt = r.Now()
+	eventsBefore := r.Events
 	failed := r.exchange(ctx, d)
 	if failed == nil {
 		r.Done(choice.DispatchID, r.responseOutcome())
 		return nil, nil
 	}
 	r.Done(choice.DispatchID, r.failureOutcome(ctx, failed))
+	failed.Events = r.Events - eventsBefore
 	if failed.Sent {
 		r.SentFailures++
 	}
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -24,6 +24,18 @@
 	Parts []Part
 }
 
+// SharedParts returns the ids of the parts that other prompts may share.
+func (p *Prompt) SharedParts() []string {
+	if p == nil || len(p.Parts) == 0 {
+		return nil
+	}
+	shared := make([]string, 0, len(p.Parts)-1)
+	for _, part := range p.Parts[:len(p.Parts)-1] {
+		shared = append(shared, part.ID)
+	}
+	return shared
+}
+
 // Request is one request of a caller.
 type Request struct {
 	// ID is the id that the caller assigned to its attempt. It is forwarded unchanged in every dispatch to a target.
@@ -127,7 +139,9 @@
 	Kind Kind
 	// Sent is set if the target may have received the request.
 	Sent bool
-	Err  error
+	// Events is the number of events of the attempt that were forwarded.
+	Events int
+	Err    error
 }
 
 // Error implements the error interface.
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -83,8 +83,12 @@
 // attemptFailed logs and counts a failed attempt.
 func (r *Router) attemptFailed(d relay.Dispatch, f *relay.AttemptError) {
 	r.Meter.Attempt(string(f.Kind))
-	events.Log(r.Log, events.AttemptFailed).Str("request", d.ID).Str("target", d.Target.ID).Str("kind", string(f.Kind)).
-		Bool("sent", f.Sent).Bool("repeatable", !d.NonIdempotent).Dur("left", d.Remaining).Err(f.Err).Send()
+	event := events.Log(r.Log, events.AttemptFailed).Str("request", d.ID).Str("target", d.Target.ID).Str("kind", string(f.Kind)).
+		Bool("sent", f.Sent).Bool("repeatable", !d.NonIdempotent).Dur("left", d.Remaining).Int("events", f.Events)
+	if parts := d.Prompt.SharedParts(); f.Sent && len(parts) > 0 {
+		event.Strs("parts", parts)
+	}
+	event.Err(f.Err).Send()
 }
 
 // requestEnded logs a finished request and records its metrics.
