fix: requests with one part in their prompts crashed target after target

Cause: an instance forgot under which request a target had ended. It retried the request at the next target, and each further request with the same part, at any instance, began anew. The class of the fault: a failure that a request causes was taken for one of the target, so that retries, which are right for the second, spread the first.

Fix (core/poison): an attempt that breaks off counts as a crash if the target then refuses connections. What its request has in common with others is suspected: the parts of the prompt but for the last, unless the answer had begun, and the request as a whole. A trait is quarantined after a series of three crashes, each of a request that was sent after the crash before it was known; an answer with it ends the series. So a shared part that sound requests have too is cleared by their answers, and targets that end at the same moment count once. Instances exchange crashes and answers in a keyed topic of the store; a new instance reads them at its start. Requests with a quarantined trait are refused at once (503, code 3006, not run), except for a probe 2 s after the last crash, then 16 s, 128 s and so on, which one instance of the fleet sends and whose answer ends the quarantine. Retries are admitted like first attempts. The read of the topic waits 20 s, so that an idle instance makes one call in that time, and is repeated when another topic shows an outage (Follower.Refresh).

--- a/cmd/state.go
+++ b/cmd/state.go
@@ -25,7 +25,7 @@
 	}}
 }
 
-// printState prints the state of the instance, its targets and its budgets as three tables.
+// printState prints the state of the instance, its targets, its budgets and, if there are any, its quarantines as tables.
 func (a *App) printState(s router.State) error {
 	rows := [][]any{
 		{"instance", s.Instance}, {"incarnation", s.Incarnation}, {"zone", s.Zone}, {"ready", s.Ready}, {"stopping", s.Stopping},
@@ -52,5 +52,15 @@
 		}
 		rows = append(rows, []any{b.Organisation, paid, b.Granted, b.Free, b.Promised, b.Reserved, b.AgeMS, b.LogReachable})
 	}
-	return a.printTable([]string{"organisation", "paid", "granted", "free", "promised", "reserved", "age ms", "reached"}, rows)
+	if err := a.printTable([]string{"organisation", "paid", "granted", "free", "promised", "reserved", "age ms", "reached"}, rows); err != nil {
+		return err
+	}
+	if len(s.Quarantines) == 0 {
+		return nil
+	}
+	rows = rows[:0]
+	for _, q := range s.Quarantines {
+		rows = append(rows, []any{q.Trait, q.Part, q.Crashes, q.Probes, q.NextProbeMS})
+	}
+	return a.printTable([]string{"quarantined", "part", "crashes", "probes", "next probe ms"}, rows)
 }
--- a/core/logs/follow.go
+++ b/core/logs/follow.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"cranberryrail/core/pause"
@@ -49,6 +50,10 @@
 	OnRecovery func(duration time.Duration)
 
 	failingSince time.Time
+	// mu protects endRead, which ends the read that waits for a record, and refresh, which is set if the next one is to return at once.
+	mu      sync.Mutex
+	endRead context.CancelFunc
+	refresh bool
 	// started is set once the newest records were read, and era the era of the log that they were read in.
 	started bool
 	era     int64
@@ -106,7 +111,7 @@
 
 // reset reads the newest record of every key and returns the offset to continue from.
 func (f *Follower) reset(ctx context.Context) (int64, error) {
-	call, cancel := context.WithTimeout(ctx, f.Wait+f.CallMargin)
+	call, cancel := context.WithTimeout(ctx, min(f.Wait, DefaultWait)+f.CallMargin)
 	defer cancel()
 	s, err := f.Log.NewestAll(call, f.Topic, f.Partition)
 	if err != nil {
@@ -123,14 +128,20 @@
 
 // read reads the records from an offset on and returns the offset after the last one.
 func (f *Follower) read(ctx context.Context, from int64) (int64, error) {
-	wait := f.Wait
-	if !f.failingSince.IsZero() {
-		wait = 0 // An immediate response shows at once that the log is reachable again.
-	}
-	call, cancel := context.WithTimeout(ctx, f.Wait+f.CallMargin)
+	call, end := context.WithCancel(ctx)
+	defer end()
+	refreshed := f.beginRead(end)
+	wait, limit := f.Wait, f.Wait
+	if !f.failingSince.IsZero() || refreshed {
+		wait, limit = 0, min(f.Wait, DefaultWait) // An immediate response shows at once that the log is reachable again.
+	}
+	call, cancel := context.WithTimeout(call, limit+f.CallMargin)
 	defer cancel()
 	records, _, err := f.Log.Read(call, f.Topic, f.Partition, from, wait)
-	if err != nil {
+	switch {
+	case f.finishRead() && err != nil && ctx.Err() == nil:
+		return from, nil
+	case err != nil:
 		return from, err
 	}
 	f.recordSuccess()
@@ -145,6 +156,34 @@
 	return next, nil
 }
 
+// Refresh ends a read that waits for a record, and makes the next one return at once, so that a connection that was lost without
+// notice does not delay records until the end of the wait.
+func (f *Follower) Refresh() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refresh = true
+	if f.endRead != nil {
+		f.endRead()
+	}
+}
+
+// beginRead records how the read that begins can be ended, and reports whether it is to return at once.
+func (f *Follower) beginRead(end context.CancelFunc) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	refresh := f.refresh
+	f.endRead, f.refresh = end, false
+	return refresh
+}
+
+// finishRead reports whether Refresh ended the read.
+func (f *Follower) finishRead() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.endRead = nil
+	return f.refresh
+}
+
 // handleReadError records an error and returns nil if the read is to be retried from the same offset. It returns
 // an error if the newest records must be read again or the context has ended.
 func (f *Follower) handleReadError(ctx context.Context, err error) error {
--- a/core/logs/follow_test.go
+++ b/core/logs/follow_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -53,6 +54,12 @@
 	*n++
 }
 
+func (v *keyValues) value(key string) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.values[key]
+}
+
 // startFollower runs a follower of the topic "t" until the test ends and returns the values that it folds.
 func startFollower(t *testing.T, s *memlog.Server) *keyValues {
 	t.Helper()
@@ -153,3 +160,37 @@
 	s.Put("t", 0, "c", []byte("at the same offset"))
 	assertValues(t, v, map[string]string{"a": "1", "c": "at the same offset"})
 }
+
+// TestRefreshNoticesALostConnection guards against a record that arrives only after the wait of a read whose connection was lost without
+// notice.
+func TestRefreshNoticesALostConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &memlog.Server{}
+		log := s.Log()
+		read, lost := log.Read, make(chan struct{}, 1)
+		log.Read = func(ctx context.Context, topic string, part int, from int64, wait time.Duration) ([]logs.Record, int64, error) {
+			select {
+			case lost <- struct{}{}:
+				<-ctx.Done()
+				return nil, 0, ctx.Err()
+			default:
+				return read(ctx, topic, part, from, wait)
+			}
+		}
+		v := &keyValues{}
+		f := &logs.Follower{Log: log, Topic: "t", Wait: 20 * time.Second, Reset: v.reset, Apply: v.apply, OnOutage: func(error) { v.count(&v.lost) }}
+		ctx, cancel := context.WithCancel(t.Context())
+		var g errgroup.Group
+		g.Go(func() error { return f.Run(ctx) })
+		time.Sleep(time.Second)
+		s.Put("t", 0, "a", []byte("1"))
+		time.Sleep(time.Second)
+		assert.Equal(t, v.value("a"), "")
+		f.Refresh()
+		time.Sleep(time.Second)
+		assert.Equal(t, v.value("a"), "1")
+		assert.Equal(t, v.lost, 0)
+		cancel()
+		assert.NilError(t, g.Wait())
+	})
+}
--- /dev/null
+++ b/core/poison/pass.go
@@ -0,0 +1,87 @@
+package poison
+
+import "cranberryrail/core/logs"
+
+// Pass is the admission of one attempt. Exactly what is known of its traits when it is sent decides how a crash counts.
+type Pass struct {
+	tracker *Tracker
+	traits  Traits
+	// known holds what was known of the traits for which that was anything.
+	known map[Trait]crashRecord
+}
+
+// newPass returns the admission of a request that is sent now.
+func (t *Tracker) newPass(traits Traits) *Pass {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := &Pass{tracker: t, traits: traits}
+	if len(t.traits) == 0 {
+		return p
+	}
+	for _, trait := range traits.all() {
+		if s := t.traits[trait]; s != nil {
+			if p.known == nil {
+				p.known = map[Trait]crashRecord{}
+			}
+			p.known[trait] = crashRecord{Epoch: s.epoch, Series: s.series()}
+		}
+	}
+	return p
+}
+
+// Crashed reports that the target crashed, which was of the given incarnation. If the answer had begun, the parts of the prompt are not
+// the cause.
+func (p *Pass) Crashed(incarnation string, answerBegan bool) {
+	p.tracker.mu.Lock()
+	defer p.tracker.mu.Unlock()
+	traits := p.tracker.quarantined(p.traits) // If there are any, they explain the crash.
+	switch {
+	case len(traits) > 0:
+	case answerBegan:
+		traits = []Trait{p.traits.Request}
+	default:
+		traits = p.traits.all()
+	}
+	for _, trait := range traits {
+		c := p.known[trait]
+		c.Series++
+		c.Label = p.traits.label(trait)
+		p.tracker.addCrash(trait, incarnation, c)
+		p.tracker.publish(encode(crashKey(trait, incarnation), c))
+	}
+}
+
+// AnswerBegan reports that the target began the answer, which clears the parts of the prompt.
+func (p *Pass) AnswerBegan() { p.tracker.clear(p.traits.Parts) }
+
+// Answered reports that the target completed the answer, which clears the request.
+func (p *Pass) Answered() { p.tracker.clear(p.traits.all()) }
+
+// publishedSeries is the series of crashes from which on its end is published. Shorter ones end at each instance with the answers
+// that it sees.
+const publishedSeries = 2
+
+// clear ends the series of crashes of the traits.
+func (t *Tracker) clear(traits []Trait) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.traits) == 0 {
+		return
+	}
+	for _, trait := range traits {
+		s := t.traits[trait]
+		if s == nil || len(s.crashes) == 0 {
+			continue
+		}
+		if s.series() < publishedSeries {
+			clear(s.crashes)
+			continue
+		}
+		epoch := s.epoch + 1
+		for incarnation := range s.crashes {
+			t.publish(logs.Record{Key: crashKey(trait, incarnation)})
+		}
+		t.publish(encode(string(trait), stateRecord{Epoch: epoch}))
+		t.beginEpoch(trait, s, epoch)
+	}
+}
--- /dev/null
+++ b/core/poison/poison.go
@@ -0,0 +1,114 @@
+// Package poison finds out which requests crash targets and keeps further ones like them away from targets, at all
+// instances.
+//
+// Requests are alike if they share a Trait: a part of their prompts, or all of their content. When a target crashes, each
+// request that it had not answered yet is suspected, and with it its traits. A trait that crashes targets does so again with
+// the next request that has it, while any other trait is soon seen in a request that is answered. The Tracker therefore counts
+// the longest series of crashes in which each request was sent after the crash before it was known. That several targets
+// end at the same moment is one crash in this count. An answer with the trait ends the series.
+//
+// A trait with a long enough series is quarantined: no request with it is sent to a target, except for a probe from time
+// to time, which one instance of the fleet sends and whose answer ends the quarantine. Instances exchange what they see
+// in a keyed topic of the log.
+package poison
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Trait is what requests have in common: the hash of a part of their prompts, or of their whole content.
+type Trait string
+
+// PartTrait returns the trait of requests for a model that have a part in their prompts.
+func PartTrait(model, part string) Trait { return newTrait('p', model, part) }
+
+// RequestTrait returns the trait of requests with the same body and the same other content.
+func RequestTrait(body []byte, content ...string) Trait {
+	return newTrait('r', append(content, strconv.FormatUint(xxhash.Sum64(body), hashBase))...)
+}
+
+// hashBase is the base in which hashes are written.
+const hashBase = 16
+
+func newTrait(kind byte, fields ...string) Trait {
+	h := xxhash.New()
+	length := make([]byte, 0, 20)
+	for _, field := range fields {
+		// The length keeps fields apart. Writes to a hash don't fail.
+		_, _ = h.Write(append(strconv.AppendInt(length, int64(len(field)), 10), ':'))
+		_, _ = h.WriteString(field)
+	}
+	return Trait(kind) + Trait(strconv.FormatUint(h.Sum64(), hashBase))
+}
+
+// Traits are the traits of one request.
+type Traits struct {
+	// Parts are the traits of the parts of its prompt that other prompts may share, and Labels the ids of these parts.
+	Parts  []Trait
+	Labels []string
+	// Request is the trait of its whole content.
+	Request Trait
+}
+
+// all returns all traits.
+func (t Traits) all() []Trait { return append([]Trait{t.Request}, t.Parts...) }
+
+// label returns the id of the part with a trait; empty for the trait of the whole content.
+func (t Traits) label(trait Trait) string {
+	for i, part := range t.Parts {
+		if part == trait && i < len(t.Labels) {
+			return t.Labels[i]
+		}
+	}
+	return ""
+}
+
+// Defaults of Tracker.
+const (
+	// DefaultLimit is the series of crashes after which a trait is quarantined. A request that is not the cause is seldom
+	// among the unanswered ones of three targets in a row.
+	DefaultLimit = 3
+	// DefaultProbePause is the time from the last crash to the first probe: about the time in which a target is replaced.
+	DefaultProbePause = 2 * time.Second
+	// DefaultMaxProbePause bounds the time to the next probe, which grows with each.
+	DefaultMaxProbePause = 10 * time.Minute
+	// DefaultRetention is how long crashes are remembered. It is longer than the time between two probes.
+	DefaultRetention = 30 * time.Minute
+	// DefaultClaimTimeout bounds the wait for the right to send a probe: several times the usual time of an append.
+	DefaultClaimTimeout = 200 * time.Millisecond
+)
+
+const (
+	// probePauseFactor is the factor by which the time to the next probe grows with each.
+	probePauseFactor = 8
+	// ambiguousFactor is the factor by which a request with several quarantined traits waits longer as a probe. Requests with
+	// only one of them show first which one is the cause.
+	ambiguousFactor = 4
+	// maxTraits bounds the traits with crashes that are remembered, and maxQueued the records that wait to be published.
+	maxTraits = 8192
+	maxQueued = 1024
+)
+
+// QuarantineError reports that a request was not sent, because requests with one of its traits have crashed targets.
+type QuarantineError struct {
+	Trait Trait
+	// Label is the id of the part with the trait; empty for the trait of the whole content.
+	Label string
+	// Crashes is the number of targets that have crashed, as far as it is known.
+	Crashes int
+	// RetryAfter is the time until a request with the trait may be sent again.
+	RetryAfter time.Duration
+}
+
+// Error implements the error interface.
+func (e *QuarantineError) Error() string {
+	what := "requests with the same content"
+	if e.Label != "" {
+		what = fmt.Sprintf("requests with part %.64q in their prompts", e.Label)
+	}
+	return fmt.Sprintf("%d targets have crashed under %s", e.Crashes, what)
+}
--- /dev/null
+++ b/core/poison/trait.go
@@ -0,0 +1,56 @@
+package poison
+
+import "time"
+
+// suspicion is what is known of one trait.
+type suspicion struct {
+	// epoch counts the answers that ended a series of crashes. Crashes of requests that were sent in an earlier epoch don't
+	// count.
+	epoch int64
+	// crashes holds the crashes of this epoch by the incarnation of the target: the length of the series that each ended.
+	crashes map[string]int
+	// probes counts the probes of this epoch.
+	probes int64
+	// label is the id of the part; empty for the trait of the whole content.
+	label string
+	// changedAt is when the last crash or probe became known.
+	changedAt time.Time
+	// quarantined is set once the limit was reached, until the next epoch.
+	quarantined bool
+}
+
+// series returns the length of the longest series of crashes.
+func (s *suspicion) series() int {
+	longest := 0
+	for _, n := range s.crashes {
+		longest = max(longest, n)
+	}
+	return longest
+}
+
+// begin starts an epoch.
+func (s *suspicion) begin(epoch int64) {
+	s.epoch, s.probes, s.quarantined = epoch, 0, false
+	clear(s.crashes)
+}
+
+// addCrash records a crash that ended a series.
+func (s *suspicion) addCrash(incarnation string, epoch int64, series int, now time.Time) {
+	if epoch < s.epoch {
+		return
+	}
+	if epoch > s.epoch {
+		s.begin(epoch)
+	}
+	s.crashes[incarnation] = max(s.crashes[incarnation], series)
+	s.changedAt = now
+}
+
+// addProbe records a probe and reports whether it is the next one, rather than a claim that came second.
+func (s *suspicion) addProbe(epoch, probe int64, now time.Time) bool {
+	if epoch != s.epoch || probe != s.probes+1 {
+		return false
+	}
+	s.probes, s.changedAt = probe, now
+	return true
+}
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -32,6 +32,10 @@
 // attempt sends the request to one target. It returns an *AttemptError if the attempt failed, nil if
 // the caller received its response, and an error if no target could be chosen.
 func (r *relayedRequest) attempt(ctx context.Context) (*AttemptError, error) {
+	pass, err := r.Crashes.Admit(ctx, r.traits)
+	if err != nil {
+		return nil, crashRefusal(err)
+	}
 	choice, err := r.Pick(r.routeRequest())
 	if err != nil {
 		return nil, err
@@ -40,14 +44,18 @@
 	r.Attempts++
 	r.Target = choice.Target
 	r.progressAt = r.Now()
-	eventsBefore := r.Events
+	r.pass, r.eventsBefore = pass, r.Events
 	failed := r.exchange(ctx, d)
 	if failed == nil {
+		if r.Status < http.StatusInternalServerError {
+			pass.Answered()
+		}
 		r.Done(choice.DispatchID, r.responseOutcome())
 		return nil, nil
 	}
 	r.Done(choice.DispatchID, r.failureOutcome(ctx, failed))
-	failed.Events = r.Events - eventsBefore
+	failed.Events = r.Events - r.eventsBefore
+	r.reportCrash(ctx, d, failed)
 	if failed.Sent {
 		r.SentFailures++
 	}
@@ -56,6 +64,20 @@
 	return failed, nil
 }
 
+// answerEvents is the number of events after which a target has begun the answer: one that crashes afterwards does not crash because
+// of a part of the prompt.
+const answerEvents = 3
+
+// reportCrash reports a target that crashed during an attempt. An exchange that ends with the context of the request was
+// closed by this instance.
+func (r *relayedRequest) reportCrash(ctx context.Context, d Dispatch, failed *AttemptError) {
+	if !failed.Sent || ctx.Err() != nil || failed.Kind != Broken && failed.Kind != Invalid || !r.HasCrashed(ctx, d.Target) {
+		return
+	}
+	failed.Crashed = true
+	r.pass.Crashed(d.Target.Incarnation, failed.Events >= answerEvents)
+}
+
 // routeRequest returns the criteria for choosing a target.
 func (r *relayedRequest) routeRequest() route.Request {
 	req := route.Request{
@@ -300,6 +322,9 @@
 		r.lastEventID = e.id
 	}
 	r.Events++
+	if r.Events-r.eventsBefore == answerEvents {
+		r.pass.AnswerBegan()
+	}
 	r.progressAt = r.Now()
 	if err := r.sink.Write(e.raw); err != nil {
 		return &AttemptError{Kind: Cancelled, Sent: true, Err: err}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -13,6 +13,8 @@
 
 	"cranberryrail/core/budget"
 	"cranberryrail/core/codes"
+	"cranberryrail/core/poison"
+	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
 	"cranberryrail/core/table"
 )
@@ -32,6 +34,10 @@
 	Retries *route.RetryWindow
 	// Dispatch sends a request to a target and returns its response. The error is an *AttemptError.
 	Dispatch func(ctx context.Context, d Dispatch) (*Response, error)
+	// Crashes decides whether requests like one may be sent, by the targets that have crashed under them.
+	Crashes *poison.Tracker
+	// HasCrashed reports whether the process of a target has ended, after an exchange with it broke off; optional.
+	HasCrashed func(ctx context.Context, t roster.Target) bool
 	// OnAttemptFailed is called for each failed attempt; optional.
 	OnAttemptFailed func(d Dispatch, f *AttemptError)
 	// MaxResponseBytes limits the body of a response, or the events of a stream together. A target that sends more is
@@ -56,6 +62,13 @@
 	if s.Now == nil {
 		s.Now = time.Now
 	}
+	if s.Crashes == nil {
+		s.Crashes = &poison.Tracker{}
+		s.Crashes.Default()
+	}
+	if s.HasCrashed == nil {
+		s.HasCrashed = func(context.Context, roster.Target) bool { return false }
+	}
 	if s.OnAttemptFailed == nil {
 		s.OnAttemptFailed = func(Dispatch, *AttemptError) {}
 	}
@@ -74,8 +87,13 @@
 	reservation budget.Reservation
 	// deadline is the time by which the caller must have its final response.
 	deadline time.Time
+	// traits are what the request may have in common with others.
+	traits poison.Traits
 	// tried holds the ids of the targets of failed attempts.
 	tried []string
+	// pass is the admission of the last attempt, and eventsBefore the number of events that were forwarded before it.
+	pass         *poison.Pass
+	eventsBefore int
 	// mayHaveRun is set if a target may have run the request.
 	mayHaveRun bool
 	// headSent is set once the head of a response was forwarded.
@@ -104,6 +122,9 @@
 	if refused := r.admit(); refused != nil {
 		return r.refuse(refused)
 	}
+	if err := r.Crashes.Check(r.traits); err != nil {
+		return r.refuse(crashRefusal(err))
+	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	if refused := r.reserve(ctx); refused != nil {
@@ -157,9 +178,19 @@
 	r.Priority = r.priority()
 	r.Service = r.pickService()
 	r.deadline = r.req.Arrived.Add(r.timeout())
+	r.traits = r.req.traits()
 	return nil
 }
 
+// crashRefusal returns the refusal of a request that is not sent because of what requests like it did to targets.
+func crashRefusal(err error) *codes.Error {
+	var quarantined *poison.QuarantineError
+	if !errors.As(err, &quarantined) {
+		return codes.From(err, codes.NotRun)
+	}
+	return codes.Refuse(codes.CrashesTargets, quarantined.RetryAfter, "%v", quarantined)
+}
+
 // timeout returns the maximum time from the arrival of the request to its final response.
 func (r *relayedRequest) timeout() time.Duration {
 	d := r.req.Timeout
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cranberryrail/core/codes"
+	"cranberryrail/core/poison"
 	"cranberryrail/core/roster"
 )
 
@@ -55,6 +56,23 @@
 	Timeout time.Duration
 }
 
+// traits returns what the request may have in common with others.
+func (r *Request) traits() poison.Traits {
+	content := []string{r.Method, r.Host, r.URI}
+	t := poison.Traits{Labels: r.Prompt.SharedParts()}
+	for _, part := range t.Labels {
+		t.Parts = append(t.Parts, poison.PartTrait(r.Prompt.Model, part))
+	}
+	if r.Prompt != nil {
+		content = append(content, r.Prompt.Model)
+		for _, part := range r.Prompt.Parts {
+			content = append(content, part.ID)
+		}
+	}
+	t.Request = poison.RequestTrait(r.Body, content...)
+	return t
+}
+
 // Dispatch is one attempt at a target.
 type Dispatch struct {
 	*Request
@@ -141,7 +159,9 @@
 	Sent bool
 	// Events is the number of events of the attempt that were forwarded.
 	Events int
-	Err    error
+	// Crashed is set if the process of the target ended.
+	Crashed bool
+	Err     error
 }
 
 // Error implements the error interface.
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -254,6 +254,20 @@
 	return newConn(nc, r.PoolKey, c.IdleTimeout), nil
 }
 
+// Connect opens a connection to the target of a request and adds it to the pool. The error wraps that of the dial.
+func (c *Client) Connect(ctx context.Context, r *Request) error {
+	cn, err := c.dial(ctx, r)
+	if err != nil {
+		return err
+	}
+	if cn.isReusable() {
+		c.release(cn)
+	} else {
+		cn.close()
+	}
+	return nil
+}
+
 // roundTrip writes the request and reads the response headers.
 func (resp *Response) roundTrip(ctx context.Context, r *Request) *Error {
 	cn := resp.conn
--- /dev/null
+++ b/io/router/crash.go
@@ -0,0 +1,80 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"cranberryrail/core/events"
+	"cranberryrail/core/logs"
+	"cranberryrail/core/poison"
+	"cranberryrail/core/relay"
+	"cranberryrail/core/roster"
+	"cranberryrail/core/route"
+	"cranberryrail/io/conns"
+)
+
+// crashWait is the longest time that a read waits for a report of a crash. Reports are rare, and a read that waits
+// is repeated when another topic shows an outage of the log.
+const crashWait = 20 * time.Second
+
+// initCrashes creates the components that keep requests from targets if requests like them have crashed some.
+func (r *Router) initCrashes() {
+	topic := r.Platform.CrashTopic
+	r.crashedTargets, _ = lru.New[string, struct{}](route.MaxLeavingIncarnations) // fails only for a size below 1
+	r.crashes = &poison.Tracker{Incarnation: r.Incarnation, OnChange: r.quarantineChanged, OnInvalid: r.recordUnreadable(topic)}
+	r.crashes.Default()
+	r.crashTopic = &logs.Follower{
+		Log: r.Store, Topic: topic, Wait: crashWait, Reset: r.crashes.Reset, Apply: r.crashes.Apply,
+		OnOutage: r.topicUnreachable(topic), OnRecovery: r.topicRecovered(topic),
+	}
+}
+
+// crashPublisher returns the publisher of what this instance sees.
+func (r *Router) crashPublisher() *poison.Publisher {
+	return &poison.Publisher{Tracker: r.crashes, Log: r.Store, Topic: r.Platform.CrashTopic, OnError: func(err error) {
+		events.Log(r.Log, events.ReportsDelayed).Err(err).Send()
+	}}
+}
+
+// quarantineChanged logs that requests with a trait are no longer sent, or are sent again.
+func (r *Router) quarantineChanged(trait poison.Trait, part string, quarantined bool, crashes int) {
+	event := events.Released
+	if quarantined {
+		event = events.Quarantined
+	}
+	line := events.Log(r.Log, event).Str("trait", string(trait)).Int("crashes", crashes)
+	if part != "" {
+		line.Str("part", part)
+	}
+	line.Send()
+}
+
+// hasCrashed reports whether the process of a target has ended: its machine refuses connections, or can't be reached. A
+// connection that succeeds is used for a later request.
+func (r *Router) hasCrashed(ctx context.Context, t roster.Target) bool {
+	if r.crashedTargets.Contains(t.Incarnation) {
+		return true
+	}
+	crashed, _, _ := r.crashChecks.Do(t.Incarnation, func() (any, error) {
+		err := r.conns.Connect(context.WithoutCancel(ctx), &conns.Request{PoolKey: t.Incarnation, Addr: t.Addr})
+		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.EHOSTUNREACH), nil
+	})
+	if crashed != true {
+		return false
+	}
+	r.crashedTargets.Add(t.Incarnation, struct{}{})
+	return true
+}
+
+// targetCrashed logs a target that crashed during an attempt.
+func (r *Router) targetCrashed(d relay.Dispatch, f *relay.AttemptError) {
+	line := events.Log(r.Log, events.TargetCrashed).Str("target", d.Target.ID).Str("request", d.ID).Int("events", f.Events)
+	if parts := d.Prompt.SharedParts(); len(parts) > 0 {
+		line.Strs("parts", parts)
+	}
+	line.Send()
+}
--- a/io/router/follow.go
+++ b/io/router/follow.go
@@ -162,6 +162,7 @@
 func (r *Router) topicUnreachable(topic string) func(err error) {
 	return func(err error) {
 		r.unreachableTopics.Store(topic, time.Now())
+		r.crashTopic.Refresh()
 		events.Log(r.Log, events.TopicLost).Str("topic", topic).Err(err).Send()
 	}
 }
@@ -170,6 +171,7 @@
 func (r *Router) topicRecovered(topic string) func(outage time.Duration) {
 	return func(outage time.Duration) {
 		r.unreachableTopics.Delete(topic)
+		r.crashTopic.Refresh()
 		events.Log(r.Log, events.TopicBack).Str("topic", topic).Dur("away", outage).Send()
 	}
 }
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -19,6 +19,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
 
 	"cranberryrail/core/actors"
 	"cranberryrail/core/budget"
@@ -26,6 +27,7 @@
 	"cranberryrail/core/flow"
 	"cranberryrail/core/logs"
 	"cranberryrail/core/pause"
+	"cranberryrail/core/poison"
 	"cranberryrail/core/relay"
 	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
@@ -43,9 +45,9 @@
 // types of this project.
 type Platform struct {
 	// ConfigTopic holds the configuration under ConfigKey, TargetTopic an entry for each target
-	// by its id, BudgetTopic the prepaid budgets, and PromiseTopic the tokens that instances hold
-	// of them and have promised not to spend yet.
-	ConfigTopic, ConfigKey, TargetTopic, BudgetTopic, PromiseTopic string
+	// by its id, BudgetTopic the prepaid budgets, PromiseTopic the tokens that instances hold
+	// of them and have promised not to spend yet, and CrashTopic the requests that crash targets.
+	ConfigTopic, ConfigKey, TargetTopic, BudgetTopic, PromiseTopic, CrashTopic string
 	// ReadyPath is the path of the platform's readiness check.
 	ReadyPath string
 	// ParseConfig and ParseTarget decode records of the topics.
@@ -95,6 +97,8 @@
 	borrower    *budget.Borrower
 	peerServer  *peer.Server
 	peerClient  *peer.Client
+	crashes     *poison.Tracker
+	crashTopic  *logs.Follower
 	relay       *relay.Server
 	link        *flow.Meter
 	entry       *entry.Server
@@ -116,6 +120,10 @@
 	refusedAt atomic.Int64
 	// headersIgnored holds the incarnations of targets with a malformed header that was logged.
 	headersIgnored *lru.Cache[string, struct{}]
+	// crashChecks checks once for all requests whether a target has crashed, and crashedTargets holds the incarnations of those
+	// that have.
+	crashChecks    singleflight.Group
+	crashedTargets *lru.Cache[string, struct{}]
 	// loggedReady is the readiness that was logged last.
 	loggedReady atomic.Bool
 	// loggedDropped is the number of dropped lines that was logged last.
@@ -145,7 +153,9 @@
 	r.headersIgnored, _ = lru.New[string, struct{}](route.MaxLeavingIncarnations) // fails only for a size below 1
 	r.initBudgets()
 	r.table.OnApplied = r.configApplied
+	r.initCrashes()
 	r.relay = &relay.Server{
+		Crashes: r.crashes, HasCrashed: r.hasCrashed,
 		Table: r.table.Current, Reserve: r.budgets.Reserve, Settle: r.budgets.Settle, Pick: r.routeClient.Pick, Done: r.routeClient.Done,
 		Retries: r.retries, Dispatch: r.dispatch, OnAttemptFailed: r.attemptFailed, MaxResponseBytes: s.Target.MaxResponseBytes(), Zone: s.Instance.Zone, Random: rand.IntN,
 	}
@@ -272,7 +282,8 @@
 // tasks returns the functions that run concurrently.
 func (r *Router) tasks() []func(ctx context.Context) error {
 	runs := []func(ctx context.Context) error{
-		r.entry.Run, r.ready.Run, r.budgetSync.Run, r.followConfig().Run, r.followTargets().Run, r.runPeriodic, r.watchReload,
+		r.entry.Run, r.ready.Run, r.budgetSync.Run, r.followConfig().Run, r.followTargets().Run, r.crashTopic.Run, r.crashPublisher().Run,
+		r.runPeriodic, r.watchReload,
 	}
 	if r.Settings.Metrics.Listen != "" {
 		runs = append(runs, r.metrics.Run)
@@ -298,6 +309,7 @@
 		}
 		r.conns.CloseExpired()
 		r.expireTargets()
+		r.crashes.Expire()
 		r.logReadiness()
 		r.logDropped()
 	}
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -89,6 +89,9 @@
 		event.Strs("parts", parts)
 	}
 	event.Err(f.Err).Send()
+	if f.Crashed {
+		r.targetCrashed(d, f)
+	}
 }
 
 // requestEnded logs a finished request and records its metrics.
--- a/io/router/state.go
+++ b/io/router/state.go
@@ -10,6 +10,7 @@
 
 	"cranberryrail/core/budget"
 	"cranberryrail/core/events"
+	"cranberryrail/core/poison"
 	"cranberryrail/core/roster"
 )
 
@@ -33,13 +34,15 @@
 	// Targets are the targets that requests may be sent to, and those that are leaving.
 	Targets []roster.Target  `json:"targets"`
 	Budgets []budget.Balance `json:"budgets"`
+	// Quarantines are what requests have in common that are not sent, because requests like them have crashed targets.
+	Quarantines []poison.Quarantine `json:"quarantines"`
 }
 
 // State returns the current state of the instance.
 func (r *Router) State() State {
 	s := State{
 		Instance: r.Settings.Instance.ID, Incarnation: r.Incarnation, Zone: r.Settings.Instance.Zone, Ready: r.Ready(), Stopping: !r.running.Load(),
-		InFlight: r.entry.InFlight(), LostMS: map[string]int64{}, Budgets: r.budgetSync.Balances(),
+		InFlight: r.entry.InFlight(), LostMS: map[string]int64{}, Budgets: r.budgetSync.Balances(), Quarantines: r.crashes.Quarantines(),
 	}
 	if t := r.table.Current(); t != nil {
 		s.ConfigVersion = t.Version
