fix: at the own interface a request crashed up to four engines, and each repeat four more

Fix: core/serve asks a tracker as core/relay does; an engine that refuses connections after an attempt broke off has crashed. What counts are the whole prompt and its prefix. The queue of records of a tracker is bounded where it grows, and records that are being published survive a reset.

Evidence: TestRequestThatCrashesTargets of core/serve: two equal requests made 8 dispatches when no crash was recognised, and make 3; the second is refused as not run.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -106,7 +106,7 @@
 
 // Error implements the error interface.
 func (e *QuarantineError) Error() string {
-	what := "requests with the same content"
+	what := "requests like this one"
 	if e.Label != "" {
 		what = fmt.Sprintf("requests with part %.64q in their prompts", e.Label)
 	}
--- a/core/poison/publish.go
+++ b/core/poison/publish.go
@@ -25,8 +25,17 @@
 // errDropped is returned when records were dropped because too many wait to be published.
 var errDropped = errors.New("too many reports of crashed targets wait to be published; the oldest were dropped")
 
-// publish queues a record.
+// publish queues a record. Without other instances it applies the record at once.
 func (t *Tracker) publish(r logs.Record) {
+	if t.Alone {
+		if err := t.fold(r); err != nil {
+			t.OnInvalid(r.Key, err)
+		}
+		return
+	}
+	if len(t.queue) >= maxQueued {
+		t.queue, t.dropped = t.queue[1:], true
+	}
 	t.queue = append(t.queue, r)
 	select {
 	case t.signal <- struct{}{}:
@@ -71,28 +80,31 @@
 	}
 }
 
-// next returns the next records to append.
+// next returns the next records to append, those of an append that failed first.
 func (p *Publisher) next() []logs.Record {
 	t := p.Tracker
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if excess := len(t.queue) - maxQueued; excess > 0 {
-		t.queue = append([]logs.Record(nil), t.queue[excess:]...)
+	if t.dropped {
+		t.dropped = false
 		p.OnError(errDropped)
 	}
-	return append([]logs.Record(nil), t.queue[:min(len(t.queue), maxBatch)]...)
+	if len(t.inFlight) == 0 {
+		n := min(len(t.queue), maxBatch)
+		t.inFlight, t.queue = t.queue[:n:n], t.queue[n:]
+	}
+	return t.inFlight
 }
 
-// append appends records and removes them from the queue.
+// append appends records.
 func (p *Publisher) append(ctx context.Context, batch []logs.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	if _, err := p.Log.Append(ctx, p.Topic, 0, logs.AnyOffset, batch); err != nil {
 		return err
 	}
-	t := p.Tracker
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.queue = t.queue[min(len(batch), len(t.queue)):]
+	p.Tracker.mu.Lock()
+	defer p.Tracker.mu.Unlock()
+	p.Tracker.inFlight = nil
 	return nil
 }
--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +15,8 @@
 type Tracker struct {
 	// Incarnation is the incarnation of this instance.
 	Incarnation string
+	// Alone is set if the instance exchanges no records with others, so that nothing is published.
+	Alone bool
 	// Limit is the series of crashes after which a trait is quarantined.
 	Limit int
 	// ProbePause is the time from the last crash to the first probe, and MaxProbePause bounds the time to later ones.
@@ -29,9 +32,11 @@
 
 	mu     sync.Mutex
 	traits map[Trait]*suspicion
-	// queue holds the records to publish, in order, and signal has an element while it is not empty.
-	queue  []logs.Record
-	signal chan struct{}
+	// inFlight holds the records that are being published, and queue those that follow. signal has an element if records were queued,
+	// and dropped is set if some were dropped.
+	inFlight, queue []logs.Record
+	signal          chan struct{}
+	dropped         bool
 	// claims holds a channel for each trait that this instance claims a probe of; it is closed if the claim succeeds.
 	claims map[Trait]chan struct{}
 }
@@ -270,10 +275,10 @@
 	t.traits = map[Trait]*suspicion{}
 	onChange := t.OnChange
 	t.OnChange = func(Trait, string, bool, int) {}
-	queue := t.queue
+	unpublished := slices.Concat(t.inFlight, t.queue)
 	t.mu.Unlock()
 	t.Apply(records)
-	t.Apply(queue)
+	t.Apply(unpublished)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.OnChange = onChange
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -63,7 +63,7 @@
 		s.Now = time.Now
 	}
 	if s.Crashes == nil {
-		s.Crashes = &poison.Tracker{}
+		s.Crashes = &poison.Tracker{Alone: true}
 		s.Crashes.Default()
 	}
 	if s.HasCrashed == nil {
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -7,9 +7,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 	"time"
 
 	"cranberryrail/core/codes"
+	"cranberryrail/core/poison"
 	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
 )
@@ -125,6 +127,10 @@
 	Cancel func(addr string, c Call)
 	// OnLeaving is called with the incarnation of a target that refused a call because it is leaving.
 	OnLeaving func(incarnation string)
+	// Crashes decides whether requests like one may be sent, by the targets that have crashed under them.
+	Crashes *poison.Tracker
+	// HasCrashed reports whether the process of a target has ended, after an attempt at it failed.
+	HasCrashed func(ctx context.Context, t roster.Target) bool
 	// OnAttemptFailed is called for each failed attempt; optional.
 	OnAttemptFailed func(t roster.Target, c Call, err *AttemptError)
 }
@@ -137,6 +143,9 @@
 	usage  Usage
 	// nextPosition is the position of the next token to relay.
 	nextPosition int
+	// traits are what the request has in common with others, and pass the admission of the last attempt.
+	traits poison.Traits
+	pass   *poison.Pass
 	// mayHaveRun is set when a target may have started the request.
 	mayHaveRun bool
 	// pinned is the target that holds the response for a resume, set once a token was relayed.
@@ -149,7 +158,7 @@
 // means that the caller disconnected. The returned usage is to be billed even when the
 // error is not nil. The error is a *codes.Error.
 func (s *Server) Generate(ctx context.Context, req Request, emit func(Frame) error) (Usage, error) {
-	r := &generation{server: s, req: req, emit: emit}
+	r := &generation{server: s, req: req, emit: emit, traits: req.traits()}
 	for {
 		failed, err := r.attempt(ctx)
 		if err == nil && failed == nil {
@@ -167,6 +176,9 @@
 // attempt makes one dispatch. It returns an *AttemptError when another attempt may follow, and
 // an error when the request has ended.
 func (r *generation) attempt(ctx context.Context) (*AttemptError, error) {
+	if err := r.admit(ctx); err != nil {
+		return nil, err
+	}
 	choice, err := r.pick()
 	if err != nil {
 		return nil, r.pickError(err)
@@ -182,13 +194,46 @@
 	var failed *AttemptError
 	if err == nil || !errors.As(err, &failed) {
 		r.server.Done(choice.DispatchID, finalOutcome(err))
+		if err == nil {
+			r.pass.Answered()
+		}
 		return nil, err
 	}
 	r.server.Done(choice.DispatchID, failed.Outcome())
 	r.recordFailure(choice.Target, call, failed)
+	if !failed.NotRun && failed.Kind != Refused && ctx.Err() == nil && r.server.HasCrashed(ctx, choice.Target) {
+		r.pass.Crashed(choice.Target.Incarnation, r.nextPosition-r.resumedFrom >= answerTokens)
+	}
 	return failed, nil
 }
 
+// answerTokens is the number of tokens after which a target has begun the answer: one that crashes afterwards does not crash because of
+// the beginning of the prompt.
+const answerTokens = 3
+
+// traits returns what the request has in common with others: the prefix of its prompt, and all of it.
+func (r Request) traits() poison.Traits {
+	return poison.Traits{
+		Parts:   []poison.Trait{poison.PartTrait(r.Model, r.Route.Prefix)}, // without a label, since it is the text of a caller
+		Request: poison.RequestTrait([]byte(r.Prompt), r.Model, strconv.Itoa(r.MaxTokens)),
+	}
+}
+
+// admit admits the next attempt by what requests like this one did to targets. The error is the final one of the request.
+func (r *generation) admit(ctx context.Context) error {
+	pass, err := r.server.Crashes.Admit(ctx, r.traits)
+	r.pass = pass
+	var quarantined *poison.QuarantineError
+	switch {
+	case err == nil:
+		return nil
+	case r.mayHaveRun || !errors.As(err, &quarantined):
+		return r.finalError(AsAttemptError(err))
+	default:
+		return codes.Refuse(codes.CrashesTargets, quarantined.RetryAfter, "%v", quarantined)
+	}
+}
+
 // versionFor returns the version to request from a target: that of the call, or the first version
 // of the model that the target serves.
 func versionFor(t roster.Target, call Call) string {
@@ -248,6 +293,9 @@
 	}
 	r.nextPosition = f.Position + 1
 	r.usage.CompletionTokens = r.nextPosition
+	if r.nextPosition-r.resumedFrom == answerTokens {
+		r.pass.AnswerBegan()
+	}
 	r.pinned = &t
 }
 
--- a/core/serve/serve_test.go
+++ b/core/serve/serve_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"cranberryrail/core/codes"
+	"cranberryrail/core/poison"
 	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
 	"cranberryrail/core/serve"
@@ -54,6 +56,8 @@
 		})
 	}
 	b.Pick, b.Open = b.pick, b.open
+	b.Crashes, b.HasCrashed = &poison.Tracker{Alone: true}, func(context.Context, roster.Target) bool { return false }
+	b.Crashes.Default()
 	b.Done = func(token int64, o route.Outcome) { b.outcomes[token] = o }
 	b.Retry = func(string) bool {
 		b.retries--
@@ -284,3 +288,20 @@
 		assertDone(t, b, route.Cancelled)
 	})
 }
+
+// TestRequestThatCrashesTargets guards against a request that crashes target after target by its retries, and by requests like it.
+func TestRequestThatCrashesTargets(t *testing.T) {
+	b := newTestBench(attemptScript{kind: "truncated"})
+	for _, id := range []string{"c", "d", "e", "f", "g", "h"} {
+		b.targets = append(b.targets, roster.Target{ID: id, Incarnation: id + "/1", Addr: "addr-" + id})
+	}
+	b.HasCrashed = func(_ context.Context, t roster.Target) bool {
+		b.targets = slices.DeleteFunc(b.targets, func(crashed roster.Target) bool { return crashed.ID == t.ID })
+		return true
+	}
+	_, err := b.generate(t.Context())
+	assertEnd(t, err, codes.TargetFailed, codes.Unknown)
+	_, err = b.generate(t.Context())
+	assertEnd(t, err, codes.CrashesTargets, codes.NotRun)
+	assert.Equal(t, len(b.calls), poison.DefaultLimit)
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -22,6 +22,7 @@
 	"cranberryrail/core/events"
 	"cranberryrail/core/ledger"
 	"cranberryrail/core/once"
+	"cranberryrail/core/poison"
 	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
 	"cranberryrail/core/serve"
@@ -63,6 +64,7 @@
 	plat            *plat.Client
 	platformLog     tail.Log
 	target          *target.Client
+	crashes         *poison.Tracker
 	logReachability *reachability
 	config          configStore
 	freshness       configFreshness
@@ -210,7 +212,14 @@
 	n.Route = &route.Client{Root: n.system.Root, PID: n.system.Root.Spawn(a.Props())}
 }
 
+// makeCrashes creates the tracker of requests that crash targets. Instances don't exchange what they see.
+func (n *Node) makeCrashes() {
+	n.crashes = &poison.Tracker{Incarnation: n.Incarnation, Alone: true, OnChange: n.onQuarantineChanged}
+	n.crashes.Default()
+}
+
 func (n *Node) makeFront() {
+	n.makeCrashes()
 	n.Front = &front.Server{
 		Settings: n.Settings.Caller, MaxReplyBytes: n.Settings.Once.AnswerBytes,
 		Ready: n.Ready,
@@ -221,7 +230,7 @@
 		OnServed: n.onServed, Ledger: n.LedgerOf, Once: n.OnceOf, Route: n.Route, CallService: newServiceCaller(n.target),
 		Generate: &serve.Server{
 			Pick: n.Route.Pick, Done: n.Route.Done, Retry: n.Route.TryRetry, Open: newStreamOpener(n.target, n.onStreamOpened), Cancel: n.cancelAttempt,
-			OnLeaving: n.onTargetLeaving, OnAttemptFailed: n.onAttemptFailed,
+			OnLeaving: n.onTargetLeaving, OnAttemptFailed: n.onAttemptFailed, Crashes: n.crashes, HasCrashed: n.hasCrashed,
 		},
 	}
 	n.Front.Default()
--- a/io/target/conn.go
+++ b/io/target/conn.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http/httptrace"
 	"sync"
+	"syscall"
 )
 
 // conn counts the writes to a connection and can be sealed, which prevents further writes.
@@ -60,6 +62,16 @@
 	return &conn{Conn: nc}, nil
 }
 
+// RefusesConnections reports whether nothing listens at an address, as after the end of a process.
+func (c *Client) RefusesConnections(ctx context.Context, addr string) bool {
+	nc, err := c.dial(ctx, "tcp", addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = nc.Close() // nothing was sent
+	return false
+}
+
 // requestConns records the connections that a request used, and the number of writes to each of them before.
 type requestConns struct {
 	conns        []*conn
