fix: a probe that a target rejected was sent to the next one

The users' rule counts each request with a crashing part that reaches a target, also one that is rejected there (421, 503). A probe whose target rejected it went on to the next as the same probe, so that one probe could count several times; three are allowed in all.

Fix: a probe stays one only after an attempt of which nothing was sent.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -67,7 +67,7 @@
 // admitAttempt admits the next attempt by what requests like this one did to targets.
 func (r *relayedRequest) admitAttempt(ctx context.Context) error {
 	admit := func() (*poison.Pass, error) { return r.Crashes.Admit(ctx, r.traits) }
-	if r.pass != nil && !r.LastFailure.mayHaveRun() {
+	if r.pass != nil && !r.LastFailure.Sent {
 		admit = func() (*poison.Pass, error) { return r.Crashes.AdmitAgain(ctx, r.pass) }
 	}
 	pass, err := admit()
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -175,9 +175,6 @@
 // Unwrap returns the cause.
 func (f *AttemptError) Unwrap() error { return f.Err }
 
-// mayHaveRun reports whether the target may have run the request in the attempt.
-func (f *AttemptError) mayHaveRun() bool { return f.Sent && f.Kind != Shed && f.Kind != Misdirected }
-
 // Sink receives the response for the caller.
 type Sink struct {
 	// Head is called once, before Write. A negative length means that it is unknown.
