fix: while the log is away, each request of a quarantined part waited for a probe

Once a probe was due, each request with the part claimed it, waited 200 ms for the log, and was refused then; it should be refused at once, and the claims filled the queue of records.

Fix: an instance claims the same probe once a second at most. The subtest of TestProbes on a log that is away failed without the change: the second request waited 200 ms; it waits 0 now.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -85,6 +85,8 @@
 const (
 	// pendingProbe is the time from the claim of a probe to the next one if neither an answer nor a crash became known: no target ran it.
 	pendingProbe = 5 * time.Second
+	// claimPause is the time between two claims of an instance for the same probe, while the log does not confirm the first.
+	claimPause = time.Second
 	// ambiguousFactor is the factor by which a request with several quarantined traits waits longer as a probe. Requests with
 	// only one of them show first which one is the cause.
 	ambiguousFactor = 4
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -254,8 +254,12 @@
 			f.crash(3, "bad")
 			f.log.SetFault(func(string) memlog.Fault { return memlog.Refuse })
 			time.Sleep(time.Minute)
-			_, err := f.instances[0].Admit(f.ctx, bad)
-			assert.ErrorContains(f.t, err, "targets have crashed")
+			for _, wait := range []time.Duration{poison.DefaultClaimTimeout, 0} {
+				started := time.Now()
+				_, err := f.instances[0].Admit(f.ctx, bad)
+				assert.ErrorContains(f.t, err, "targets have crashed")
+				assert.Equal(f.t, time.Since(started), wait)
+			}
 		})
 	})
 }
--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -132,7 +132,7 @@
 	return t.newPass(traits, len(due) > 0), nil
 }
 
-// AdmitAgain admits another attempt of a request, given the pass of the one before, which no target ran. A probe stays one.
+// AdmitAgain admits another attempt of a request, given the pass of the one before, which reached no target. A probe stays one.
 func (t *Tracker) AdmitAgain(ctx context.Context, last *Pass) (*Pass, error) {
 	if last.probe {
 		return last, nil
@@ -148,6 +148,7 @@
 	claim := make(chan struct{})
 	t.claims[trait] = claim
 	s := t.traits[trait]
+	s.claimedAt = time.Now()
 	t.publish(encode(string(trait), stateRecord{Epoch: s.epoch, Probe: s.probes + 1, By: t.Incarnation}))
 	return claim
 }
--- a/core/poison/trait.go
+++ b/core/poison/trait.go
@@ -15,8 +15,8 @@
 	pending        bool
 	// label is the id of the part; empty for the trait of the whole content.
 	label string
-	// changedAt is when the last crash or probe became known.
-	changedAt time.Time
+	// changedAt is when the last crash or probe became known, and claimedAt when this instance last claimed a probe.
+	changedAt, claimedAt time.Time
 	// quarantined is set once the limit was reached, until the next epoch.
 	quarantined bool
 }
@@ -63,7 +63,7 @@
 // probePauseFactor is the factor by which the time to the next probe grows with each that crashed a target.
 const probePauseFactor = 8
 
-// probeAt returns when the next probe may be sent. The pause is that before the first one.
+// probeAt returns when the next probe may be claimed. The pause is that before the first one.
 func (s *suspicion) probeAt(pause, maxPause time.Duration) time.Time {
 	if s.pending {
 		return s.changedAt.Add(pendingProbe)
@@ -71,5 +71,9 @@
 	for n := s.failed; n > 0 && pause < maxPause; n-- {
 		pause *= probePauseFactor
 	}
-	return s.changedAt.Add(min(pause, maxPause))
+	at := s.changedAt.Add(min(pause, maxPause))
+	if again := s.claimedAt.Add(claimPause); again.After(at) {
+		return again
+	}
+	return at
 }
