fix: a restart brought the next probe forward, and made instances ignore each other's claims

A restarted instance read how many probes were claimed, but neither took that number over nor knew that they had crashed targets: it sent a probe 2 s after its start, under a number that the others had seen and ignored. With restarts in series, each sends one more request that crashes a target.

Fix: the number is taken over, earlier probes count as failed, and a claim is new if its number is higher than the last one. What is quarantined keeps its times over a reset.

Evidence: two subtests of TestProbes failed without the change: 3 probes within 100 s with restarts every 10 s (2 follow from the pauses), and a claim after a restart that another instance did not see.

--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -249,6 +249,37 @@
 			assert.Equal(f.t, probes, 2)
 		})
 	})
+	t.Run("a restart does not bring the next one forward", func(t *testing.T) {
+		run(t, func(f *fleet) {
+			f.crash(3, "bad")
+			probes := 0
+			for second := range 100 {
+				if second%10 == 0 {
+					f.instances[1] = f.start()
+					f.instances = f.instances[:2]
+					time.Sleep(exchange)
+				}
+				if pass, err := f.instances[second%2].Admit(f.ctx, bad); err == nil {
+					pass.Crashed(fmt.Sprint("probe", probes), false)
+					probes++
+				}
+				time.Sleep(time.Second)
+			}
+			assert.Equal(f.t, probes, 2)
+		})
+	})
+	t.Run("after a restart, one of those who claim it sends it", func(t *testing.T) {
+		run(t, func(f *fleet) {
+			f.crash(3, "bad")
+			time.Sleep(poison.DefaultProbePause)
+			f.admit(f.instances[0], bad).Crashed("probe", false)
+			f.start()
+			time.Sleep(20 * time.Second)
+			f.admit(f.instances[2], bad)
+			time.Sleep(exchange)
+			f.assertRefused(true, bad)
+		})
+	})
 	t.Run("none while the log is away", func(t *testing.T) {
 		run(t, func(f *fleet) {
 			f.crash(3, "bad")
--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -32,6 +32,8 @@
 
 	mu     sync.Mutex
 	traits map[Trait]*suspicion
+	// before holds what was known before Reset while it runs.
+	before map[Trait]*suspicion
 	// inFlight holds the records that are being published, and queue those that follow. signal has an element if records were queued,
 	// and dropped is set if some were dropped.
 	inFlight, queue []logs.Record
@@ -190,7 +192,9 @@
 	}
 	if !s.quarantined && s.series() >= t.Limit {
 		s.quarantined = true
-		t.OnChange(trait, s.label, true, len(s.crashes))
+		if known := t.before[trait]; known == nil || !known.quarantined {
+			t.OnChange(trait, s.label, true, len(s.crashes))
+		}
 	}
 }
 
@@ -269,23 +273,23 @@
 	}
 }
 
-// Reset replaces all that is known by the newest records of the topic and those that wait to be published.
+// Reset replaces all that is known by the newest records of the topic and those that are not published yet.
 func (t *Tracker) Reset(records []logs.Record) {
-	t.mu.Lock()
-	quarantined := t.traits
-	t.traits = map[Trait]*suspicion{}
-	onChange := t.OnChange
-	t.OnChange = func(Trait, string, bool, int) {}
-	unpublished := slices.Concat(t.inFlight, t.queue)
-	t.mu.Unlock()
-	t.Apply(records)
-	t.Apply(unpublished)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.OnChange = onChange
+	t.before, t.traits = t.traits, map[Trait]*suspicion{}
+	defer func() { t.before = nil }()
+	for _, r := range slices.Concat(records, t.inFlight, t.queue) {
+		if err := t.fold(r); err != nil {
+			t.OnInvalid(r.Key, err)
+		}
+	}
 	for trait, s := range t.traits {
-		if before := quarantined[trait]; s.quarantined && (before == nil || !before.quarantined) {
-			onChange(trait, s.label, true, len(s.crashes))
+		// The outcome of earlier probes is not known. They are taken to have failed, so that a restart does not bring the
+		// next one forward.
+		s.failed, s.pending = s.probes, false
+		if known := t.before[trait]; known != nil && known.quarantined && s.quarantined {
+			s.changedAt, s.claimedAt = known.changedAt, known.claimedAt
 		}
 	}
 }
--- a/core/poison/trait.go
+++ b/core/poison/trait.go
@@ -51,9 +51,9 @@
 	}
 }
 
-// addProbe records a probe and reports whether it is the next one, rather than a claim that came second.
+// addProbe records a probe and reports whether it is a new one, rather than a claim that came second.
 func (s *suspicion) addProbe(epoch, probe int64, now time.Time) bool {
-	if epoch != s.epoch || probe != s.probes+1 {
+	if epoch != s.epoch || probe <= s.probes {
 		return false
 	}
 	s.probes, s.pending, s.changedAt = probe, true, now
