fix: a log that is restored from an older copy released what was quarantined

Fix: when the log shows a new era, an instance publishes again what it knows (Tracker.Republish) and keeps it over the reset. Evidence: TestQuarantineOutlivesRestoredLog fails without the change and passes with it.

--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -42,7 +42,7 @@
 func run(t *testing.T, test func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		f := &fleet{t: t, log: &memlog.Server{}, ctx: ctx}
+		f := &fleet{t: t, log: &memlog.Server{Era: 1}, ctx: ctx}
 		f.start()
 		f.start()
 		time.Sleep(exchange)
@@ -59,7 +59,7 @@
 		i.changes = append(i.changes, fmt.Sprintf("%s %t", label, quarantined))
 	}
 	i.Default()
-	follower := &logs.Follower{Log: f.log.Log(), Topic: topic, Reset: i.Reset, Apply: i.Apply}
+	follower := &logs.Follower{Log: f.log.Log(), Topic: topic, Reset: i.Reset, Apply: i.Apply, OnRestored: i.Republish}
 	publisher := &poison.Publisher{Tracker: i.Tracker, Log: f.log.Log(), Topic: topic}
 	f.group.Go(func() error { return follower.Run(f.ctx) })
 	f.group.Go(func() error { return publisher.Run(f.ctx) })
@@ -313,6 +313,20 @@
 	})
 }
 
+// TestQuarantineOutlivesRestoredLog checks that a log that is restored from an older copy releases nothing that an instance knows.
+func TestQuarantineOutlivesRestoredLog(t *testing.T) {
+	run(t, func(f *fleet) {
+		older := f.log.Copy()
+		f.crash(3, "bad")
+		f.log.Restore(older)
+		time.Sleep(1200 * time.Millisecond)
+		f.assertRefused(true, request("x", "bad"))
+		f.start()
+		time.Sleep(exchange)
+		f.assertRefused(true, request("x", "bad"))
+	})
+}
+
 // TestCrashesAreForgotten checks that nothing is left of a part once its crashes are longer ago than the retention.
 func TestCrashesAreForgotten(t *testing.T) {
 	run(t, func(f *fleet) {
--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -294,6 +294,20 @@
 	}
 }
 
+// Republish queues all that is known, after the log was restored from an older copy. It is called before Reset.
+func (t *Tracker) Republish() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for trait, s := range t.traits {
+		if s.epoch > 0 || s.probes > 0 {
+			t.publish(encode(string(trait), stateRecord{Epoch: s.epoch, Probe: s.probes}))
+		}
+		for incarnation, series := range s.crashes {
+			t.publish(encode(crashKey(trait, incarnation), crashRecord{Epoch: s.epoch, Series: series, Label: s.label}))
+		}
+	}
+}
+
 // Expire forgets traits whose last crash is longer ago than the retention, and removes their records from the topic. Instances do so at
 // different times, so that usually one of them removes the records for all.
 func (t *Tracker) Expire() {
--- a/io/router/crash.go
+++ b/io/router/crash.go
@@ -28,7 +28,7 @@
 	r.crashes = &poison.Tracker{Incarnation: r.Incarnation, OnChange: r.quarantineChanged, OnInvalid: r.recordUnreadable(topic)}
 	r.crashes.Default()
 	r.crashTopic = &logs.Follower{
-		Log: r.Store, Topic: topic, Wait: crashWait, Reset: r.crashes.Reset, Apply: r.crashes.Apply,
+		Log: r.Store, Topic: topic, Wait: crashWait, Reset: r.crashes.Reset, Apply: r.crashes.Apply, OnRestored: r.crashes.Republish,
 		OnOutage: r.topicUnreachable(topic), OnRecovery: r.topicRecovered(topic),
 	}
 }
