perf: reports of crashes are read at most ten times a second

Each instance reports the requests that it had at a target that crashed, and each report ends the waiting reads of all instances: 300 instances that report one crash would make up to 300 reads each. With a pause of 100 ms between two reads they make about ten a second each.

--- a/io/router/crash.go
+++ b/io/router/crash.go
@@ -21,6 +21,10 @@
 // is repeated when another topic shows an outage of the log.
 const crashWait = 20 * time.Second
 
+// crashPause is the time between two reads. Many instances report the crash of one target, and each report ends the waiting reads of
+// all instances.
+const crashPause = 100 * time.Millisecond
+
 // initCrashes creates the components that keep requests from targets if requests like them have crashed some.
 func (r *Router) initCrashes() {
 	topic := r.Platform.CrashTopic
@@ -28,7 +32,7 @@
 	r.crashes = &poison.Tracker{Incarnation: r.Incarnation, OnChange: r.quarantineChanged, OnInvalid: r.recordUnreadable(topic)}
 	r.crashes.Default()
 	r.crashTopic = &logs.Follower{
-		Log: r.Store, Topic: topic, Wait: crashWait, Reset: r.crashes.Reset, Apply: r.crashes.Apply, OnRestored: r.crashes.Republish,
+		Log: r.Store, Topic: topic, Wait: crashWait, Pause: crashPause, Reset: r.crashes.Reset, Apply: r.crashes.Apply, OnRestored: r.crashes.Republish,
 		OnOutage: r.topicUnreachable(topic), OnRecovery: r.topicRecovered(topic),
 	}
 }
