fix: a target that responds with a 4xx released what crashes targets

A response below 500 counted as an answer, so that a target that refuses a request before it begins the answer (404, 413) ended the series of crashes of the request's parts. Only a 2xx does now. Evidence: the subtest Not Found of TestOnlyAnswersClearARequest failed without the change; found by reading.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -47,7 +47,7 @@
 	r.eventsBefore = r.Events
 	failed := r.exchange(ctx, d)
 	if failed == nil {
-		if r.Status < http.StatusInternalServerError {
+		if r.Status < http.StatusMultipleChoices {
 			r.pass.Answered()
 		}
 		r.Done(choice.DispatchID, r.responseOutcome())
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -13,7 +14,9 @@
 	"gotest.tools/v3/assert"
 
 	"cranberryrail/core/budget"
+	"cranberryrail/core/codes"
 	"cranberryrail/core/relay"
+	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
 	"cranberryrail/core/table"
 )
@@ -147,3 +150,34 @@
 		})
 	}
 }
+
+// TestOnlyAnswersClearARequest guards against a part that crashes targets and is cleared by a target that responds without beginning
+// an answer.
+func TestOnlyAnswersClearARequest(t *testing.T) {
+	for status, refused := range map[int]bool{http.StatusOK: false, http.StatusNotFound: true, http.StatusInternalServerError: true} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			crashes := true
+			var f *fixture
+			f = newFixture(func(context.Context, relay.Dispatch) (*relay.Response, error) {
+				if crashes {
+					return nil, &relay.AttemptError{Kind: relay.Broken, Sent: true, Err: io.ErrUnexpectedEOF}
+				}
+				return &relay.Response{
+					Status: status, ResponseHead: relay.ResponseHead{HasSignature: true},
+					Read: func([]byte) (int, error) { return 0, io.EOF }, SetReadTimeout: func(time.Duration) {}, Close: func() {},
+				}, nil
+			})
+			incarnation := 0
+			f.Pick = func(route.Request) (route.Choice, error) {
+				incarnation++
+				return route.Choice{Target: roster.Target{Incarnation: strconv.Itoa(incarnation)}}, nil
+			}
+			f.HasCrashed = func(context.Context, roster.Target) bool { return true }
+			for _, crashes = range []bool{true, true, false, true} {
+				f.serve(t.Context())
+			}
+			result := f.serve(t.Context())
+			assert.Equal(t, result.Refused.Code == codes.CrashesTargets, refused, "%v", result.Refused)
+		})
+	}
+}
