fix: a report of a crash that was read again counted as the crash of a probe

Each instance reads back what it published, and an append may be repeated after a lost reply. Such a record moved the time of the last crash on, and while a probe was under way it counted as its failure, so that the pause grew by eight times without a crash.

Fix: a crash that is known changes nothing. Evidence: a subtest of TestProbes failed without the change. TestReportsSurviveOutages checked a quarantine 2 s after the crashes, when the first probe is due; it had passed because the records that were read back moved that time on. It checks 1 s after them now, with the same assertions.

--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -95,6 +95,14 @@
 	}
 }
 
+// records returns the newest records of the topic.
+func (f *fleet) records() []logs.Record {
+	f.t.Helper()
+	s, err := f.log.Log().NewestAll(f.ctx, topic, 0)
+	assert.NilError(f.t, err)
+	return s.Records
+}
+
 func (f *fleet) assertRefused(want bool, traits poison.Traits) {
 	f.t.Helper()
 	for n, i := range f.instances {
@@ -249,6 +257,18 @@
 			assert.Equal(f.t, probes, 2)
 		})
 	})
+	t.Run("a report that is read again is no crash of the probe", func(t *testing.T) {
+		run(t, func(f *fleet) {
+			f.crash(3, "bad")
+			time.Sleep(poison.DefaultProbePause)
+			f.admit(f.instances[0], bad)
+			for _, r := range f.records() {
+				f.log.Put(topic, 0, r.Key, r.Value)
+			}
+			time.Sleep(6 * time.Second)
+			f.admit(f.instances[1], bad)
+		})
+	})
 	t.Run("a restart does not bring the next one forward", func(t *testing.T) {
 		run(t, func(f *fleet) {
 			f.crash(3, "bad")
@@ -305,10 +325,10 @@
 			f.admit(seeing, request(fmt.Sprint(n), "bad")).Crashed(fmt.Sprint("target", n), false)
 		}
 		assert.Assert(f.t, seeing.Check(request("x", "bad")) != nil)
-		time.Sleep(time.Second)
+		time.Sleep(poison.DefaultProbePause / 4)
 		assert.NilError(f.t, other.Check(request("x", "bad")))
 		f.log.SetFault(nil)
-		time.Sleep(time.Second)
+		time.Sleep(poison.DefaultProbePause / 4)
 		f.assertRefused(true, request("x", "bad"))
 	})
 }
--- a/core/poison/trait.go
+++ b/core/poison/trait.go
@@ -44,8 +44,10 @@
 	if epoch > s.epoch {
 		s.begin(epoch)
 	}
-	s.crashes[incarnation] = max(s.crashes[incarnation], series)
-	s.changedAt = now
+	if s.crashes[incarnation] >= series {
+		return // it was known
+	}
+	s.crashes[incarnation], s.changedAt = series, now
 	if s.pending {
 		s.failed, s.pending = s.failed+1, false
 	}
