fix: the id of a target or of a part could make a record that the log can't hold

The key of a crash held the id of the target, and its value the id of the part. Both are chosen by others; a key holds 255 bytes at most, and its length is written in one byte, so that a longer one corrupts the call.

Fix: the key holds a hash of the target's incarnation, and a label is shortened to 64 bytes. TestRecordsAreShort failed without the change (a key of 10,018 bytes); found by reading.

--- a/core/poison/pass.go
+++ b/core/poison/pass.go
@@ -44,12 +44,13 @@
 	default:
 		traits = p.traits.all()
 	}
+	target := targetHash(incarnation)
 	for _, trait := range traits {
 		c := p.known[trait]
 		c.Series++
 		c.Label = p.traits.label(trait)
-		p.tracker.addCrash(trait, incarnation, c)
-		p.tracker.publish(encode(crashKey(trait, incarnation), c))
+		p.tracker.addCrash(trait, target, c)
+		p.tracker.publish(encode(crashKey(trait, target), c))
 	}
 }
 
@@ -80,8 +81,8 @@
 			continue
 		}
 		epoch := s.epoch + 1
-		for incarnation := range s.crashes {
-			t.publish(logs.Record{Key: crashKey(trait, incarnation)})
+		for target := range s.crashes {
+			t.publish(logs.Record{Key: crashKey(trait, target)})
 		}
 		t.publish(encode(string(trait), stateRecord{Epoch: epoch}))
 		t.beginEpoch(trait, s, epoch)
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -45,6 +45,11 @@
 	return Trait(kind) + Trait(strconv.FormatUint(h.Sum64(), hashBase))
 }
 
+// targetHash returns the hash of the incarnation of a target.
+func targetHash(incarnation string) string {
+	return strconv.FormatUint(xxhash.Sum64String(incarnation), hashBase)
+}
+
 // Traits are the traits of one request.
 type Traits struct {
 	// Parts are the traits of the parts of its prompt that other prompts may share, and Labels the ids of these parts.
@@ -57,11 +62,14 @@
 // all returns all traits.
 func (t Traits) all() []Trait { return append([]Trait{t.Request}, t.Parts...) }
 
-// label returns the id of the part with a trait; empty for the trait of the whole content.
+// maxLabelBytes limits the part of an id that is logged and published.
+const maxLabelBytes = 64
+
+// label returns the id of the part with a trait, shortened if it is long; empty for the trait of the whole content.
 func (t Traits) label(trait Trait) string {
 	for i, part := range t.Parts {
 		if part == trait && i < len(t.Labels) {
-			return t.Labels[i]
+			return t.Labels[i][:min(len(t.Labels[i]), maxLabelBytes)]
 		}
 	}
 	return ""
@@ -110,7 +118,7 @@
 func (e *QuarantineError) Error() string {
 	what := "requests like this one"
 	if e.Label != "" {
-		what = fmt.Sprintf("requests with part %.64q in their prompts", e.Label)
+		what = fmt.Sprintf("requests with part %q in their prompts", e.Label)
 	}
 	return fmt.Sprintf("%d targets have crashed under %s", e.Crashes, what)
 }
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -364,3 +365,18 @@
 		assert.Equal(f.t, len(late.changes), 0)
 	})
 }
+
+// TestRecordsAreShort guards against keys that the log can't hold, at most 255 bytes, and against labels of any length in each
+// record: ids of parts and of targets are chosen by others.
+func TestRecordsAreShort(t *testing.T) {
+	run(t, func(f *fleet) {
+		long := strings.Repeat("x", 10_000)
+		f.admit(f.instances[0], request(long, long)).Crashed(long, false)
+		time.Sleep(exchange)
+		records := f.records()
+		assert.Equal(f.t, len(records), 2)
+		for _, r := range records {
+			assert.Assert(f.t, len(r.Key) < 256 && len(r.Value) < 256, "%d and %d bytes", len(r.Key), len(r.Value))
+		}
+	})
+}
--- a/core/poison/record.go
+++ b/core/poison/record.go
@@ -8,8 +8,8 @@
 	"cranberryrail/core/logs"
 )
 
-// Records of the topic. The key of a trait holds its stateRecord, and that of a trait and an incarnation, separated by keySeparator, a
-// crashRecord.
+// Records of the topic. The key of a trait holds its stateRecord, and that of a trait and the hash of an incarnation, separated by
+// keySeparator, a crashRecord.
 const keySeparator = "/"
 
 // stateRecord begins an epoch, or claims a probe.
@@ -35,14 +35,15 @@
 	return logs.Record{Key: key, Value: data}
 }
 
-func crashKey(t Trait, incarnation string) string { return string(t) + keySeparator + incarnation }
+// crashKey returns the key of a crash, given the hash of the target's incarnation.
+func crashKey(t Trait, target string) string { return string(t) + keySeparator + target }
 
 // fold applies a record of the topic. Records of one key may come again, and a Reset delivers the newest ones in any
 // order.
 func (t *Tracker) fold(r logs.Record) error {
-	trait, incarnation, isCrash := strings.Cut(r.Key, keySeparator)
+	trait, target, isCrash := strings.Cut(r.Key, keySeparator)
 	if len(r.Value) == 0 {
-		t.forget(Trait(trait), incarnation, isCrash)
+		t.forget(Trait(trait), target, isCrash)
 		return nil
 	}
 	if isCrash {
@@ -50,7 +51,7 @@
 		if err := json.Unmarshal(r.Value, &c); err != nil {
 			return err
 		}
-		t.addCrash(Trait(trait), incarnation, c)
+		t.addCrash(Trait(trait), target, c)
 		return nil
 	}
 	var state stateRecord
--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -184,9 +184,9 @@
 }
 
 // addCrash records a crash.
-func (t *Tracker) addCrash(trait Trait, incarnation string, c crashRecord) {
+func (t *Tracker) addCrash(trait Trait, target string, c crashRecord) {
 	s := t.suspicion(trait)
-	s.addCrash(incarnation, c.Epoch, c.Series, time.Now())
+	s.addCrash(target, c.Epoch, c.Series, time.Now())
 	if c.Label != "" {
 		s.label = c.Label
 	}
@@ -251,12 +251,12 @@
 }
 
 // forget removes what a record held whose key was removed.
-func (t *Tracker) forget(trait Trait, incarnation string, isCrash bool) {
+func (t *Tracker) forget(trait Trait, target string, isCrash bool) {
 	s := t.traits[trait]
 	switch {
 	case s == nil:
 	case isCrash:
-		delete(s.crashes, incarnation)
+		delete(s.crashes, target)
 	case len(s.crashes) == 0:
 		delete(t.traits, trait)
 	}
@@ -302,8 +302,8 @@
 		if s.epoch > 0 || s.probes > 0 {
 			t.publish(encode(string(trait), stateRecord{Epoch: s.epoch, Probe: s.probes}))
 		}
-		for incarnation, series := range s.crashes {
-			t.publish(encode(crashKey(trait, incarnation), crashRecord{Epoch: s.epoch, Series: series, Label: s.label}))
+		for target, series := range s.crashes {
+			t.publish(encode(crashKey(trait, target), crashRecord{Epoch: s.epoch, Series: series, Label: s.label}))
 		}
 	}
 }
@@ -317,8 +317,8 @@
 		if time.Since(s.changedAt) < t.Retention+rand.N(t.Retention) {
 			continue
 		}
-		for incarnation := range s.crashes {
-			t.publish(logs.Record{Key: crashKey(trait, incarnation)})
+		for target := range s.crashes {
+			t.publish(logs.Record{Key: crashKey(trait, target)})
 		}
 		t.publish(logs.Record{Key: string(trait)})
 		delete(t.traits, trait)
--- a/core/poison/trait.go
+++ b/core/poison/trait.go
@@ -7,7 +7,7 @@
 	// epoch counts the answers that ended a series of crashes. Crashes of requests that were sent in an earlier epoch don't
 	// count.
 	epoch int64
-	// crashes holds the crashes of this epoch by the incarnation of the target: the length of the series that each ended.
+	// crashes holds the crashes of this epoch by the hash of the target's incarnation: the length of the series that each ended.
 	crashes map[string]int
 	// probes counts the claims of probes of this epoch, and failed those under which targets crashed. A claim is pending until
 	// then, or until it is too old.
@@ -37,17 +37,17 @@
 }
 
 // addCrash records a crash that ended a series.
-func (s *suspicion) addCrash(incarnation string, epoch int64, series int, now time.Time) {
+func (s *suspicion) addCrash(target string, epoch int64, series int, now time.Time) {
 	if epoch < s.epoch {
 		return
 	}
 	if epoch > s.epoch {
 		s.begin(epoch)
 	}
-	if s.crashes[incarnation] >= series {
+	if s.crashes[target] >= series {
 		return // it was known
 	}
-	s.crashes[incarnation], s.changedAt = series, now
+	s.crashes[target], s.changedAt = series, now
 	if s.pending {
 		s.failed, s.pending = s.failed+1, false
 	}
