--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -157,8 +157,7 @@
 	for status, refused := range map[int]bool{http.StatusOK: false, http.StatusNotFound: true, http.StatusInternalServerError: true} {
 		t.Run(http.StatusText(status), func(t *testing.T) {
 			crashes := true
-			var f *fixture
-			f = newFixture(func(context.Context, relay.Dispatch) (*relay.Response, error) {
+			f := newFixture(func(context.Context, relay.Dispatch) (*relay.Response, error) {
 				if crashes {
 					return nil, &relay.AttemptError{Kind: relay.Broken, Sent: true, Err: io.ErrUnexpectedEOF}
 				}
