feat: the metric quarantines, and quarantines in a fixed order in the state of an instance

Cause: operators could see what is quarantined only in the log and in the state, which listed it in the random order of a map, while the other lists of the state are sorted. Change: a gauge, and a sorted list. Measured: the metrics page had no such line before, and has 'quarantines 2' in the test after; io/meter passes, the linter has no issue.

--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -336,7 +337,7 @@
 	NextProbeMS int64 `json:"next_probe_ms"`
 }
 
-// Quarantines returns the quarantined traits.
+// Quarantines returns the quarantined traits in ascending order.
 func (t *Tracker) Quarantines() []Quarantine {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -347,5 +348,6 @@
 			list = append(list, Quarantine{Trait: trait, Part: s.label, Crashes: len(s.crashes), Probes: s.probes, NextProbeMS: max(left, 0).Milliseconds()})
 		}
 	}
+	slices.SortFunc(list, func(a, b Quarantine) int { return cmp.Compare(a.Trait, b.Trait) })
 	return list
 }
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -132,6 +132,7 @@
 	m.counter(streamsResumed)
 	m.counter(streamsCut)
 	m.gauge(logReached).Update(0)
+	m.gauge(quarantines).Update(0)
 	m.gauge(configVersion).Update(0)
 	m.gauge(configAge).Update(0)
 }
@@ -185,6 +186,9 @@
 	m.gauge(logReached).Update(value)
 }
 
+// Quarantines sets the number of traits of requests that are quarantined.
+func (m *Meter) Quarantines(n int) { m.gauge(quarantines).Update(float64(n)) }
+
 // ConfigVersion sets the version of the configuration in force.
 func (m *Meter) ConfigVersion(version int64) { m.gauge(configVersion).Update(float64(version)) }
 
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -310,6 +310,7 @@
 		r.conns.CloseExpired()
 		r.expireTargets()
 		r.crashes.Expire()
+		r.Meter.Quarantines(len(r.crashes.Quarantines()))
 		r.logReadiness()
 		r.logDropped()
 	}
