fix: an event whose id is no number was taken for the next of a numbered stream

After event 1 an event with any other text as its id was forwarded, and one with an empty id counted as one without. Such bytes come from a target that hands out wrong ones, or whose response was joined with others. After a number only the next number follows now, and an empty id is an id.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -326,7 +326,7 @@
 	if !r.headSent {
 		r.sendHead(a)
 	}
-	if e.id != "" {
+	if e.hasID {
 		if r.lastEventID != "" && !follows(e.id, r.lastEventID) {
 			return &AttemptError{Kind: Invalid, Sent: true, Err: errEventOrder}
 		}
--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -25,7 +25,9 @@
 // event is one event of a stream, including the empty line that ends it.
 type event struct {
 	raw []byte
-	id  string
+	// id is the id of the event, and hasID is set if it has one, which may be empty.
+	id    string
+	hasID bool
 }
 
 // eventReader reads a stream event by event.
@@ -48,6 +50,7 @@
 func (e *eventReader) next() (event, error) {
 	e.raw = e.raw[:0]
 	var id string
+	hasID := false
 	lineStart := 0
 	for {
 		part, err := e.lines.ReadSlice('\n')
@@ -68,21 +71,21 @@
 		text := bytes.TrimRight(e.raw[lineStart:], "\r\n")
 		lineStart = len(e.raw)
 		if len(text) == 0 {
-			return event{raw: e.raw, id: id}, nil
+			return event{raw: e.raw, id: id, hasID: hasID}, nil
 		}
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(value))
+			id, hasID = string(bytes.TrimSpace(value)), true
 		}
 	}
 }
 
-// follows reports whether an event id may come directly after the previous one. Numeric ids must
-// increase by one; other ids must differ.
+// follows reports whether an event id may come directly after the previous one. After a number only the next one
+// may; other ids must differ.
 func follows(id, previous string) bool {
-	n, err := strconv.ParseInt(id, 10, 64)
-	p, errPrevious := strconv.ParseInt(previous, 10, 64)
-	if err != nil || errPrevious != nil {
+	p, err := strconv.ParseInt(previous, 10, 64)
+	if err != nil {
 		return id != previous
 	}
-	return n == p+1
+	n, err := strconv.ParseInt(id, 10, 64)
+	return err == nil && n == p+1
 }
