fix: a target behind a cut that refuses connections counted as crashed for good

Whether a target has crashed was remembered by its incarnation. A cut that resets connections and refuses new ones looks like a crash; after it, each response of that target that broke off by itself would have counted as a crash without a check.

Fix: nothing is remembered; requests that break off at the same time share one check, which a machine without the process answers at once.

--- a/io/router/crash.go
+++ b/io/router/crash.go
@@ -6,14 +6,11 @@
 	"syscall"
 	"time"
 
-	lru "github.com/hashicorp/golang-lru/v2"
-
 	"cranberryrail/core/events"
 	"cranberryrail/core/logs"
 	"cranberryrail/core/poison"
 	"cranberryrail/core/relay"
 	"cranberryrail/core/roster"
-	"cranberryrail/core/route"
 	"cranberryrail/io/conns"
 )
 
@@ -28,7 +25,6 @@
 // initCrashes creates the components that keep requests from targets if requests like them have crashed some.
 func (r *Router) initCrashes() {
 	topic := r.Platform.CrashTopic
-	r.crashedTargets, _ = lru.New[string, struct{}](route.MaxLeavingIncarnations) // fails only for a size below 1
 	r.crashes = &poison.Tracker{Incarnation: r.Incarnation, OnChange: r.quarantineChanged, OnInvalid: r.recordUnreadable(topic)}
 	r.crashes.Default()
 	r.crashTopic = &logs.Follower{
@@ -60,18 +56,11 @@
 // hasCrashed reports whether the process of a target has ended: its machine refuses connections, or can't be reached. A
 // connection that succeeds is used for a later request.
 func (r *Router) hasCrashed(ctx context.Context, t roster.Target) bool {
-	if r.crashedTargets.Contains(t.Incarnation) {
-		return true
-	}
 	crashed, _, _ := r.crashChecks.Do(t.Incarnation, func() (any, error) {
 		err := r.conns.Connect(context.WithoutCancel(ctx), &conns.Request{PoolKey: t.Incarnation, Addr: t.Addr})
 		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.EHOSTUNREACH), nil
 	})
-	if crashed != true {
-		return false
-	}
-	r.crashedTargets.Add(t.Incarnation, struct{}{})
-	return true
+	return crashed == true
 }
 
 // targetCrashed logs a target that crashed during an attempt.
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -120,10 +120,8 @@
 	refusedAt atomic.Int64
 	// headersIgnored holds the incarnations of targets with a malformed header that was logged.
 	headersIgnored *lru.Cache[string, struct{}]
-	// crashChecks checks once for all requests whether a target has crashed, and crashedTargets holds the incarnations of those
-	// that have.
-	crashChecks    singleflight.Group
-	crashedTargets *lru.Cache[string, struct{}]
+	// crashChecks checks once for all requests that break off at the same time whether their target has crashed.
+	crashChecks singleflight.Group
 	// loggedReady is the readiness that was logged last.
 	loggedReady atomic.Bool
 	// loggedDropped is the number of dropped lines that was logged last.
