fix: a server of model requests without a tracker of crashes panicked

core/serve is a package that other programs embed; one that does not set the new field Crashes would have panicked at the first request. A nil tracker admits everything now, and the relay needs no tracker of its own by default. TestCrashesAreOptional failed without the change (a nil pointer).

--- a/core/poison/pass.go
+++ b/core/poison/pass.go
@@ -34,6 +34,9 @@
 // Crashed reports that the target crashed, which was of the given incarnation. If the answer had begun, the parts of the prompt are not
 // the cause.
 func (p *Pass) Crashed(incarnation string, answerBegan bool) {
+	if p.tracker == nil {
+		return
+	}
 	p.tracker.mu.Lock()
 	defer p.tracker.mu.Unlock()
 	traits := p.tracker.quarantined(p.traits) // If there are any, they explain the crash.
@@ -66,6 +69,9 @@
 
 // clear ends the series of crashes of the traits.
 func (t *Tracker) clear(traits []Trait) {
+	if t == nil {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.traits) == 0 {
--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -12,7 +12,7 @@
 )
 
 // Tracker decides which requests may be sent to targets. Exported fields are set before Default. It is safe for concurrent
-// use.
+// use. A nil Tracker admits all requests.
 type Tracker struct {
 	// Incarnation is the incarnation of this instance.
 	Incarnation string
@@ -76,6 +76,9 @@
 
 // Check returns a *QuarantineError if a request may not be sent now.
 func (t *Tracker) Check(traits Traits) error {
+	if t == nil {
+		return nil
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	_, err := t.dueProbes(traits)
@@ -116,6 +119,9 @@
 // Admit admits a request before it is sent to a target. The error is a *QuarantineError if it may not be sent. If the
 // request is a probe, Admit waits for the right to send it.
 func (t *Tracker) Admit(ctx context.Context, traits Traits) (*Pass, error) {
+	if t == nil {
+		return &Pass{}, nil
+	}
 	t.mu.Lock()
 	due, err := t.dueProbes(traits)
 	if err != nil {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -34,7 +34,7 @@
 	Retries *route.RetryWindow
 	// Dispatch sends a request to a target and returns its response. The error is an *AttemptError.
 	Dispatch func(ctx context.Context, d Dispatch) (*Response, error)
-	// Crashes decides whether requests like one may be sent, by the targets that have crashed under them.
+	// Crashes decides whether requests like one may be sent, by the targets that have crashed under them; optional.
 	Crashes *poison.Tracker
 	// HasCrashed reports whether the process of a target has ended, after an exchange with it broke off; optional.
 	HasCrashed func(ctx context.Context, t roster.Target) bool
@@ -62,10 +62,6 @@
 	if s.Now == nil {
 		s.Now = time.Now
 	}
-	if s.Crashes == nil {
-		s.Crashes = &poison.Tracker{Alone: true}
-		s.Crashes.Default()
-	}
 	if s.HasCrashed == nil {
 		s.HasCrashed = func(context.Context, roster.Target) bool { return false }
 	}
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -15,6 +15,7 @@
 
 	"cranberryrail/core/budget"
 	"cranberryrail/core/codes"
+	"cranberryrail/core/poison"
 	"cranberryrail/core/relay"
 	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
@@ -171,6 +172,8 @@
 				incarnation++
 				return route.Choice{Target: roster.Target{Incarnation: strconv.Itoa(incarnation)}}, nil
 			}
+			f.Crashes = &poison.Tracker{Alone: true}
+			f.Crashes.Default()
 			f.HasCrashed = func(context.Context, roster.Target) bool { return true }
 			for _, crashes = range []bool{true, true, false, true} {
 				f.serve(t.Context())
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -127,9 +127,9 @@
 	Cancel func(addr string, c Call)
 	// OnLeaving is called with the incarnation of a target that refused a call because it is leaving.
 	OnLeaving func(incarnation string)
-	// Crashes decides whether requests like one may be sent, by the targets that have crashed under them.
+	// Crashes decides whether requests like one may be sent, by the targets that have crashed under them; optional.
 	Crashes *poison.Tracker
-	// HasCrashed reports whether the process of a target has ended, after an attempt at it failed.
+	// HasCrashed reports whether the process of a target has ended, after an attempt at it failed. It is set if Crashes is.
 	HasCrashed func(ctx context.Context, t roster.Target) bool
 	// OnAttemptFailed is called for each failed attempt; optional.
 	OnAttemptFailed func(t roster.Target, c Call, err *AttemptError)
@@ -201,12 +201,18 @@
 	}
 	r.server.Done(choice.DispatchID, failed.Outcome())
 	r.recordFailure(choice.Target, call, failed)
-	if !failed.NotRun && failed.Kind != Refused && ctx.Err() == nil && r.server.HasCrashed(ctx, choice.Target) {
-		r.pass.Crashed(choice.Target.Incarnation, r.nextPosition-r.resumedFrom >= answerTokens)
-	}
+	r.reportCrash(ctx, choice.Target, failed)
 	return failed, nil
 }
 
+// reportCrash reports a target that crashed during an attempt. An attempt that ends with its caller was cancelled by this instance.
+func (r *generation) reportCrash(ctx context.Context, t roster.Target, failed *AttemptError) {
+	if r.server.Crashes == nil || failed.NotRun || failed.Kind == Refused || ctx.Err() != nil || !r.server.HasCrashed(ctx, t) {
+		return
+	}
+	r.pass.Crashed(t.Incarnation, r.nextPosition-r.resumedFrom >= answerTokens)
+}
+
 // answerTokens is the number of tokens after which a target has begun the answer: one that crashes afterwards does not crash because of
 // the beginning of the prompt.
 const answerTokens = 3
--- a/core/serve/serve_test.go
+++ b/core/serve/serve_test.go
@@ -305,3 +305,12 @@
 	assertEnd(t, err, codes.CrashesTargets, codes.NotRun)
 	assert.Equal(t, len(b.calls), poison.DefaultLimit)
 }
+
+// TestCrashesAreOptional guards against a panic where a Server is used without a tracker, as by programs that embed it.
+func TestCrashesAreOptional(t *testing.T) {
+	b := newTestBench(attemptScript{kind: "truncated"}, attemptScript{})
+	b.Crashes, b.HasCrashed = nil, nil
+	_, err := b.generate(t.Context())
+	assert.NilError(t, err)
+	assertRelayed(t, b, totalTokens)
+}
