--- a/core/poison/record.go
+++ b/core/poison/record.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"strings"
 
 	"cranberryrail/core/logs"
 )
@@ -37,27 +36,3 @@
 
 // crashKey returns the key of a crash, given the hash of the target's incarnation.
 func crashKey(t Trait, target string) string { return string(t) + keySeparator + target }
-
-// fold applies a record of the topic. Records of one key may come again, and a Reset delivers the newest ones in any
-// order.
-func (t *Tracker) fold(r logs.Record) error {
-	trait, target, isCrash := strings.Cut(r.Key, keySeparator)
-	if len(r.Value) == 0 {
-		t.forget(Trait(trait), target, isCrash)
-		return nil
-	}
-	if isCrash {
-		var c crashRecord
-		if err := json.Unmarshal(r.Value, &c); err != nil {
-			return err
-		}
-		t.addCrash(Trait(trait), target, c)
-		return nil
-	}
-	var state stateRecord
-	if err := json.Unmarshal(r.Value, &state); err != nil {
-		return err
-	}
-	t.applyState(Trait(trait), state)
-	return nil
-}
