test: simulated targets restart in a group

Cause: fake/crash started the restart of a target with context.AfterFunc on a context that had ended, which is a goroutine outside a group, and nothing waited for it. Change: the run has a group for restarts and waits for it.

--- a/fake/crash/crash.go
+++ b/fake/crash/crash.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -69,6 +70,8 @@
 	log     *memlog.Server
 	members []*member
 	targets []*target
+	// restarts starts targets again after crashes.
+	restarts errgroup.Group
 
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -157,7 +160,7 @@
 	tasks.Go(func() error { return r.load(ctx, r.Crashing, r.CrashingFrom, r.sendCrashing) })
 	tasks.Go(func() error { return r.restartMembers(ctx) })
 	tasks.Go(func() error { return r.crashTargets(ctx) })
-	err := tasks.Wait()
+	err := errors.Join(tasks.Wait(), r.restarts.Wait())
 	cancel()
 	for _, m := range r.members {
 		if stopped := m.group.Wait(); stopped != nil {
--- a/fake/crash/target.go
+++ b/fake/crash/target.go
@@ -31,7 +31,7 @@
 	return roster.Target{ID: id, Incarnation: id, Addr: fmt.Sprint(t.number)}, t.up
 }
 
-// pick chooses a target at random, also one that has just crashed.
+// pick chooses a target at random, including one that has just crashed.
 func (r *Run) pick(req route.Request) (route.Choice, error) {
 	for range 10 {
 		t, up := r.targets[r.number(r.Targets)].view()
@@ -99,20 +99,13 @@
 		r.mu.Lock()
 		r.crashes = append(r.crashes, r.now())
 		r.mu.Unlock()
-		context.AfterFunc(ended(), func() { _ = r.crash(ctx, t) }) // restarts the target later
+		r.restarts.Go(func() error { return r.crash(context.WithoutCancel(ctx), t) })
 		<-crashed
 		return nil, &relay.AttemptError{Kind: relay.Broken, Sent: true, Err: errCrashed}
 	}
 	return r.stream(ctx, crashed), nil
 }
 
-// ended returns a context that has ended.
-func ended() context.Context {
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	return ctx
-}
-
 // await waits for a number of nanoseconds. It fails if the target crashes or the request ends.
 func (r *Run) await(ctx context.Context, crashed <-chan struct{}, d float64) error {
 	select {
