--- a/core/poison/pass.go
+++ b/core/poison/pass.go
@@ -2,13 +2,13 @@
 
 import "cranberryrail/core/logs"
 
-// Pass is the admission of one attempt. Exactly what is known of its traits when it is sent decides how a crash counts.
+// Pass is the admission of one attempt. A crash during the attempt counts by what was known of the traits at admission.
 type Pass struct {
 	tracker *Tracker
 	traits  Traits
 	// probe is set if a trait is quarantined.
 	probe bool
-	// known holds what was known of the traits for which that was anything.
+	// known is the state at admission of the traits for which the tracker had an entry.
 	known map[Trait]crashRecord
 }
 
--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -122,7 +122,7 @@
 	return t.newPass(traits, len(due) > 0), nil
 }
 
-// AdmitAgain admits another attempt of a request, given the pass of the one before, which reached no target. A probe stays one.
+// AdmitAgain admits another attempt of a request, given the pass of the one before, which reached no target. A request that was admitted as a probe remains one.
 func (t *Tracker) AdmitAgain(ctx context.Context, last *Pass) (*Pass, error) {
 	if last.probe {
 		return last, nil
