--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -120,6 +120,8 @@
 	Leaving bool
 	// Pause is how long the target wants no requests from this instance; 0 if it does not request a pause.
 	Pause time.Duration
+	// RateLimit is the number of requests a second that the target takes from all instances together; nil if it names no limit.
+	RateLimit *float64
 	// Ignored describes malformed headers, which were ignored; nil if there are none.
 	Ignored error
 	// Header holds the headers to forward to the caller.
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -120,6 +120,8 @@
 	refusedAt atomic.Int64
 	// headersIgnored holds the incarnations of targets with a malformed header that was logged.
 	headersIgnored *lru.Cache[string, struct{}]
+	// rateLimits holds the limits that incarnations of targets named last.
+	rateLimits *lru.Cache[string, float64]
 	// crashChecks checks once for all requests that break off at the same time whether their target has crashed.
 	crashChecks singleflight.Group
 	// loggedReady is the readiness that was logged last.
@@ -149,6 +151,7 @@
 	r.list = &roster.TargetList{OnChange: r.targetChanged}
 	r.list.Default()
 	r.headersIgnored, _ = lru.New[string, struct{}](route.MaxLeavingIncarnations) // fails only for a size below 1
+	r.rateLimits, _ = lru.New[string, float64](route.MaxLeavingIncarnations)
 	r.initBudgets()
 	r.table.OnApplied = r.configApplied
 	r.initCrashes()
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -55,6 +55,7 @@
 		r.routeClient.Pause(t.ID, t.Incarnation, head.Pause)
 		events.Log(r.Log, events.TargetPaused).Str("target", t.ID).Dur("pause", head.Pause).Send()
 	}
+	r.logRateLimit(t, head.RateLimit)
 	if head.Ignored != nil {
 		if _, logged := r.headersIgnored.ContainsOrAdd(t.Incarnation, struct{}{}); !logged {
 			events.Log(r.Log, events.HeaderIgnored).Str("target", t.ID).Err(head.Ignored).Send()
@@ -62,6 +63,19 @@
 	}
 }
 
+// logRateLimit logs a limit that a target names, unless it named the same before, and its end.
+func (r *Router) logRateLimit(t roster.Target, perSecond *float64) {
+	before, named := r.rateLimits.Get(t.Incarnation)
+	switch {
+	case perSecond == nil && named:
+		r.rateLimits.Remove(t.Incarnation)
+		events.Log(r.Log, events.RateLimitEnded).Str("target", t.ID).Send()
+	case perSecond != nil && (!named || before != *perSecond):
+		r.rateLimits.Add(t.Incarnation, *perSecond)
+		events.Log(r.Log, events.RateLimitNamed).Str("target", t.ID).Float64("per_second", *perSecond).Send()
+	}
+}
+
 // attemptError converts the error of an exchange to a *relay.AttemptError.
 func attemptError(err error) *relay.AttemptError {
 	f := &relay.AttemptError{Kind: relay.Broken, Sent: true, Err: err}
