refactor: records for the other instances go through logs.Outbox

Cause: what one instance learns and the others must know is queued, appended and repeated by core/poison alone, tied to its records. Change: core/logs.Outbox holds what poison.Publisher did, same limits and timing; a Tracker without an Outbox is alone.

--- a/core/poison/example_test.go
+++ b/core/poison/example_test.go
@@ -9,7 +9,7 @@
 
 // Each attempt is admitted before it is sent, and reports how it ended.
 func ExampleTracker() {
-	t := &poison.Tracker{Alone: true}
+	t := &poison.Tracker{}
 	t.Default()
 	for n := range 4 {
 		traits := poison.Traits{
--- a/core/poison/fold.go
+++ b/core/poison/fold.go
@@ -129,7 +129,7 @@
 	defer t.mu.Unlock()
 	t.before, t.traits = t.traits, map[Trait]*suspicion{}
 	defer func() { t.before = nil }()
-	for _, r := range slices.Concat(records, t.inFlight, t.queue) {
+	for _, r := range slices.Concat(records, t.pending()) {
 		if err := t.fold(r); err != nil {
 			t.OnInvalid(r.Key, err)
 		}
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -98,9 +98,8 @@
 	// ambiguousFactor is the factor by which a request with several quarantined traits waits longer as a probe. Requests with
 	// only one of them show first which one is the cause.
 	ambiguousFactor = 4
-	// maxTraits bounds the traits with crashes that are remembered, and maxQueued the records that wait to be published.
+	// maxTraits bounds the traits with crashes that are remembered.
 	maxTraits = 8192
-	maxQueued = 1024
 )
 
 // QuarantineError reports that a request was not sent, because requests with one of its traits have crashed targets.
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -55,15 +55,16 @@
 
 // start starts an instance.
 func (f *fleet) start() *instance {
-	i := &instance{Tracker: &poison.Tracker{Incarnation: fmt.Sprint("i", len(f.instances)), Retention: f.retention}}
+	outbox := &logs.Outbox{Log: f.log.Log(), Topic: topic}
+	outbox.Default()
+	i := &instance{Tracker: &poison.Tracker{Incarnation: fmt.Sprint("i", len(f.instances)), Retention: f.retention, Outbox: outbox}}
 	i.OnChange = func(_ poison.Trait, label string, quarantined bool, _ int) {
 		i.changes = append(i.changes, fmt.Sprintf("%s %t", label, quarantined))
 	}
 	i.Default()
 	follower := &logs.Follower{Log: f.log.Log(), Topic: topic, Reset: i.Reset, Apply: i.Apply, OnRestored: i.Republish}
-	publisher := &poison.Publisher{Tracker: i.Tracker, Log: f.log.Log(), Topic: topic}
 	f.group.Go(func() error { return follower.Run(f.ctx) })
-	f.group.Go(func() error { return publisher.Run(f.ctx) })
+	f.group.Go(func() error { return outbox.Run(f.ctx) })
 	f.instances = append(f.instances, i)
 	return i
 }
--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -14,8 +14,8 @@
 type Tracker struct {
 	// Incarnation is the incarnation of this instance.
 	Incarnation string
-	// Alone is set if the instance exchanges no records with others, so that nothing is published.
-	Alone bool
+	// Outbox publishes records for the other instances; nil if the instance exchanges none with others.
+	Outbox *logs.Outbox
 	// Limit is the series of crashes after which a trait is quarantined.
 	Limit int
 	// ProbePause is the time from the last crash to the first probe, and MaxProbePause bounds the time to later ones.
@@ -33,11 +33,6 @@
 	traits map[Trait]*suspicion
 	// before holds what was known before Reset while it runs.
 	before map[Trait]*suspicion
-	// inFlight holds the records that are being published, and queue those that follow. signal has an element if records were queued,
-	// and dropped is set if some were dropped.
-	inFlight, queue []logs.Record
-	signal          chan struct{}
-	dropped         bool
 	// claims holds a channel for each trait that this instance claims a probe of; it is closed if the claim succeeds.
 	claims map[Trait]chan struct{}
 }
@@ -69,7 +64,6 @@
 		t.OnInvalid = func(string, error) {}
 	}
 	t.traits, t.claims = map[Trait]*suspicion{}, map[Trait]chan struct{}{}
-	t.signal = make(chan struct{}, 1)
 }
 
 // Check returns a *QuarantineError if a request may not be sent now.
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -172,7 +172,7 @@
 				incarnation++
 				return route.Choice{Target: roster.Target{Incarnation: strconv.Itoa(incarnation)}}, nil
 			}
-			f.Crashes = &poison.Tracker{Alone: true}
+			f.Crashes = &poison.Tracker{}
 			f.Crashes.Default()
 			f.HasCrashed = func(context.Context, roster.Target) bool { return true }
 			for _, crashes = range []bool{true, true, false, true} {
--- a/core/serve/serve_test.go
+++ b/core/serve/serve_test.go
@@ -56,7 +56,7 @@
 		})
 	}
 	b.Pick, b.Open = b.pick, b.open
-	b.Crashes, b.HasCrashed = &poison.Tracker{Alone: true}, func(context.Context, roster.Target) bool { return false }
+	b.Crashes, b.HasCrashed = &poison.Tracker{}, func(context.Context, roster.Target) bool { return false }
 	b.Crashes.Default()
 	b.Done = func(token int64, o route.Outcome) { b.outcomes[token] = o }
 	b.Retry = func(string) bool {
--- a/fake/crash/crash.go
+++ b/fake/crash/crash.go
@@ -175,12 +175,13 @@
 	ctx, cancel := context.WithCancel(ctx)
 	m := &member{number: i, cancel: cancel}
 	log := r.logOf(i)
-	tracker := &poison.Tracker{Incarnation: fmt.Sprintf("i%d@%v", i, r.now())}
+	outbox := &logs.Outbox{Log: log, Topic: topic}
+	outbox.Default()
+	tracker := &poison.Tracker{Incarnation: fmt.Sprintf("i%d@%v", i, r.now()), Outbox: outbox}
 	tracker.Default()
 	follower := &logs.Follower{Log: log, Topic: topic, Pause: readPause, Reset: tracker.Reset, Apply: tracker.Apply, OnRestored: tracker.Republish}
-	publisher := &poison.Publisher{Tracker: tracker, Log: log, Topic: topic}
 	m.group.Go(func() error { return follower.Run(ctx) })
-	m.group.Go(func() error { return publisher.Run(ctx) })
+	m.group.Go(func() error { return outbox.Run(ctx) })
 	config := table.New(table.Config{
 		Routes: []table.Route{{
 			Name: "r", Host: "h", Prefix: "/", Kind: table.Streaming, LatencyObjective: time.Second, GapObjective: 400 * time.Millisecond,
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -214,7 +214,7 @@
 
 // makeCrashes creates the tracker of requests that crash targets. Instances don't exchange what they see.
 func (n *Node) makeCrashes() {
-	n.crashes = &poison.Tracker{Incarnation: n.Incarnation, Alone: true, OnChange: n.onQuarantineChanged}
+	n.crashes = &poison.Tracker{Incarnation: n.Incarnation, OnChange: n.onQuarantineChanged}
 	n.crashes.Default()
 }
 
--- a/io/router/crash.go
+++ b/io/router/crash.go
@@ -25,7 +25,11 @@
 // initCrashes creates the components that keep requests from targets if requests like them have crashed some.
 func (r *Router) initCrashes() {
 	topic := r.Platform.CrashTopic
-	r.crashes = &poison.Tracker{Incarnation: r.Incarnation, OnChange: r.quarantineChanged, OnInvalid: r.recordUnreadable(topic)}
+	r.crashReports = &logs.Outbox{Log: r.Store, Topic: topic, OnError: func(err error) {
+		events.Log(r.Log, events.ReportsDelayed).Err(err).Send()
+	}}
+	r.crashReports.Default()
+	r.crashes = &poison.Tracker{Incarnation: r.Incarnation, Outbox: r.crashReports, OnChange: r.quarantineChanged, OnInvalid: r.recordUnreadable(topic)}
 	r.crashes.Default()
 	r.crashTopic = &logs.Follower{
 		Log: r.Store, Topic: topic, Wait: crashWait, Pause: crashPause, Reset: r.crashes.Reset, Apply: r.crashes.Apply, OnRestored: r.crashes.Republish,
@@ -33,13 +37,6 @@
 	}
 }
 
-// crashPublisher returns the publisher of what this instance sees.
-func (r *Router) crashPublisher() *poison.Publisher {
-	return &poison.Publisher{Tracker: r.crashes, Log: r.Store, Topic: r.Platform.CrashTopic, OnError: func(err error) {
-		events.Log(r.Log, events.ReportsDelayed).Err(err).Send()
-	}}
-}
-
 // quarantineChanged logs that requests with a trait are no longer sent, or are sent again.
 func (r *Router) quarantineChanged(trait poison.Trait, part string, quarantined bool, crashes int) {
 	event := events.Released
