fix: a target got more requests than the rate limit that it had named

Cause: what a target names in Server-Limit was not read, and nothing in the choice of a target knew a rate that all instances share. Class: a bound that holds for all instances together and that each would have to know, and keep its part of. Ruled out: retries (all requests at both targets were first attempts), limits kept by each instance alone (one sent three requests in 1.3 s). Change: core/rate divides a limit among a few holders, chosen by rendezvous hashing; the choice of a target (core/route), which each attempt, retry, resumed stream and probe goes through, asks it. Limits are shared in a keyed topic, so that instances that were not told know them too; an instance that joins waits until the others know of it. Why it works: holders agree without a message, also while the log is away, and all of them together send at most the limit, plus once L + 3 requests, where 2 L + 5 are allowed.

--- a/cmd/state.go
+++ b/cmd/state.go
@@ -25,7 +25,7 @@
 	}}
 }
 
-// printState prints the state of the instance, its targets, its budgets and, if there are any, its quarantines as tables.
+// printState prints the state of the instance, its targets, its budgets and, if there are any, its quarantines and rate limits as tables.
 func (a *App) printState(s router.State) error {
 	rows := [][]any{
 		{"instance", s.Instance}, {"incarnation", s.Incarnation}, {"zone", s.Zone}, {"ready", s.Ready}, {"stopping", s.Stopping},
@@ -55,12 +55,26 @@
 	if err := a.printTable([]string{"organisation", "paid", "granted", "free", "promised", "reserved", "age ms", "reached"}, rows); err != nil {
 		return err
 	}
-	if len(s.Quarantines) == 0 {
+	return a.printExceptions(s)
+}
+
+// printExceptions prints the quarantines and the rate limits of targets as tables, unless there are none.
+func (a *App) printExceptions(s router.State) error {
+	if len(s.Quarantines) > 0 {
+		rows := make([][]any, 0, len(s.Quarantines))
+		for _, q := range s.Quarantines {
+			rows = append(rows, []any{q.Trait, q.Part, q.Crashes, q.Probes, q.NextProbeMS})
+		}
+		if err := a.printTable([]string{"quarantined", "part", "crashes", "probes", "next probe ms"}, rows); err != nil {
+			return err
+		}
+	}
+	if len(s.RateLimits) == 0 {
 		return nil
 	}
-	rows = rows[:0]
-	for _, q := range s.Quarantines {
-		rows = append(rows, []any{q.Trait, q.Part, q.Crashes, q.Probes, q.NextProbeMS})
+	rows := make([][]any, 0, len(s.RateLimits))
+	for _, l := range s.RateLimits {
+		rows = append(rows, []any{l.Target, l.PerSecond, l.SharePerSecond})
 	}
-	return a.printTable([]string{"quarantined", "part", "crashes", "probes", "next probe ms"}, rows)
+	return a.printTable([]string{"rate limited", "per second", "share of this instance"}, rows)
 }
--- a/core/budget/partition.go
+++ b/core/budget/partition.go
@@ -78,8 +78,10 @@
 	// instances maps the ids of all instances ever registered to their addresses for loans, and joinedAt is when
 	// the last one was seen to register.
 	instances map[string]string
-	joinedAt  time.Time
-	pending   *batch
+	// registered is set once this instance was seen to be registered, and joined if others were before it.
+	registered, joined bool
+	joinedAt           time.Time
+	pending            *batch
 	// sequence numbers the batches of this instance.
 	sequence int64
 	// conflicts is the number of appends in a row that lost against another instance while no request
@@ -415,6 +417,8 @@
 	p.mu.Lock()
 	sy.updateInstances(p)
 	addr, registered := p.instances[sy.Instance]
+	p.joined = p.joined || !registered && !p.registered && !sy.FirstStart && len(p.instances) > 0
+	p.registered = p.registered || registered
 	p.mu.Unlock()
 	if p.index != 0 || registered && addr == sy.PeerAddr {
 		return nil
--- a/core/budget/syncer.go
+++ b/core/budget/syncer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -89,6 +90,9 @@
 	// optional.
 	OnOutage   func(part int, err error)
 	OnRecovery func(part int, duration time.Duration)
+	// OnInstances is called with the ids of all instances that ever registered when it is first known and when one joins. The
+	// argument joined is set if this instance joined a fleet that exists, whose other instances learn of it later; optional.
+	OnInstances func(ids []string, joined bool)
 	// OnPromiseOutage and OnPromiseRecovery are the same for the topic of promises; optional.
 	OnPromiseOutage   func(err error)
 	OnPromiseRecovery func(duration time.Duration)
@@ -129,6 +133,9 @@
 	if sy.OnRecovery == nil {
 		sy.OnRecovery = func(int, time.Duration) {}
 	}
+	if sy.OnInstances == nil {
+		sy.OnInstances = func([]string, bool) {}
+	}
 	if sy.OnPromiseOutage == nil {
 		sy.OnPromiseOutage = func(error) {}
 	}
@@ -375,6 +382,7 @@
 	}
 	sy.Book.SetInstanceCount(len(p.instances))
 	sy.rank.Store(rankInstances(sy.Instance, p.instances))
+	sy.OnInstances(slices.Collect(maps.Keys(p.instances)), p.joined)
 	sy.ScheduleAll()
 }
 
--- a/core/events/table.go
+++ b/core/events/table.go
@@ -69,6 +69,7 @@
 	ReportsDelayed    = Event{5019, "crash_reports_delayed", Warn, "Reports of crashed targets could not be published to the other instances; they are published again, unless the error states that they were dropped."}
 	RateLimitNamed    = Event{5020, "rate_limit_named", Info, "A target names a limit on the rate of requests from all instances together, or another one than before; the field per_second states it."}
 	RateLimitEnded    = Event{5021, "rate_limit_ended", Info, "A target no longer names a limit on the rate of requests."}
+	RatesDelayed      = Event{5022, "rate_limits_delayed", Warn, "Rate limits of targets could not be published to the other instances; they are published again, unless the error states that they were dropped."}
 	ConfApplied       = Event{6001, "configuration_applied", Info, "A configuration change is in force at this instance."}
 	ConfRefused       = Event{6002, "configuration_refused", Info, "A configuration change was refused."}
 	OperatorRefused   = Event{6004, "operator_refused", Warn, "A request with a missing or wrong operator key was refused."}
@@ -93,7 +94,7 @@
 		DoubleCharge, TopUpAccepted, BudgetExhausted, HoldingChanged, HoldingUnsettled, PromiseTaken, PromiseLapsed, PromisesOff, TokensBorrowed, TransferLost,
 		ClaimWon, ClaimLost, ClaimVoided, OutcomeUnknown,
 		TargetLeaving, TargetSilent, StreamResumed,
-		StreamCut, FrameForeign, AttemptFailed, RequestEnded, TargetJoined, TargetRemoved, TargetInvalid, TargetPaused, HeaderIgnored, TargetCrashed, Quarantined, Released, ReportsDelayed, RateLimitNamed, RateLimitEnded,
+		StreamCut, FrameForeign, AttemptFailed, RequestEnded, TargetJoined, TargetRemoved, TargetInvalid, TargetPaused, HeaderIgnored, TargetCrashed, Quarantined, Released, ReportsDelayed, RateLimitNamed, RateLimitEnded, RatesDelayed,
 		ConfApplied, ConfRefused, OperatorRefused, ConfUnconfirmed, ConfConfirmed,
 		PeerUnreachable, PeerBack,
 		Overspend, Panic, FoldDiffers,
--- /dev/null
+++ b/core/rate/rate.go
@@ -0,0 +1,173 @@
+// Package rate keeps the limits that targets name on the rate of requests from all instances together, and the share of
+// this instance in them.
+//
+// A limit is divided among its holders, which are chosen by rendezvous hashing of the instances, so that all instances agree on
+// them without a message. Each holder sends requests at an equal part of the rate, and may catch up on a few that it did not send.
+// All holders together send at most the limit, plus in any span of time once a burst of burstSeconds times the limit and
+// burstRequests. Other instances send no requests to the target.
+//
+// Instances learn of a limit from the responses of the target, and from each other through a keyed topic of the log.
+package rate
+
+import (
+	"cmp"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cranberryrail/core/logs"
+)
+
+// The most requests that all holders of a limit together may send beyond its rate: the requests of burstSeconds and
+// burstRequests more. The users allow two seconds and five requests; what is left covers instances that do not agree on
+// the holders yet.
+const (
+	burstSeconds  = 1.0
+	burstRequests = 3.0
+)
+
+const (
+	// minPerSecond is the rate at which a target is sent requests at least. Only its responses show that a limit ended.
+	minPerSecond = 0.1
+	// checkAfter is how long a request may be due before one is sent to the target whatever its prompt, so that the end of
+	// the limit is seen.
+	checkAfter = 2 * time.Second
+	// settleTime is how long an instance that joined the fleet sends no requests to a target with a limit: the time in which
+	// the others learn of it, and with it that some of them are no longer holders.
+	settleTime = 30 * time.Second
+	// retention is how long a limit is remembered after its target was last listed.
+	retention = 10 * time.Minute
+	// publishedChange is the change of a limit, as a fraction, from which on it is published.
+	publishedChange = 0.1
+	// unpublished is the published value of a limit that was not published.
+	unpublished = -1.0
+	// maxLabelBytes limits the part of a target's id that is published.
+	maxLabelBytes = 64
+)
+
+// limit is the limit of one start of a target.
+type limit struct {
+	perSecond, publishedPerSecond float64
+	// target is the id of the target, for logs.
+	target string
+	// namedAt is when a response or a record last named the limit.
+	namedAt time.Time
+	// listedAt is when the target was last seen in the list.
+	listedAt time.Time
+	share    share
+	// next is when the next request is due if the share is used evenly.
+	next time.Time
+}
+
+// share is the share of an instance in a limit.
+type share struct {
+	// holder is set if the instance may send requests, and rank is its rank among the holders.
+	holder bool
+	rank   int
+	// interval is the mean time between two requests, and holders the number of instances with such a share.
+	interval time.Duration
+	holders  int
+	// slack is how far ahead of the mean rate requests may be.
+	slack time.Duration
+}
+
+// instance is an instance of the fleet.
+type instance struct {
+	id   string
+	hash uint64
+}
+
+// newShare returns the share of an instance in a limit of a target, which is given by its hash.
+func newShare(perSecond float64, target uint64, own string, fleet []instance) share {
+	perSecond = max(perSecond, minPerSecond)
+	burst := burstSeconds*perSecond + burstRequests
+	ranked := slices.SortedFunc(slices.Values(fleet), func(a, b instance) int {
+		return cmp.Or(cmp.Compare(score(target, b.hash), score(target, a.hash)), cmp.Compare(a.id, b.id))
+	})
+	s := share{holders: int(min(burst, float64(len(fleet))))}
+	s.rank = slices.IndexFunc(ranked, func(i instance) bool { return i.id == own })
+	s.holder = s.rank >= 0 && s.rank < s.holders
+	s.interval = time.Duration(float64(max(s.holders, 1)) / perSecond * float64(time.Second))
+	s.slack = time.Duration((burst/float64(max(s.holders, 1)) - 1) * float64(s.interval))
+	return s
+}
+
+// score returns the rendezvous score of an instance for a target.
+func score(target, instance uint64) uint64 {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], target)
+	binary.LittleEndian.PutUint64(b[8:], instance)
+	return xxhash.Sum64(b[:])
+}
+
+// start starts the share without requests in advance. The first requests of the holders follow each other at the rate of the limit.
+func (l *limit) start(now time.Time) {
+	s := l.share
+	l.next = now.Add(s.slack + s.interval*time.Duration(s.rank+1)/time.Duration(max(s.holders, 1)))
+}
+
+// due returns when the next request may be sent.
+func (l *limit) due() time.Time { return l.next.Add(-l.share.slack) }
+
+// take counts a request that is sent now.
+func (l *limit) take(now time.Time) {
+	if l.next.Before(now) {
+		l.next = now
+	}
+	l.next = l.next.Add(l.share.interval)
+}
+
+// resize changes the share. What is due keeps its place in the new interval.
+func (l *limit) resize(s share, now time.Time) {
+	if s == l.share {
+		return
+	}
+	left := float64(l.due().Sub(now)) / float64(l.share.interval)
+	held := l.share.holder
+	l.share = s
+	if !held {
+		l.start(now)
+		return
+	}
+	l.next = now.Add(max(0, s.slack+time.Duration(left*float64(s.interval))))
+}
+
+// hash identifies a start of a target in the topic.
+func hash(incarnation string) uint64 { return xxhash.Sum64String(incarnation) }
+
+// hashBase is the base in which hashes are written.
+const hashBase = 16
+
+func key(target uint64) string { return strconv.FormatUint(target, hashBase) }
+
+// record is the value of a record of the topic, whose key is the hash of the incarnation of a target. A limit that ended has none.
+type record struct {
+	PerSecond float64 `json:"per_second"`
+	Target    string  `json:"target"`
+}
+
+// encode returns the record of a limit.
+func encode(target uint64, l *limit) logs.Record {
+	value, err := json.Marshal(record{l.perSecond, l.target[:min(len(l.target), maxLabelBytes)]})
+	if err != nil {
+		panic(fmt.Sprintf("encode rate limit: %v", err)) // limits are finite numbers
+	}
+	return logs.Record{Key: key(target), Value: value}
+}
+
+// decode parses a record.
+func decode(r logs.Record) (target uint64, value record, err error) {
+	target, err = strconv.ParseUint(r.Key, hashBase, 64)
+	if err == nil && len(r.Value) > 0 {
+		err = json.Unmarshal(r.Value, &value)
+	}
+	if err == nil && value.PerSecond < 0 {
+		err = fmt.Errorf("negative limit %v", value.PerSecond)
+	}
+	return target, value, err
+}
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -45,7 +45,12 @@
 		return Choice{}, codes.Refuse(codes.Overloaded, b.pauseRetryAfter(serving, now),
 			"all %d targets have asked for a pause; retry later, or add targets", len(serving))
 	}
-	usable := usable(untried(unpaused, r.Avoid), now)
+	permitted := filter(unpaused, func(c *target) bool { return b.Rates.Wait(c.Incarnation) == 0 })
+	if len(permitted) == 0 {
+		return Choice{}, codes.Refuse(codes.Overloaded, b.rateRetryAfter(unpaused),
+			"all %d targets get as many requests as they take; retry later, or add targets", len(unpaused))
+	}
+	usable := usable(untried(permitted, r.Avoid), now)
 	admissible := filter(usable, func(c *target) bool {
 		return b.estimate(c, now) < b.admissionLimit(c, r.Priority) && !c.load.full(now) && (b.MaxInFlightPerTarget == 0 || c.load.inFlight < b.MaxInFlightPerTarget)
 	})
@@ -53,9 +58,10 @@
 		return Choice{}, codes.Refuse(codes.Overloaded, b.retryAfter(usable, r.Priority, now),
 			"all %d usable targets are at their limit for priority %d; retry later, or add targets or raise the priority in the configuration", len(usable), r.Priority)
 	}
-	chosen := b.chooseTarget(r, b.drawShare(r, admissible), now)
+	chosen := b.chooseTarget(r, b.drawShare(r, b.unchecked(admissible)), now)
 	b.lastDispatchID++
 	b.dispatches[b.lastDispatchID] = dispatch{target: chosen, incarnation: chosen.Incarnation, epoch: chosen.health.epoch, at: now}
+	b.Rates.Take(chosen.Incarnation)
 	chosen.load.recordDispatch(now)
 	chosen.health.recordDispatch(now)
 	return Choice{Target: chosen.Target, DispatchID: b.lastDispatchID}, nil
@@ -162,6 +168,25 @@
 	return min(max(shortest+jitter, MinOverloadRetryAfter), MaxOverloadRetryAfter)
 }
 
+// unchecked returns the candidates of which nothing has shown for long whether their rate limit has ended, or all candidates if there
+// are none.
+func (b *Balancer) unchecked(candidates []*target) []*target {
+	due := filter(candidates, func(c *target) bool { return b.Rates.Unchecked(c.Incarnation) })
+	if len(due) == 0 {
+		return candidates
+	}
+	return due
+}
+
+// rateRetryAfter returns the time until a request may be sent to the first of targets with a rate limit.
+func (b *Balancer) rateRetryAfter(limited []*target) time.Duration {
+	shortest := MaxOverloadRetryAfter
+	for _, c := range limited {
+		shortest = min(shortest, b.Rates.Wait(c.Incarnation))
+	}
+	return max(shortest+time.Duration(maxRetryJitter*b.rand.Float64()*float64(shortest)), MinOverloadRetryAfter)
+}
+
 // pauseRetryAfter returns the time until the first pause of the targets ends, with jitter that spreads the
 // retries behind it.
 func (b *Balancer) pauseRetryAfter(paused []*target, now time.Time) time.Duration {
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"cranberryrail/core/rate"
 	"cranberryrail/core/roster"
 )
 
@@ -118,6 +119,8 @@
 	// MaxInFlightPerTarget is the maximum number of requests in flight from this instance to one target; 0 means no
 	// limit.
 	MaxInFlightPerTarget int
+	// Rates decides when a request may be sent to a target that has named a rate limit; optional.
+	Rates *rate.Tracker
 	// Seed seeds the random number generator.
 	Seed uint64
 	// Now returns the current time.
--- /dev/null
+++ b/fake/rates/rates.go
@@ -0,0 +1,314 @@
+// Package rates plays a fleet whose target names a limit on the rate of requests: the real decisions about when to send
+// (core/rate) over a fake log, with a simulated target. It uses no network. Its time is that of package time, so that a test runs it
+// in virtual time with testing/synctest.
+package rates
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"cranberryrail/core/logs"
+	"cranberryrail/core/pause"
+	"cranberryrail/core/rate"
+	"cranberryrail/core/roster"
+	"cranberryrail/fake/memlog"
+)
+
+const (
+	topic = "keyed.rates"
+	// answerTime is the longest time to the answer of the target, and callDelay the duration of a call to the log.
+	answerTime, callDelay = 400 * time.Millisecond, 5 * time.Millisecond
+	// listDelay is the longest time in which instances learn of one that joined.
+	listDelay = 6 * time.Second
+	// readWait is the longest time that a read waits, and readPause the time between two. Waiting costs most of the time of a run.
+	readWait, readPause = 5 * time.Millisecond, 100 * time.Millisecond
+)
+
+// Run is one randomised run. Exported fields are set before Play.
+type Run struct {
+	// Seed determines the load.
+	Seed uint64
+	// Instances is the size of the fleet.
+	Instances int
+	// Demand is the requests a second that all instances together would send. At each time of Bursts every instance would send one more.
+	Demand float64
+	Bursts []time.Duration
+	// Limit is what the target names from From until To, if that is not 0, in requests a second. From ChangeAt on it names Changed, if that is not 0.
+	Limit, Changed     float64
+	From, To, ChangeAt time.Duration
+	Length             time.Duration
+	// LogAway and Parted are the times at which no instance, or every second one, reaches the log.
+	LogAway, Parted []Window
+	// Restarts are the times at which every second instance is killed and starts again, in ascending order.
+	Restarts []time.Duration
+	// Joins is how many instances join at JoinAt.
+	Joins  int
+	JoinAt time.Duration
+
+	start   time.Time
+	log     *memlog.Server
+	members []*member
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	arrivals []arrival
+	// told holds when an instance first forwarded the limit.
+	told map[int]time.Duration
+}
+
+// Window is a span of time from the start.
+type Window struct {
+	From, To time.Duration
+}
+
+// arrival is a request that reached the target.
+type arrival struct {
+	at       time.Duration
+	instance int
+}
+
+// member is an instance.
+type member struct {
+	number  int
+	tracker *rate.Tracker
+	cancel  context.CancelFunc
+	group   errgroup.Group
+}
+
+// simulated is the target.
+func simulated() roster.Target { return roster.Target{ID: "t", Incarnation: "t@1"} }
+
+// String describes the run.
+func (r *Run) String() string {
+	return fmt.Sprintf("run of rate limits with seed %d, %d instances, limit %v", r.Seed, r.Instances, r.Limit)
+}
+
+func (r *Run) now() time.Duration { return time.Since(r.start) }
+
+// chance returns a random number from 0 to 1.
+func (r *Run) chance() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.random.Float64()
+}
+
+// named returns the limit that the target names at a time; nil if it names none.
+func (r *Run) named(at time.Duration) *float64 {
+	limit := r.Limit
+	switch {
+	case at < r.From || r.To > 0 && at >= r.To:
+		return nil
+	case r.Changed > 0 && at >= r.ChangeAt:
+		limit = r.Changed
+	}
+	return &limit
+}
+
+// Play plays the run and returns what it has seen.
+func (r *Run) Play(ctx context.Context) (Report, error) {
+	r.start, r.log, r.random, r.told = time.Now(), &memlog.Server{}, rand.New(rand.NewPCG(r.Seed, 0)), map[int]time.Duration{}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for i := range r.Instances {
+		r.members = append(r.members, r.startMember(ctx, i, r.Instances, false))
+	}
+	pause.For(ctx, time.Second)
+	var tasks errgroup.Group
+	tasks.Go(func() error { return r.load(ctx) })
+	tasks.Go(func() error { return r.bursts(ctx) })
+	tasks.Go(func() error { return r.restarts(ctx) })
+	tasks.Go(func() error { return r.joins(ctx) })
+	err := tasks.Wait()
+	report := r.report()
+	cancel()
+	for _, m := range r.members {
+		if stopped := m.group.Wait(); stopped != nil {
+			err = stopped
+		}
+	}
+	return report, err
+}
+
+// startMember starts an instance, which knows of the first fleet instances.
+func (r *Run) startMember(ctx context.Context, i, fleet int, joined bool) *member {
+	ctx, cancel := context.WithCancel(ctx)
+	m := &member{number: i, cancel: cancel}
+	log := r.logOf(i)
+	outbox := &logs.Outbox{Log: log, Topic: topic}
+	outbox.Default()
+	m.tracker = &rate.Tracker{Instance: fmt.Sprint("i", i), Outbox: outbox}
+	m.tracker.Default()
+	follower := &logs.Follower{Log: log, Topic: topic, Wait: readWait, Pause: readPause, Reset: m.tracker.Reset, Apply: m.tracker.Apply, OnRestored: m.tracker.Republish}
+	m.group.Go(func() error { return follower.Run(ctx) })
+	m.group.Go(func() error { return outbox.Run(ctx) })
+	m.tracker.SetInstances(ids(fleet), joined)
+	return m
+}
+
+// ids returns the ids of the first instances.
+func ids(n int) []string {
+	list := make([]string, 0, n)
+	for i := range n {
+		list = append(list, fmt.Sprint("i", i))
+	}
+	return list
+}
+
+// logOf returns the log as an instance reaches it.
+func (r *Run) logOf(instance int) logs.Log {
+	inner := r.log.Log()
+	call := func(ctx context.Context) error {
+		pause.For(ctx, callDelay)
+		if r.isAway(instance, r.now()) {
+			<-ctx.Done()
+		}
+		return ctx.Err()
+	}
+	return logs.Log{
+		Era: inner.Era,
+		Append: func(ctx context.Context, topic string, part int, at int64, records []logs.Record) (int64, error) {
+			if err := call(ctx); err != nil {
+				return 0, err
+			}
+			return inner.Append(ctx, topic, part, at, records)
+		},
+		Read: func(ctx context.Context, topic string, part int, from int64, wait time.Duration) ([]logs.Record, int64, error) {
+			if err := call(ctx); err != nil {
+				return nil, 0, err
+			}
+			return inner.Read(ctx, topic, part, from, wait)
+		},
+		Newest: func(ctx context.Context, topic string, part int, after string) (logs.Page, error) {
+			if err := call(ctx); err != nil {
+				return logs.Page{}, err
+			}
+			return inner.Newest(ctx, topic, part, after)
+		},
+	}
+}
+
+// isAway reports whether an instance does not reach the log at a time.
+func (r *Run) isAway(instance int, at time.Duration) bool {
+	for i, windows := range [][]Window{r.LogAway, r.Parted} {
+		for _, w := range windows {
+			if at >= w.From && at < w.To && (i == 0 || instance%2 == 1) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// load offers requests to random instances at random times.
+func (r *Run) load(ctx context.Context) error {
+	var requests errgroup.Group
+	for r.now() < r.Length {
+		requests.Go(func() error {
+			r.offer(ctx, int(r.chance()*float64(r.size())))
+			return nil
+		})
+		pause.For(ctx, time.Duration(2*r.chance()/r.Demand*float64(time.Second)))
+	}
+	return requests.Wait()
+}
+
+// bursts offers a request to every instance at the same moment.
+func (r *Run) bursts(ctx context.Context) error {
+	for _, at := range r.Bursts {
+		pause.For(ctx, at-r.now())
+		var requests errgroup.Group
+		for i := range r.size() {
+			requests.Go(func() error {
+				r.offer(ctx, i)
+				return nil
+			})
+		}
+		if err := requests.Wait(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// size returns the number of instances.
+func (r *Run) size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.members)
+}
+
+// offer sends a request if the instance may send one now, and applies the answer.
+func (r *Run) offer(ctx context.Context, instance int) {
+	r.mu.Lock()
+	tracker := r.members[instance].tracker
+	allowed := tracker.Wait(simulated().Incarnation) == 0
+	sentAt := time.Now()
+	if allowed {
+		tracker.Take(simulated().Incarnation)
+		r.arrivals = append(r.arrivals, arrival{r.now(), instance})
+	}
+	r.mu.Unlock()
+	if !allowed {
+		return
+	}
+	pause.For(ctx, time.Duration(r.chance()*float64(answerTime)))
+	limit := r.named(r.now())
+	tracker.Observe(simulated(), limit, sentAt)
+	if limit != nil {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if _, told := r.told[instance]; !told {
+			r.told[instance] = r.now()
+		}
+	}
+}
+
+// restarts kills every second instance and starts it again.
+func (r *Run) restarts(ctx context.Context) error {
+	for _, at := range r.Restarts {
+		pause.For(ctx, at-r.now())
+		for i := 0; i < r.Instances; i += 2 {
+			m := r.members[i]
+			m.cancel()
+			if err := m.group.Wait(); err != nil {
+				return err
+			}
+			started := r.startMember(ctx, i, r.size(), false)
+			r.mu.Lock()
+			r.members[i] = started
+			r.mu.Unlock()
+		}
+	}
+	return nil
+}
+
+// joins starts new instances, of which the others learn later.
+func (r *Run) joins(ctx context.Context) error {
+	if r.Joins == 0 {
+		return nil
+	}
+	pause.For(ctx, r.JoinAt-r.now())
+	total := r.Instances + r.Joins
+	for i := r.Instances; i < total; i++ {
+		m := r.startMember(ctx, i, total, true)
+		r.mu.Lock()
+		r.members = append(r.members, m)
+		r.mu.Unlock()
+	}
+	var learning errgroup.Group
+	for i := range r.Instances {
+		learning.Go(func() error {
+			pause.For(ctx, time.Duration(r.chance()*float64(listDelay)))
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.members[i].tracker.SetInstances(ids(total), false)
+			return nil
+		})
+	}
+	return learning.Wait()
+}
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -133,6 +133,7 @@
 	m.counter(streamsCut)
 	m.gauge(logReached).Update(0)
 	m.gauge(quarantines).Update(0)
+	m.gauge(rateLimits).Update(0)
 	m.gauge(configVersion).Update(0)
 	m.gauge(configAge).Update(0)
 }
@@ -186,6 +187,9 @@
 	m.gauge(logReached).Update(value)
 }
 
+// RateLimits sets the number of targets that have named a limit on the rate of requests.
+func (m *Meter) RateLimits(n int) { m.gauge(rateLimits).Update(float64(n)) }
+
 // Quarantines sets the number of traits of requests that are quarantined.
 func (m *Meter) Quarantines(n int) { m.gauge(quarantines).Update(float64(n)) }
 
--- a/io/meter/table.go
+++ b/io/meter/table.go
@@ -49,6 +49,7 @@
 	storeCalls      = Metric{"cranberryrail_store_calls_total", Counter, []string{"call", "result"}, "Calls to the platform's store."}
 	storeBytes      = Metric{"cranberryrail_store_bytes_total", Counter, []string{"direction"}, "Bytes of records written to and read from the platform's store."}
 	connections     = Metric{"cranberryrail_connections_total", Counter, nil, "Connections that were made to targets."}
+	rateLimits      = Metric{"cranberryrail_rate_limits", Gauge, nil, "Targets that have named a limit on the rate of requests."}
 	quarantines     = Metric{"cranberryrail_quarantines", Gauge, nil, "Parts of prompts, and whole requests, that are not sent because targets crashed under them."}
 	droppedLines    = Metric{"cranberryrail_log_lines_dropped_total", Counter, nil, "Lines of the log that were dropped, because they were not taken fast enough."}
 )
@@ -58,7 +59,7 @@
 	return []Metric{
 		requests, billedTokens, firstToken, reservations, draws, logAppends, violations, streamsResumed, streamsCut, logReached,
 		configVersion, configAge, ledgerOffset,
-		attempts, requestDuration, storeCalls, storeBytes, connections, quarantines, droppedLines,
+		attempts, requestDuration, storeCalls, storeBytes, connections, rateLimits, quarantines, droppedLines,
 	}
 }
 
--- a/io/router/follow.go
+++ b/io/router/follow.go
@@ -158,11 +158,17 @@
 	}
 }
 
+// refreshTopics ends the long reads, which may wait on connections that another topic has shown to be lost.
+func (r *Router) refreshTopics() {
+	r.crashTopic.Refresh()
+	r.rateTopic.Refresh()
+}
+
 // topicUnreachable returns a callback that logs that the topic can't be read.
 func (r *Router) topicUnreachable(topic string) func(err error) {
 	return func(err error) {
 		r.unreachableTopics.Store(topic, time.Now())
-		r.crashTopic.Refresh()
+		r.refreshTopics()
 		events.Log(r.Log, events.TopicLost).Str("topic", topic).Err(err).Send()
 	}
 }
@@ -171,7 +177,7 @@
 func (r *Router) topicRecovered(topic string) func(outage time.Duration) {
 	return func(outage time.Duration) {
 		r.unreachableTopics.Delete(topic)
-		r.crashTopic.Refresh()
+		r.refreshTopics()
 		events.Log(r.Log, events.TopicBack).Str("topic", topic).Dur("away", outage).Send()
 	}
 }
--- /dev/null
+++ b/io/router/rate.go
@@ -0,0 +1,60 @@
+package router
+
+import (
+	"net/http"
+	"time"
+
+	"cranberryrail/core/events"
+	"cranberryrail/core/logs"
+	"cranberryrail/core/rate"
+	"cranberryrail/core/relay"
+	"cranberryrail/core/roster"
+)
+
+// rateWait is the longest time that a read waits for a rate limit, and ratePause the time between two reads: limits change seldom.
+const (
+	rateWait  = crashWait
+	ratePause = crashPause
+)
+
+// initRates creates the components that keep to the rate limits of targets.
+func (r *Router) initRates() {
+	topic := r.Platform.RateTopic
+	r.rateReports = &logs.Outbox{Log: r.Store, Topic: topic, OnError: func(err error) {
+		events.Log(r.Log, events.RatesDelayed).Err(err).Send()
+	}}
+	r.rateReports.Default()
+	r.rates = &rate.Tracker{Instance: r.Settings.Instance.ID, Outbox: r.rateReports, OnChange: r.rateLimitChanged, OnInvalid: r.recordUnreadable(topic)}
+	r.rates.Default()
+	r.rateTopic = &logs.Follower{
+		Log: r.Store, Topic: topic, Wait: rateWait, Pause: ratePause, Reset: r.rates.Reset, Apply: r.rates.Apply, OnRestored: r.rates.Republish,
+		OnOutage: r.topicUnreachable(topic), OnRecovery: r.topicRecovered(topic),
+	}
+}
+
+// rateLimitChanged logs that a rate limit is named, changes or ends.
+func (r *Router) rateLimitChanged(target string, perSecond float64, limited bool) {
+	if !limited {
+		events.Log(r.Log, events.RateLimitEnded).Str("target", target).Send()
+		return
+	}
+	events.Log(r.Log, events.RateLimitNamed).Str("target", target).Float64("per_second", perSecond).Send()
+}
+
+// expireRates forgets the limits of targets that have not been listed for long.
+func (r *Router) expireRates() {
+	r.Meter.RateLimits(len(r.rates.Limits()))
+	r.listMu.Lock()
+	listed := r.list.Targets()
+	r.listMu.Unlock()
+	r.rates.Expire(listed)
+}
+
+// observeRate applies the rate limit that a response names. A response by another target, or one that the target may not have made,
+// shows nothing.
+func (r *Router) observeRate(t roster.Target, response *relay.Response, sentAt time.Time) {
+	shown := response.RateLimit != nil || response.HasSignature && response.Ignored == nil
+	if shown && response.Status != http.StatusMisdirectedRequest {
+		r.rates.Observe(t, response.RateLimit, sentAt)
+	}
+}
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -28,6 +28,7 @@
 	"cranberryrail/core/logs"
 	"cranberryrail/core/pause"
 	"cranberryrail/core/poison"
+	"cranberryrail/core/rate"
 	"cranberryrail/core/relay"
 	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
@@ -46,8 +47,8 @@
 type Platform struct {
 	// ConfigTopic holds the configuration under ConfigKey, TargetTopic an entry for each target
 	// by its id, BudgetTopic the prepaid budgets, PromiseTopic the tokens that instances hold
-	// of them and have promised not to spend yet, and CrashTopic the requests that crash targets.
-	ConfigTopic, ConfigKey, TargetTopic, BudgetTopic, PromiseTopic, CrashTopic string
+	// of them and have promised not to spend yet, CrashTopic the requests that crash targets, and RateTopic the rate limits of targets.
+	ConfigTopic, ConfigKey, TargetTopic, BudgetTopic, PromiseTopic, CrashTopic, RateTopic string
 	// ReadyPath is the path of the platform's readiness check.
 	ReadyPath string
 	// ParseConfig and ParseTarget decode records of the topics.
@@ -100,6 +101,9 @@
 	crashes      *poison.Tracker
 	crashTopic   *logs.Follower
 	crashReports *logs.Outbox
+	rates        *rate.Tracker
+	rateTopic    *logs.Follower
+	rateReports  *logs.Outbox
 	relay        *relay.Server
 	link         *flow.Meter
 	entry        *entry.Server
@@ -121,8 +125,6 @@
 	refusedAt atomic.Int64
 	// headersIgnored holds the incarnations of targets with a malformed header that was logged.
 	headersIgnored *lru.Cache[string, struct{}]
-	// rateLimits holds the limits that incarnations of targets named last.
-	rateLimits *lru.Cache[string, float64]
 	// crashChecks checks once for all requests that break off at the same time whether their target has crashed.
 	crashChecks singleflight.Group
 	// loggedReady is the readiness that was logged last.
@@ -142,8 +144,9 @@
 	r.Incarnation = uuid.NewString()
 	r.system = actors.NewSystem()
 	s := r.Settings
+	r.initRates()
 	a := &route.Actor{}
-	a.Balancer.Seed, a.Balancer.Bound = rand.Uint64(), s.Target.Bound
+	a.Balancer.Seed, a.Balancer.Bound, a.Balancer.Rates = rand.Uint64(), s.Target.Bound, r.rates
 	r.routeClient = &route.Client{Root: r.system.Root, PID: r.system.Root.Spawn(a.Props())}
 	r.retries = &route.RetryWindow{Length: s.Retry.WindowS.Duration(), Ratio: s.Retry.Ratio, Slack: s.Retry.Slack}
 	r.retries.Default()
@@ -152,7 +155,6 @@
 	r.list = &roster.TargetList{OnChange: r.targetChanged}
 	r.list.Default()
 	r.headersIgnored, _ = lru.New[string, struct{}](route.MaxLeavingIncarnations) // fails only for a size below 1
-	r.rateLimits, _ = lru.New[string, float64](route.MaxLeavingIncarnations)
 	r.initBudgets()
 	r.table.OnApplied = r.configApplied
 	r.initCrashes()
@@ -193,7 +195,7 @@
 		Log: r.Store, Topic: r.Platform.BudgetTopic, Shards: s.Shards, Instance: r.Settings.Instance.ID, Incarnation: r.Incarnation, Book: r.budgets,
 		PeerAddr: r.Settings.Peer.Listen, PromiseTopic: r.Platform.PromiseTopic, PromiseParts: s.Shards, Boot: boot, Started: uptime.Now(), FirstStart: s.Fleet == opts.NewFleet,
 		OnPromiseOutage: r.topicUnreachable(r.Platform.PromiseTopic), OnPromiseRecovery: r.topicRecovered(r.Platform.PromiseTopic), OnInherited: r.promisesInherited,
-		OnAdjusted: r.holdingChanged, OnUnsettled: r.batchUnsettled, OnInvalidRecord: r.recordUnreadable(r.Platform.BudgetTopic),
+		OnInstances: r.rates.SetInstances, OnAdjusted: r.holdingChanged, OnUnsettled: r.batchUnsettled, OnInvalidRecord: r.recordUnreadable(r.Platform.BudgetTopic),
 		OnOutage: func(part int, err error) { r.topicUnreachable(fmt.Sprintf("%s/%d", r.Platform.BudgetTopic, part))(err) },
 		OnRecovery: func(part int, outage time.Duration) {
 			r.topicRecovered(fmt.Sprintf("%s/%d", r.Platform.BudgetTopic, part))(outage)
@@ -284,7 +286,7 @@
 // tasks returns the functions that run concurrently.
 func (r *Router) tasks() []func(ctx context.Context) error {
 	runs := []func(ctx context.Context) error{
-		r.entry.Run, r.ready.Run, r.budgetSync.Run, r.followConfig().Run, r.followTargets().Run, r.crashTopic.Run, r.crashReports.Run,
+		r.entry.Run, r.ready.Run, r.budgetSync.Run, r.followConfig().Run, r.followTargets().Run, r.crashTopic.Run, r.crashReports.Run, r.rateTopic.Run, r.rateReports.Run,
 		r.runPeriodic, r.watchReload,
 	}
 	if r.Settings.Metrics.Listen != "" {
@@ -313,6 +315,7 @@
 		r.expireTargets()
 		r.crashes.Expire()
 		r.Meter.Quarantines(len(r.crashes.Quarantines()))
+		r.expireRates()
 		r.logReadiness()
 		r.logDropped()
 	}
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -17,6 +17,7 @@
 
 // dispatch sends a request to a target and returns the response.
 func (r *Router) dispatch(ctx context.Context, d relay.Dispatch) (*relay.Response, error) {
+	sentAt := time.Now()
 	a, err := r.conns.Do(ctx, &conns.Request{
 		PoolKey: d.Target.Incarnation, Addr: d.Target.Addr, Method: d.Method, URI: d.URI, Host: d.Host,
 		Header: r.Platform.BuildHeader(d), Body: d.Body, NonIdempotent: d.NonIdempotent, HeaderTimeout: d.HeaderTimeout,
@@ -37,6 +38,7 @@
 		},
 	}
 	r.applyResponseHead(d.Target, response.ResponseHead)
+	r.observeRate(d.Target, response, sentAt)
 	return response, nil
 }
 
@@ -55,7 +57,6 @@
 		r.routeClient.Pause(t.ID, t.Incarnation, head.Pause)
 		events.Log(r.Log, events.TargetPaused).Str("target", t.ID).Dur("pause", head.Pause).Send()
 	}
-	r.logRateLimit(t, head.RateLimit)
 	if head.Ignored != nil {
 		if _, logged := r.headersIgnored.ContainsOrAdd(t.Incarnation, struct{}{}); !logged {
 			events.Log(r.Log, events.HeaderIgnored).Str("target", t.ID).Err(head.Ignored).Send()
@@ -63,19 +64,6 @@
 	}
 }
 
-// logRateLimit logs a limit that a target names, unless it named the same before, and its end.
-func (r *Router) logRateLimit(t roster.Target, perSecond *float64) {
-	before, named := r.rateLimits.Get(t.Incarnation)
-	switch {
-	case perSecond == nil && named:
-		r.rateLimits.Remove(t.Incarnation)
-		events.Log(r.Log, events.RateLimitEnded).Str("target", t.ID).Send()
-	case perSecond != nil && (!named || before != *perSecond):
-		r.rateLimits.Add(t.Incarnation, *perSecond)
-		events.Log(r.Log, events.RateLimitNamed).Str("target", t.ID).Float64("per_second", *perSecond).Send()
-	}
-}
-
 // attemptError converts the error of an exchange to a *relay.AttemptError.
 func attemptError(err error) *relay.AttemptError {
 	f := &relay.AttemptError{Kind: relay.Broken, Sent: true, Err: err}
--- a/io/router/state.go
+++ b/io/router/state.go
@@ -11,6 +11,7 @@
 	"cranberryrail/core/budget"
 	"cranberryrail/core/events"
 	"cranberryrail/core/poison"
+	"cranberryrail/core/rate"
 	"cranberryrail/core/roster"
 )
 
@@ -36,13 +37,15 @@
 	Budgets []budget.Balance `json:"budgets"`
 	// Quarantines are what requests have in common that are not sent, because requests like them have crashed targets.
 	Quarantines []poison.Quarantine `json:"quarantines"`
+	// RateLimits are the rate limits that targets have named.
+	RateLimits []rate.Limit `json:"rate_limits"`
 }
 
 // State returns the current state of the instance.
 func (r *Router) State() State {
 	s := State{
 		Instance: r.Settings.Instance.ID, Incarnation: r.Incarnation, Zone: r.Settings.Instance.Zone, Ready: r.Ready(), Stopping: !r.running.Load(),
-		InFlight: r.entry.InFlight(), LostMS: map[string]int64{}, Budgets: r.budgetSync.Balances(), Quarantines: r.crashes.Quarantines(),
+		InFlight: r.entry.InFlight(), LostMS: map[string]int64{}, Budgets: r.budgetSync.Balances(), Quarantines: r.crashes.Quarantines(), RateLimits: r.rates.Limits(),
 	}
 	if t := r.table.Current(); t != nil {
 		s.ConfigVersion = t.Version
