--- a/core/roster/types.go
+++ b/core/roster/types.go
@@ -75,6 +75,8 @@
 	Capacity int `json:"capacity"`
 	// CachedPrefixes counts the prompt prefixes that the engine has cached.
 	CachedPrefixes int `json:"cached_prefixes"`
+	// RateLimit is the number of requests a second that the target takes from all instances together; nil without a limit.
+	RateLimit *float64 `json:"rate_limit,omitempty"`
 	// AgeMS is the age of the report in milliseconds when it was sent.
 	AgeMS int64 `json:"age_ms"`
 }
--- a/fake/engine/engine.go
+++ b/fake/engine/engine.go
@@ -184,6 +184,9 @@
 		Capacity:       s.Capacity,
 		CachedPrefixes: s.prefixes.Len(),
 	}
+	if limit := s.faults.Get().RateLimit; limit > 0 {
+		l.RateLimit = &limit
+	}
 	if s.faults.Get().Leaving {
 		l.State = roster.Leaving
 	}
--- a/fake/engine/faults.go
+++ b/fake/engine/faults.go
@@ -30,6 +30,8 @@
 	FailRatio float64 `json:"fail_ratio"`
 	// Leaving refuses new requests; admitted requests continue.
 	Leaving bool `json:"leaving"`
+	// RateLimit is the limit on requests a second that load reports name; 0 for none. It is not enforced.
+	RateLimit float64 `json:"rate_limit"`
 	// SlowMS is the additional delay of each token, in milliseconds.
 	SlowMS int `json:"slow_ms"`
 }
--- a/fake/plain/plain.go
+++ b/fake/plain/plain.go
@@ -57,6 +57,8 @@
 	DropAfterRatio float64 `json:"drop_after_ratio"`
 	// Silent accepts calls, and neither runs them nor responds.
 	Silent bool `json:"silent"`
+	// RateLimit is the limit on calls a second that load reports name; 0 for none. It is not enforced.
+	RateLimit float64 `json:"rate_limit"`
 	// Leaving refuses calls with a response which states that the call was not run.
 	Leaving bool `json:"leaving"`
 }
@@ -218,6 +220,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := roster.Load{Incarnation: s.incarnation, State: roster.Live, Running: s.running, Capacity: s.Capacity}
+	if limit := s.faults.Get().RateLimit; limit > 0 {
+		l.RateLimit = &limit
+	}
 	if s.faults.Get().Leaving {
 		l.State = roster.Leaving
 	}
--- a/io/node/faults_test.go
+++ b/io/node/faults_test.go
@@ -250,6 +250,37 @@
 	eventually(t, f, func() bool { return !firstEngineGotNoRequests(t, f, stream) })
 }
 
+// TestRateLimitOfEngineIsKept guards against an engine that gets more requests than the rate limit which its load reports name, and against
+// a limit that outlasts them.
+func TestRateLimitOfEngineIsKept(t *testing.T) {
+	f := start(t, &fleet.Fleet{Instances: 3, Engines: 2, ConfigureInstance: shortTimeouts})
+	provisionAll(t, f, 1_000_000)
+	engineLimit := func(perSecond float64) {
+		faults := engine.NoFaults()
+		faults.RateLimit = perSecond
+		f.EngineServers[0].SetFaults(faults)
+		time.Sleep(time.Second)
+	}
+	sent := 0
+	stream := func(i int) result {
+		return send(context.Background(), f.Members[i%3], "/v1/completions", fleet.Key("acme"), promptBody(fmt.Sprint("s", i), 2, true))
+	}
+	load := func(length time.Duration) (started int64) {
+		before := startedCount(f, 0)
+		for end := time.Now().Add(length); time.Now().Before(end); sent++ {
+			assertComplete(t, stream(sent), fmt.Sprint("s", sent), 2)
+			time.Sleep(10 * time.Millisecond)
+		}
+		return startedCount(f, 0) - before
+	}
+	engineLimit(1)
+	started := load(4 * time.Second)
+	assert.Assert(t, started <= 11, "%d requests in 4 s", started)
+	engineLimit(0)
+	started = load(2 * time.Second)
+	assert.Assert(t, started > 11, "%d requests in 2 s after the limit had ended", started)
+}
+
 // firstEngineGotNoRequests sends requests and reports whether the first engine received none of them.
 func firstEngineGotNoRequests(t *testing.T, f *fleet.Fleet, stream func(i int) result) bool {
 	t.Helper()
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -23,6 +23,7 @@
 	"cranberryrail/core/ledger"
 	"cranberryrail/core/once"
 	"cranberryrail/core/poison"
+	"cranberryrail/core/rate"
 	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
 	"cranberryrail/core/serve"
@@ -65,6 +66,7 @@
 	platformLog     tail.Log
 	target          *target.Client
 	crashes         *poison.Tracker
+	rates           *rate.Tracker
 	logReachability *reachability
 	config          configStore
 	freshness       configFreshness
@@ -204,7 +206,10 @@
 }
 
 func (n *Node) makeRoute() {
+	n.rates = &rate.Tracker{Instance: n.Settings.Instance.ID, OnChange: n.onRateLimitChanged}
+	n.rates.Default()
 	a := &route.Actor{}
+	a.Balancer.Rates = n.rates
 	a.Retries.Ratio = n.Settings.Target.RetryRatio
 	a.Limits.Global = n.Settings.Caller.MaxInFlight
 	a.Balancer.MaxInFlightPerTarget = n.Settings.Target.MaxInFlightPerTarget
--- a/io/node/observe.go
+++ b/io/node/observe.go
@@ -278,3 +278,12 @@
 	}
 	events.Log(n.Log, event).Str("trait", string(trait)).Int("crashes", crashes).Send()
 }
+
+// onRateLimitChanged logs that a rate limit is named, changes or ends.
+func (n *Node) onRateLimitChanged(target string, perSecond float64, limited bool) {
+	event := events.RateLimitEnded
+	if limited {
+		event = events.RateLimitNamed
+	}
+	events.Log(n.Log, event).Str("target", target).Float64("per_second", perSecond).Send()
+}
--- a/io/node/poll.go
+++ b/io/node/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -97,6 +98,8 @@
 			n.targetCache.list.Store(&list.Targets)
 			n.view.SetList(list)
 			n.Route.SetTargets(list.Targets, n.instanceCount())
+			n.setRateSharers(list.Instances)
+			n.rates.Expire(list.Targets)
 		}
 	})
 }
@@ -130,10 +133,35 @@
 func (n *Node) fetchLoad(ctx context.Context, t roster.Target) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
+	sentAt := time.Now()
 	load, err := n.target.Load(ctx, t.Addr)
-	if err == nil {
-		n.Route.Report(t.ID, load)
+	if err != nil {
+		return
 	}
+	n.Route.Report(t.ID, load)
+	n.observeRate(t, load, sentAt)
+}
+
+// observeRate applies the rate limit of a load report.
+func (n *Node) observeRate(t roster.Target, load roster.Load, sentAt time.Time) {
+	if load.RateLimit != nil && *load.RateLimit < 0 {
+		return
+	}
+	t.Incarnation = load.Incarnation // newer than that of the list after a restart
+	n.rates.Observe(t, load.RateLimit, sentAt.Add(-time.Duration(load.AgeMS)*time.Millisecond))
+}
+
+// setRateSharers sets the instances that share the rate limits of targets: those in the platform's list and this one.
+func (n *Node) setRateSharers(listed []roster.Instance) {
+	ids := make([]string, 0, len(listed)+1)
+	for _, i := range listed {
+		ids = append(ids, i.ID)
+	}
+	joined := len(ids) > 0 && !slices.Contains(ids, n.Settings.Instance.ID)
+	if joined || len(ids) == 0 {
+		ids = append(ids, n.Settings.Instance.ID)
+	}
+	n.rates.SetInstances(ids, joined)
 }
 
 // cancelAttempt cancels an attempt at an engine in the background.
