--- a/core/events/table.go
+++ b/core/events/table.go
@@ -63,7 +63,7 @@
 	TargetInvalid     = Event{5013, "target_invalid", Warn, "The entry of a target could not be decoded and is handled as a removal of the target."}
 	TargetPaused      = Event{5014, "target_paused", Info, "A target rejected a request and asked for a pause; it receives no requests from this instance until the pause ends."}
 	HeaderIgnored     = Event{5015, "header_ignored", Warn, "A malformed header in a target's response was ignored. It is logged once for each start of a target."}
-	TargetCrashed     = Event{5016, "target_crashed", Warn, "A target ended while a request was at it; the fields name the request, the shared parts of its prompt, and how many events it had sent."}
+	TargetCrashed     = Event{5016, "target_crashed", Warn, "A target ended while a request was at it; the fields name the request and its trait, the shared parts of its prompt, how many events it had sent, the length of the series of crashes, and whether it was a probe."}
 	Quarantined       = Event{5017, "quarantined", Error, "Requests with something in common crashed targets one after the other; they are not sent any more, except for a probe from time to time. The field part is the part of the prompts that they have in common; without it they have the same content."}
 	Released          = Event{5018, "released", Info, "A request was answered that has what quarantined requests have in common; they are sent again."}
 	ReportsDelayed    = Event{5019, "crash_reports_delayed", Warn, "Reports of crashed targets could not be published to the other instances; they are published again, unless the error states that they were dropped."}
--- a/core/poison/pass.go
+++ b/core/poison/pass.go
@@ -31,11 +31,14 @@
 	return p
 }
 
-// Crashed reports that the target crashed, which was of the given incarnation. If the answer had begun, the parts of the prompt are not
-// the cause.
-func (p *Pass) Crashed(incarnation string, answerBegan bool) {
+// IsProbe reports whether the request was admitted although one of its traits is quarantined.
+func (p *Pass) IsProbe() bool { return p.probe }
+
+// Crashed reports that the target crashed, which was of the given incarnation, and returns the length of the longest series of crashes that this one
+// ends. If the answer had begun, the parts of the prompt are not the cause.
+func (p *Pass) Crashed(incarnation string, answerBegan bool) (series int) {
 	if p.tracker == nil {
-		return
+		return 0
 	}
 	p.tracker.mu.Lock()
 	defer p.tracker.mu.Unlock()
@@ -54,7 +57,9 @@
 		c.Label = p.traits.label(trait)
 		p.tracker.addCrash(trait, target, c)
 		p.tracker.publish(encode(crashKey(trait, target), c))
+		series = max(series, c.Series)
 	}
+	return series
 }
 
 // AnswerBegan reports that the target began the answer, which clears the parts of the prompt.
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -55,6 +55,7 @@
 	}
 	r.Done(choice.DispatchID, r.failureOutcome(ctx, failed))
 	failed.Events = r.Events - r.eventsBefore
+	failed.Trait, failed.Probe = r.traits.Request, r.pass.IsProbe()
 	r.reportCrash(ctx, d, failed)
 	if failed.Sent {
 		r.SentFailures++
@@ -86,7 +87,7 @@
 		return
 	}
 	failed.Crashed = true
-	r.pass.Crashed(d.Target.Incarnation, failed.Events >= answerEvents)
+	failed.Series = r.pass.Crashed(d.Target.Incarnation, failed.Events >= answerEvents)
 }
 
 // routeRequest returns the criteria for choosing a target.
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -161,9 +161,13 @@
 	Sent bool
 	// Events is the number of events of the attempt that were forwarded.
 	Events int
-	// Crashed is set if the process of the target ended.
+	// Crashed is set if the process of the target ended. Series is then the length of the series of crashes that this one ends.
 	Crashed bool
-	Err     error
+	Series  int
+	// Trait is the trait of the whole request, and Probe is set if it was sent although a trait of it is quarantined.
+	Trait poison.Trait
+	Probe bool
+	Err   error
 }
 
 // Error implements the error interface.
