--- a/fake/crash/crash.go
+++ b/fake/crash/crash.go
@@ -35,6 +35,8 @@
 	subjects    = 40
 	callersPart = "first"
 	crashPart   = "bad"
+	// crashingKey is the key of the caller of crashing requests, and soundKey that of the others.
+	crashingKey, soundKey = "crashing key", "key"
 	// queueTime is the mean time that a request waits at a target, and eventGap the time between two of its events.
 	queueTime, eventGap = 60 * time.Millisecond, 20 * time.Millisecond
 	events              = 8
@@ -56,6 +58,10 @@
 	Length          time.Duration
 	// CrashingFirst puts the crashing part before the part that requests share.
 	CrashingFirst bool
+	// Same makes the crashing requests repeats of one request, without a part of its own. Equal is the rate at which another caller, whose requests
+	// are answered, sends an equal one.
+	Same  bool
+	Equal float64
 	// LogAway and Parted are the times at which no instance, or every second one, reaches the log.
 	LogAway, Parted []Window
 	// Restarts are the times at which every second instance is killed and starts again, in ascending order.
@@ -158,6 +164,7 @@
 	var tasks errgroup.Group
 	tasks.Go(func() error { return r.load(ctx, r.Sound, 0, r.sendSound) })
 	tasks.Go(func() error { return r.load(ctx, r.Crashing, r.CrashingFrom, r.sendCrashing) })
+	tasks.Go(func() error { return r.load(ctx, r.Equal, 0, r.sendEqual) })
 	tasks.Go(func() error { return r.restartMembers(ctx) })
 	tasks.Go(func() error { return r.crashTargets(ctx) })
 	err := errors.Join(tasks.Wait(), r.restarts.Wait())
@@ -188,7 +195,7 @@
 			MaxAttempts: 2, Resumable: true, Shares: []table.Share{{Service: "draft", Weight: 1}},
 		}},
 		Services:      []table.Service{{Name: "draft", EventTokens: 5}},
-		Organisations: []table.Organisation{{Name: "travel", Keys: []string{"key"}}},
+		Organisations: []table.Organisation{{Name: "travel", Keys: []string{soundKey}}, {Name: "fares", Keys: []string{crashingKey}}},
 	})
 	retries := &route.RetryWindow{Ratio: 1, Slack: 1000}
 	retries.Default()
@@ -265,18 +272,29 @@
 	r.mu.Lock()
 	r.sound = append(r.sound, s)
 	r.mu.Unlock()
-	result := r.send(ctx, s.instance, fmt.Sprint("sound", n), callersPart, fmt.Sprint("subject", r.number(subjects)))
+	result := r.send(ctx, s.instance, soundKey, fmt.Sprint("sound", n), callersPart, fmt.Sprint("subject", r.number(subjects)))
 	s.first = result.Refused == nil && result.SentFailures == 0
 }
 
+// sendEqual sends a sound request that differs from the crashing one by its caller only.
+func (r *Run) sendEqual(ctx context.Context, _ int) {
+	r.send(ctx, r.number(r.Instances), soundKey, crashingContent, callersPart, crashingContent)
+}
+
+// crashingContent is the content of crashing requests that are all the same.
+const crashingContent = "same"
+
 // sendCrashing sends a request that crashes targets as a caller, who repeats it at another instance.
 func (r *Run) sendCrashing(ctx context.Context, n int) {
-	parts := []string{callersPart, crashPart}
-	if r.CrashingFirst {
+	content, parts := fmt.Sprint("crashing", n), []string{callersPart, crashPart}
+	switch {
+	case r.Same:
+		content, parts = crashingContent, []string{callersPart, crashingContent}
+	case r.CrashingFirst:
 		parts = []string{crashPart, callersPart}
 	}
 	for range 2 {
-		if result := r.send(ctx, r.number(r.Instances), fmt.Sprint("crashing", n), parts...); result.Refused == nil {
+		if result := r.send(ctx, r.number(r.Instances), crashingKey, content, parts...); result.Refused == nil {
 			return
 		}
 		pause.For(ctx, callerPause)
@@ -284,12 +302,12 @@
 }
 
 // send sends a request to an instance.
-func (r *Run) send(ctx context.Context, instance int, content string, parts ...string) relay.Result {
+func (r *Run) send(ctx context.Context, instance int, key, content string, parts ...string) relay.Result {
 	prompt := &relay.Prompt{Model: "m", Tokens: 100, MaxOutput: 50}
 	for _, part := range append(parts, content) {
 		prompt.Parts = append(prompt.Parts, relay.Part{ID: part, Tokens: 10})
 	}
-	req := &relay.Request{ID: content, Method: http.MethodPost, Host: "h", URI: "/" + content, Path: "/x", Key: "key", Prompt: prompt, Arrived: time.Now(), Timeout: 10 * time.Second}
+	req := &relay.Request{ID: content, Method: http.MethodPost, Host: "h", URI: "/" + content, Path: "/x", Key: key, Prompt: prompt, Arrived: time.Now(), Timeout: 10 * time.Second}
 	r.mu.Lock()
 	server := r.members[instance].server
 	r.mu.Unlock()
--- a/fake/crash/crash_test.go
+++ b/fake/crash/crash_test.go
@@ -74,6 +74,39 @@
 	return r
 }
 
+// TestRandomRepeats plays fleets in which one request crashes targets and comes again and again, with random loads and faults.
+func TestRandomRepeats(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+uint64(*seeds); seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { assertRules(t, randomRepeats(seed)) })
+	}
+}
+
+func randomRepeats(seed uint64) *crash.Run {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	r := randomRun(seed)
+	r.Same, r.Length = true, 90*time.Second
+	r.Targets = []int{3, 5, 18}[rng.IntN(3)]
+	r.Sound /= 4
+	if rng.IntN(2) == 0 {
+		r.Equal = 0.2 + 2*rng.Float64()
+	}
+	return r
+}
+
+// TestRepeatedRequestCrashesFewTargets guards against a request that crashes target after target because its caller repeats it, also while an
+// equal request of another caller is answered.
+func TestRepeatedRequestCrashesFewTargets(t *testing.T) {
+	for _, targets := range []int{3, 18} {
+		for _, equal := range []float64{0, 1} {
+			t.Run(fmt.Sprintf("%d targets, %v equal requests a second", targets, equal), func(t *testing.T) {
+				assertRules(t, &crash.Run{
+					Seed: 1, Instances: 8, Targets: targets, Sound: 10, Crashing: 2, CrashingFrom: 5 * time.Second, Length: 90 * time.Second, Same: true, Equal: equal,
+				})
+			})
+		}
+	}
+}
+
 // TestCrashesOfAllTargets guards against sound requests that are refused because all targets, or half of them, crashed at the same moment
 // while they had such requests.
 func TestCrashesOfAllTargets(t *testing.T) {
--- a/fake/crash/report.go
+++ b/fake/crash/report.go
@@ -11,7 +11,8 @@
 	// Crashes and Arrivals are the targets that crashed under crashing requests, and the crashing requests that reached
 	// targets.
 	Crashes, Arrivals int
-	// Late are the arrivals later than Contact after the fifth crash, or after the last if there are fewer. More than three break the rule.
+	// Late are the arrivals later than Contact after the fifth crash, or the third if the crashing requests are the same. More than three break
+	// the rule.
 	Late int
 	// Sound are the sound requests later than twice Contact after the third crash, and First those whose first attempt was
 	// answered; the users' rule begins with the fifth crash. SoundBefore and FirstBefore are those from before the first crash.
@@ -20,8 +21,9 @@
 
 // Numbers of crashes after which a part must be known, and after which sound requests must be served again.
 const (
-	knownAfter  = 5
-	servedAfter = 3
+	knownAfter     = 5
+	knownAfterSame = 3
+	servedAfter    = 3
 )
 
 // String returns the figures of the report.
@@ -61,8 +63,12 @@
 	if begin == 0 {
 		return out
 	}
+	known := knownAfter
+	if r.Same {
+		known = knownAfterSame
+	}
 	for _, a := range r.arrivals {
-		if len(r.crashes) >= knownAfter && a.at > r.crashes[knownAfter-1]+Contact && r.inTouch(a.instance, a.at) {
+		if len(r.crashes) >= known && a.at > r.crashes[known-1]+Contact && r.inTouch(a.instance, a.at) {
 			out.Late++
 		}
 	}
--- a/fake/crash/target.go
+++ b/fake/crash/target.go
@@ -83,7 +83,7 @@
 	if !up {
 		return nil, &relay.AttemptError{Kind: relay.Unreachable, Err: errDown}
 	}
-	bad := slices.ContainsFunc(d.Prompt.Parts, func(p relay.Part) bool { return p.ID == crashPart })
+	bad := d.Key == crashingKey
 	if bad {
 		r.mu.Lock()
 		r.arrivals = append(r.arrivals, arrival{r.now(), instance})
