fix: a request that its caller repeats crashed target after target

Causes: (1) a request was known without its caller, so that an equal request of another caller which was answered ended the quarantine, each time; (2) only crashes in series counted, while repeats reach all three targets of a service before one instance knows of the other's crash, so that the third crash that counted was the fourth or fifth, and probes after 2 and 16 s used what was left of the bound. Class: evidence attributed to the wrong subject, and a bound that is approached by design instead of kept with a margin. Change: a trait for the request with its caller; the traits of whole requests are quarantined with the third crash, in series or not, the first probe at once if not in series, three probes at most; a probe that reached no target does not count.

--- a/core/poison/fold.go
+++ b/core/poison/fold.go
@@ -40,7 +40,7 @@
 	if c.Label != "" {
 		s.label = c.Label
 	}
-	if !s.quarantined && s.series() >= t.Limit {
+	if !s.quarantined && s.mustQuarantine(trait, t.Limit) {
 		s.quarantined = true
 		if known := t.before[trait]; known == nil || !known.quarantined {
 			t.OnChange(trait, s.label, true, len(s.crashes))
@@ -79,6 +79,7 @@
 	if r.Epoch > s.epoch {
 		t.beginEpoch(trait, s, r.Epoch)
 	}
+	s.addUnsent(r.Epoch, r.Unsent, time.Now())
 	if r.Probe == 0 || !s.addProbe(r.Epoch, r.Probe, time.Now()) {
 		return
 	}
@@ -137,7 +138,7 @@
 	for trait, s := range t.traits {
 		// The outcome of earlier probes is not known. They are taken to have failed, so that a restart does not bring the
 		// next one forward.
-		s.failed, s.pending = s.probes, false
+		s.failed, s.pending = s.probes-s.unsent, false
 		if known := t.before[trait]; known != nil && known.quarantined && s.quarantined {
 			s.changedAt, s.claimedAt = known.changedAt, known.claimedAt
 		}
@@ -150,7 +151,7 @@
 	defer t.mu.Unlock()
 	for trait, s := range t.traits {
 		if s.epoch > 0 || s.probes > 0 {
-			t.publish(encode(string(trait), stateRecord{Epoch: s.epoch, Probe: s.probes}))
+			t.publish(encode(string(trait), stateRecord{Epoch: s.epoch, Probe: s.probes, Unsent: s.unsent}))
 		}
 		for target, series := range s.crashes {
 			t.publish(encode(crashKey(trait, target), crashRecord{Epoch: s.epoch, Series: series, Label: s.label}))
--- a/core/poison/pass.go
+++ b/core/poison/pass.go
@@ -6,8 +6,10 @@
 type Pass struct {
 	tracker *Tracker
 	traits  Traits
-	// probe is set if a trait is quarantined.
-	probe bool
+	// probe is set if a trait is quarantined, and sent once the request may have reached a target.
+	probe, sent bool
+	// claimed holds the numbers of the probes that were claimed for this one.
+	claimed map[Trait]int64
 	// known is the state at admission of the traits for which the tracker had an entry.
 	known map[Trait]crashRecord
 }
@@ -26,14 +28,43 @@
 				p.known = map[Trait]crashRecord{}
 			}
 			p.known[trait] = crashRecord{Epoch: s.epoch, Series: s.series()}
+			if probe && s.quarantined {
+				p.claim(trait, s.probes)
+			}
 		}
 	}
 	return p
 }
 
+// claim records the number of the probe that was claimed for a trait.
+func (p *Pass) claim(trait Trait, probe int64) {
+	if p.claimed == nil {
+		p.claimed = map[Trait]int64{}
+	}
+	p.claimed[trait] = probe
+}
+
 // IsProbe reports whether the request was admitted although one of its traits is quarantined.
 func (p *Pass) IsProbe() bool { return p.probe }
 
+// Sent records that the request may have reached a target.
+func (p *Pass) Sent() { p.sent = true }
+
+// End ends the pass. A probe that reached no target has shown nothing, and another may follow soon.
+func (p *Pass) End() {
+	if p == nil || p.tracker == nil || !p.probe || p.sent {
+		return
+	}
+	t := p.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for trait, probe := range p.claimed {
+		if s := t.traits[trait]; s != nil && s.pending && s.probes == probe && s.epoch == p.known[trait].Epoch {
+			t.publish(encode(string(trait), stateRecord{Epoch: s.epoch, Probe: s.probes, Unsent: s.unsent + 1}))
+		}
+	}
+}
+
 // Crashed reports that the target crashed, which was of the given incarnation, and returns the length of the longest series of crashes that this one
 // ends. If the answer had begun, the parts of the prompt are not the cause.
 func (p *Pass) Crashed(incarnation string, answerBegan bool) (series int) {
@@ -46,7 +77,7 @@
 	switch {
 	case len(traits) > 0:
 	case answerBegan:
-		traits = []Trait{p.traits.Request}
+		traits = p.traits.whole()
 	default:
 		traits = p.traits.all()
 	}
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -20,17 +20,32 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Trait is what requests have in common: the hash of a part of their prompts, or of their whole content.
+// Trait is what requests have in common: the hash of a part of their prompts, or of their whole content, with or without their caller.
 type Trait string
 
+// Kinds of traits, the first byte of each.
+const (
+	partKind    = 'p'
+	requestKind = 'r'
+	callerKind  = 'c'
+)
+
 // PartTrait returns the trait of requests for a model that have a part in their prompts.
-func PartTrait(model, part string) Trait { return newTrait('p', model, part) }
+func PartTrait(model, part string) Trait { return newTrait(partKind, model, part) }
 
 // RequestTrait returns the trait of requests with the same body and the same other content.
 func RequestTrait(body []byte, content ...string) Trait {
-	return newTrait('r', append(content, strconv.FormatUint(xxhash.Sum64(body), hashBase))...)
+	return newTrait(requestKind, append(content, strconv.FormatUint(xxhash.Sum64(body), hashBase))...)
+}
+
+// CallerTrait returns the trait of requests of one caller that are alike by RequestTrait.
+func CallerTrait(caller string, request Trait) Trait {
+	return newTrait(callerKind, caller, string(request))
 }
 
+// isPart reports whether different requests have the trait.
+func (t Trait) isPart() bool { return t != "" && t[0] == partKind }
+
 // hashBase is the base in which hashes are written.
 const hashBase = 16
 
@@ -55,12 +70,20 @@
 	// Parts are the traits of the parts of its prompt that other prompts may share, and Labels the ids of these parts.
 	Parts  []Trait
 	Labels []string
-	// Request is the trait of its whole content.
-	Request Trait
+	// Request is the trait of its whole content, and Caller that of its content and caller; Caller is optional.
+	Request, Caller Trait
 }
 
 // all returns all traits.
-func (t Traits) all() []Trait { return append([]Trait{t.Request}, t.Parts...) }
+func (t Traits) all() []Trait { return append(t.whole(), t.Parts...) }
+
+// whole returns the traits of the whole content.
+func (t Traits) whole() []Trait {
+	if t.Caller == "" {
+		return []Trait{t.Request}
+	}
+	return []Trait{t.Request, t.Caller}
+}
 
 // maxLabelBytes limits the part of an id that is logged and published.
 const maxLabelBytes = 64
@@ -95,6 +118,9 @@
 	pendingProbe = 5 * time.Second
 	// claimPause is the time between two claims of an instance for the same probe, while the log does not confirm the first.
 	claimPause = time.Second
+	// maxRequestProbes is the number of probes of a trait of whole requests: only repeats of the same request have it, and each may crash
+	// another target. Afterwards the trait is refused until it is forgotten.
+	maxRequestProbes = 3
 	// ambiguousFactor is the factor by which a request with several quarantined traits waits longer as a probe. Requests with
 	// only one of them show first which one is the cause.
 	ambiguousFactor = 4
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -78,6 +78,13 @@
 	return t
 }
 
+// callerRequest returns the traits of a request that callers send alike.
+func callerRequest(caller string) poison.Traits {
+	t := request("alike")
+	t.Caller = poison.CallerTrait(caller, t.Request)
+	return t
+}
+
 // admit admits a request at an instance.
 func (f *fleet) admit(i *instance, traits poison.Traits) *poison.Pass {
 	f.t.Helper()
@@ -169,6 +176,36 @@
 			f.assertRefused(false, request("other", "first"))
 		})
 	})
+	t.Run("a repeated request, also while an equal one of another caller is answered", func(t *testing.T) {
+		run(t, func(f *fleet) {
+			crashing, equal := callerRequest("a"), callerRequest("b")
+			for n := range 3 {
+				f.admit(f.instances[n%2], crashing).Crashed(fmt.Sprint("target", n), false)
+				time.Sleep(exchange)
+				if pass, err := f.instances[1].Admit(f.ctx, equal); err == nil {
+					pass.Answered()
+				}
+				time.Sleep(exchange)
+			}
+			f.assertRefused(true, crashing)
+			f.assertRefused(false, equal)
+		})
+	})
+	t.Run("a repeated request whose crashes were not in series, after one probe", func(t *testing.T) {
+		run(t, func(f *fleet) {
+			same := callerRequest("a")
+			passes := []*poison.Pass{f.admit(f.instances[0], same), f.admit(f.instances[0], same), f.admit(f.instances[1], same)}
+			for n, pass := range passes {
+				pass.Crashed(fmt.Sprint("target", n), false)
+			}
+			time.Sleep(exchange)
+			pass := f.admit(f.instances[0], same)
+			f.assertRefused(true, same)
+			pass.Crashed("probe", false)
+			time.Sleep(10 * time.Second)
+			f.assertRefused(true, same)
+		})
+	})
 	t.Run("at an instance that starts later", func(t *testing.T) {
 		run(t, func(f *fleet) {
 			f.crash(3, "bad")
@@ -233,6 +270,39 @@
 			f.assertRefused(true, request("x", "first", "bad"))
 		})
 	})
+	t.Run("a repeated request has three", func(t *testing.T) {
+		run(t, func(f *fleet) {
+			same, crashes := callerRequest("a"), 0
+			for start := time.Now(); time.Since(start) < 25*time.Minute; time.Sleep(10 * time.Second) {
+				if pass, err := f.instances[0].Admit(f.ctx, same); err == nil {
+					crashes++
+					pass.Sent()
+					pass.Crashed(fmt.Sprint("target", crashes), false)
+					pass.End()
+				}
+			}
+			assert.Equal(f.t, crashes, poison.DefaultLimit+3)
+		})
+	})
+	t.Run("one that reached no target is repeated soon, and does not count", func(t *testing.T) {
+		run(t, func(f *fleet) {
+			same := callerRequest("a")
+			for n := range 3 {
+				f.admit(f.instances[0], same).Crashed(fmt.Sprint("target", n), false)
+				time.Sleep(exchange)
+			}
+			time.Sleep(4 * poison.DefaultProbePause)
+			for range 10 {
+				f.admit(f.instances[0], same).End()
+				time.Sleep(exchange)
+				f.assertRefused(true, same)
+				time.Sleep(time.Second)
+			}
+			f.admit(f.instances[1], same).Answered()
+			time.Sleep(exchange)
+			f.assertRefused(false, same)
+		})
+	})
 	t.Run("a probe that no target ran is not held against the part", func(t *testing.T) {
 		run(t, func(f *fleet) {
 			f.crash(3, "bad")
--- a/core/poison/probe.go
+++ b/core/poison/probe.go
@@ -15,13 +15,21 @@
 		if len(due) > 1 {
 			pause *= ambiguousFactor
 		}
-		if left := time.Until(s.probeAt(pause, t.MaxProbePause)); left > 0 {
+		if left := time.Until(t.nextProbe(trait, s, pause)); left > 0 {
 			return nil, &QuarantineError{Trait: trait, Label: traits.label(trait), Crashes: len(s.crashes), RetryAfter: left}
 		}
 	}
 	return due, nil
 }
 
+// nextProbe returns when the next probe of a trait may be claimed, or when the trait is forgotten if none may be.
+func (t *Tracker) nextProbe(trait Trait, s *suspicion, pause time.Duration) time.Time {
+	if !s.pending && !s.maySend(trait) {
+		return s.changedAt.Add(t.Retention)
+	}
+	return s.probeAt(pause, t.MaxProbePause, t.Limit)
+}
+
 // claim claims the next probe of a trait. It returns nil if another request claims it.
 func (t *Tracker) claim(trait Trait) chan struct{} {
 	if t.claims[trait] != nil {
@@ -31,7 +39,7 @@
 	t.claims[trait] = claim
 	s := t.traits[trait]
 	s.claimedAt = time.Now()
-	t.publish(encode(string(trait), stateRecord{Epoch: s.epoch, Probe: s.probes + 1, By: t.Incarnation}))
+	t.publish(encode(string(trait), stateRecord{Epoch: s.epoch, Probe: s.probes + 1, Unsent: s.unsent, By: t.Incarnation}))
 	return claim
 }
 
@@ -58,7 +66,7 @@
 	e := &QuarantineError{Trait: trait, Label: traits.label(trait), RetryAfter: t.ClaimTimeout}
 	if s := t.traits[trait]; s != nil {
 		e.Crashes = len(s.crashes)
-		e.RetryAfter = max(e.RetryAfter, time.Until(s.probeAt(t.ProbePause, t.MaxProbePause)))
+		e.RetryAfter = max(e.RetryAfter, time.Until(t.nextProbe(trait, s, t.ProbePause)))
 	}
 	return e
 }
--- a/core/poison/record.go
+++ b/core/poison/record.go
@@ -15,6 +15,8 @@
 type stateRecord struct {
 	Epoch int64 `json:"epoch"`
 	Probe int64 `json:"probe,omitempty"`
+	// Unsent is the number of probes that reached no target.
+	Unsent int64 `json:"unsent,omitempty"`
 	// By is the incarnation of the instance that claims a probe.
 	By string `json:"by,omitempty"`
 }
--- a/core/poison/state.go
+++ b/core/poison/state.go
@@ -24,7 +24,7 @@
 	list := []Quarantine{}
 	for trait, s := range t.traits {
 		if s.quarantined {
-			left := time.Until(s.probeAt(t.ProbePause, t.MaxProbePause))
+			left := time.Until(t.nextProbe(trait, s, t.ProbePause))
 			list = append(list, Quarantine{Trait: trait, Part: s.label, Crashes: len(s.crashes), Probes: s.probes, NextProbeMS: max(left, 0).Milliseconds()})
 		}
 	}
--- a/core/poison/trait.go
+++ b/core/poison/trait.go
@@ -9,14 +9,15 @@
 	epoch int64
 	// crashes holds the crashes of this epoch by the hash of the target's incarnation: the length of the series that each ended.
 	crashes map[string]int
-	// probes counts the claims of probes of this epoch, and failed those under which targets crashed. A claim is pending until
-	// then, or until it is too old.
-	probes, failed int64
-	pending        bool
+	// probes counts the claims of probes of this epoch, failed those under which targets crashed, and unsent those that reached no target.
+	// A claim is pending until then, or until it is too old.
+	probes, failed, unsent int64
+	pending                bool
 	// label is the id of the part; empty for the trait of the whole content.
 	label string
-	// changedAt is when the last crash or probe became known, and claimedAt when this instance last claimed a probe.
-	changedAt, claimedAt time.Time
+	// changedAt is when the last crash or probe became known, claimedAt when this instance last claimed a probe, and unsentAt when
+	// the last probe was one that reached no target.
+	changedAt, claimedAt, unsentAt time.Time
 	// quarantined is set once the limit was reached, until the next epoch.
 	quarantined bool
 }
@@ -32,7 +33,8 @@
 
 // begin starts an epoch.
 func (s *suspicion) begin(epoch int64) {
-	s.epoch, s.probes, s.failed, s.pending, s.quarantined = epoch, 0, 0, false, false
+	s.epoch, s.probes, s.failed, s.unsent, s.pending, s.quarantined = epoch, 0, 0, 0, false, false
+	s.unsentAt = time.Time{}
 	clear(s.crashes)
 }
 
@@ -58,18 +60,43 @@
 	if epoch != s.epoch || probe <= s.probes {
 		return false
 	}
-	s.probes, s.pending, s.changedAt = probe, true, now
+	s.probes, s.pending, s.changedAt, s.unsentAt = probe, true, now, time.Time{}
 	return true
 }
 
+// addUnsent records that the last probe reached no target.
+func (s *suspicion) addUnsent(epoch, unsent int64, now time.Time) {
+	if epoch == s.epoch && unsent > s.unsent {
+		s.unsent, s.pending, s.unsentAt = unsent, false, now
+	}
+}
+
+// mustQuarantine reports whether requests with the trait may no longer be sent. The repeats of one request seldom crash targets by chance, so
+// that for them crashes count that were not in series.
+func (s *suspicion) mustQuarantine(trait Trait, limit int) bool {
+	return s.series() >= limit || !trait.isPart() && len(s.crashes) >= limit
+}
+
+// maySend reports whether another probe may be sent at all.
+func (s *suspicion) maySend(trait Trait) bool {
+	return trait.isPart() || s.probes-s.unsent < maxRequestProbes
+}
+
 // probePauseFactor is the factor by which the time to the next probe grows with each that crashed a target.
 const probePauseFactor = 8
 
-// probeAt returns when the next probe may be claimed. The pause is that before the first one.
-func (s *suspicion) probeAt(pause, maxPause time.Duration) time.Time {
+// probeAt returns when the next probe may be claimed. The pause is that before the first one. There is none before it if the crashes were not
+// in series, as those of many targets at the same moment are not.
+func (s *suspicion) probeAt(pause, maxPause time.Duration, limit int) time.Time {
 	if s.pending {
 		return s.changedAt.Add(pendingProbe)
 	}
+	if !s.unsentAt.IsZero() {
+		return s.unsentAt.Add(claimPause)
+	}
+	if s.failed == 0 && s.series() < limit {
+		pause = 0
+	}
 	for n := s.failed; n > 0 && pause < maxPause; n-- {
 		pause *= probePauseFactor
 	}
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -46,6 +46,9 @@
 	r.progressAt = r.Now()
 	r.eventsBefore = r.Events
 	failed := r.exchange(ctx, d)
+	if failed == nil || failed.Sent {
+		r.pass.Sent()
+	}
 	if failed == nil {
 		if r.Status < http.StatusMultipleChoices {
 			r.pass.Answered()
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -128,6 +128,7 @@
 	}
 	r.Retries.CountRequest(r.Service)
 	refused := r.attemptUntilResponse(ctx)
+	r.pass.End()
 	r.settle()
 	if refused != nil {
 		return r.refuse(refused)
@@ -174,7 +175,7 @@
 	r.Priority = r.priority()
 	r.Service = r.pickService()
 	r.deadline = r.req.Arrived.Add(r.timeout())
-	r.traits = r.req.traits()
+	r.traits = r.req.traits(r.Organisation)
 	return nil
 }
 
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -56,8 +56,8 @@
 	Timeout time.Duration
 }
 
-// traits returns what the request may have in common with others.
-func (r *Request) traits() poison.Traits {
+// traits returns what the request of an organisation may have in common with others.
+func (r *Request) traits(organisation string) poison.Traits {
 	content := []string{r.Method, r.Host, r.URI}
 	t := poison.Traits{Labels: r.Prompt.SharedParts()}
 	for _, part := range t.Labels {
@@ -70,6 +70,7 @@
 		}
 	}
 	t.Request = poison.RequestTrait(r.Body, content...)
+	t.Caller = poison.CallerTrait(organisation, t.Request)
 	return t
 }
 
