fix: an instance was ready before it had read which requests crash targets

Change: readiness waits for the first read of that topic, as it does for the configuration and the budgets.

--- a/io/router/crash.go
+++ b/io/router/crash.go
@@ -32,8 +32,13 @@
 	r.crashes = &poison.Tracker{Incarnation: r.Incarnation, Outbox: r.crashReports, OnChange: r.quarantineChanged, OnInvalid: r.recordUnreadable(topic)}
 	r.crashes.Default()
 	r.crashTopic = &logs.Follower{
-		Log: r.Store, Topic: topic, Wait: crashWait, Pause: crashPause, Reset: r.crashes.Reset, Apply: r.crashes.Apply, OnRestored: r.crashes.Republish,
-		OnOutage: r.topicUnreachable(topic), OnRecovery: r.topicRecovered(topic),
+		Log: r.Store, Topic: topic, Wait: crashWait, Pause: crashPause, Apply: r.crashes.Apply,
+		Reset: func(records []logs.Record) {
+			r.crashes.Reset(records)
+			r.crashesRead.Store(true)
+		},
+		OnRestored: r.crashes.Republish,
+		OnOutage:   r.topicUnreachable(topic), OnRecovery: r.topicRecovered(topic),
 	}
 }
 
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -118,6 +118,8 @@
 	listMu        sync.Mutex
 	list          *roster.TargetList
 	targetsListed atomic.Bool
+	// crashesRead is set once the requests that crash targets were read.
+	crashesRead atomic.Bool
 	// running is set from the start until the shutdown begins.
 	running atomic.Bool
 	// refusedAt is when a request was last refused because the platform's log was unreachable or the link was full,
@@ -234,10 +236,11 @@
 const refusalHold = 3 * time.Second
 
 // Ready reports whether the instance accepts requests: it has received the configuration, the
-// targets and the budgets, can draw tokens, has room on its link, and is not stopping.
+// targets, what is known of them and the budgets, can draw tokens, has room on its link, and is not stopping.
 func (r *Router) Ready() bool {
 	recentlyRefused := time.Since(time.Unix(0, r.refusedAt.Load())) < refusalHold
-	return r.running.Load() && r.table.Current() != nil && r.targetsListed.Load() && r.budgets.Loaded() && !recentlyRefused
+	return r.running.Load() && r.table.Current() != nil && r.targetsListed.Load() && r.crashesRead.Load() &&
+		r.budgets.Loaded() && !recentlyRefused
 }
 
 // serveReady serves the platform's readiness check.
