--- a/io/router/rate.go
+++ b/io/router/rate.go
@@ -27,8 +27,13 @@
 	r.rates = &rate.Tracker{Instance: r.Settings.Instance.ID, Outbox: r.rateReports, OnChange: r.rateLimitChanged, OnInvalid: r.recordUnreadable(topic)}
 	r.rates.Default()
 	r.rateTopic = &logs.Follower{
-		Log: r.Store, Topic: topic, Wait: rateWait, Pause: ratePause, Reset: r.rates.Reset, Apply: r.rates.Apply, OnRestored: r.rates.Republish,
-		OnOutage: r.topicUnreachable(topic), OnRecovery: r.topicRecovered(topic),
+		Log: r.Store, Topic: topic, Wait: rateWait, Pause: ratePause, Apply: r.rates.Apply,
+		Reset: func(records []logs.Record) {
+			r.rates.Reset(records)
+			r.ratesRead.Store(true)
+		},
+		OnRestored: r.rates.Republish,
+		OnOutage:   r.topicUnreachable(topic), OnRecovery: r.topicRecovered(topic),
 	}
 }
 
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -118,8 +118,8 @@
 	listMu        sync.Mutex
 	list          *roster.TargetList
 	targetsListed atomic.Bool
-	// crashesRead is set once the requests that crash targets were read.
-	crashesRead atomic.Bool
+	// crashesRead and ratesRead are set once the requests that crash targets and the rate limits of targets were read.
+	crashesRead, ratesRead atomic.Bool
 	// running is set from the start until the shutdown begins.
 	running atomic.Bool
 	// refusedAt is when a request was last refused because the platform's log was unreachable or the link was full,
@@ -239,7 +239,7 @@
 // targets, what is known of them and the budgets, can draw tokens, has room on its link, and is not stopping.
 func (r *Router) Ready() bool {
 	recentlyRefused := time.Since(time.Unix(0, r.refusedAt.Load())) < refusalHold
-	return r.running.Load() && r.table.Current() != nil && r.targetsListed.Load() && r.crashesRead.Load() &&
+	return r.running.Load() && r.table.Current() != nil && r.targetsListed.Load() && r.crashesRead.Load() && r.ratesRead.Load() &&
 		r.budgets.Loaded() && !recentlyRefused
 }
 
