--- a/core/poison/fold.go
+++ b/core/poison/fold.go
@@ -130,7 +130,7 @@
 	defer t.mu.Unlock()
 	t.before, t.traits = t.traits, map[Trait]*suspicion{}
 	defer func() { t.before = nil }()
-	for _, r := range slices.Concat(records, t.pending()) {
+	for _, r := range slices.Concat(records, t.Pending()) {
 		if err := t.fold(r); err != nil {
 			t.OnInvalid(r.Key, err)
 		}
@@ -144,17 +144,3 @@
 		}
 	}
 }
-
-// Republish queues all that is known, after the log was restored from an older copy. It is called before Reset.
-func (t *Tracker) Republish() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for trait, s := range t.traits {
-		if s.epoch > 0 || s.probes > 0 {
-			t.publish(encode(string(trait), stateRecord{Epoch: s.epoch, Probe: s.probes, Unsent: s.unsent}))
-		}
-		for target, series := range s.crashes {
-			t.publish(encode(crashKey(trait, target), crashRecord{Epoch: s.epoch, Series: series, Label: s.label}))
-		}
-	}
-}
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -57,7 +57,7 @@
 func (f *fleet) start() *instance {
 	outbox := &logs.Outbox{Log: f.log.Log(), Topic: topic}
 	outbox.Default()
-	i := &instance{Tracker: &poison.Tracker{Incarnation: fmt.Sprint("i", len(f.instances)), Retention: f.retention, Outbox: outbox}}
+	i := &instance{Tracker: &poison.Tracker{Incarnation: fmt.Sprint("i", len(f.instances)), Retention: f.retention, Publish: outbox.Add, Pending: outbox.Pending}}
 	i.OnChange = func(_ poison.Trait, label string, quarantined bool, _ int) {
 		i.changes = append(i.changes, fmt.Sprintf("%s %t", label, quarantined))
 	}
@@ -200,6 +200,7 @@
 			}
 			time.Sleep(exchange)
 			pass := f.admit(f.instances[0], same)
+			time.Sleep(exchange)
 			f.assertRefused(true, same)
 			pass.Crashed("probe", false)
 			time.Sleep(10 * time.Second)
--- a/core/poison/publish.go
+++ b/core/poison/publish.go
@@ -2,10 +2,10 @@
 
 import "cranberryrail/core/logs"
 
-// publish queues a record for the other instances. Without others it applies the record at once.
+// publish queues a record for all instances. Without others it applies the record at once.
 func (t *Tracker) publish(r logs.Record) {
-	if t.Outbox != nil {
-		t.Outbox.Add(r)
+	if t.Publish != nil {
+		t.Publish(r)
 		return
 	}
 	if err := t.fold(r); err != nil {
@@ -13,10 +13,31 @@
 	}
 }
 
-// pending returns the records that are not known to be in the log.
-func (t *Tracker) pending() []logs.Record {
-	if t.Outbox == nil {
-		return nil
+// Records returns records that hold all that is known.
+func (t *Tracker) Records() []logs.Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.records()
+}
+
+func (t *Tracker) records() []logs.Record {
+	var list []logs.Record
+	for trait, s := range t.traits {
+		if s.epoch > 0 || s.probes > 0 {
+			list = append(list, encode(string(trait), stateRecord{Epoch: s.epoch, Probe: s.probes, Unsent: s.unsent}))
+		}
+		for target, series := range s.crashes {
+			list = append(list, encode(crashKey(trait, target), crashRecord{Epoch: s.epoch, Series: series, Label: s.label}))
+		}
+	}
+	return list
+}
+
+// Republish queues all that is known, after the log was restored from an older copy. It is called before Reset.
+func (t *Tracker) Republish() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.records() {
+		t.publish(r)
 	}
-	return t.Outbox.Pending()
 }
--- a/core/poison/tracker.go
+++ b/core/poison/tracker.go
@@ -14,8 +14,10 @@
 type Tracker struct {
 	// Incarnation is the incarnation of this instance.
 	Incarnation string
-	// Outbox publishes records for the other instances; nil if the instance exchanges none with others.
-	Outbox *logs.Outbox
+	// Publish queues a record for all instances, this one included; nil if there are no others. Pending returns the records that
+	// were queued and are not known to be in the log; optional.
+	Publish func(r logs.Record)
+	Pending func() []logs.Record
 	// Limit is the series of crashes after which a trait is quarantined.
 	Limit int
 	// ProbePause is the time from the last crash to the first probe, and MaxProbePause bounds the time to later ones.
@@ -60,6 +62,9 @@
 	if t.OnChange == nil {
 		t.OnChange = func(Trait, string, bool, int) {}
 	}
+	if t.Pending == nil {
+		t.Pending = func() []logs.Record { return nil }
+	}
 	if t.OnInvalid == nil {
 		t.OnInvalid = func(string, error) {}
 	}
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"strconv"
 	"time"
 
 	"cranberryrail/core/codes"
@@ -159,6 +158,7 @@
 // error is not nil. The error is a *codes.Error.
 func (s *Server) Generate(ctx context.Context, req Request, emit func(Frame) error) (Usage, error) {
 	r := &generation{server: s, req: req, emit: emit, traits: req.traits()}
+	defer func() { r.pass.End() }()
 	for {
 		failed, err := r.attempt(ctx)
 		if err == nil && failed == nil {
@@ -192,6 +192,9 @@
 	r.usage.Target = choice.Target.ID
 	err = r.relay(ctx, choice.Target, call)
 	var failed *AttemptError
+	if err == nil || !errors.As(err, &failed) || failed.Kind != Refused {
+		r.pass.Sent()
+	}
 	if err == nil || !errors.As(err, &failed) {
 		r.server.Done(choice.DispatchID, finalOutcome(err))
 		if err == nil {
@@ -219,9 +222,10 @@
 
 // traits returns what the request has in common with others: the prefix of its prompt, and all of it.
 func (r Request) traits() poison.Traits {
+	request := poison.RequestTrait([]byte(r.Prompt), r.Model)
 	return poison.Traits{
 		Parts:   []poison.Trait{poison.PartTrait(r.Model, r.Route.Prefix)}, // without a label, since it is the text of a caller
-		Request: poison.RequestTrait([]byte(r.Prompt), r.Model, strconv.Itoa(r.MaxTokens)),
+		Request: request, Caller: poison.CallerTrait(r.Route.Organisation, request),
 	}
 }
 
--- a/fake/crash/crash.go
+++ b/fake/crash/crash.go
@@ -184,7 +184,7 @@
 	log := r.logOf(i)
 	outbox := &logs.Outbox{Log: log, Topic: topic}
 	outbox.Default()
-	tracker := &poison.Tracker{Incarnation: fmt.Sprintf("i%d@%v", i, r.now()), Outbox: outbox}
+	tracker := &poison.Tracker{Incarnation: fmt.Sprintf("i%d@%v", i, r.now()), Publish: outbox.Add, Pending: outbox.Pending}
 	tracker.Default()
 	follower := &logs.Follower{Log: log, Topic: topic, Pause: readPause, Reset: tracker.Reset, Apply: tracker.Apply, OnRestored: tracker.Republish}
 	m.group.Go(func() error { return follower.Run(ctx) })
--- a/fake/engine/faults.go
+++ b/fake/engine/faults.go
@@ -32,6 +32,8 @@
 	Leaving bool `json:"leaving"`
 	// RateLimit is the limit on requests a second that load reports name; 0 for none. It is not enforced.
 	RateLimit float64 `json:"rate_limit"`
+	// CrashPrompt is a prompt that crashes the engine when it begins to run it; empty for none.
+	CrashPrompt string `json:"crash_prompt"`
 	// SlowMS is the additional delay of each token, in milliseconds.
 	SlowMS int `json:"slow_ms"`
 }
--- a/fake/engine/host/host.go
+++ b/fake/engine/host/host.go
@@ -35,6 +35,7 @@
 
 	ready chan struct{}
 	addr  string
+	crash context.CancelFunc
 }
 
 // Default sets unset fields to their defaults.
@@ -60,6 +61,8 @@
 		close(s.ready)
 		return fmt.Errorf("listen on %s (check that the port is free): %w", s.ListenAddr, err)
 	}
+	ctx, s.crash = context.WithCancel(ctx)
+	defer s.crash()
 	s.addr = ln.Addr().String()
 	close(s.ready)
 	srv := &http.Server{
@@ -75,6 +78,12 @@
 	return nil
 }
 
+// Crash ends the server as the end of its process does: it closes the listener and all connections. It panics, to end the request that calls it.
+func (s *Server) Crash() {
+	s.crash()
+	panic(http.ErrAbortHandler)
+}
+
 // HangUntilClosed reads the request and never responds; it returns when the client disconnects.
 func HangUntilClosed(r *http.Request) {
 	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxBody))
--- a/fake/engine/stream.go
+++ b/fake/engine/stream.go
@@ -88,6 +88,9 @@
 		return
 	}
 	defer s.batch.release()
+	if faults.CrashPrompt != "" && q.Prompt == faults.CrashPrompt {
+		s.host.Crash()
+	}
 	s.run(ctx, a)
 }
 
--- a/fake/plain/plain.go
+++ b/fake/plain/plain.go
@@ -57,6 +57,8 @@
 	DropAfterRatio float64 `json:"drop_after_ratio"`
 	// Silent accepts calls, and neither runs them nor responds.
 	Silent bool `json:"silent"`
+	// CrashBody is a body that crashes the service when it begins to run a call with it; empty for none.
+	CrashBody string `json:"crash_body"`
 	// RateLimit is the limit on calls a second that load reports name; 0 for none. It is not enforced.
 	RateLimit float64 `json:"rate_limit"`
 	// Leaving refuses calls with a response which states that the call was not run.
@@ -178,6 +180,9 @@
 		Run:       s.beginRun(key),
 	}
 	defer s.endRun()
+	if faults.CrashBody != "" && string(body) == faults.CrashBody {
+		s.host.Crash()
+	}
 	sleep(r.Context(), time.Duration(faults.DelayMS)*time.Millisecond)
 	if drop {
 		panic(http.ErrAbortHandler)
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -16,6 +16,7 @@
 	"cranberryrail/core/conf"
 	"cranberryrail/core/ledger"
 	"cranberryrail/core/once"
+	"cranberryrail/core/poison"
 	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
 	"cranberryrail/core/serve"
@@ -60,6 +61,10 @@
 	Generate *serve.Server
 	// CallService makes one call to a plain service.
 	CallService func(ctx context.Context, t roster.Target, c Call) (Reply, error)
+	// Crashes decides whether calls like one may be sent, by the targets that have crashed under them; optional.
+	Crashes *poison.Tracker
+	// HasCrashed reports whether the process of a target has ended, after a call to it failed; needed with Crashes.
+	HasCrashed func(ctx context.Context, t roster.Target) bool
 	// OnServed is called at the end of each authenticated request; optional.
 	OnServed func(s Outcome)
 
--- a/io/front/service.go
+++ b/io/front/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -12,6 +13,7 @@
 	"cranberryrail/core/codes"
 	"cranberryrail/core/conf"
 	"cranberryrail/core/once"
+	"cranberryrail/core/poison"
 	"cranberryrail/core/route"
 	"cranberryrail/core/serve"
 )
@@ -121,6 +123,11 @@
 
 // tryTargets sends the call to one target after another until one may have run it.
 func (s *Server) tryTargets(ctx context.Context, t conf.Template, name string, call Call) (Reply, *codes.Error) {
+	pass, refused := s.admitCall(ctx, t.Organisation, name, call)
+	if refused != nil {
+		return Reply{}, refused
+	}
+	defer pass.End()
 	request := route.Request{Organisation: t.Organisation, Service: name, Priority: t.Priority}
 	var lastErr error
 	for range serve.MaxAttempts {
@@ -131,11 +138,19 @@
 		reply, err := s.CallService(ctx, choice.Target, call)
 		if err == nil {
 			s.Route.Done(choice.DispatchID, route.OK)
+			pass.Sent()
+			if reply.Status < http.StatusMultipleChoices {
+				pass.Answered()
+			}
 			return reply, nil
 		}
 		failed := serve.AsAttemptError(err)
 		s.Route.Done(choice.DispatchID, failed.Outcome())
 		if !failed.NotRun {
+			pass.Sent()
+			if s.Crashes != nil && s.HasCrashed(ctx, choice.Target) {
+				pass.Crashed(choice.Target.Incarnation, false)
+			}
 			return Reply{}, &codes.Error{Code: codes.OutcomeUnknown, Run: codes.Unknown, Err: err,
 				Detail: "the call was sent but no complete response was received; ask the service whether the call took effect; it will not be sent again"}
 		}
@@ -149,6 +164,21 @@
 		Detail: "no target accepted the call; retry it with the same key"}
 }
 
+// admitCall admits a call by what calls like it did to targets.
+func (s *Server) admitCall(ctx context.Context, organisation, service string, call Call) (*poison.Pass, *codes.Error) {
+	request := poison.RequestTrait(call.Body, service, call.Operation)
+	pass, err := s.Crashes.Admit(ctx, poison.Traits{Request: request, Caller: poison.CallerTrait(organisation, request)})
+	var quarantined *poison.QuarantineError
+	switch {
+	case err == nil:
+		return pass, nil
+	case errors.As(err, &quarantined):
+		return nil, codes.Refuse(codes.CrashesTargets, quarantined.RetryAfter, "%v", quarantined)
+	default:
+		return nil, codes.From(err, codes.NotRun)
+	}
+}
+
 // recordResult records the response for replay. It omits a body larger than MaxReplyBytes.
 func (s *Server) recordResult(replica *once.Replica, call Call, reply Reply) {
 	result := once.Result{Key: call.Key, Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -66,6 +66,7 @@
 	platformLog     tail.Log
 	target          *target.Client
 	crashes         *poison.Tracker
+	crashFeed       *tail.Feed
 	rates           *rate.Tracker
 	logReachability *reachability
 	config          configStore
@@ -217,12 +218,6 @@
 	n.Route = &route.Client{Root: n.system.Root, PID: n.system.Root.Spawn(a.Props())}
 }
 
-// makeCrashes creates the tracker of requests that crash targets. Instances don't exchange what they see.
-func (n *Node) makeCrashes() {
-	n.crashes = &poison.Tracker{Incarnation: n.Incarnation, OnChange: n.onQuarantineChanged}
-	n.crashes.Default()
-}
-
 func (n *Node) makeFront() {
 	n.makeCrashes()
 	n.Front = &front.Server{
@@ -233,6 +228,7 @@
 			return t, ok
 		},
 		OnServed: n.onServed, Ledger: n.LedgerOf, Once: n.OnceOf, Route: n.Route, CallService: newServiceCaller(n.target),
+		Crashes: n.crashes, HasCrashed: n.hasCrashed,
 		Generate: &serve.Server{
 			Pick: n.Route.Pick, Done: n.Route.Done, Retry: n.Route.TryRetry, Open: newStreamOpener(n.target, n.onStreamOpened), Cancel: n.cancelAttempt,
 			OnLeaving: n.onTargetLeaving, OnAttemptFailed: n.onAttemptFailed, Crashes: n.crashes, HasCrashed: n.hasCrashed,
@@ -244,9 +240,9 @@
 // Ready reports whether the instance accepts requests.
 func (n *Node) Ready() bool { return n.started.Load() && n.feedsReady() }
 
-// feedsReady reports whether the feeds of the configuration and of the ledgers have caught up.
+// feedsReady reports whether the feeds of the configuration, of the crashes and of the ledgers have caught up.
 func (n *Node) feedsReady() bool {
-	ready := n.Conf.Feed.Ready()
+	ready := n.Conf.Feed.Ready() && n.crashFeed.Ready()
 	for _, replica := range n.Ledger {
 		ready = ready && replica.Feed.Ready()
 	}
@@ -360,7 +356,7 @@
 // components returns the functions that run concurrently until the instance stops.
 func (n *Node) components() []func(ctx context.Context) error {
 	components := make([]func(ctx context.Context) error, 0, fixedComponents+len(n.Ledger)+len(n.Once))
-	components = append(components, n.Front.Run, n.Oper.Run, n.Conf.Run, n.peerServer.Run, n.gossip.Run, n.pollList, n.pollLoads, n.awaitStartup, n.updateGauges, n.writeSnapshots)
+	components = append(components, n.Front.Run, n.Oper.Run, n.Conf.Run, n.crashFeed.Run, n.peerServer.Run, n.gossip.Run, n.pollList, n.pollLoads, n.awaitStartup, n.updateGauges, n.writeSnapshots)
 	for _, replica := range n.Ledger {
 		components = append(components, replica.Run)
 	}
--- a/io/node/observe.go
+++ b/io/node/observe.go
@@ -15,7 +15,6 @@
 	"cranberryrail/core/events"
 	"cranberryrail/core/ledger"
 	"cranberryrail/core/once"
-	"cranberryrail/core/poison"
 	"cranberryrail/core/roster"
 	"cranberryrail/core/serve"
 	"cranberryrail/core/tail"
@@ -261,24 +260,6 @@
 	}
 }
 
-// hasCrashed reports whether the process of a target has ended: its machine refuses connections.
-func (n *Node) hasCrashed(ctx context.Context, t roster.Target) bool {
-	crashed := n.target.RefusesConnections(context.WithoutCancel(ctx), t.Addr)
-	if crashed {
-		events.Log(n.Log, events.TargetCrashed).Str("target", t.ID).Send()
-	}
-	return crashed
-}
-
-// onQuarantineChanged logs that requests with a trait are no longer sent, or are sent again.
-func (n *Node) onQuarantineChanged(trait poison.Trait, _ string, quarantined bool, crashes int) {
-	event := events.Released
-	if quarantined {
-		event = events.Quarantined
-	}
-	events.Log(n.Log, event).Str("trait", string(trait)).Int("crashes", crashes).Send()
-}
-
 // onRateLimitChanged logs that a rate limit is named, changes or ends.
 func (n *Node) onRateLimitChanged(target string, perSecond float64, limited bool) {
 	event := events.RateLimitEnded
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -162,7 +162,7 @@
 }
 
 func (n *Node) feeds() []*tail.Feed {
-	feeds := append(make([]*tail.Feed, 0, 1+len(n.Ledger)+len(n.Once)), n.Conf.Feed)
+	feeds := append(make([]*tail.Feed, 0, 2+len(n.Ledger)+len(n.Once)), n.Conf.Feed, n.crashFeed)
 	for _, replica := range n.Ledger {
 		feeds = append(feeds, replica.Feed)
 	}
--- a/io/node/poll.go
+++ b/io/node/poll.go
@@ -100,6 +100,7 @@
 			n.Route.SetTargets(list.Targets, n.instanceCount())
 			n.setRateSharers(list.Instances)
 			n.rates.Expire(list.Targets)
+			n.crashes.Expire()
 		}
 	})
 }
--- a/io/router/crash.go
+++ b/io/router/crash.go
@@ -29,7 +29,7 @@
 		events.Log(r.Log, events.ReportsDelayed).Err(err).Send()
 	}}
 	r.crashReports.Default()
-	r.crashes = &poison.Tracker{Incarnation: r.Incarnation, Outbox: r.crashReports, OnChange: r.quarantineChanged, OnInvalid: r.recordUnreadable(topic)}
+	r.crashes = &poison.Tracker{Incarnation: r.Incarnation, Publish: r.crashReports.Add, Pending: r.crashReports.Pending, OnChange: r.quarantineChanged, OnInvalid: r.recordUnreadable(topic)}
 	r.crashes.Default()
 	r.crashTopic = &logs.Follower{
 		Log: r.Store, Topic: topic, Wait: crashWait, Pause: crashPause, Apply: r.crashes.Apply,
