test: a request whose callers leave crashes few targets (fails)

Change: in fake/crash targets run crashing requests whose callers have left; TestCallersWhoLeave, and half of the runs of TestRandomRepeats.

--- a/fake/crash/crash.go
+++ b/fake/crash/crash.go
@@ -42,6 +42,8 @@
 	events              = 8
 	// callDelay is the duration of a call to the log, and readPause the time between two reads of an instance.
 	callDelay, readPause = 5 * time.Millisecond, 100 * time.Millisecond
+	// leaveTime is the longest time after which callers leave who do so early.
+	leaveTime = 60 * time.Millisecond
 	// callerPause is the time after which callers repeat a failed request, once.
 	callerPause = 100 * time.Millisecond
 )
@@ -62,6 +64,8 @@
 	// are answered, sends an equal one.
 	Same  bool
 	Equal float64
+	// Leaves is the share of the callers of crashing requests who leave within leaveTime. Targets run their requests all the same.
+	Leaves float64
 	// LogAway and Parted are the times at which no instance, or every second one, reaches the log.
 	LogAway, Parted []Window
 	// Restarts are the times at which every second instance is killed and starts again, in ascending order.
@@ -294,7 +298,13 @@
 		parts = []string{crashPart, callersPart}
 	}
 	for range 2 {
-		if result := r.send(ctx, r.number(r.Instances), crashingKey, content, parts...); result.Refused == nil {
+		call, cancel := context.WithCancel(ctx)
+		if r.Leaves > 0 && r.chance() < r.Leaves {
+			call, cancel = context.WithTimeout(ctx, time.Duration(r.chance()*float64(leaveTime)))
+		}
+		result := r.send(call, r.number(r.Instances), crashingKey, content, parts...)
+		cancel()
+		if result.Refused == nil {
 			return
 		}
 		pause.For(ctx, callerPause)
--- a/fake/crash/crash_test.go
+++ b/fake/crash/crash_test.go
@@ -90,6 +90,9 @@
 	if rng.IntN(2) == 0 {
 		r.Equal = 0.2 + 2*rng.Float64()
 	}
+	if rng.IntN(2) == 0 {
+		r.Leaves = rng.Float64()
+	}
 	return r
 }
 
@@ -107,6 +110,18 @@
 	}
 }
 
+// TestCallersWhoLeave guards against a request that crashes target after target because its callers leave before, so that instances close the
+// connection and don't see the crash.
+func TestCallersWhoLeave(t *testing.T) {
+	for _, targets := range []int{3, 18} {
+		t.Run(fmt.Sprintf("%d targets", targets), func(t *testing.T) {
+			assertRules(t, &crash.Run{
+				Seed: 1, Instances: 8, Targets: targets, Sound: 10, Crashing: 2, CrashingFrom: 5 * time.Second, Length: 90 * time.Second, Same: true, Leaves: 1,
+			})
+		})
+	}
+}
+
 // TestCrashesOfAllTargets guards against sound requests that are refused because all targets, or half of them, crashed at the same moment
 // while they had such requests.
 func TestCrashesOfAllTargets(t *testing.T) {
--- a/fake/crash/target.go
+++ b/fake/crash/target.go
@@ -20,6 +20,9 @@
 	errCrashed = errors.New("unexpected EOF")
 )
 
+// never is longer than any run.
+const never = 1000 * time.Hour
+
 // restartTime is the time from a crash to the next start.
 const restartTime = 2 * time.Second
 
@@ -92,18 +95,24 @@
 	if r.Rejects > 0 && r.chance() < r.Rejects {
 		return &relay.Response{Status: 503, ResponseHead: relay.ResponseHead{NotRun: true}, Close: func() {}}, nil
 	}
-	if err := r.await(ctx, crashed, -math.Log(1-r.chance())*float64(queueTime)); err != nil {
-		return nil, err
+	queued := -math.Log(1-r.chance()) * float64(queueTime)
+	if !bad {
+		err := r.await(ctx, crashed, queued)
+		return r.stream(ctx, crashed), err
 	}
-	if bad {
-		r.mu.Lock()
-		r.crashes = append(r.crashes, r.now())
-		r.mu.Unlock()
-		r.restarts.Go(func() error { return r.crash(context.WithoutCancel(ctx), t) })
-		<-crashed
-		return nil, &relay.AttemptError{Kind: relay.Broken, Sent: true, Err: errCrashed}
+	r.restarts.Go(func() error { return r.runCrashing(context.WithoutCancel(ctx), t, crashed, queued) })
+	return nil, r.await(ctx, crashed, float64(never))
+}
+
+// runCrashing runs a crashing request, after it was queued for a number of nanoseconds, also if its caller has left.
+func (r *Run) runCrashing(ctx context.Context, t *target, crashed <-chan struct{}, queued float64) error {
+	if r.await(ctx, crashed, queued) != nil {
+		return nil
 	}
-	return r.stream(ctx, crashed), nil
+	r.mu.Lock()
+	r.crashes = append(r.crashes, r.now())
+	r.mu.Unlock()
+	return r.crash(ctx, t)
 }
 
 // await waits for a number of nanoseconds. It fails if the target crashes or the request ends.
