fix: a crash under a request whose caller had left counted under no request

Cause: an instance closes the connection of a request when its caller leaves, or when it takes too long, and an exchange that it closed itself was not looked at again, while targets run such requests on. Class: evidence that is given up with the work that would have shown it. Change: poison.Watcher watches such a target for 5 s, preferring an open connection of the pool; one that ends counts as crashed under the requests that it may still have run. A target that breaks off and still accepts connections at that moment is watched as well.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -83,14 +83,18 @@
 // of a part of the prompt.
 const answerEvents = 3
 
-// reportCrash reports a target that crashed during an attempt. An exchange that ends with the context of the request was
-// closed by this instance.
+// reportCrash reports a target that crashed during an attempt, or watches it if it may still run the request. An exchange that ends with
+// the context of the request was closed by this instance.
 func (r *relayedRequest) reportCrash(ctx context.Context, d Dispatch, failed *AttemptError) {
-	if !failed.Sent || ctx.Err() != nil || failed.Kind != Broken && failed.Kind != Invalid || !r.HasCrashed(ctx, d.Target) {
+	switch {
+	case !failed.Sent || failed.Kind == Shed || failed.Kind == Misdirected || failed.Kind == Errored:
 		return
+	case ctx.Err() == nil && (failed.Kind == Broken || failed.Kind == Invalid) && r.HasCrashed(ctx, d.Target):
+		failed.Crashed = true
+		failed.Series = r.pass.Crashed(d.Target.Incarnation, failed.Events >= answerEvents)
+	default:
+		r.Abandoned.Add(d.Target, r.pass, failed.Events >= answerEvents)
 	}
-	failed.Crashed = true
-	failed.Series = r.pass.Crashed(d.Target.Incarnation, failed.Events >= answerEvents)
 }
 
 // routeRequest returns the criteria for choosing a target.
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -38,6 +38,8 @@
 	Crashes *poison.Tracker
 	// HasCrashed reports whether the process of a target has ended, after an exchange with it broke off; optional.
 	HasCrashed func(ctx context.Context, t roster.Target) bool
+	// Abandoned watches targets that may still run a request after its exchange has ended; optional.
+	Abandoned *poison.Watcher
 	// OnAttemptFailed is called for each failed attempt; optional.
 	OnAttemptFailed func(d Dispatch, f *AttemptError)
 	// MaxResponseBytes limits the body of a response, or the events of a stream together. A target that sends more is
--- a/fake/crash/crash.go
+++ b/fake/crash/crash.go
@@ -193,6 +193,9 @@
 	follower := &logs.Follower{Log: log, Topic: topic, Pause: readPause, Reset: tracker.Reset, Apply: tracker.Apply, OnRestored: tracker.Republish}
 	m.group.Go(func() error { return follower.Run(ctx) })
 	m.group.Go(func() error { return outbox.Run(ctx) })
+	watcher := &poison.Watcher{HasEnded: func(_ context.Context, t roster.Target) bool { return r.hasCrashed(t) }}
+	watcher.Default()
+	m.group.Go(func() error { return watcher.Run(ctx) })
 	config := table.New(table.Config{
 		Routes: []table.Route{{
 			Name: "r", Host: "h", Prefix: "/", Kind: table.Streaming, LatencyObjective: time.Second, GapObjective: 400 * time.Millisecond,
@@ -210,7 +213,7 @@
 		},
 		Settle: func(budget.Reservation, int64) {}, Done: func(int64, route.Outcome) {},
 		Pick: r.pick, Dispatch: func(ctx context.Context, d relay.Dispatch) (*relay.Response, error) { return r.dispatch(ctx, i, d) },
-		HasCrashed: func(_ context.Context, t roster.Target) bool { return r.hasCrashed(t) },
+		HasCrashed: func(_ context.Context, t roster.Target) bool { return r.hasCrashed(t) }, Abandoned: watcher,
 	}
 	m.server.Default()
 	return m
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -254,6 +254,19 @@
 	return newConn(nc, r.PoolKey, c.IdleTimeout), nil
 }
 
+// Check returns nil if the target of a request can be reached: a connection of the pool is open, or one can be opened, which is then added to
+// the pool. The error wraps that of the dial.
+func (c *Client) Check(ctx context.Context, r *Request) error {
+	cn := c.acquireIdle(r)
+	if cn == nil {
+		return c.Connect(ctx, r)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleConns[cn.poolKey] = append(c.idleConns[cn.poolKey], cn)
+	return nil
+}
+
 // Connect opens a connection to the target of a request and adds it to the pool. The error wraps that of the dial.
 func (c *Client) Connect(ctx context.Context, r *Request) error {
 	cn, err := c.dial(ctx, r)
--- a/io/router/crash.go
+++ b/io/router/crash.go
@@ -31,6 +31,8 @@
 	r.crashReports.Default()
 	r.crashes = &poison.Tracker{Incarnation: r.Incarnation, Publish: r.crashReports.Add, Pending: r.crashReports.Pending, OnChange: r.quarantineChanged, OnInvalid: r.recordUnreadable(topic)}
 	r.crashes.Default()
+	r.abandoned = &poison.Watcher{HasEnded: r.hasEnded}
+	r.abandoned.Default()
 	r.crashTopic = &logs.Follower{
 		Log: r.Store, Topic: topic, Wait: crashWait, Pause: crashPause, Apply: r.crashes.Apply,
 		Reset: func(records []logs.Record) {
@@ -65,6 +67,16 @@
 	return crashed == true
 }
 
+// hasEnded reports the same of a target at which a request was given up. It prefers a connection that is open.
+func (r *Router) hasEnded(ctx context.Context, t roster.Target) bool {
+	err := r.conns.Check(ctx, &conns.Request{PoolKey: t.Incarnation, Addr: t.Addr})
+	ended := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.EHOSTUNREACH)
+	if ended {
+		events.Log(r.Log, events.AbandonedCrashed).Str("target", t.ID).Send()
+	}
+	return ended
+}
+
 // targetCrashed logs a target that crashed during an attempt.
 func (r *Router) targetCrashed(d relay.Dispatch, f *relay.AttemptError) {
 	line := events.Log(r.Log, events.TargetCrashed).Str("target", d.Target.ID).Str("request", d.ID).Int("events", f.Events).
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -101,6 +101,7 @@
 	crashes      *poison.Tracker
 	crashTopic   *logs.Follower
 	crashReports *logs.Outbox
+	abandoned    *poison.Watcher
 	rates        *rate.Tracker
 	rateTopic    *logs.Follower
 	rateReports  *logs.Outbox
@@ -161,7 +162,7 @@
 	r.table.OnApplied = r.configApplied
 	r.initCrashes()
 	r.relay = &relay.Server{
-		Crashes: r.crashes, HasCrashed: r.hasCrashed,
+		Crashes: r.crashes, HasCrashed: r.hasCrashed, Abandoned: r.abandoned,
 		Table: r.table.Current, Reserve: r.budgets.Reserve, Settle: r.budgets.Settle, Pick: r.routeClient.Pick, Done: r.routeClient.Done,
 		Retries: r.retries, Dispatch: r.dispatch, OnAttemptFailed: r.attemptFailed, MaxResponseBytes: s.Target.MaxResponseBytes(), Zone: s.Instance.Zone, Random: rand.IntN,
 	}
@@ -289,7 +290,7 @@
 // tasks returns the functions that run concurrently.
 func (r *Router) tasks() []func(ctx context.Context) error {
 	runs := []func(ctx context.Context) error{
-		r.entry.Run, r.ready.Run, r.budgetSync.Run, r.followConfig().Run, r.followTargets().Run, r.crashTopic.Run, r.crashReports.Run, r.rateTopic.Run, r.rateReports.Run,
+		r.entry.Run, r.ready.Run, r.budgetSync.Run, r.followConfig().Run, r.followTargets().Run, r.crashTopic.Run, r.crashReports.Run, r.abandoned.Run, r.rateTopic.Run, r.rateReports.Run,
 		r.runPeriodic, r.watchReload,
 	}
 	if r.Settings.Metrics.Listen != "" {
