fix: at the own interface crashes counted under no request when their callers had left

Change: core/serve watches such targets too (poison.Watcher). Measured: TestPromptOfCallerWhoLeavesCrashesFewEngines: without the watch the eighth request still crashes engines (3003 after three attempts), now it is refused everywhere (3006).

--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -128,6 +128,8 @@
 	OnLeaving func(incarnation string)
 	// Crashes decides whether requests like one may be sent, by the targets that have crashed under them; optional.
 	Crashes *poison.Tracker
+	// Abandoned watches targets that may still run a request after its attempt has ended; optional.
+	Abandoned *poison.Watcher
 	// HasCrashed reports whether the process of a target has ended, after an attempt at it failed. It is set if Crashes is.
 	HasCrashed func(ctx context.Context, t roster.Target) bool
 	// OnAttemptFailed is called for each failed attempt; optional.
@@ -199,6 +201,8 @@
 		r.server.Done(choice.DispatchID, finalOutcome(err))
 		if err == nil {
 			r.pass.Answered()
+		} else {
+			r.server.Abandoned.Add(choice.Target, r.pass, r.nextPosition-r.resumedFrom >= answerTokens)
 		}
 		return nil, err
 	}
@@ -208,12 +212,17 @@
 	return failed, nil
 }
 
-// reportCrash reports a target that crashed during an attempt. An attempt that ends with its caller was cancelled by this instance.
+// reportCrash reports a target that crashed during an attempt, or watches it if it may still run the request. An attempt that ends with its
+// caller was cancelled by this instance.
 func (r *generation) reportCrash(ctx context.Context, t roster.Target, failed *AttemptError) {
-	if r.server.Crashes == nil || failed.NotRun || failed.Kind == Refused || ctx.Err() != nil || !r.server.HasCrashed(ctx, t) {
-		return
+	answerBegan := r.nextPosition-r.resumedFrom >= answerTokens
+	switch {
+	case r.server.Crashes == nil || failed.NotRun || failed.Kind == Refused:
+	case ctx.Err() == nil && r.server.HasCrashed(ctx, t):
+		r.pass.Crashed(t.Incarnation, answerBegan)
+	default:
+		r.server.Abandoned.Add(t, r.pass, answerBegan)
 	}
-	r.pass.Crashed(t.Incarnation, r.nextPosition-r.resumedFrom >= answerTokens)
 }
 
 // answerTokens is the number of tokens after which a target has begun the answer: one that crashes afterwards does not crash because of
--- a/fake/engine/faults.go
+++ b/fake/engine/faults.go
@@ -30,6 +30,8 @@
 	FailRatio float64 `json:"fail_ratio"`
 	// Leaving refuses new requests; admitted requests continue.
 	Leaving bool `json:"leaving"`
+	// CrashDelayMS is the time until the crash, in milliseconds; the engine crashes also if the caller has left.
+	CrashDelayMS int `json:"crash_delay_ms"`
 	// RateLimit is the limit on requests a second that load reports name; 0 for none. It is not enforced.
 	RateLimit float64 `json:"rate_limit"`
 	// CrashPrompt is a prompt that crashes the engine when it begins to run it; empty for none.
--- a/fake/engine/stream.go
+++ b/fake/engine/stream.go
@@ -89,6 +89,7 @@
 	}
 	defer s.batch.release()
 	if faults.CrashPrompt != "" && q.Prompt == faults.CrashPrompt {
+		time.Sleep(time.Duration(faults.CrashDelayMS) * time.Millisecond)
 		s.host.Crash()
 	}
 	s.run(ctx, a)
--- a/io/node/crash.go
+++ b/io/node/crash.go
@@ -30,6 +30,8 @@
 		n.crashFeed.Add(tail.NewItem(crashItem, crashRecord{Key: r.Key, Value: r.Value}))
 	}}
 	n.crashes.Default()
+	n.abandoned = &poison.Watcher{HasEnded: n.hasCrashed}
+	n.abandoned.Default()
 	n.crashFeed.Apply = n.applyCrashes
 	n.crashFeed.Save = func() ([]byte, error) {
 		known := n.crashes.Records()
--- a/io/node/crash_test.go
+++ b/io/node/crash_test.go
@@ -62,3 +62,19 @@
 	assertQuarantined(t, f, func(m *fleet.Member, n int) result { return call(m, "deadly", n) })
 	assert.Equal(t, call(f.Members[0], "sound", 0).status, http.StatusOK)
 }
+
+// TestPromptOfCallerWhoLeavesCrashesFewEngines guards against crashes that count under no request, because the caller left before.
+func TestPromptOfCallerWhoLeavesCrashesFewEngines(t *testing.T) {
+	f := start(t, &fleet.Fleet{Instances: 2, Engines: 12, Capacity: 1, ConfigureInstance: shortTimeouts})
+	provisionAll(t, f, 1_000_000)
+	setEngineFaults(f, func(faults *engine.Faults) { faults.CrashPrompt, faults.CrashDelayMS = "deadly", 100 })
+	for n := range 8 {
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		send(ctx, f.Members[n%2], "/v1/completions", fleet.Key("acme"), promptBody("deadly", 4, false))
+		cancel()
+		time.Sleep(2 * sharingTime)
+	}
+	for _, m := range f.Members {
+		assertRefused(t, send(context.Background(), m, "/v1/completions", fleet.Key("acme"), promptBody("deadly", 4, false)).reply, 3006, "not_run")
+	}
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -67,6 +67,7 @@
 	target          *target.Client
 	crashes         *poison.Tracker
 	crashFeed       *tail.Feed
+	abandoned       *poison.Watcher
 	rates           *rate.Tracker
 	logReachability *reachability
 	config          configStore
@@ -231,7 +232,7 @@
 		Crashes: n.crashes, HasCrashed: n.hasCrashed,
 		Generate: &serve.Server{
 			Pick: n.Route.Pick, Done: n.Route.Done, Retry: n.Route.TryRetry, Open: newStreamOpener(n.target, n.onStreamOpened), Cancel: n.cancelAttempt,
-			OnLeaving: n.onTargetLeaving, OnAttemptFailed: n.onAttemptFailed, Crashes: n.crashes, HasCrashed: n.hasCrashed,
+			OnLeaving: n.onTargetLeaving, OnAttemptFailed: n.onAttemptFailed, Crashes: n.crashes, HasCrashed: n.hasCrashed, Abandoned: n.abandoned,
 		},
 	}
 	n.Front.Default()
@@ -356,7 +357,7 @@
 // components returns the functions that run concurrently until the instance stops.
 func (n *Node) components() []func(ctx context.Context) error {
 	components := make([]func(ctx context.Context) error, 0, fixedComponents+len(n.Ledger)+len(n.Once))
-	components = append(components, n.Front.Run, n.Oper.Run, n.Conf.Run, n.crashFeed.Run, n.peerServer.Run, n.gossip.Run, n.pollList, n.pollLoads, n.awaitStartup, n.updateGauges, n.writeSnapshots)
+	components = append(components, n.Front.Run, n.Oper.Run, n.Conf.Run, n.crashFeed.Run, n.abandoned.Run, n.peerServer.Run, n.gossip.Run, n.pollList, n.pollLoads, n.awaitStartup, n.updateGauges, n.writeSnapshots)
 	for _, replica := range n.Ledger {
 		components = append(components, replica.Run)
 	}
