--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -119,8 +119,9 @@
 	// claimPause is the time between two claims of an instance for the same probe, while the log does not confirm the first.
 	claimPause = time.Second
 	// maxRequestProbes is the number of probes of a trait of whole requests: only repeats of the same request have it, and each may crash
-	// another target. Afterwards the trait is refused until it is forgotten.
-	maxRequestProbes = 3
+	// another target. Afterwards the trait is refused until it is forgotten. The users' bound is three late arrivals; one is left for
+	// a crash whose report was lost with its instance.
+	maxRequestProbes = 2
 	// ambiguousFactor is the factor by which a request with several quarantined traits waits longer as a probe. Requests with
 	// only one of them show first which one is the cause.
 	ambiguousFactor = 4
