--- a/core/events/table.go
+++ b/core/events/table.go
@@ -67,10 +67,10 @@
 	Quarantined       = Event{5017, "quarantined", Error, "Requests with something in common crashed targets one after the other; they are not sent any more, except for a probe from time to time. The field part is the part of the prompts that they have in common; without it they have the same content."}
 	Released          = Event{5018, "released", Info, "A request was answered that has what quarantined requests have in common; they are sent again."}
 	ReportsDelayed    = Event{5019, "crash_reports_delayed", Warn, "Reports of crashed targets could not be published to the other instances; they are published again, unless the error states that they were dropped."}
-	AbandonedCrashed  = Event{5023, "abandoned_target_crashed", Warn, "A target ended soon after a request at it was given up, because its caller left or it took too long; the request may have crashed it."}
 	RateLimitNamed    = Event{5020, "rate_limit_named", Info, "A target names a limit on the rate of requests from all instances together, or another one than before; the field per_second states it."}
 	RateLimitEnded    = Event{5021, "rate_limit_ended", Info, "A target no longer names a limit on the rate of requests."}
 	RatesDelayed      = Event{5022, "rate_limits_delayed", Warn, "Rate limits of targets could not be published to the other instances; they are published again, unless the error states that they were dropped."}
+	AbandonedCrashed  = Event{5023, "abandoned_target_crashed", Warn, "A target ended soon after a request at it was given up, because its caller left or it took too long; the request may have crashed it."}
 	ConfApplied       = Event{6001, "configuration_applied", Info, "A configuration change is in force at this instance."}
 	ConfRefused       = Event{6002, "configuration_refused", Info, "A configuration change was refused."}
 	OperatorRefused   = Event{6004, "operator_refused", Warn, "A request with a missing or wrong operator key was refused."}
