refactor: core/rate publishes through function fields, and costs nothing without limits

Cause: reading the diff: core/rate published through a concrete outbox, where function fields are the seams of this house; each choice of a target hashed all candidates although there were no limits. Change: function fields; a check before the hash; a name in fake/rates that said little.

--- a/core/rate/rate_test.go
+++ b/core/rate/rate_test.go
@@ -25,7 +25,7 @@
 	outbox := &logs.Outbox{Topic: "rates"} // records stay pending
 	outbox.Default()
 	f.Tracker = &rate.Tracker{
-		Instance: "i0", Outbox: outbox, Now: func() time.Time { return f.now }, OnInvalid: func(string, error) { f.invalid++ },
+		Instance: "i0", Publish: outbox.Add, Pending: outbox.Pending, Now: func() time.Time { return f.now }, OnInvalid: func(string, error) { f.invalid++ },
 		OnChange: func(target string, perSecond float64, limited bool) {
 			f.changes = append(f.changes, fmt.Sprint(target, " ", perSecond, " ", limited))
 		},
@@ -119,7 +119,7 @@
 	t.Run("an earlier record does not undo it", func(t *testing.T) {
 		f := newFixture("i0")
 		f.observe(1, true, 0)
-		named := f.Outbox.Pending()
+		named := f.Pending()
 		f.now = f.now.Add(time.Second)
 		f.observe(0, false, 0)
 		f.Apply(named)
@@ -143,7 +143,7 @@
 	f := newFixture("i0")
 	source := newFixture("i0")
 	source.observe(3, true, 0)
-	records := source.Outbox.Pending()
+	records := source.Pending()
 	t.Run("of others are applied", func(t *testing.T) {
 		f.Apply(records)
 		assert.DeepEqual(t, f.Limits(), []rate.Limit{{Target: "t", PerSecond: 3, SharePerSecond: 3}})
--- a/core/rate/tracker.go
+++ b/core/rate/tracker.go
@@ -19,8 +19,9 @@
 type Tracker struct {
 	// Instance is the id of this instance.
 	Instance string
-	// Outbox publishes limits for the other instances; nil if the instance exchanges none with others.
-	Outbox *logs.Outbox
+	// Publish queues a record for the other instances, and Pending returns those that are not known to be in the log; optional.
+	Publish func(r logs.Record)
+	Pending func() []logs.Record
 	// Now returns the current time.
 	Now func() time.Time
 	// OnChange is called when a limit is named, changes or ends (limited is false); optional.
@@ -46,6 +47,12 @@
 	if t.OnChange == nil {
 		t.OnChange = func(string, float64, bool) {}
 	}
+	if t.Publish == nil {
+		t.Publish = func(logs.Record) {}
+	}
+	if t.Pending == nil {
+		t.Pending = func() []logs.Record { return nil }
+	}
 	if t.OnInvalid == nil {
 		t.OnInvalid = func(string, error) {}
 	}
@@ -82,11 +89,11 @@
 		l = t.limits[id]
 		if math.Abs(l.perSecond-l.publishedPerSecond) > publishedChange*l.publishedPerSecond {
 			l.publishedPerSecond = l.perSecond
-			t.publish(encode(id, l))
+			t.Publish(encode(id, l))
 		}
 	case l != nil && sentAt.After(l.namedAt): // An earlier request may have been answered before the limit was named.
 		t.remove(id)
-		t.publish(logs.Record{Key: key(id)})
+		t.Publish(logs.Record{Key: key(id)})
 	}
 }
 
@@ -116,6 +123,14 @@
 	}
 }
 
+// limit returns the limit of an incarnation of a target; nil without one.
+func (t *Tracker) limit(incarnation string) *limit {
+	if len(t.limits) == 0 {
+		return nil
+	}
+	return t.limits[hash(incarnation)]
+}
+
 // Wait returns the time until this instance may send a request to an incarnation of a target; 0 if it may send one now. An instance that
 // holds no share returns the mean time between two requests of all instances.
 func (t *Tracker) Wait(incarnation string) time.Duration {
@@ -124,7 +139,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l := t.limits[hash(incarnation)]
+	l := t.limit(incarnation)
 	if l == nil {
 		return 0
 	}
@@ -142,7 +157,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l := t.limits[hash(incarnation)]
+	l := t.limit(incarnation)
 	return l != nil && t.Now().Sub(l.due()) > checkAfter
 }
 
@@ -153,7 +168,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if l := t.limits[hash(incarnation)]; l != nil {
+	if l := t.limit(incarnation); l != nil {
 		l.take(t.Now())
 	}
 }
@@ -199,25 +214,16 @@
 	for target, l := range t.limits {
 		if now.Sub(l.listedAt) > retention+rand.N(retention) {
 			t.remove(target)
-			t.publish(logs.Record{Key: key(target)})
+			t.Publish(logs.Record{Key: key(target)})
 		}
 	}
 }
 
-// publish queues a record for the other instances.
-func (t *Tracker) publish(r logs.Record) {
-	if t.Outbox != nil {
-		t.Outbox.Add(r)
-	}
-}
-
 // pendingKeys returns the keys of records that this instance is about to append, which follow all that it reads now.
 func (t *Tracker) pendingKeys() map[string]bool {
 	keys := map[string]bool{}
-	if t.Outbox != nil {
-		for _, r := range t.Outbox.Pending() {
-			keys[r.Key] = true
-		}
+	for _, r := range t.Pending() {
+		keys[r.Key] = true
 	}
 	return keys
 }
@@ -270,6 +276,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for target, l := range t.limits {
-		t.publish(encode(target, l))
+		t.Publish(encode(target, l))
 	}
 }
--- a/fake/rates/rates.go
+++ b/fake/rates/rates.go
@@ -141,7 +141,7 @@
 	log := r.logOf(i)
 	outbox := &logs.Outbox{Log: log, Topic: topic}
 	outbox.Default()
-	m.tracker = &rate.Tracker{Instance: fmt.Sprint("i", i), Outbox: outbox}
+	m.tracker = &rate.Tracker{Instance: fmt.Sprint("i", i), Publish: outbox.Add, Pending: outbox.Pending}
 	m.tracker.Default()
 	follower := &logs.Follower{Log: log, Topic: topic, Wait: readWait, Pause: readPause, Reset: m.tracker.Reset, Apply: m.tracker.Apply, OnRestored: m.tracker.Republish}
 	m.group.Go(func() error { return follower.Run(ctx) })
--- a/fake/rates/report.go
+++ b/fake/rates/report.go
@@ -8,9 +8,9 @@
 // Figures of the users' rule: when it begins to hold, the window in which requests are counted, and how long after it has forwarded the limit an
 // instance is bound by it.
 const (
-	Contact = 3 * time.Second
-	Window4 = 4 * time.Second
-	Notice  = 500 * time.Millisecond
+	Contact       = 3 * time.Second
+	CountedWindow = 4 * time.Second
+	Notice        = 500 * time.Millisecond
 )
 
 // Report is the outcome of a run, by the users' rule.
@@ -25,11 +25,11 @@
 }
 
 // Allowed returns how many requests the users' rule allows in a window.
-func Allowed(perSecond float64) float64 { return 1.5*perSecond*Window4.Seconds() + 5 }
+func Allowed(perSecond float64) float64 { return 1.5*perSecond*CountedWindow.Seconds() + 5 }
 
 // String returns the figures of the report.
 func (r Report) String() string {
-	return fmt.Sprintf("%d requests, %d with the limit, at most %d in %v of %.1f allowed, %.2f a second, %.2f after it", r.Arrivals, r.Limited, r.Most, Window4, r.Allowed, r.Rate, r.RateAfter)
+	return fmt.Sprintf("%d requests, %d with the limit, at most %d in %v of %.1f allowed, %.2f a second, %.2f after it", r.Arrivals, r.Limited, r.Most, CountedWindow, r.Allowed, r.Rate, r.RateAfter)
 }
 
 // bound reports whether a request counts by the users' rule.
@@ -51,7 +51,7 @@
 	limit := r.Limit
 	if r.Changed > 0 && at >= r.ChangeAt+Contact {
 		limit = r.Changed
-	} else if r.Changed > 0 && at+Window4 >= r.ChangeAt {
+	} else if r.Changed > 0 && at+CountedWindow >= r.ChangeAt {
 		limit = max(limit, r.Changed)
 	}
 	return Allowed(limit)
@@ -86,7 +86,7 @@
 	for i, first := range counted {
 		n := 0
 		for _, a := range counted[i:] {
-			if a.at < first.at+Window4 {
+			if a.at < first.at+CountedWindow {
 				n++
 			}
 		}
--- a/io/router/rate.go
+++ b/io/router/rate.go
@@ -24,7 +24,7 @@
 		events.Log(r.Log, events.RatesDelayed).Err(err).Send()
 	}}
 	r.rateReports.Default()
-	r.rates = &rate.Tracker{Instance: r.Settings.Instance.ID, Outbox: r.rateReports, OnChange: r.rateLimitChanged, OnInvalid: r.recordUnreadable(topic)}
+	r.rates = &rate.Tracker{Instance: r.Settings.Instance.ID, Publish: r.rateReports.Add, Pending: r.rateReports.Pending, OnChange: r.rateLimitChanged, OnInvalid: r.recordUnreadable(topic)}
 	r.rates.Default()
 	r.rateTopic = &logs.Follower{
 		Log: r.Store, Topic: topic, Wait: rateWait, Pause: ratePause, Apply: r.rates.Apply,
