fix: the planned end of a target counted as a crash under requests that were given up there

Change: only a target that is listed and not leaving. Measured: TestEndOfTargetWithRequestThatWasGivenUp: the case of a leaving target fails without the change, both pass with it. Its first form hung, in the stand-in's own Close, which waits for connections; it has a plain server now.

--- a/io/router/crash.go
+++ b/io/router/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"syscall"
 	"time"
 
@@ -67,14 +68,23 @@
 	return crashed == true
 }
 
-// hasEnded reports the same of a target at which a request was given up. It prefers a connection that is open.
+// hasEnded reports the same of a target at which a request was given up. It prefers a connection that is open. The end of a target that was
+// leaving, or is no longer listed, is no crash.
 func (r *Router) hasEnded(ctx context.Context, t roster.Target) bool {
 	err := r.conns.Check(ctx, &conns.Request{PoolKey: t.Incarnation, Addr: t.Addr})
-	ended := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.EHOSTUNREACH)
-	if ended {
-		events.Log(r.Log, events.AbandonedCrashed).Str("target", t.ID).Send()
+	refused := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.EHOSTUNREACH)
+	if !refused || !r.isLive(t.Incarnation) {
+		return false
 	}
-	return ended
+	events.Log(r.Log, events.AbandonedCrashed).Str("target", t.ID).Send()
+	return true
+}
+
+// isLive reports whether an incarnation of a target is listed and not leaving.
+func (r *Router) isLive(incarnation string) bool {
+	r.listMu.Lock()
+	defer r.listMu.Unlock()
+	return slices.ContainsFunc(r.list.Targets(), func(t roster.Target) bool { return t.Incarnation == incarnation && t.State == roster.Live })
 }
 
 // targetCrashed logs a target that crashed during an attempt.
