docs: plainer comments on rate limits

Change: their wording, and names that said little (forwardedAt, limitAt, counts, NeedsCheck, preferUnchecked).

--- a/core/budget/partition.go
+++ b/core/budget/partition.go
@@ -78,7 +78,7 @@
 	// instances maps the ids of all instances ever registered to their addresses for loans, and joinedAt is when
 	// the last one was seen to register.
 	instances map[string]string
-	// registered is set once this instance was seen to be registered, and joined if others were before it.
+	// registered is set once this instance is registered, and joined if other instances had registered before it.
 	registered, joined bool
 	joinedAt           time.Time
 	pending            *batch
--- a/core/budget/syncer.go
+++ b/core/budget/syncer.go
@@ -90,8 +90,8 @@
 	// optional.
 	OnOutage   func(part int, err error)
 	OnRecovery func(part int, duration time.Duration)
-	// OnInstances is called with the ids of all instances that ever registered when it is first known and when one joins. The
-	// argument joined is set if this instance joined a fleet that exists, whose other instances learn of it later; optional.
+	// OnInstances is called with the ids of all instances that ever registered, once they are known and whenever another one registers. joined
+	// is set if this instance was added to an existing fleet, so that other instances may not know of it yet. Optional.
 	OnInstances func(ids []string, joined bool)
 	// OnPromiseOutage and OnPromiseRecovery are the same for the topic of promises; optional.
 	OnPromiseOutage   func(err error)
--- a/core/rate/rate.go
+++ b/core/rate/rate.go
@@ -1,10 +1,10 @@
 // Package rate keeps the limits that targets name on the rate of requests from all instances together, and the share of
 // this instance in them.
 //
-// A limit is divided among its holders, which are chosen by rendezvous hashing of the instances, so that all instances agree on
-// them without a message. Each holder sends requests at an equal part of the rate, and may catch up on a few that it did not send.
-// All holders together send at most the limit, plus in any span of time once a burst of burstSeconds times the limit and
-// burstRequests. Other instances send no requests to the target.
+// A limit is divided among its holders. They are chosen by rendezvous hashing of the instances, so that all instances agree on
+// them without exchanging messages. Each holder sends at an equal part of the rate; requests that it does not use accumulate up to a small
+// burst. Other instances send no requests to the target. In any period, all holders together send at most as many requests as the limit
+// allows, plus one burst of burstSeconds times the limit and burstRequests.
 //
 // Instances learn of a limit from the responses of the target, and from each other through a keyed topic of the log.
 package rate
@@ -23,34 +23,33 @@
 	"cranberryrail/core/logs"
 )
 
-// The most requests that all holders of a limit together may send beyond its rate: the requests of burstSeconds and
-// burstRequests more. The users allow two seconds and five requests; what is left covers instances that do not agree on
-// the holders yet.
+// The burst of all holders of a limit together: the requests of burstSeconds, and burstRequests. The users' rule allows two
+// seconds and five requests. The difference covers instances that do not agree on the holders yet.
 const (
 	burstSeconds  = 1.0
 	burstRequests = 3.0
 )
 
 const (
-	// minPerSecond is the rate at which a target is sent requests at least. Only its responses show that a limit ended.
+	// minPerSecond is the lowest rate that is used, in requests a second. Only responses of the target show that its limit ended.
 	minPerSecond = 0.1
-	// checkAfter is how long a request may be due before one is sent to the target whatever its prompt, so that the end of
-	// the limit is seen.
+	// checkAfter is the time without an allowed request after which the target is preferred over others, so that a response shows
+	// whether its limit still applies.
 	checkAfter = 2 * time.Second
-	// settleTime is how long an instance that joined the fleet sends no requests to a target with a limit: the time in which
-	// the others learn of it, and with it that some of them are no longer holders.
+	// settleTime is the time for which an instance that joined the fleet sends no requests to targets with a limit: until all
+	// others know of it and have recomputed the holders.
 	settleTime = 30 * time.Second
 	// retention is how long a limit is remembered after its target was last listed.
 	retention = 10 * time.Minute
-	// publishedChange is the change of a limit, as a fraction, from which on it is published.
+	// publishedChange is the smallest relative change of a limit that is published.
 	publishedChange = 0.1
-	// unpublished is the published value of a limit that was not published.
+	// unpublished is the value of limit.publishedPerSecond before the first publication.
 	unpublished = -1.0
 	// maxLabelBytes limits the part of a target's id that is published.
 	maxLabelBytes = 64
 )
 
-// limit is the limit of one start of a target.
+// limit is the rate limit of one incarnation of a target.
 type limit struct {
 	perSecond, publishedPerSecond float64
 	// target is the id of the target, for logs.
@@ -60,7 +59,7 @@
 	// listedAt is when the target was last seen in the list.
 	listedAt time.Time
 	share    share
-	// next is when the next request is due if the share is used evenly.
+	// next is when the next request is due at the mean rate.
 	next time.Time
 }
 
@@ -69,10 +68,10 @@
 	// holder is set if the instance may send requests, and rank is its rank among the holders.
 	holder bool
 	rank   int
-	// interval is the mean time between two requests, and holders the number of instances with such a share.
+	// interval is the mean time between two requests of this instance, and holders the number of holders.
 	interval time.Duration
 	holders  int
-	// slack is how far ahead of the mean rate requests may be.
+	// slack is the maximum time by which a request may precede limit.next.
 	slack time.Duration
 }
 
@@ -82,7 +81,7 @@
 	hash uint64
 }
 
-// newShare returns the share of an instance in a limit of a target, which is given by its hash.
+// newShare returns the share of instance own in a limit. The target is identified by the hash of its incarnation.
 func newShare(perSecond float64, target uint64, own string, fleet []instance) share {
 	perSecond = max(perSecond, minPerSecond)
 	burst := burstSeconds*perSecond + burstRequests
@@ -105,7 +104,7 @@
 	return xxhash.Sum64(b[:])
 }
 
-// start starts the share without requests in advance. The first requests of the holders follow each other at the rate of the limit.
+// start starts the share without accumulated requests. It staggers the first requests of the holders at the rate of the limit.
 func (l *limit) start(now time.Time) {
 	s := l.share
 	l.next = now.Add(s.slack + s.interval*time.Duration(s.rank+1)/time.Duration(max(s.holders, 1)))
@@ -122,7 +121,7 @@
 	l.next = l.next.Add(l.share.interval)
 }
 
-// resize changes the share. What is due keeps its place in the new interval.
+// resize replaces the share. The time until the next request is scaled to the new interval.
 func (l *limit) resize(s share, now time.Time) {
 	if s == l.share {
 		return
@@ -137,7 +136,7 @@
 	l.next = now.Add(max(0, s.slack+time.Duration(left*float64(s.interval))))
 }
 
-// hash identifies a start of a target in the topic.
+// hash returns the hash that identifies an incarnation of a target in the topic.
 func hash(incarnation string) uint64 { return xxhash.Sum64String(incarnation) }
 
 // hashBase is the base in which hashes are written.
@@ -145,7 +144,7 @@
 
 func key(target uint64) string { return strconv.FormatUint(target, hashBase) }
 
-// record is the value of a record of the topic, whose key is the hash of the incarnation of a target. A limit that ended has none.
+// record is the value of a record of the topic. Its key is the hash of the incarnation of the target. When a limit ends, its key is removed.
 type record struct {
 	PerSecond float64 `json:"per_second"`
 	Target    string  `json:"target"`
--- a/core/rate/rate_test.go
+++ b/core/rate/rate_test.go
@@ -12,7 +12,7 @@
 	"cranberryrail/core/roster"
 )
 
-// fixture is a tracker of instance i0 with a clock that the test sets.
+// fixture is the tracker of instance i0, with a fake clock.
 type fixture struct {
 	*rate.Tracker
 	now     time.Time
--- a/core/rate/tracker.go
+++ b/core/rate/tracker.go
@@ -32,7 +32,7 @@
 	mu     sync.Mutex
 	limits map[uint64]*limit
 	fleet  []instance
-	// settledAt is when an instance that joined the fleet may send its first request to a target with a limit.
+	// settledAt is when settleTime ends for an instance that joined the fleet; zero for others.
 	settledAt time.Time
 }
 
@@ -150,8 +150,9 @@
 	return max(l.due().Sub(now), t.settledAt.Sub(now), 0)
 }
 
-// Unchecked reports whether a request to an incarnation of a target has been due for long, so that nothing shows whether its limit has ended.
-func (t *Tracker) Unchecked(incarnation string) bool {
+// NeedsCheck reports whether an incarnation of a target should be preferred over others: it has received no request for checkAfter although one was
+// allowed, so that no response has shown whether its limit still applies.
+func (t *Tracker) NeedsCheck(incarnation string) bool {
 	if t == nil {
 		return false
 	}
@@ -197,8 +198,8 @@
 	return list
 }
 
-// Expire forgets limits of targets that have not been listed for long, and removes their records. Instances do so at different times, so
-// that usually one of them removes a record for all.
+// Expire removes limits, and their records, of targets that have not been listed within the retention. It is randomised, so that usually one instance
+// removes a record for all.
 func (t *Tracker) Expire(listed []roster.Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -219,7 +220,7 @@
 	}
 }
 
-// pendingKeys returns the keys of records that this instance is about to append, which follow all that it reads now.
+// pendingKeys returns the keys of records that wait to be appended. They supersede records that are read now.
 func (t *Tracker) pendingKeys() map[string]bool {
 	keys := map[string]bool{}
 	for _, r := range t.Pending() {
@@ -238,7 +239,7 @@
 	}
 }
 
-// fold applies a record, unless this instance is about to append a newer one.
+// fold applies a record, unless a newer one with its key waits to be appended.
 func (t *Tracker) fold(r logs.Record, pending map[string]bool) {
 	target, value, err := decode(r)
 	switch {
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -58,7 +58,7 @@
 		return Choice{}, codes.Refuse(codes.Overloaded, b.retryAfter(usable, r.Priority, now),
 			"all %d usable targets are at their limit for priority %d; retry later, or add targets or raise the priority in the configuration", len(usable), r.Priority)
 	}
-	chosen := b.chooseTarget(r, b.drawShare(r, b.unchecked(admissible)), now)
+	chosen := b.chooseTarget(r, b.drawShare(r, b.preferUnchecked(admissible)), now)
 	b.lastDispatchID++
 	b.dispatches[b.lastDispatchID] = dispatch{target: chosen, incarnation: chosen.Incarnation, epoch: chosen.health.epoch, at: now}
 	b.Rates.Take(chosen.Incarnation)
@@ -168,17 +168,16 @@
 	return min(max(shortest+jitter, MinOverloadRetryAfter), MaxOverloadRetryAfter)
 }
 
-// unchecked returns the candidates of which nothing has shown for long whether their rate limit has ended, or all candidates if there
-// are none.
-func (b *Balancer) unchecked(candidates []*target) []*target {
-	due := filter(candidates, func(c *target) bool { return b.Rates.Unchecked(c.Incarnation) })
+// preferUnchecked returns the candidates whose rate limit needs a check, or all candidates if there are none.
+func (b *Balancer) preferUnchecked(candidates []*target) []*target {
+	due := filter(candidates, func(c *target) bool { return b.Rates.NeedsCheck(c.Incarnation) })
 	if len(due) == 0 {
 		return candidates
 	}
 	return due
 }
 
-// rateRetryAfter returns the time until a request may be sent to the first of targets with a rate limit.
+// rateRetryAfter returns the time until the first of the targets may receive a request within its rate limit, with jitter.
 func (b *Balancer) rateRetryAfter(limited []*target) time.Duration {
 	shortest := MaxOverloadRetryAfter
 	for _, c := range limited {
--- a/fake/rates/rates.go
+++ b/fake/rates/rates.go
@@ -1,4 +1,4 @@
-// Package rates plays a fleet whose target names a limit on the rate of requests: the real decisions about when to send
+// Package rates simulates a fleet whose target names a rate limit: the real decisions about when to send a request
 // (core/rate) over a fake log, with a simulated target. It uses no network. Its time is that of package time, so that a test runs it
 // in virtual time with testing/synctest.
 package rates
@@ -21,11 +21,11 @@
 
 const (
 	topic = "keyed.rates"
-	// answerTime is the longest time to the answer of the target, and callDelay the duration of a call to the log.
+	// answerTime is the maximum time until the target answers, and callDelay the duration of a call to the log.
 	answerTime, callDelay = 400 * time.Millisecond, 5 * time.Millisecond
-	// listDelay is the longest time in which instances learn of one that joined.
+	// listDelay is the maximum time until instances learn of one that joined.
 	listDelay = 6 * time.Second
-	// readWait is the longest time that a read waits, and readPause the time between two. Waiting costs most of the time of a run.
+	// readWait is the maximum time that a read of the log waits for records, and readPause the time between two reads.
 	readWait, readPause = 5 * time.Millisecond, 100 * time.Millisecond
 )
 
@@ -35,10 +35,12 @@
 	Seed uint64
 	// Instances is the size of the fleet.
 	Instances int
-	// Demand is the requests a second that all instances together would send. At each time of Bursts every instance would send one more.
+	// Demand is the number of requests a second that callers send to all instances together. At each time in Bursts, every instance
+	// receives one more.
 	Demand float64
 	Bursts []time.Duration
-	// Limit is what the target names from From until To, if that is not 0, in requests a second. From ChangeAt on it names Changed, if that is not 0.
+	// Limit is the rate limit in requests a second that the target names between From and To; a To of 0 means until the end. Changed, unless
+	// it is 0, replaces it at ChangeAt.
 	Limit, Changed     float64
 	From, To, ChangeAt time.Duration
 	Length             time.Duration
@@ -46,7 +48,7 @@
 	LogAway, Parted []Window
 	// Restarts are the times at which every second instance is killed and starts again, in ascending order.
 	Restarts []time.Duration
-	// Joins is how many instances join at JoinAt.
+	// Joins is the number of instances that join the fleet at JoinAt.
 	Joins  int
 	JoinAt time.Duration
 
@@ -57,8 +59,8 @@
 	mu       sync.Mutex
 	random   *rand.Rand
 	arrivals []arrival
-	// told holds when an instance first forwarded the limit.
-	told map[int]time.Duration
+	// forwardedAt maps each instance to the time at which it first forwarded a response with the limit.
+	forwardedAt map[int]time.Duration
 }
 
 // Window is a span of time from the start.
@@ -80,8 +82,8 @@
 	group   errgroup.Group
 }
 
-// simulated is the target.
-func simulated() roster.Target { return roster.Target{ID: "t", Incarnation: "t@1"} }
+// simulatedTarget returns the target of the run.
+func simulatedTarget() roster.Target { return roster.Target{ID: "t", Incarnation: "t@1"} }
 
 // String describes the run.
 func (r *Run) String() string {
@@ -97,8 +99,8 @@
 	return r.random.Float64()
 }
 
-// named returns the limit that the target names at a time; nil if it names none.
-func (r *Run) named(at time.Duration) *float64 {
+// limitAt returns the limit that the target names at a time; nil if it names none.
+func (r *Run) limitAt(at time.Duration) *float64 {
 	limit := r.Limit
 	switch {
 	case at < r.From || r.To > 0 && at >= r.To:
@@ -109,9 +111,9 @@
 	return &limit
 }
 
-// Play plays the run and returns what it has seen.
+// Play runs the simulation and returns its report.
 func (r *Run) Play(ctx context.Context) (Report, error) {
-	r.start, r.log, r.random, r.told = time.Now(), &memlog.Server{}, rand.New(rand.NewPCG(r.Seed, 0)), map[int]time.Duration{}
+	r.start, r.log, r.random, r.forwardedAt = time.Now(), &memlog.Server{}, rand.New(rand.NewPCG(r.Seed, 0)), map[int]time.Duration{}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	for i := range r.Instances {
@@ -134,7 +136,7 @@
 	return report, err
 }
 
-// startMember starts an instance, which knows of the first fleet instances.
+// startMember starts an instance. Its view of the fleet is the first instances, as many as fleet states.
 func (r *Run) startMember(ctx context.Context, i, fleet int, joined bool) *member {
 	ctx, cancel := context.WithCancel(ctx)
 	m := &member{number: i, cancel: cancel}
@@ -150,7 +152,7 @@
 	return m
 }
 
-// ids returns the ids of the first instances.
+// ids returns the ids of the first n instances.
 func ids(n int) []string {
 	list := make([]string, 0, n)
 	for i := range n {
@@ -204,7 +206,7 @@
 	return false
 }
 
-// load offers requests to random instances at random times.
+// load sends requests to random instances at random times.
 func (r *Run) load(ctx context.Context) error {
 	var requests errgroup.Group
 	for r.now() < r.Length {
@@ -217,7 +219,7 @@
 	return requests.Wait()
 }
 
-// bursts offers a request to every instance at the same moment.
+// bursts sends a request to every instance at the same time.
 func (r *Run) bursts(ctx context.Context) error {
 	for _, at := range r.Bursts {
 		pause.For(ctx, at-r.now())
@@ -242,14 +244,14 @@
 	return len(r.members)
 }
 
-// offer sends a request if the instance may send one now, and applies the answer.
+// offer simulates one request of a caller: the instance forwards it if the limit allows that now, and applies the response.
 func (r *Run) offer(ctx context.Context, instance int) {
 	r.mu.Lock()
 	tracker := r.members[instance].tracker
-	allowed := tracker.Wait(simulated().Incarnation) == 0
+	allowed := tracker.Wait(simulatedTarget().Incarnation) == 0
 	sentAt := time.Now()
 	if allowed {
-		tracker.Take(simulated().Incarnation)
+		tracker.Take(simulatedTarget().Incarnation)
 		r.arrivals = append(r.arrivals, arrival{r.now(), instance})
 	}
 	r.mu.Unlock()
@@ -257,13 +259,13 @@
 		return
 	}
 	pause.For(ctx, time.Duration(r.chance()*float64(answerTime)))
-	limit := r.named(r.now())
-	tracker.Observe(simulated(), limit, sentAt)
+	limit := r.limitAt(r.now())
+	tracker.Observe(simulatedTarget(), limit, sentAt)
 	if limit != nil {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		if _, told := r.told[instance]; !told {
-			r.told[instance] = r.now()
+		if _, known := r.forwardedAt[instance]; !known {
+			r.forwardedAt[instance] = r.now()
 		}
 	}
 }
@@ -287,7 +289,7 @@
 	return nil
 }
 
-// joins starts new instances, of which the others learn later.
+// joins starts new instances. The others learn of them after a random delay.
 func (r *Run) joins(ctx context.Context) error {
 	if r.Joins == 0 {
 		return nil
--- a/fake/rates/rates_test.go
+++ b/fake/rates/rates_test.go
@@ -18,7 +18,7 @@
 	seeds     = flag.Int("rates.seeds", 8, "number of seeds")
 )
 
-// play plays a run, asserts the users' rule and returns the report.
+// play runs a simulation, asserts the users' rule and returns the report.
 func play(t *testing.T, r *rates.Run) (report rates.Report) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
@@ -31,7 +31,7 @@
 	return report
 }
 
-// TestRandomLimits plays fleets of several sizes with random limits, loads and faults.
+// TestRandomLimits simulates fleets of several sizes with random limits, loads and faults.
 func TestRandomLimits(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seeds); seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { play(t, randomRun(seed)) })
@@ -78,8 +78,8 @@
 	return r
 }
 
-// TestLimitIsUsed checks that a target gets about as many requests as it takes while there are enough, and as many as come soon after its
-// limit has ended.
+// TestLimitIsUsed checks that a target with enough demand receives more than half of its limit, and more than half of the demand once the limit has
+// ended.
 func TestLimitIsUsed(t *testing.T) {
 	for _, instances := range []int{1, 8, 295} {
 		for _, limit := range []float64{1, 10, 100} {
--- a/fake/rates/report.go
+++ b/fake/rates/report.go
@@ -5,9 +5,10 @@
 	"time"
 )
 
-// Figures of the users' rule: when it begins to hold, the window in which requests are counted, and how long after it has forwarded the limit an
-// instance is bound by it.
+// Parameters of the users' rule.
 const (
+	// Contact is the time from the first response with the limit until the rule applies, CountedWindow the window in which requests are
+	// counted, and Notice the time from an instance's first forwarded response with the limit until its requests count.
 	Contact       = 3 * time.Second
 	CountedWindow = 4 * time.Second
 	Notice        = 500 * time.Millisecond
@@ -17,10 +18,11 @@
 type Report struct {
 	// Arrivals are all requests that reached the target, and Limited those while the limit was named.
 	Arrivals, Limited int
-	// Most is the largest number of requests in a window, of instances that were bound and in touch, and Allowed what the rule allows there.
+	// Most is the largest number of counted requests in a window, and Allowed the number that the rule allows in it.
 	Most    int
 	Allowed float64
-	// Rate is the mean rate from Contact after the limit was named until it changed or ended, and RateAfter the rate from Contact after its end.
+	// Rate is the mean number of requests a second from Contact after the limit was first named until it changed or ended, and RateAfter that from
+	// Contact after its end.
 	Rate, RateAfter float64
 }
 
@@ -32,10 +34,10 @@
 	return fmt.Sprintf("%d requests, %d with the limit, at most %d in %v of %.1f allowed, %.2f a second, %.2f after it", r.Arrivals, r.Limited, r.Most, CountedWindow, r.Allowed, r.Rate, r.RateAfter)
 }
 
-// bound reports whether a request counts by the users' rule.
-func (r *Run) bound(a arrival) bool {
-	told, known := r.told[a.instance]
-	if !known || a.at < told+Notice || a.at < r.From+Contact || r.named(a.at) == nil {
+// counts reports whether the rule counts a request.
+func (r *Run) counts(a arrival) bool {
+	forwardedAt, known := r.forwardedAt[a.instance]
+	if !known || a.at < forwardedAt+Notice || a.at < r.From+Contact || r.limitAt(a.at) == nil {
 		return false
 	}
 	for _, restart := range r.Restarts {
@@ -46,7 +48,8 @@
 	return true
 }
 
-// allowedFrom returns what the rule allows in the window from a time on: by the largest limit that was in force within it.
+// allowedFrom returns the number of requests that the rule allows in the window that begins at a time. If the limit changes in it, the larger one
+// applies.
 func (r *Run) allowedFrom(at time.Duration) float64 {
 	limit := r.Limit
 	if r.Changed > 0 && at >= r.ChangeAt+Contact {
@@ -68,17 +71,17 @@
 	return float64(n) / (to - from).Seconds()
 }
 
-// report returns what the run has seen.
+// report evaluates the run.
 func (r *Run) report() Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	report := Report{Arrivals: len(r.arrivals), Allowed: Allowed(r.Limit)}
 	var counted []arrival
 	for _, a := range r.arrivals {
-		if r.named(a.at) != nil {
+		if r.limitAt(a.at) != nil {
 			report.Limited++
 		}
-		if r.bound(a) {
+		if r.counts(a) {
 			counted = append(counted, a)
 		}
 	}
--- a/io/node/faults_test.go
+++ b/io/node/faults_test.go
@@ -250,8 +250,7 @@
 	eventually(t, f, func() bool { return !firstEngineGotNoRequests(t, f, stream) })
 }
 
-// TestRateLimitOfEngineIsKept guards against an engine that gets more requests than the rate limit which its load reports name, and against
-// a limit that outlasts them.
+// TestRateLimitOfEngineIsKept guards against instances that exceed the rate limit in an engine's load reports, or that keep to it after its end.
 func TestRateLimitOfEngineIsKept(t *testing.T) {
 	f := start(t, &fleet.Fleet{Instances: 3, Engines: 2, ConfigureInstance: shortTimeouts})
 	provisionAll(t, f, 1_000_000)
--- a/io/node/poll.go
+++ b/io/node/poll.go
@@ -152,7 +152,7 @@
 	n.rates.Observe(t, load.RateLimit, sentAt.Add(-time.Duration(load.AgeMS)*time.Millisecond))
 }
 
-// setRateSharers sets the instances that share the rate limits of targets: those in the platform's list and this one.
+// setRateSharers sets the instances among which rate limits are divided: those in the platform's list and this one.
 func (n *Node) setRateSharers(listed []roster.Instance) {
 	ids := make([]string, 0, len(listed)+1)
 	for _, i := range listed {
--- a/io/router/rate.go
+++ b/io/router/rate.go
@@ -17,7 +17,7 @@
 	ratePause = crashPause
 )
 
-// initRates creates the components that keep to the rate limits of targets.
+// initRates creates the components that enforce the rate limits of targets.
 func (r *Router) initRates() {
 	topic := r.Platform.RateTopic
 	r.rateReports = &logs.Outbox{Log: r.Store, Topic: topic, OnError: func(err error) {
@@ -46,7 +46,7 @@
 	events.Log(r.Log, events.RateLimitNamed).Str("target", target).Float64("per_second", perSecond).Send()
 }
 
-// expireRates forgets the limits of targets that have not been listed for long.
+// expireRates removes the limits of targets that are no longer listed, and updates the metric.
 func (r *Router) expireRates() {
 	r.Meter.RateLimits(len(r.rates.Limits()))
 	r.listMu.Lock()
@@ -55,8 +55,8 @@
 	r.rates.Expire(listed)
 }
 
-// observeRate applies the rate limit that a response names. A response by another target, or one that the target may not have made,
-// shows nothing.
+// observeRate applies the rate limit that a response names. It ignores responses of other targets, and responses without a limit that are unsigned or
+// have a malformed header.
 func (r *Router) observeRate(t roster.Target, response *relay.Response, sentAt time.Time) {
 	shown := response.RateLimit != nil || response.HasSignature && response.Ignored == nil
 	if shown && response.Status != http.StatusMisdirectedRequest {
