--- a/core/events/table.go
+++ b/core/events/table.go
@@ -70,7 +70,7 @@
 	RateLimitNamed    = Event{5020, "rate_limit_named", Info, "A target names a limit on the rate of requests from all instances together, or another one than before; the field per_second states it."}
 	RateLimitEnded    = Event{5021, "rate_limit_ended", Info, "A target no longer names a limit on the rate of requests."}
 	RatesDelayed      = Event{5022, "rate_limits_delayed", Warn, "Rate limits of targets could not be published to the other instances; they are published again, unless the error states that they were dropped."}
-	AbandonedCrashed  = Event{5023, "abandoned_target_crashed", Warn, "A target ended soon after a request at it was given up, because its caller left or it took too long; the request may have crashed it."}
+	AbandonedCrashed  = Event{5023, "abandoned_target_crashed", Warn, "A target ended soon after a request at it was abandoned, because the caller disconnected or the request timed out; the request may have crashed it."}
 	ConfApplied       = Event{6001, "configuration_applied", Info, "A configuration change is in force at this instance."}
 	ConfRefused       = Event{6002, "configuration_refused", Info, "A configuration change was refused."}
 	OperatorRefused   = Event{6004, "operator_refused", Warn, "A request with a missing or wrong operator key was refused."}
--- a/core/poison/pass.go
+++ b/core/poison/pass.go
@@ -8,7 +8,7 @@
 	traits  Traits
 	// probe is set if a trait is quarantined, and sent once the request may have reached a target.
 	probe, sent bool
-	// claimed holds the numbers of the probes that were claimed for this one.
+	// claimed holds the number of the claimed probe of each quarantined trait.
 	claimed map[Trait]int64
 	// known is the state at admission of the traits for which the tracker had an entry.
 	known map[Trait]crashRecord
@@ -36,7 +36,7 @@
 	return p
 }
 
-// claim records the number of the probe that was claimed for a trait.
+// claim records the number of the claimed probe of a trait.
 func (p *Pass) claim(trait Trait, probe int64) {
 	if p.claimed == nil {
 		p.claimed = map[Trait]int64{}
@@ -50,7 +50,7 @@
 // Sent records that the request may have reached a target.
 func (p *Pass) Sent() { p.sent = true }
 
-// End ends the pass. A probe that reached no target has shown nothing, and another may follow soon.
+// End ends the pass. If it was a probe that reached no target, the probe is not counted and may be repeated soon.
 func (p *Pass) End() {
 	if p == nil || p.tracker == nil || !p.probe || p.sent {
 		return
@@ -65,8 +65,8 @@
 	}
 }
 
-// Crashed reports that the target crashed, which was of the given incarnation, and returns the length of the longest series of crashes that this one
-// ends. If the answer had begun, the parts of the prompt are not the cause.
+// Crashed reports that the target of the given incarnation crashed. It returns the length of the longest series of crashes that ends with this one. If
+// the answer had begun, the parts of the prompt are not the cause.
 func (p *Pass) Crashed(incarnation string, answerBegan bool) (series int) {
 	if p.tracker == nil {
 		return 0
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -20,7 +20,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Trait is what requests have in common: the hash of a part of their prompts, or of their whole content, with or without their caller.
+// Trait is what requests have in common: the hash of a part of their prompts, of their whole content, or of their whole content and their caller.
 type Trait string
 
 // Kinds of traits, the first byte of each.
@@ -38,12 +38,12 @@
 	return newTrait(requestKind, append(content, strconv.FormatUint(xxhash.Sum64(body), hashBase))...)
 }
 
-// CallerTrait returns the trait of requests of one caller that are alike by RequestTrait.
+// CallerTrait returns the trait of requests of one caller with the given RequestTrait.
 func CallerTrait(caller string, request Trait) Trait {
 	return newTrait(callerKind, caller, string(request))
 }
 
-// isPart reports whether different requests have the trait.
+// isPart reports whether the trait is a part of prompts. Only repeats of one request share any other trait.
 func (t Trait) isPart() bool { return t != "" && t[0] == partKind }
 
 // hashBase is the base in which hashes are written.
@@ -118,9 +118,8 @@
 	pendingProbe = 5 * time.Second
 	// claimPause is the time between two claims of an instance for the same probe, while the log does not confirm the first.
 	claimPause = time.Second
-	// maxRequestProbes is the number of probes of a trait of whole requests: only repeats of the same request have it, and each may crash
-	// another target. Afterwards the trait is refused until it is forgotten. The users' bound is three late arrivals; one is left for
-	// a crash whose report was lost with its instance.
+	// maxRequestProbes is the number of probes of a trait of whole requests, after which its requests are refused until it expires. It is
+	// one less than the late arrivals that the users allow, since the report of a crash is lost if its instance is killed.
 	maxRequestProbes = 2
 	// ambiguousFactor is the factor by which a request with several quarantined traits waits longer as a probe. Requests with
 	// only one of them show first which one is the cause.
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -78,7 +78,7 @@
 	return t
 }
 
-// callerRequest returns the traits of a request that callers send alike.
+// callerRequest returns the traits of a request of a caller. Requests of different callers are otherwise equal.
 func callerRequest(caller string) poison.Traits {
 	t := request("alike")
 	t.Caller = poison.CallerTrait(caller, t.Request)
--- a/core/poison/probe.go
+++ b/core/poison/probe.go
@@ -22,9 +22,9 @@
 	return due, nil
 }
 
-// nextProbe returns when the next probe of a trait may be claimed, or when the trait is forgotten if none may be.
+// nextProbe returns when the next probe of a trait may be claimed, or when the trait expires if no probe is left.
 func (t *Tracker) nextProbe(trait Trait, s *suspicion, pause time.Duration) time.Time {
-	if !s.pending && !s.maySend(trait) {
+	if !s.pending && !s.mayProbe(trait) {
 		return s.changedAt.Add(t.Retention)
 	}
 	return s.probeAt(pause, t.MaxProbePause, t.Limit)
--- a/core/poison/publish.go
+++ b/core/poison/publish.go
@@ -2,7 +2,7 @@
 
 import "cranberryrail/core/logs"
 
-// publish queues a record for all instances. Without others it applies the record at once.
+// publish queues a record for all instances. If there are no others, it applies the record at once.
 func (t *Tracker) publish(r logs.Record) {
 	if t.Publish != nil {
 		t.Publish(r)
@@ -13,7 +13,7 @@
 	}
 }
 
-// Records returns records that hold all that is known.
+// Records returns the records that restore the present state with Reset.
 func (t *Tracker) Records() []logs.Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -33,7 +33,7 @@
 	return list
 }
 
-// Republish queues all that is known, after the log was restored from an older copy. It is called before Reset.
+// Republish queues the records of the present state, after the log was restored from an older copy. It is called before Reset.
 func (t *Tracker) Republish() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/core/poison/trait.go
+++ b/core/poison/trait.go
@@ -10,13 +10,13 @@
 	// crashes holds the crashes of this epoch by the hash of the target's incarnation: the length of the series that each ended.
 	crashes map[string]int
 	// probes counts the claims of probes of this epoch, failed those under which targets crashed, and unsent those that reached no target.
-	// A claim is pending until then, or until it is too old.
+	// A claim is pending until its outcome is known, or until it is too old.
 	probes, failed, unsent int64
 	pending                bool
 	// label is the id of the part; empty for the trait of the whole content.
 	label string
-	// changedAt is when the last crash or probe became known, claimedAt when this instance last claimed a probe, and unsentAt when
-	// the last probe was one that reached no target.
+	// changedAt is when the last crash or probe became known, claimedAt when this instance last claimed a probe, and unsentAt when it
+	// became known that the last probe had reached no target; zero otherwise.
 	changedAt, claimedAt, unsentAt time.Time
 	// quarantined is set once the limit was reached, until the next epoch.
 	quarantined bool
@@ -71,22 +71,22 @@
 	}
 }
 
-// mustQuarantine reports whether requests with the trait may no longer be sent. The repeats of one request seldom crash targets by chance, so
-// that for them crashes count that were not in series.
+// mustQuarantine reports whether the trait has crashed too many targets. For whole requests, crashes outside a series count as well, since
+// repeats of one request are seldom at several targets that crash for another reason.
 func (s *suspicion) mustQuarantine(trait Trait, limit int) bool {
 	return s.series() >= limit || !trait.isPart() && len(s.crashes) >= limit
 }
 
-// maySend reports whether another probe may be sent at all.
-func (s *suspicion) maySend(trait Trait) bool {
+// mayProbe reports whether a probe is left.
+func (s *suspicion) mayProbe(trait Trait) bool {
 	return trait.isPart() || s.probes-s.unsent < maxRequestProbes
 }
 
 // probePauseFactor is the factor by which the time to the next probe grows with each that crashed a target.
 const probePauseFactor = 8
 
-// probeAt returns when the next probe may be claimed. The pause is that before the first one. There is none before it if the crashes were not
-// in series, as those of many targets at the same moment are not.
+// probeAt returns when the next probe may be claimed. The pause is that before the first one. If no series of crashes reached the limit, the first
+// probe may be claimed at once.
 func (s *suspicion) probeAt(pause, maxPause time.Duration, limit int) time.Time {
 	if s.pending {
 		return s.changedAt.Add(pendingProbe)
--- a/core/poison/watch.go
+++ b/core/poison/watch.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// watchTime is how long a target is watched after a request that it may still run was given up: longer than most requests run.
+	// watchTime is how long a target is watched after a request at it was abandoned: longer than most requests run.
 	watchTime = 5 * time.Second
 	// watchInterval is the time between two checks of a watched target, a tenth of the time in which targets start again, and
 	// checkTimeout bounds a check.
@@ -19,12 +19,12 @@
 	checkTimeout  = time.Second
 	// maxChecks is the number of targets that are checked at the same time.
 	maxChecks = 32
-	// maxWatched bounds the requests that are watched at one target.
+	// maxWatched bounds the abandoned requests that are remembered for one target.
 	maxWatched = 64
 )
 
-// Watcher watches targets that may still run requests which this instance has given up, because their callers left or they took too long. A target
-// that crashes then may have crashed under them. Exported fields are set before Default. A nil Watcher watches nothing.
+// Watcher watches targets that may still run requests which this instance has abandoned, because the caller disconnected or the request timed out. If such
+// a target crashes, the crash is attributed to these requests. Exported fields are set before Default. A nil Watcher watches nothing.
 type Watcher struct {
 	// HasEnded reports whether the process of a target has ended.
 	HasEnded func(ctx context.Context, t roster.Target) bool
@@ -34,13 +34,13 @@
 	wake    chan struct{}
 }
 
-// watchedTarget is a target with the requests that it may still run.
+// watchedTarget is a target with the abandoned requests that it may still run.
 type watchedTarget struct {
 	roster.Target
 	passes []watchedPass
 }
 
-// watchedPass is a request that was given up.
+// watchedPass is the pass of an abandoned request.
 type watchedPass struct {
 	pass        *Pass
 	answerBegan bool
@@ -48,14 +48,14 @@
 }
 
 // String returns the name of the watcher for logs.
-func (w *Watcher) String() string { return "watcher of targets with requests that were given up" }
+func (w *Watcher) String() string { return "watcher of targets with abandoned requests" }
 
 // Default prepares the watcher.
 func (w *Watcher) Default() {
 	w.targets, w.wake = map[string]*watchedTarget{}, make(chan struct{}, 1)
 }
 
-// Add watches a target that may still run a request. If its answer had begun, the parts of the prompt are not the cause of a crash.
+// Add watches the target of an abandoned request. If the answer had begun, the parts of the prompt are not the cause of a crash.
 func (w *Watcher) Add(t roster.Target, p *Pass, answerBegan bool) {
 	if w == nil || p == nil || p.tracker == nil {
 		return
@@ -95,7 +95,7 @@
 	}
 }
 
-// current returns the watched targets, without requests that were given up long ago.
+// current drops requests that were abandoned longer than watchTime ago, and returns the targets that are still watched.
 func (w *Watcher) current() []roster.Target {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -134,7 +134,7 @@
 	_ = group.Wait() // the checks return no errors
 }
 
-// crashed reports that a watched target has crashed.
+// crashed attributes the crash of a watched target to its abandoned requests.
 func (w *Watcher) crashed(incarnation string) {
 	w.mu.Lock()
 	watched := w.targets[incarnation]
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -68,7 +68,7 @@
 	return failed, nil
 }
 
-// admitAttempt admits the next attempt by what requests like this one did to targets.
+// admitAttempt admits the next attempt unless similar requests have crashed targets.
 func (r *relayedRequest) admitAttempt(ctx context.Context) error {
 	admit := func() (*poison.Pass, error) { return r.Crashes.Admit(ctx, r.traits) }
 	if r.pass != nil && !r.LastFailure.Sent {
@@ -83,8 +83,8 @@
 // of a part of the prompt.
 const answerEvents = 3
 
-// reportCrash reports a target that crashed during an attempt, or watches it if it may still run the request. An exchange that ends with
-// the context of the request was closed by this instance.
+// reportCrash reports a target that crashed during an attempt. If the target may still run the request, for example because the context of the
+// request ended and this instance closed the exchange, the target is watched.
 func (r *relayedRequest) reportCrash(ctx context.Context, d Dispatch, failed *AttemptError) {
 	switch {
 	case !failed.Sent || failed.Kind == Shed || failed.Kind == Misdirected || failed.Kind == Errored:
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -38,7 +38,7 @@
 	Crashes *poison.Tracker
 	// HasCrashed reports whether the process of a target has ended, after an exchange with it broke off; optional.
 	HasCrashed func(ctx context.Context, t roster.Target) bool
-	// Abandoned watches targets that may still run a request after its exchange has ended; optional.
+	// Abandoned watches targets that may still run an abandoned request; optional.
 	Abandoned *poison.Watcher
 	// OnAttemptFailed is called for each failed attempt; optional.
 	OnAttemptFailed func(d Dispatch, f *AttemptError)
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -56,7 +56,7 @@
 	Timeout time.Duration
 }
 
-// traits returns what the request of an organisation may have in common with others.
+// traits returns the traits of the request, given the organisation that sent it.
 func (r *Request) traits(organisation string) poison.Traits {
 	content := []string{r.Method, r.Host, r.URI}
 	t := poison.Traits{Labels: r.Prompt.SharedParts()}
@@ -162,7 +162,7 @@
 	Sent bool
 	// Events is the number of events of the attempt that were forwarded.
 	Events int
-	// Crashed is set if the process of the target ended. Series is then the length of the series of crashes that this one ends.
+	// Crashed is set if the process of the target ended. Series is then the length of the series of crashes that ends with this one.
 	Crashed bool
 	Series  int
 	// Trait is the trait of the whole request, and Probe is set if it was sent although a trait of it is quarantined.
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -128,7 +128,7 @@
 	OnLeaving func(incarnation string)
 	// Crashes decides whether requests like one may be sent, by the targets that have crashed under them; optional.
 	Crashes *poison.Tracker
-	// Abandoned watches targets that may still run a request after its attempt has ended; optional.
+	// Abandoned watches targets that may still run an abandoned request; optional.
 	Abandoned *poison.Watcher
 	// HasCrashed reports whether the process of a target has ended, after an attempt at it failed. It is set if Crashes is.
 	HasCrashed func(ctx context.Context, t roster.Target) bool
@@ -212,8 +212,8 @@
 	return failed, nil
 }
 
-// reportCrash reports a target that crashed during an attempt, or watches it if it may still run the request. An attempt that ends with its
-// caller was cancelled by this instance.
+// reportCrash reports a target that crashed during an attempt. If the target may still run the request, for example because the caller disconnected,
+// the target is watched.
 func (r *generation) reportCrash(ctx context.Context, t roster.Target, failed *AttemptError) {
 	answerBegan := r.nextPosition-r.resumedFrom >= answerTokens
 	switch {
@@ -238,7 +238,7 @@
 	}
 }
 
-// admit admits the next attempt by what requests like this one did to targets. The error is the final one of the request.
+// admit admits the next attempt unless similar requests have crashed targets. The error is the final one of the request.
 func (r *generation) admit(ctx context.Context) error {
 	pass, err := r.server.Crashes.Admit(ctx, r.traits)
 	r.pass = pass
--- a/fake/crash/crash.go
+++ b/fake/crash/crash.go
@@ -35,14 +35,14 @@
 	subjects    = 40
 	callersPart = "first"
 	crashPart   = "bad"
-	// crashingKey is the key of the caller of crashing requests, and soundKey that of the others.
+	// crashingKey is the API key of the caller of crashing requests, and soundKey that of the other callers.
 	crashingKey, soundKey = "crashing key", "key"
 	// queueTime is the mean time that a request waits at a target, and eventGap the time between two of its events.
 	queueTime, eventGap = 60 * time.Millisecond, 20 * time.Millisecond
 	events              = 8
 	// callDelay is the duration of a call to the log, and readPause the time between two reads of an instance.
 	callDelay, readPause = 5 * time.Millisecond, 100 * time.Millisecond
-	// leaveTime is the longest time after which callers leave who do so early.
+	// leaveTime is the maximum time until callers disconnect who do so early.
 	leaveTime = 60 * time.Millisecond
 	// callerPause is the time after which callers repeat a failed request, once.
 	callerPause = 100 * time.Millisecond
@@ -60,11 +60,11 @@
 	Length          time.Duration
 	// CrashingFirst puts the crashing part before the part that requests share.
 	CrashingFirst bool
-	// Same makes the crashing requests repeats of one request, without a part of its own. Equal is the rate at which another caller, whose requests
-	// are answered, sends an equal one.
+	// Same is set if all crashing requests are repeats of one request. Equal is the number of requests a second that differ from it by their caller only,
+	// and crash no target.
 	Same  bool
 	Equal float64
-	// Leaves is the share of the callers of crashing requests who leave within leaveTime. Targets run their requests all the same.
+	// Leaves is the share of crashing requests whose callers disconnect within leaveTime. Targets run these requests nevertheless.
 	Leaves float64
 	// LogAway and Parted are the times at which no instance, or every second one, reaches the log.
 	LogAway, Parted []Window
@@ -283,12 +283,12 @@
 	s.first = result.Refused == nil && result.SentFailures == 0
 }
 
-// sendEqual sends a sound request that differs from the crashing one by its caller only.
+// sendEqual sends a request that differs from the crashing one by its caller only, and crashes no target.
 func (r *Run) sendEqual(ctx context.Context, _ int) {
 	r.send(ctx, r.number(r.Instances), soundKey, crashingContent, callersPart, crashingContent)
 }
 
-// crashingContent is the content of crashing requests that are all the same.
+// crashingContent is the content of crashing requests if Same is set.
 const crashingContent = "same"
 
 // sendCrashing sends a request that crashes targets as a caller, who repeats it at another instance.
--- a/fake/crash/crash_test.go
+++ b/fake/crash/crash_test.go
@@ -74,7 +74,7 @@
 	return r
 }
 
-// TestRandomRepeats plays fleets in which one request crashes targets and comes again and again, with random loads and faults.
+// TestRandomRepeats simulates fleets in which repeats of one request crash targets, with random loads and faults.
 func TestRandomRepeats(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seeds); seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { assertRules(t, randomRepeats(seed)) })
@@ -96,8 +96,8 @@
 	return r
 }
 
-// TestRepeatedRequestCrashesFewTargets guards against a request that crashes target after target because its caller repeats it, also while an
-// equal request of another caller is answered.
+// TestRepeatedRequestCrashesFewTargets guards against a repeated request that crashes target after target, also while an equal request of another
+// caller is answered.
 func TestRepeatedRequestCrashesFewTargets(t *testing.T) {
 	for _, targets := range []int{3, 18} {
 		for _, equal := range []float64{0, 1} {
@@ -110,8 +110,8 @@
 	}
 }
 
-// TestCallersWhoLeave guards against a request that crashes target after target because its callers leave before, so that instances close the
-// connection and don't see the crash.
+// TestCallersWhoLeave guards against crashes that are not attributed to a request because its caller disconnected and the instance closed the
+// exchange.
 func TestCallersWhoLeave(t *testing.T) {
 	for _, targets := range []int{3, 18} {
 		t.Run(fmt.Sprintf("%d targets", targets), func(t *testing.T) {
--- a/fake/crash/target.go
+++ b/fake/crash/target.go
@@ -20,7 +20,7 @@
 	errCrashed = errors.New("unexpected EOF")
 )
 
-// never is longer than any run.
+// never is a duration that is longer than any run.
 const never = 1000 * time.Hour
 
 // restartTime is the time from a crash to the next start.
@@ -104,7 +104,7 @@
 	return nil, r.await(ctx, crashed, float64(never))
 }
 
-// runCrashing runs a crashing request, after it was queued for a number of nanoseconds, also if its caller has left.
+// runCrashing crashes the target after a crashing request was queued there for a number of nanoseconds, even if its caller has disconnected.
 func (r *Run) runCrashing(ctx context.Context, t *target, crashed <-chan struct{}, queued float64) error {
 	if r.await(ctx, crashed, queued) != nil {
 		return nil
--- a/fake/engine/faults.go
+++ b/fake/engine/faults.go
@@ -30,7 +30,7 @@
 	FailRatio float64 `json:"fail_ratio"`
 	// Leaving refuses new requests; admitted requests continue.
 	Leaving bool `json:"leaving"`
-	// CrashDelayMS is the time until the crash, in milliseconds; the engine crashes also if the caller has left.
+	// CrashDelayMS is the time from the start of the run to the crash, in milliseconds. The engine crashes even if the caller has disconnected.
 	CrashDelayMS int `json:"crash_delay_ms"`
 	// RateLimit is the limit on requests a second that load reports name; 0 for none. It is not enforced.
 	RateLimit float64 `json:"rate_limit"`
--- a/fake/engine/host/host.go
+++ b/fake/engine/host/host.go
@@ -78,7 +78,7 @@
 	return nil
 }
 
-// Crash ends the server as the end of its process does: it closes the listener and all connections. It panics, to end the request that calls it.
+// Crash simulates the end of the process: it closes the listener and all connections. It panics to abort the request that calls it.
 func (s *Server) Crash() {
 	s.crash()
 	panic(http.ErrAbortHandler)
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -254,7 +254,7 @@
 	return newConn(nc, r.PoolKey, c.IdleTimeout), nil
 }
 
-// Check returns nil if the target of a request can be reached: a connection of the pool is open, or one can be opened, which is then added to
+// Check checks whether the target of a request is reachable: the pool has an open connection to it, or a new one can be opened, which is added to
 // the pool. The error wraps that of the dial.
 func (c *Client) Check(ctx context.Context, r *Request) error {
 	cn := c.acquireIdle(r)
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -61,9 +61,9 @@
 	Generate *serve.Server
 	// CallService makes one call to a plain service.
 	CallService func(ctx context.Context, t roster.Target, c Call) (Reply, error)
-	// Crashes decides whether calls like one may be sent, by the targets that have crashed under them; optional.
+	// Crashes decides whether a call may be sent, depending on the targets that similar calls have crashed; optional.
 	Crashes *poison.Tracker
-	// HasCrashed reports whether the process of a target has ended, after a call to it failed; needed with Crashes.
+	// HasCrashed reports whether the process of a target has ended, after a call to it failed; required if Crashes is set.
 	HasCrashed func(ctx context.Context, t roster.Target) bool
 	// OnServed is called at the end of each authenticated request; optional.
 	OnServed func(s Outcome)
--- a/io/front/service.go
+++ b/io/front/service.go
@@ -164,7 +164,7 @@
 		Detail: "no target accepted the call; retry it with the same key"}
 }
 
-// admitCall admits a call by what calls like it did to targets.
+// admitCall admits a call unless similar calls have crashed targets.
 func (s *Server) admitCall(ctx context.Context, organisation, service string, call Call) (*poison.Pass, *codes.Error) {
 	request := poison.RequestTrait(call.Body, service, call.Operation)
 	pass, err := s.Crashes.Admit(ctx, poison.Traits{Request: request, Caller: poison.CallerTrait(organisation, request)})
--- a/io/node/crash.go
+++ b/io/node/crash.go
@@ -10,7 +10,7 @@
 	"cranberryrail/core/tail"
 )
 
-// crashStream is the stream in which instances share which requests crash targets, and crashItem the kind of its items.
+// crashStream is the stream of reports of requests that crash targets, and crashItem the kind of its items.
 const (
 	crashStream = "crashes"
 	crashItem   = "crash"
@@ -23,7 +23,8 @@
 	Value []byte
 }
 
-// makeCrashes creates the tracker of requests that crash targets, and the feed by which instances share what they see.
+// makeCrashes creates the tracker of requests that crash targets, the feed by which instances share its records, and the watcher of targets with
+// abandoned requests.
 func (n *Node) makeCrashes() {
 	n.crashFeed = n.newFeed(crashStream)
 	n.crashes = &poison.Tracker{Incarnation: n.Incarnation, OnChange: n.onQuarantineChanged, OnInvalid: n.onCrashInvalid, Publish: func(r logs.Record) {
--- a/io/node/crash_test.go
+++ b/io/node/crash_test.go
@@ -17,8 +17,8 @@
 // sharingTime is longer than a report of a crash takes to reach all instances.
 const sharingTime = 300 * time.Millisecond
 
-// assertQuarantined sends a crashing request to all instances in turn until all refuse it, and asserts that it has reached as many targets as
-// it takes to know, and no more.
+// assertQuarantined sends a crashing request to the instances in turn. It asserts that at most three requests were sent to targets, and that all
+// instances refuse the request afterwards.
 func assertQuarantined(t *testing.T, f *fleet.Fleet, request func(m *fleet.Member, n int) result) {
 	t.Helper()
 	reached := 0
@@ -36,8 +36,7 @@
 	}
 }
 
-// TestRepeatedPromptCrashesFewEngines guards against a request that crashes engines at each instance anew, since no instance knows what the others
-// have seen.
+// TestRepeatedPromptCrashesFewEngines guards against instances that do not share which requests crash engines.
 func TestRepeatedPromptCrashesFewEngines(t *testing.T) {
 	f := start(t, &fleet.Fleet{Instances: 3, Engines: 12, ConfigureInstance: shortTimeouts})
 	provisionAll(t, f, 1_000_000)
@@ -49,7 +48,7 @@
 	assertComplete(t, r, "sound", 4)
 }
 
-// TestRepeatedCallCrashesFewServices guards against a call that crashes service after service, because its caller repeats it with a new key.
+// TestRepeatedCallCrashesFewServices guards against a call that crashes service after service because its caller repeats it with new keys.
 func TestRepeatedCallCrashesFewServices(t *testing.T) {
 	f := start(t, &fleet.Fleet{Instances: 2, Services: 12, ConfigureInstance: shortTimeouts})
 	provisionAll(t, f, 1_000_000)
@@ -63,8 +62,8 @@
 	assert.Equal(t, call(f.Members[0], "sound", 0).status, http.StatusOK)
 }
 
-// TestPromptOfCallerWhoLeavesCrashesFewEngines guards against crashes that count under no request, because the caller left before.
-func TestPromptOfCallerWhoLeavesCrashesFewEngines(t *testing.T) {
+// TestAbandonedPromptCrashesFewEngines guards against crashes that are not attributed to a request because its caller disconnected before.
+func TestAbandonedPromptCrashesFewEngines(t *testing.T) {
 	f := start(t, &fleet.Fleet{Instances: 2, Engines: 12, Capacity: 1, ConfigureInstance: shortTimeouts})
 	provisionAll(t, f, 1_000_000)
 	setEngineFaults(f, func(faults *engine.Faults) { faults.CrashPrompt, faults.CrashDelayMS = "deadly", 100 })
--- a/io/router/crash.go
+++ b/io/router/crash.go
@@ -68,8 +68,8 @@
 	return crashed == true
 }
 
-// hasEnded reports the same of a target at which a request was given up. It prefers a connection that is open. The end of a target that was
-// leaving, or is no longer listed, is no crash.
+// hasEnded reports whether a target with abandoned requests has crashed. It opens a connection only if the pool has none. The end of a target that was
+// leaving, or is no longer listed, is not a crash.
 func (r *Router) hasEnded(ctx context.Context, t roster.Target) bool {
 	err := r.conns.Check(ctx, &conns.Request{PoolKey: t.Incarnation, Addr: t.Addr})
 	refused := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.EHOSTUNREACH)
