docs: plainer comments on readiness and on topics that are read again

Cause: "what is known of them" and "connections that another topic has shown to be lost" said little.

--- a/io/router/follow.go
+++ b/io/router/follow.go
@@ -158,7 +158,7 @@
 	}
 }
 
-// refreshTopics ends the long reads, which may wait on connections that another topic has shown to be lost.
+// refreshTopics restarts the long reads. Their connections may be lost too when another topic becomes unreachable.
 func (r *Router) refreshTopics() {
 	r.crashTopic.Refresh()
 	r.rateTopic.Refresh()
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -237,7 +237,7 @@
 const refusalHold = 3 * time.Second
 
 // Ready reports whether the instance accepts requests: it has received the configuration, the
-// targets, what is known of them and the budgets, can draw tokens, has room on its link, and is not stopping.
+// targets with their crashes and rate limits, and the budgets; it can draw tokens, has room on its link, and is not stopping.
 func (r *Router) Ready() bool {
 	recentlyRefused := time.Since(time.Unix(0, r.refusedAt.Load())) < refusalHold
 	return r.running.Load() && r.table.Current() != nil && r.targetsListed.Load() && r.crashesRead.Load() && r.ratesRead.Load() &&
