--- a/core/budget/holders.go
+++ b/core/budget/holders.go
@@ -2,11 +2,12 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
+
+	"cranberryrail/core/rendez"
 )
 
 // ranking ranks the registered instances for each budget by rendezvous hashing, so that all instances agree on its
@@ -51,7 +52,7 @@
 	}
 	key := xxhash.Sum64String(organisation)
 	ordered := slices.SortedFunc(slices.Values(r.instances), func(a, b rankedInstance) int {
-		return cmp.Or(cmp.Compare(score(key, b.hash), score(key, a.hash)), cmp.Compare(a.id, b.id))
+		return cmp.Or(cmp.Compare(rendez.Score(key, b.hash), rendez.Score(key, a.hash)), cmp.Compare(a.id, b.id))
 	})
 	l := &lenders{}
 	holders := ordered[:min(MaxHolders, len(ordered))]
@@ -75,14 +76,6 @@
 	return addrs
 }
 
-// score returns the rendezvous score of an instance for a budget, given the hashes of both.
-func score(budget, instance uint64) uint64 {
-	var b [16]byte
-	binary.LittleEndian.PutUint64(b[:8], budget)
-	binary.LittleEndian.PutUint64(b[8:], instance)
-	return xxhash.Sum64(b[:])
-}
-
 // isHolder reports whether this instance is a holder of an organisation's budget. An instance that does not borrow
 // from others draws for itself and is a holder of all budgets.
 func (sy *Syncer) isHolder(organisation string) bool {
--- a/core/rate/rate.go
+++ b/core/rate/rate.go
@@ -11,7 +11,6 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -21,6 +20,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cranberryrail/core/logs"
+	"cranberryrail/core/rendez"
 )
 
 // The burst of all holders of a limit together: the requests of burstSeconds, and burstRequests. The users' rule allows two
@@ -86,7 +86,7 @@
 	perSecond = max(perSecond, minPerSecond)
 	burst := burstSeconds*perSecond + burstRequests
 	ranked := slices.SortedFunc(slices.Values(fleet), func(a, b instance) int {
-		return cmp.Or(cmp.Compare(score(target, b.hash), score(target, a.hash)), cmp.Compare(a.id, b.id))
+		return cmp.Or(cmp.Compare(rendez.Score(target, b.hash), rendez.Score(target, a.hash)), cmp.Compare(a.id, b.id))
 	})
 	s := share{holders: int(min(burst, float64(len(fleet))))}
 	s.rank = slices.IndexFunc(ranked, func(i instance) bool { return i.id == own })
@@ -96,14 +96,6 @@
 	return s
 }
 
-// score returns the rendezvous score of an instance for a target.
-func score(target, instance uint64) uint64 {
-	var b [16]byte
-	binary.LittleEndian.PutUint64(b[:8], target)
-	binary.LittleEndian.PutUint64(b[8:], instance)
-	return xxhash.Sum64(b[:])
-}
-
 // start starts the share without accumulated requests. It staggers the first requests of the holders at the rate of the limit.
 func (l *limit) start(now time.Time) {
 	s := l.share
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"encoding/binary"
 	"math"
 	"slices"
 	"strings"
@@ -10,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cranberryrail/core/codes"
+	"cranberryrail/core/rendez"
 	"cranberryrail/core/roster"
 )
 
@@ -275,20 +275,13 @@
 		if float64(b.estimate(c, now)) >= bound {
 			continue
 		}
-		if score := rendezvousScore(key, c.hash); best == nil || score > bestScore {
+		if score := rendez.Score(key, c.hash); best == nil || score > bestScore {
 			best, bestScore = c, score
 		}
 	}
 	return best
 }
 
-func rendezvousScore(key, node uint64) uint64 {
-	var b [16]byte
-	binary.LittleEndian.PutUint64(b[:8], key)
-	binary.LittleEndian.PutUint64(b[8:], node)
-	return xxhash.Sum64(b[:])
-}
-
 func filter(candidates []*target, keep func(*target) bool) []*target {
 	var kept []*target
 	for _, c := range candidates {
