--- a/fake/crash/crash.go
+++ b/fake/crash/crash.go
@@ -221,8 +221,7 @@
 
 // logOf returns the log as an instance reaches it.
 func (r *Run) logOf(instance int) logs.Log {
-	inner := r.log.Log()
-	call := func(ctx context.Context) error {
+	return memlog.Before(r.log.Log(), func(ctx context.Context) error {
 		pause.For(ctx, callDelay)
 		for i, windows := range [][]Window{r.LogAway, r.Parted} {
 			for _, w := range windows {
@@ -232,28 +231,7 @@
 			}
 		}
 		return ctx.Err()
-	}
-	return logs.Log{
-		Era: inner.Era,
-		Append: func(ctx context.Context, topic string, part int, at int64, records []logs.Record) (int64, error) {
-			if err := call(ctx); err != nil {
-				return 0, err
-			}
-			return inner.Append(ctx, topic, part, at, records)
-		},
-		Read: func(ctx context.Context, topic string, part int, from int64, wait time.Duration) ([]logs.Record, int64, error) {
-			if err := call(ctx); err != nil {
-				return nil, 0, err
-			}
-			return inner.Read(ctx, topic, part, from, wait)
-		},
-		Newest: func(ctx context.Context, topic string, part int, after string) (logs.Page, error) {
-			if err := call(ctx); err != nil {
-				return logs.Page{}, err
-			}
-			return inner.Newest(ctx, topic, part, after)
-		},
-	}
+	})
 }
 
 // load sends requests at random times with a mean rate.
--- a/fake/memlog/memlog.go
+++ b/fake/memlog/memlog.go
@@ -236,3 +236,28 @@
 	}
 	return page, nil
 }
+
+// Before returns a log that calls the function before each call, and makes the call only if that returns no error.
+func Before(l logs.Log, call func(ctx context.Context) error) logs.Log {
+	return logs.Log{
+		Era: l.Era,
+		Append: func(ctx context.Context, topic string, part int, at int64, records []logs.Record) (int64, error) {
+			if err := call(ctx); err != nil {
+				return 0, err
+			}
+			return l.Append(ctx, topic, part, at, records)
+		},
+		Read: func(ctx context.Context, topic string, part int, from int64, wait time.Duration) ([]logs.Record, int64, error) {
+			if err := call(ctx); err != nil {
+				return nil, 0, err
+			}
+			return l.Read(ctx, topic, part, from, wait)
+		},
+		Newest: func(ctx context.Context, topic string, part int, after string) (logs.Page, error) {
+			if err := call(ctx); err != nil {
+				return logs.Page{}, err
+			}
+			return l.Newest(ctx, topic, part, after)
+		},
+	}
+}
