perf: at the own interface a target with abandoned requests is checked once a second

Cause: reading the diff: there a check opens a connection, five a second for 5 s at each instance that abandoned a request, whatever the size of the fleet; at the users' platform checks reuse connections of the pool. Change: Watcher.Interval, 1 s at the own interface. Measured: TestAbandonedPromptCrashesFewEngines, TestRepeatedPromptCrashesFewEngines and TestRepeatedCallCrashesFewServices pass.

--- a/core/poison/watch.go
+++ b/core/poison/watch.go
@@ -10,13 +10,14 @@
 	"cranberryrail/core/roster"
 )
 
+// DefaultWatchInterval is the default of Watcher.Interval: a tenth of the time in which targets start again.
+const DefaultWatchInterval = 200 * time.Millisecond
+
 const (
 	// watchTime is how long a target is watched after a request at it was abandoned: longer than most requests run.
 	watchTime = 5 * time.Second
-	// watchInterval is the time between two checks of a watched target, a tenth of the time in which targets start again, and
 	// checkTimeout bounds a check.
-	watchInterval = 200 * time.Millisecond
-	checkTimeout  = time.Second
+	checkTimeout = time.Second
 	// maxChecks is the number of targets that are checked at the same time.
 	maxChecks = 32
 	// maxWatched bounds the abandoned requests that are remembered for one target.
@@ -28,6 +29,8 @@
 type Watcher struct {
 	// HasEnded reports whether the process of a target has ended.
 	HasEnded func(ctx context.Context, t roster.Target) bool
+	// Interval is the time between two checks of a target; 0 means DefaultWatchInterval.
+	Interval time.Duration
 
 	mu      sync.Mutex
 	targets map[string]*watchedTarget
@@ -50,8 +53,11 @@
 // String returns the name of the watcher for logs.
 func (w *Watcher) String() string { return "watcher of targets with abandoned requests" }
 
-// Default prepares the watcher.
+// Default sets unset fields to their defaults.
 func (w *Watcher) Default() {
+	if w.Interval == 0 {
+		w.Interval = DefaultWatchInterval
+	}
 	w.targets, w.wake = map[string]*watchedTarget{}, make(chan struct{}, 1)
 }
 
@@ -88,7 +94,7 @@
 			select {
 			case <-ctx.Done():
 				return nil
-			case <-time.After(watchInterval):
+			case <-time.After(w.Interval):
 			}
 			w.check(ctx, targets)
 		}
--- a/io/node/crash.go
+++ b/io/node/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"cranberryrail/core/events"
 	"cranberryrail/core/logs"
@@ -16,6 +17,9 @@
 	crashItem   = "crash"
 )
 
+// abandonedInterval is the time between two checks of a target with abandoned requests. Each check opens a connection.
+const abandonedInterval = time.Second
+
 // crashRecord is the body of an item of the stream, and an element of a saved state.
 type crashRecord struct {
 	_     struct{} `cbor:",toarray"`
@@ -31,7 +35,7 @@
 		n.crashFeed.Add(tail.NewItem(crashItem, crashRecord{Key: r.Key, Value: r.Value}))
 	}}
 	n.crashes.Default()
-	n.abandoned = &poison.Watcher{HasEnded: n.hasCrashed}
+	n.abandoned = &poison.Watcher{HasEnded: n.hasCrashed, Interval: abandonedInterval}
 	n.abandoned.Default()
 	n.crashFeed.Apply = n.applyCrashes
 	n.crashFeed.Save = func() ([]byte, error) {
