--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -1,15 +1,15 @@
 // Package poison finds out which requests crash targets and keeps further ones like them away from targets, at all
 // instances.
 //
-// Requests are alike if they share a Trait: a part of their prompts, or all of their content. When a target crashes, each
+// Requests are alike if they share a Trait: a part of their prompts, all of their content, or all of their content and their caller. When a target crashes, each
 // request that it had not answered yet is suspected, and with it its traits. A trait that crashes targets does so again with
 // the next request that has it, while any other trait is soon seen in a request that is answered. The Tracker therefore counts
 // the longest series of crashes in which each request was sent after the crash before it was known. That several targets
 // end at the same moment is one crash in this count. An answer with the trait ends the series.
 //
 // A trait with a long enough series is quarantined: no request with it is sent to a target, except for a probe from time
-// to time, which one instance of the fleet sends and whose answer ends the quarantine. Instances exchange what they see
-// in a keyed topic of the log.
+// to time, which one instance of the fleet sends and whose answer ends the quarantine. For the traits of whole requests, which only repeats
+// share, crashes outside a series count as well, and the number of probes is bounded. Instances exchange what they see in the log.
 package poison
 
 import (
