fix: a stream is resumed at the software version that began it

Cause: the version in a target's entry was read by nobody, so that the retry within a response and a stream that its caller took up again went on at any target. Class: a choice that must agree over several processes was made anew by each. Change: core/origin. A stream's version is recorded in the log, at the same time as its request is sent, before its first event is forwarded; none is recorded while its service has one version, which is itself a record. An instance that did not see the beginning reads both; what is unknown is refused (503, code 3007, not run). Logs state version and resumed attempt; event 5024; setting stream.life_s, stream.settle_s. Why it works: the record is durable before a caller can name the attempt, and the read follows the caller's request.

--- a/core/events/table.go
+++ b/core/events/table.go
@@ -71,6 +71,8 @@
 	RateLimitEnded    = Event{5021, "rate_limit_ended", Info, "A target no longer names a limit on the rate of requests."}
 	RatesDelayed      = Event{5022, "rate_limits_delayed", Warn, "Rate limits of targets could not be published to the other instances; they are published again, unless the error states that they were dropped."}
 	AbandonedCrashed  = Event{5023, "abandoned_target_crashed", Warn, "A target ended soon after a request at it was abandoned, because the caller disconnected or the request timed out; the request may have crashed it."}
+	VersionsChanged   = Event{5024, "versions_changed", Info, "How the streams of a service are known has changed: with mode open all began at the version in the field software; with mode mixed those without a record did; with mode recorded those without a record can't be resumed."}
+	OriginsDelayed    = Event{5025, "origins_delayed", Warn, "The software versions of streams or services could not be read from the log or recorded in it; the calls are repeated."}
 	ConfApplied       = Event{6001, "configuration_applied", Info, "A configuration change is in force at this instance."}
 	ConfRefused       = Event{6002, "configuration_refused", Info, "A configuration change was refused."}
 	OperatorRefused   = Event{6004, "operator_refused", Warn, "A request with a missing or wrong operator key was refused."}
@@ -95,7 +97,7 @@
 		DoubleCharge, TopUpAccepted, BudgetExhausted, HoldingChanged, HoldingUnsettled, PromiseTaken, PromiseLapsed, PromisesOff, TokensBorrowed, TransferLost,
 		ClaimWon, ClaimLost, ClaimVoided, OutcomeUnknown,
 		TargetLeaving, TargetSilent, StreamResumed,
-		StreamCut, FrameForeign, AttemptFailed, RequestEnded, TargetJoined, TargetRemoved, TargetInvalid, TargetPaused, HeaderIgnored, TargetCrashed, Quarantined, Released, ReportsDelayed, RateLimitNamed, RateLimitEnded, RatesDelayed, AbandonedCrashed,
+		StreamCut, FrameForeign, AttemptFailed, RequestEnded, TargetJoined, TargetRemoved, TargetInvalid, TargetPaused, HeaderIgnored, TargetCrashed, Quarantined, Released, ReportsDelayed, RateLimitNamed, RateLimitEnded, RatesDelayed, AbandonedCrashed, VersionsChanged, OriginsDelayed,
 		ConfApplied, ConfRefused, OperatorRefused, ConfUnconfirmed, ConfConfirmed,
 		PeerUnreachable, PeerBack,
 		Overspend, Panic, FoldDiffers,
--- a/core/logs/outbox.go
+++ b/core/logs/outbox.go
@@ -27,11 +27,14 @@
 // ErrDropped is reported when records were dropped because too many wait to be appended.
 var ErrDropped = errors.New("too many records wait to be appended; the oldest were dropped")
 
-// Outbox appends records to the first partition of a keyed topic, in order, and repeats appends that fail, so that a record
+// Outbox appends records to a partition of a keyed topic, in order, and repeats appends that fail, so that a record
 // may be appended twice. Exported fields are set before Default. It is safe for concurrent use.
 type Outbox struct {
-	Log   Log
-	Topic string
+	Log       Log
+	Topic     string
+	Partition int
+	// OnAppended is called with records that the log has accepted; optional.
+	OnAppended func(records []Record)
 	// OnError is called with the first error of a series of appends that fail, and with ErrDropped; optional.
 	OnError func(err error)
 
@@ -50,6 +53,9 @@
 	if o.OnError == nil {
 		o.OnError = func(error) {}
 	}
+	if o.OnAppended == nil {
+		o.OnAppended = func([]Record) {}
+	}
 	o.signal = make(chan struct{}, 1)
 }
 
@@ -115,11 +121,12 @@
 func (o *Outbox) append(ctx context.Context, batch []Record) error {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	if _, err := o.Log.Append(ctx, o.Topic, 0, AnyOffset, batch); err != nil {
+	if _, err := o.Log.Append(ctx, o.Topic, o.Partition, AnyOffset, batch); err != nil {
 		return err
 	}
 	o.mu.Lock()
-	defer o.mu.Unlock()
 	o.inFlight = nil
+	o.mu.Unlock()
+	o.OnAppended(batch)
 	return nil
 }
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"cranberryrail/core/origin"
 	"cranberryrail/core/poison"
 	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
@@ -45,6 +46,7 @@
 	r.Target = choice.Target
 	r.progressAt = r.Now()
 	r.eventsBefore = r.Events
+	r.recordOrigin(choice.Target)
 	failed := r.exchange(ctx, d)
 	if failed == nil || failed.Sent {
 		r.pass.Sent()
@@ -68,6 +70,27 @@
 	return failed, nil
 }
 
+// recordOrigin records the software version of a target that may begin the stream. For a stream that began before, it records under the id of this
+// attempt too, which the caller may name when it resumes again.
+func (r *relayedRequest) recordOrigin(t roster.Target) {
+	if r.streamKey == "" || r.Events > 0 {
+		return
+	}
+	r.recording = r.Origins.Begin(r.streamKey, r.Attempts, origin.Origin{Service: r.Service, Version: t.Software}, r.recording != nil)
+}
+
+// beginStream prepares for the first event of a resumable stream, which is not forwarded before its origin is recorded.
+func (r *relayedRequest) beginStream(ctx context.Context) *AttemptError {
+	if r.Software == "" {
+		if err := r.recording.Wait(ctx); err != nil {
+			return &AttemptError{Kind: Unrecorded, Sent: true, Err: err}
+		}
+	}
+	r.Software = r.Target.Software
+	r.Origins.Began(r.streamKey, origin.Origin{Service: r.Service, Version: r.Software})
+	return nil
+}
+
 // admitAttempt admits the next attempt unless similar requests have crashed targets.
 func (r *relayedRequest) admitAttempt(ctx context.Context) error {
 	admit := func() (*poison.Pass, error) { return r.Crashes.Admit(ctx, r.traits) }
@@ -87,7 +110,7 @@
 // request ended and this instance closed the exchange, the target is watched.
 func (r *relayedRequest) reportCrash(ctx context.Context, d Dispatch, failed *AttemptError) {
 	switch {
-	case !failed.Sent || failed.Kind == Shed || failed.Kind == Misdirected || failed.Kind == Errored:
+	case !failed.Sent || failed.Kind == Shed || failed.Kind == Misdirected || failed.Kind == Errored || failed.Kind == Unrecorded:
 		return
 	case ctx.Err() == nil && (failed.Kind == Broken || failed.Kind == Invalid) && r.HasCrashed(ctx, d.Target):
 		failed.Crashed = true
@@ -101,6 +124,10 @@
 func (r *relayedRequest) routeRequest() route.Request {
 	req := route.Request{
 		Organisation: r.Organisation, Service: r.Service, Zone: r.Zone, Priority: r.Priority, Avoid: r.tried,
+		Software: r.Software,
+	}
+	if r.streamKey != "" && r.Software == "" {
+		req.Software = r.Origins.Restriction(r.Service)
 	}
 	if r.req.Prompt != nil && r.route.Affinity {
 		req.Prefix = sharedPrefix(r.req.Prompt.Parts)
@@ -331,6 +358,11 @@
 
 // relayEvent forwards one event. It fails if the event does not follow the last one forwarded.
 func (r *relayedRequest) relayEvent(ctx context.Context, a *Response, e event) *AttemptError {
+	if r.streamKey != "" && r.Events == 0 {
+		if failed := r.beginStream(ctx); failed != nil {
+			return failed
+		}
+	}
 	if !r.headSent {
 		r.sendHead(a)
 	}
@@ -385,7 +417,7 @@
 		return route.Shed
 	case Misdirected:
 		return route.Refused
-	case Cancelled:
+	case Cancelled, Unrecorded:
 		return route.Cancelled
 	default:
 		return route.Failed
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -13,6 +13,7 @@
 
 	"cranberryrail/core/budget"
 	"cranberryrail/core/codes"
+	"cranberryrail/core/origin"
 	"cranberryrail/core/poison"
 	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
@@ -34,6 +35,8 @@
 	Retries *route.RetryWindow
 	// Dispatch sends a request to a target and returns its response. The error is an *AttemptError.
 	Dispatch func(ctx context.Context, d Dispatch) (*Response, error)
+	// Origins knows which software version began a stream; optional.
+	Origins *origin.Tracker
 	// Crashes decides whether requests like one may be sent, by the targets that have crashed under them; optional.
 	Crashes *poison.Tracker
 	// HasCrashed reports whether the process of a target has ended, after an exchange with it broke off; optional.
@@ -89,6 +92,9 @@
 	traits poison.Traits
 	// tried holds the ids of the targets of failed attempts.
 	tried []string
+	// streamKey identifies a resumable stream, and recording is the record of its origin that the last attempt wrote.
+	streamKey origin.Key
+	recording *origin.Recording
 	// pass is the admission of the last attempt, and eventsBefore the number of events that were forwarded before it.
 	pass         *poison.Pass
 	eventsBefore int
@@ -125,6 +131,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
+	if refused := r.findOrigin(ctx); refused != nil {
+		return r.refuse(refused)
+	}
 	if refused := r.reserve(ctx); refused != nil {
 		return r.refuse(refused)
 	}
@@ -181,6 +190,31 @@
 	return nil
 }
 
+// originRetryAfter is when a stream may be resumed whose origin could not be read: some calls of the log later.
+const originRetryAfter = 250 * time.Millisecond
+
+// findOrigin finds the software version that began the stream which the caller resumes.
+func (r *relayedRequest) findOrigin(ctx context.Context) *codes.Error {
+	if !r.route.Resumable {
+		return nil
+	}
+	r.streamKey = origin.NewKey(r.Organisation, r.req.ID)
+	if r.req.LastEventID == "" {
+		return nil
+	}
+	began, err := r.Origins.Find(ctx, origin.NewKey(r.Organisation, r.req.Resumes), r.Service)
+	switch {
+	case errors.Is(err, origin.ErrUnknown):
+		return codes.Refuse(codes.OriginUnknown, 0, "%v", err)
+	case err != nil:
+		return codes.Refuse(codes.OriginUnknown, originRetryAfter, "%v", err)
+	case !r.route.Includes(began.Service):
+		return codes.Refuse(codes.OriginUnknown, 0, "the stream began at service %s, which the route does not lead to", began.Service)
+	}
+	r.Service, r.Software, r.lastEventID = began.Service, began.Version, r.req.LastEventID
+	return nil
+}
+
 // crashRefusal returns the refusal of a request that is not sent because of what requests like it did to targets.
 func crashRefusal(err error) *codes.Error {
 	var quarantined *poison.QuarantineError
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -54,6 +54,9 @@
 	// caller did not set one.
 	Arrived time.Time
 	Timeout time.Duration
+	// LastEventID is the id of the last event that the caller received of a stream that it resumes, and Resumes the id of its attempt that
+	// brought the first event; empty for a new stream.
+	LastEventID, Resumes string
 }
 
 // traits returns the traits of the request, given the organisation that sent it.
@@ -151,6 +154,8 @@
 	Shed Kind = "shed"
 	// Misdirected means that the target is not the expected one.
 	Misdirected Kind = "moved"
+	// Unrecorded means that the software version of a stream that began could not be recorded in the log, so that its first event was not forwarded.
+	Unrecorded Kind = "unrecorded"
 	// Errored means that the target ran the request and failed.
 	Errored Kind = "errored"
 )
@@ -214,6 +219,8 @@
 	Events int
 	// Unframed is set if the response of the last target had neither a length nor chunks.
 	Unframed bool
+	// Software is the software version that the events of a resumable stream are from; empty before the first one of a new stream.
+	Software string
 	// Reserved and Spent are in tokens.
 	Reserved, Spent int64
 	// Truncated is set if a response was started and could not be completed.
--- a/core/roster/list.go
+++ b/core/roster/list.go
@@ -117,7 +117,7 @@
 
 // sameTarget reports whether two entries of one start of a target describe it alike.
 func sameTarget(a, b Entry) bool {
-	return a.Addr == b.Addr && a.Zone == b.Zone && a.Service == b.Service && a.Slots == b.Slots && slices.Equal(a.Models, b.Models)
+	return a.Addr == b.Addr && a.Zone == b.Zone && a.Service == b.Service && a.Software == b.Software && a.Slots == b.Slots && slices.Equal(a.Models, b.Models)
 }
 
 // PutInvalid handles an entry that could not be decoded as a removal of the target, and reports whether
--- a/core/roster/types.go
+++ b/core/roster/types.go
@@ -55,6 +55,8 @@
 	// Service is the name of a plain service, or of the group that an engine belongs to; empty
 	// for an engine that is chosen by its models alone.
 	Service string `json:"service,omitempty"`
+	// Software is the version of the target's software, not of its models.
+	Software string `json:"software,omitempty"`
 	// Slots is the number of requests that may run concurrently; 0 if the list does not state it.
 	Slots int `json:"slots,omitempty"`
 }
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -38,7 +38,7 @@
 	serving := b.serving(r)
 	if len(serving) == 0 {
 		return Choice{}, codes.Refuse(codes.NoTarget, NoTargetRetryAfter,
-			"no live target for model %q version %q service %q; check the configuration and the list of targets", r.Model, r.Version, r.Service)
+			"no live target for model %q version %q service %q software %q; check the configuration and the list of targets", r.Model, r.Version, r.Service, r.Software)
 	}
 	unpaused := filter(serving, func(c *target) bool { return !now.Before(c.pausedUntil) })
 	if len(unpaused) == 0 {
@@ -93,6 +93,9 @@
 }
 
 func serves(c *target, r Request) bool {
+	if r.Software != "" && r.Software != c.Software {
+		return false
+	}
 	if r.Service != "" {
 		return c.Service == r.Service
 	}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -80,6 +80,8 @@
 	Version string
 	// Service is set for a call to a plain service.
 	Service string
+	// Software restricts the choice to targets with this software version; empty for any.
+	Software string
 	// Prefix identifies the beginning of the prompt, by its id or by its text, for prefix affinity; empty without
 	// affinity.
 	Prefix string
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -54,6 +54,11 @@
 	Resumable bool
 }
 
+// Includes reports whether requests of the route may go to a service.
+func (r *Route) Includes(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // Retryable reports whether a request of the route may run more than once.
 func (r *Route) Retryable() bool {
 	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
--- a/io/opts/router.go
+++ b/io/opts/router.go
@@ -24,6 +24,7 @@
 	Budget   RouterBudget  `toml:"budget"`
 	Target   RouterTarget  `toml:"target"`
 	Retry    RouterRetry   `toml:"retry"`
+	Stream   RouterStream  `toml:"stream"`
 	Memory   RouterMemory  `toml:"memory"`
 	Link     RouterLink    `toml:"link"`
 	Stop     RouterStop    `toml:"stop"`
@@ -92,6 +93,12 @@
 	WindowS Seconds `toml:"window_s" unit:"s" default:"10" allowed:"1..600" doc:"Time over which repeats are weighed against requests."`
 }
 
+// RouterStream configures how long it is known which software version of a service began a stream.
+type RouterStream struct {
+	LifeS   Seconds `toml:"life_s" unit:"s" default:"30" allowed:"1..3600" doc:"Longest time from the first event of a stream to the last try of its caller to resume it."`
+	SettleS Seconds `toml:"settle_s" unit:"s" default:"120" allowed:"1..86400" doc:"Time for which a service has one software version before its streams are no longer recorded; longer than life_s and than an instance can't reach the platform's store."`
+}
+
 // RouterMemory limits the memory of the process.
 type RouterMemory struct {
 	LimitMB float64 `toml:"limit_mb" unit:"MB" default:"128" allowed:"32..1048576" doc:"Memory that the process may use."`
--- a/io/router/follow.go
+++ b/io/router/follow.go
@@ -128,7 +128,9 @@
 	r.listMu.Lock()
 	defer r.listMu.Unlock()
 	if update(r.list) {
-		r.routeClient.SetTargets(r.list.Targets(), 0)
+		targets := r.list.Targets()
+		r.origins.SetTargets(targets)
+		r.routeClient.SetTargets(targets, 0)
 	}
 }
 
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -26,6 +26,7 @@
 	"cranberryrail/core/events"
 	"cranberryrail/core/flow"
 	"cranberryrail/core/logs"
+	"cranberryrail/core/origin"
 	"cranberryrail/core/pause"
 	"cranberryrail/core/poison"
 	"cranberryrail/core/rate"
@@ -47,8 +48,9 @@
 type Platform struct {
 	// ConfigTopic holds the configuration under ConfigKey, TargetTopic an entry for each target
 	// by its id, BudgetTopic the prepaid budgets, PromiseTopic the tokens that instances hold
-	// of them and have promised not to spend yet, CrashTopic the requests that crash targets, and RateTopic the rate limits of targets.
-	ConfigTopic, ConfigKey, TargetTopic, BudgetTopic, PromiseTopic, CrashTopic, RateTopic string
+	// of them and have promised not to spend yet, CrashTopic the requests that crash targets, RateTopic the rate limits of targets, StreamTopic the software
+	// versions that began streams, and VersionTopic those of services.
+	ConfigTopic, ConfigKey, TargetTopic, BudgetTopic, PromiseTopic, CrashTopic, RateTopic, StreamTopic, VersionTopic string
 	// ReadyPath is the path of the platform's readiness check.
 	ReadyPath string
 	// ParseConfig and ParseTarget decode records of the topics.
@@ -105,6 +107,7 @@
 	rates        *rate.Tracker
 	rateTopic    *logs.Follower
 	rateReports  *logs.Outbox
+	origins      *origin.Tracker
 	relay        *relay.Server
 	link         *flow.Meter
 	entry        *entry.Server
@@ -161,8 +164,9 @@
 	r.initBudgets()
 	r.table.OnApplied = r.configApplied
 	r.initCrashes()
+	r.initOrigins()
 	r.relay = &relay.Server{
-		Crashes: r.crashes, HasCrashed: r.hasCrashed, Abandoned: r.abandoned,
+		Origins: r.origins, Crashes: r.crashes, HasCrashed: r.hasCrashed, Abandoned: r.abandoned,
 		Table: r.table.Current, Reserve: r.budgets.Reserve, Settle: r.budgets.Settle, Pick: r.routeClient.Pick, Done: r.routeClient.Done,
 		Retries: r.retries, Dispatch: r.dispatch, OnAttemptFailed: r.attemptFailed, MaxResponseBytes: s.Target.MaxResponseBytes(), Zone: s.Instance.Zone, Random: rand.IntN,
 	}
@@ -237,11 +241,11 @@
 const refusalHold = 3 * time.Second
 
 // Ready reports whether the instance accepts requests: it has received the configuration, the
-// targets with their crashes and rate limits, and the budgets; it can draw tokens, has room on its link, and is not stopping.
+// targets with their crashes, rate limits and software versions, and the budgets; it can draw tokens, has room on its link, and is not stopping.
 func (r *Router) Ready() bool {
 	recentlyRefused := time.Since(time.Unix(0, r.refusedAt.Load())) < refusalHold
 	return r.running.Load() && r.table.Current() != nil && r.targetsListed.Load() && r.crashesRead.Load() && r.ratesRead.Load() &&
-		r.budgets.Loaded() && !recentlyRefused
+		r.origins.Loaded() && r.budgets.Loaded() && !recentlyRefused
 }
 
 // serveReady serves the platform's readiness check.
@@ -290,7 +294,7 @@
 // tasks returns the functions that run concurrently.
 func (r *Router) tasks() []func(ctx context.Context) error {
 	runs := []func(ctx context.Context) error{
-		r.entry.Run, r.ready.Run, r.budgetSync.Run, r.followConfig().Run, r.followTargets().Run, r.crashTopic.Run, r.crashReports.Run, r.abandoned.Run, r.rateTopic.Run, r.rateReports.Run,
+		r.entry.Run, r.ready.Run, r.budgetSync.Run, r.followConfig().Run, r.followTargets().Run, r.crashTopic.Run, r.crashReports.Run, r.abandoned.Run, r.rateTopic.Run, r.rateReports.Run, r.origins.Run,
 		r.runPeriodic, r.watchReload,
 	}
 	if r.Settings.Metrics.Listen != "" {
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -96,6 +96,9 @@
 	}
 }
 
+// maxLoggedID limits how much of an id is logged that a caller may choose at any length.
+const maxLoggedID = 64
+
 // requestEnded logs a finished request and records its metrics.
 func (r *Router) requestEnded(result relay.Result, took time.Duration) {
 	class := meter.NoClass
@@ -120,6 +123,12 @@
 	if result.Events > 0 || result.Truncated {
 		event.Int("events", result.Events)
 	}
+	if result.Software != "" {
+		event.Str("software", result.Software)
+	}
+	if result.Request != nil && result.Request.LastEventID != "" {
+		event.Str("resumes", result.Request.Resumes[:min(len(result.Request.Resumes), maxLoggedID)])
+	}
 	if result.Unframed {
 		event.Bool("unframed", true)
 	}
--- a/io/router/state.go
+++ b/io/router/state.go
@@ -10,6 +10,7 @@
 
 	"cranberryrail/core/budget"
 	"cranberryrail/core/events"
+	"cranberryrail/core/origin"
 	"cranberryrail/core/poison"
 	"cranberryrail/core/rate"
 	"cranberryrail/core/roster"
@@ -39,13 +40,15 @@
 	Quarantines []poison.Quarantine `json:"quarantines"`
 	// RateLimits are the rate limits that targets have named.
 	RateLimits []rate.Limit `json:"rate_limits"`
+	// Versions is how the streams of services are known, by the software versions of their targets.
+	Versions []origin.State `json:"versions"`
 }
 
 // State returns the current state of the instance.
 func (r *Router) State() State {
 	s := State{
 		Instance: r.Settings.Instance.ID, Incarnation: r.Incarnation, Zone: r.Settings.Instance.Zone, Ready: r.Ready(), Stopping: !r.running.Load(),
-		InFlight: r.entry.InFlight(), LostMS: map[string]int64{}, Budgets: r.budgetSync.Balances(), Quarantines: r.crashes.Quarantines(), RateLimits: r.rates.Limits(),
+		InFlight: r.entry.InFlight(), LostMS: map[string]int64{}, Budgets: r.budgetSync.Balances(), Quarantines: r.crashes.Quarantines(), RateLimits: r.rates.Limits(), Versions: r.origins.States(),
 	}
 	if t := r.table.Current(); t != nil {
 		s.ConfigVersion = t.Version
