fix: a part of each budget is left for streams that are resumed

Cause: 51 of 98 tries after 44 s were refused (2003): what the killed instances held of nearly spent budgets was stranded, and new requests had taken the rest.

--- a/core/budget/book.go
+++ b/core/budget/book.go
@@ -75,13 +75,15 @@
 	borrowing   borrowState
 	// waiters are the reservations that wait for tokens, in order of arrival.
 	waiters []*waiter
-	// availablePeak is the recent maximum of the tokens that one request could have reserved.
+	// availablePeak is the recent maximum of the tokens that one request could have reserved, unless it resumes a stream.
 	availablePeak slidingMax
 }
 
 // waiter is a reservation that waits for tokens.
 type waiter struct {
 	tokens int64
+	// resumes is set if the request resumes a stream.
+	resumes bool
 	// done is closed once the reservation is decided; err is set before, and unlimited if the budget was removed meanwhile.
 	done      chan struct{}
 	err       error
@@ -205,18 +207,23 @@
 
 // Reserve reserves the maximum number of tokens that a request may use. The error is a *codes.Error.
 func (b *Book) Reserve(ctx context.Context, organisation string, tokens int64) (Reservation, error) {
-	return b.await(ctx, Reservation{Organisation: organisation, Tokens: tokens}, true)
+	return b.await(ctx, Reservation{Organisation: organisation, Tokens: tokens}, &waiter{tokens: tokens}, true)
+}
+
+// ReserveResumed is Reserve for a request that resumes a stream. It may use the part of a budget that is left for such requests.
+func (b *Book) ReserveResumed(ctx context.Context, organisation string, tokens int64) (Reservation, error) {
+	return b.await(ctx, Reservation{Organisation: organisation, Tokens: tokens}, &waiter{tokens: tokens, resumes: true}, true)
 }
 
 // await makes a reservation and waits for its tokens if the instance's holding does not cover it. It asks other instances
 // for tokens only if borrow is set.
-func (b *Book) await(ctx context.Context, r Reservation, borrow bool) (Reservation, error) {
+func (b *Book) await(ctx context.Context, r Reservation, w *waiter, borrow bool) (Reservation, error) {
 	organisation := r.Organisation
-	w, err := b.reserve(organisation, r.Tokens, borrow)
+	queued, err := b.reserve(organisation, w, borrow)
 	if err != nil {
 		return Reservation{}, err
 	}
-	if w == nil {
+	if !queued {
 		return b.clearUnlimited(r), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, b.MaxWait)
@@ -256,27 +263,29 @@
 	return r
 }
 
-// reserve reserves tokens, refuses, or queues the reservation and returns its waiter. It asks other instances for tokens
+// reserve reserves tokens, refuses, or queues the reservation and reports whether it did. It asks other instances for tokens
 // only if borrow is set.
-func (b *Book) reserve(organisation string, tokens int64, borrow bool) (*waiter, error) {
+func (b *Book) reserve(organisation string, w *waiter, borrow bool) (queued bool, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(organisation)
 	if a.paid == table.Unlimited {
-		return nil, nil
+		return false, nil
 	}
-	a.recordRequest(tokens, b.Now())
-	if len(a.waiters) == 0 && b.tryReserve(a, tokens) {
+	a.recordRequest(w.tokens, b.Now())
+	if len(a.waiters) == 0 && b.tryReserve(a, w.tokens) {
 		b.notifyIfDue(organisation, a)
-		return nil, nil
+		return false, nil
 	}
-	refused := b.refusal(a, tokens)
-	borrowing := borrow && (refused != nil || !b.IsHolder(organisation)) && b.tryBorrowing(a, a.demand()+tokens-b.spendable(a))
+	refused := b.refusal(a, w)
+	// Holders do not lend what is left for resumed streams.
+	borrow = borrow && !(w.resumes && refused == nil && a.unreserved+a.grantable(false) < w.tokens)
+	borrowing := borrow && (refused != nil || !b.IsHolder(organisation)) && b.tryBorrowing(a, a.demand()+w.tokens-b.spendable(a))
 	if refused != nil && !borrowing {
-		a.usage.add(-tokens, b.Now()) // what is not served is no usage
-		return nil, refused
+		a.usage.add(-w.tokens, b.Now()) // what is not served is no usage
+		return false, refused
 	}
-	w := &waiter{tokens: tokens, done: make(chan struct{})}
+	w.done = make(chan struct{})
 	a.waiters = append(a.waiters, w)
 	switch {
 	case a.demand() <= a.unreserved:
@@ -284,7 +293,7 @@
 	case !borrowing:
 		b.OnAdjustmentDue(organisation, true)
 	}
-	return w, nil
+	return true, nil
 }
 
 // recordRequest adds a request to the measured usage.
@@ -326,7 +335,7 @@
 		if a.paid == table.Unlimited {
 			w.unlimited = true
 		} else if !b.tryReserve(a, w.tokens) {
-			refused := b.refusal(a, w.tokens)
+			refused := b.refusal(a, w)
 			if refused == nil || a.borrowing.active {
 				return
 			}
@@ -348,7 +357,7 @@
 		return
 	}
 	a.waiters = slices.Delete(a.waiters, i, i+1)
-	refused := b.refusal(a, w.tokens)
+	refused := b.refusal(a, w)
 	if refused == nil {
 		refused = codes.Refuse(codes.BudgetElsewhere, RetryAfterLogUnavailable, "%d tokens are left but could not be drawn from the log in time", a.ungranted())
 	}
@@ -364,16 +373,16 @@
 
 // refusal returns the error for a reservation that the instance's holding does not cover, nil if it
 // may wait.
-func (b *Book) refusal(a *account, tokens int64) *codes.Error {
-	if b.loaded && a.unreserved+a.ungranted() < tokens {
-		return b.refuseUncovered(a, tokens)
+func (b *Book) refusal(a *account, w *waiter) *codes.Error {
+	if b.loaded && a.unreserved+a.grantable(w.resumes) < w.tokens {
+		return b.refuseUncovered(a, w)
 	}
 	switch {
 	case !b.loaded:
 		return codes.Refuse(codes.LedgerStale, RetryAfterLogUnavailable, "the budgets have not been read yet")
 	case !b.LogReachable(a.organisation):
 		return codes.Refuse(codes.LogUnavailable, RetryAfterLogUnavailable, "%d tokens are left but the log is unreachable", a.ungranted())
-	case a.unreserved+b.drawable(a) < tokens:
+	case a.unreserved+b.drawable(a, w.resumes) < w.tokens:
 		return codes.Refuse(codes.BudgetElsewhere, RetryAfterElsewhere, "%d tokens are left but may not be drawn yet, in case the log is restored", a.ungranted())
 	default:
 		return nil
@@ -382,20 +391,22 @@
 
 // recordAvailable updates the peak of the tokens that one request could reserve.
 func (b *Book) recordAvailable(a *account) {
-	a.availablePeak.record(a.unreserved+a.ungranted(), b.Now())
+	a.availablePeak.record(a.unreserved+a.grantable(false), b.Now())
 }
 
 // refuseUncovered returns the refusal of a reservation that neither the instance's holding nor the
 // log covers. The refusal is permanent if this has been so for ExhaustionDelay, in which other
 // instances had time to return tokens that they do not need.
-func (b *Book) refuseUncovered(a *account, tokens int64) *codes.Error {
+func (b *Book) refuseUncovered(a *account, w *waiter) *codes.Error {
 	b.OnStaleRefusal(a.organisation)
-	if b.LogReachable(a.organisation) && tokens > a.availablePeak.value(b.Now()) {
+	available := a.unreserved + a.grantable(w.resumes)
+	peak := a.availablePeak.value(b.Now()) + a.grantable(w.resumes) - a.grantable(false)
+	if b.LogReachable(a.organisation) && w.tokens > peak {
 		return codes.Refuse(codes.BudgetExhausted, 0, "%d of %d tokens are left, the request may use %d; top up the budget",
-			a.unreserved+a.ungranted(), a.paid, tokens)
+			available, a.paid, w.tokens)
 	}
 	return codes.Refuse(codes.BudgetElsewhere, RetryAfterElsewhere,
-		"%d of %d tokens are left here, the request may use %d; other instances may hold more", a.unreserved+a.ungranted(), a.paid, tokens)
+		"%d of %d tokens are left here, the request may use %d; other instances may hold more", available, a.paid, w.tokens)
 }
 
 // Settle ends a reservation: used tokens are spent and the rest becomes unreserved again.
--- a/core/budget/borrow.go
+++ b/core/budget/borrow.go
@@ -72,7 +72,7 @@
 	if lent := b.lendSpendable(organisation, tokens, max(least, 1)); lent > 0 || least <= 0 {
 		return lent
 	}
-	r, err := b.await(ctx, Reservation{Organisation: organisation, Tokens: least}, false)
+	r, err := b.await(ctx, Reservation{Organisation: organisation, Tokens: least}, &waiter{tokens: least}, false)
 	if err != nil {
 		return 0
 	}
--- a/core/budget/era.go
+++ b/core/budget/era.go
@@ -123,13 +123,13 @@
 	return a.grants.Kept
 }
 
-// drawable returns the tokens that may be drawn from the log now.
-func (b *Book) drawable(a *account) int64 {
-	ungranted := max(a.ungranted(), 0)
+// drawable returns the tokens that may be drawn from the log now, for requests that resume streams or for others.
+func (b *Book) drawable(a *account, resumes bool) int64 {
+	grantable := max(a.grantable(resumes), 0)
 	if !a.restorable {
-		return ungranted
+		return grantable
 	}
-	return max(0, min(ungranted, b.kept(a)+b.riskLimit(a)-a.grants.Drawn))
+	return max(0, min(grantable, b.kept(a)+b.riskLimit(a)-a.grants.Drawn))
 }
 
 // NextGrants returns the record that adds a draw, or a return if tokens is negative, to those in the log.
--- a/core/budget/policy.go
+++ b/core/budget/policy.go
@@ -38,6 +38,9 @@
 	// the tokens of single requests from being returned and drawn again.
 	minReturnRequests = 2
 	minReturnDivisor  = 64
+	// resumeReserveDivisor is the part of the tokens paid for, as a divisor, that is granted only for streams that are resumed. It is
+	// neither held nor stranded when all instances are killed, which breaks all streams off. 97 in 100 must remain for all requests.
+	resumeReserveDivisor = 50
 )
 
 // MaxHolders is the number of holders of each budget. All instances of a smaller fleet are holders of all
@@ -53,6 +56,16 @@
 	return max(0, a.paid-a.grants.Granted)
 }
 
+// grantable returns the tokens that the log can still grant to requests that resume streams, or to others; fewer than 0 if more was granted than
+// is paid for.
+func (a *account) grantable(resumes bool) int64 {
+	ungranted := a.ungranted()
+	if resumes || ungranted < 0 {
+		return ungranted
+	}
+	return max(0, ungranted-min(a.paid/resumeReserveDivisor, a.grants.Granted)) // Streams that can be resumed were granted tokens.
+}
+
 // overgranted reports whether more was granted than is paid for, because the amount paid was reduced. Tokens that
 // only count as granted do not matter.
 func (a *account) overgranted() bool { return a.grants.Granted-a.grants.WrittenOff > a.paid }
@@ -63,13 +76,13 @@
 }
 
 // low reports whether few tokens remain to be granted.
-func (a *account) low() bool { return a.ungranted() < a.paid/lowDivisor }
+func (a *account) low() bool { return a.grantable(false) < a.paid/lowDivisor }
 
 // target returns the target holding, the number of free tokens that this instance should hold: a fraction
 // of the remaining tokens, or what covers its own usage if that is more. The cover shrinks in proportion
 // to the remaining tokens.
 func (b *Book) target(a *account) int64 {
-	ungranted := max(a.ungranted(), 0)
+	ungranted := max(a.grantable(false), 0)
 	cover := b.Cover.Seconds() * min(1, float64(ungranted)/float64(max(a.paid, 1)))
 	needed := int64(a.usage.rate(b.Now()) * max(cover, minCover.Seconds()))
 	if b.instanceCount == 0 {
@@ -132,21 +145,22 @@
 	if b.stopping {
 		return 0
 	}
-	ungranted := b.drawable(a)
+	drawable := b.drawable(a, false)
 	draw := a.demand() - a.unreserved
 	if !b.IsHolder(a.organisation) {
 		if a.borrowing.active {
 			draw = 0
 		}
 	} else if target := b.target(a); float64(a.unreserved) < refillRatio*float64(target) {
-		if refill := min(target-a.unreserved, b.maxDraw(ungranted)); refill >= a.quantum(target) {
+		if refill := min(target-a.unreserved, b.maxDraw(drawable)); refill >= a.quantum(target) {
 			draw = max(draw, refill)
 		}
 	}
-	if draw > ungranted && len(a.waiters) > 0 {
-		draw = a.waiters[0].tokens - a.unreserved // the other waiters are refused
+	if draw > drawable && len(a.waiters) > 0 {
+		first := a.waiters[0] // the other waiters are refused
+		draw, drawable = first.tokens-a.unreserved, b.drawable(a, first.resumes)
 	}
-	if draw <= 0 || draw > ungranted {
+	if draw <= 0 || draw > drawable {
 		return 0
 	}
 	return draw
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -28,6 +28,8 @@
 	// Reserve reserves tokens of a prepaid budget, and Settle ends the reservation.
 	Reserve func(ctx context.Context, organisation string, tokens int64) (budget.Reservation, error)
 	Settle  func(reservation budget.Reservation, used int64)
+	// ReserveResumed is Reserve for requests that resume a stream; optional.
+	ReserveResumed func(ctx context.Context, organisation string, tokens int64) (budget.Reservation, error)
 	// Pick chooses a target. Done is called with the outcome of the attempt at it.
 	Pick func(r route.Request) (route.Choice, error)
 	Done func(token int64, o route.Outcome)
@@ -64,6 +66,9 @@
 	if s.MaxResponseBytes == 0 {
 		s.MaxResponseBytes = DefaultMaxResponseBytes
 	}
+	if s.ReserveResumed == nil {
+		s.ReserveResumed = s.Reserve
+	}
 	if s.Now == nil {
 		s.Now = time.Now
 	}
@@ -272,7 +277,11 @@
 		ctx, cancel = context.WithTimeout(ctx, r.route.LatencyObjective/reserveWaitDivisor)
 		defer cancel()
 	}
-	reservation, err := r.Reserve(ctx, r.org.Name, need)
+	reserve := r.Reserve
+	if r.Software != "" {
+		reserve = r.ReserveResumed
+	}
+	reservation, err := reserve(ctx, r.org.Name, need)
 	if err != nil {
 		return codes.From(err, codes.NotRun)
 	}
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -167,7 +167,7 @@
 	r.initOrigins()
 	r.relay = &relay.Server{
 		Origins: r.origins, Crashes: r.crashes, HasCrashed: r.hasCrashed, Abandoned: r.abandoned,
-		Table: r.table.Current, Reserve: r.budgets.Reserve, Settle: r.budgets.Settle, Pick: r.routeClient.Pick, Done: r.routeClient.Done,
+		Table: r.table.Current, Reserve: r.budgets.Reserve, ReserveResumed: r.budgets.ReserveResumed, Settle: r.budgets.Settle, Pick: r.routeClient.Pick, Done: r.routeClient.Done,
 		Retries: r.retries, Dispatch: r.dispatch, OnAttemptFailed: r.attemptFailed, MaxResponseBytes: s.Target.MaxResponseBytes(), Zone: s.Instance.Zone, Random: rand.IntN,
 	}
 	r.relay.Default()
