fix: an instance that reaches no target of a service sends requests by way of another instance

Cause: an instance had its own path only; each request waited for up to four connections. Class: a failure of one path was taken for one of its far end. Change: core/detour finds out that no target of a service can be connected to (two in a row; a silent target or a failed connection triggers a check of another), and chooses an instance to ask; rpc Forward of io/peer. Budget, billing, retries and the version of a stream stay at the first instance. A check each 0.3 s ends the detour, and the ejections of that time. Events 5026 and 5027; state 'unreachable'. Why it works: the request is sent by an instance that has a path, within the time in which the first one would still have waited for a connection.

--- a/core/budget/holders.go
+++ b/core/budget/holders.go
@@ -83,6 +83,20 @@
 	return sy.PeerAddr == "" || r != nil && r.of(organisation).isHolder
 }
 
+// Peers returns the addresses of the other instances that ever registered.
+func (sy *Syncer) Peers() []string {
+	p := sy.partitions[0]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var addrs []string
+	for id, addr := range p.instances {
+		if id != sy.Instance && addr != "" {
+			addrs = append(addrs, addr)
+		}
+	}
+	return addrs
+}
+
 // Lenders returns the addresses of the other holders of an organisation's budget, in the order in which to ask
 // them, and those of the other instances. The caller must not change them.
 func (sy *Syncer) Lenders(organisation string) (holders, others []string) {
--- a/core/codes/codes.go
+++ b/core/codes/codes.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -65,6 +66,15 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// ByNumber returns the code with a number, and whether there is one.
+func ByNumber(number int) (Code, bool) {
+	i := slices.IndexFunc(All(), func(c Code) bool { return c.Number == number })
+	if i < 0 {
+		return Code{}, false
+	}
+	return All()[i], true
+}
+
 // Refuse returns an error for a request that was not executed.
 func Refuse(c Code, retryAfter time.Duration, format string, args ...any) *Error {
 	return &Error{Code: c, Run: NotRun, RetryAfter: retryAfter, Detail: fmt.Sprintf(format, args...)}
--- a/core/events/table.go
+++ b/core/events/table.go
@@ -73,6 +73,8 @@
 	AbandonedCrashed  = Event{5023, "abandoned_target_crashed", Warn, "A target ended soon after a request at it was abandoned, because the caller disconnected or the request timed out; the request may have crashed it."}
 	VersionsChanged   = Event{5024, "versions_changed", Info, "How the streams of a service are known has changed: with mode open all began at the version in the field software; with mode mixed those without a record did; with mode recorded those without a record can't be resumed."}
 	OriginsDelayed    = Event{5025, "origins_delayed", Warn, "The software versions of streams or services could not be read from the log or recorded in it; the calls are repeated."}
+	PathLost          = Event{5026, "path_lost", Warn, "This instance can't connect to any target of a service; it sends requests by way of other instances that can."}
+	PathBack          = Event{5027, "path_back", Info, "This instance connects to targets of a service again."}
 	ConfApplied       = Event{6001, "configuration_applied", Info, "A configuration change is in force at this instance."}
 	ConfRefused       = Event{6002, "configuration_refused", Info, "A configuration change was refused."}
 	OperatorRefused   = Event{6004, "operator_refused", Warn, "A request with a missing or wrong operator key was refused."}
@@ -97,7 +99,7 @@
 		DoubleCharge, TopUpAccepted, BudgetExhausted, HoldingChanged, HoldingUnsettled, PromiseTaken, PromiseLapsed, PromisesOff, TokensBorrowed, TransferLost,
 		ClaimWon, ClaimLost, ClaimVoided, OutcomeUnknown,
 		TargetLeaving, TargetSilent, StreamResumed,
-		StreamCut, FrameForeign, AttemptFailed, RequestEnded, TargetJoined, TargetRemoved, TargetInvalid, TargetPaused, HeaderIgnored, TargetCrashed, Quarantined, Released, ReportsDelayed, RateLimitNamed, RateLimitEnded, RatesDelayed, AbandonedCrashed, VersionsChanged, OriginsDelayed,
+		StreamCut, FrameForeign, AttemptFailed, RequestEnded, TargetJoined, TargetRemoved, TargetInvalid, TargetPaused, HeaderIgnored, TargetCrashed, Quarantined, Released, ReportsDelayed, RateLimitNamed, RateLimitEnded, RatesDelayed, AbandonedCrashed, VersionsChanged, OriginsDelayed, PathLost, PathBack,
 		ConfApplied, ConfRefused, OperatorRefused, ConfUnconfirmed, ConfConfirmed,
 		PeerUnreachable, PeerBack,
 		Overspend, Panic, FoldDiffers,
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -37,17 +37,28 @@
 	if err := r.admitAttempt(ctx); err != nil {
 		return nil, crashRefusal(err)
 	}
-	choice, err := r.Pick(r.routeRequest())
-	if err != nil {
-		return nil, err
+	request := r.routeRequest()
+	detour := r.NeedsDetour(r.Service, r.Attempts-r.SentFailures)
+	var choice route.Choice
+	if !detour {
+		var err error
+		if choice, err = r.Pick(request); err != nil {
+			return nil, err
+		}
 	}
 	d := r.newDispatch(choice.Target)
+	d.Detour = detour
 	r.Attempts++
 	r.Target = choice.Target
 	r.progressAt = r.Now()
 	r.eventsBefore = r.Events
-	r.recordOrigin(choice.Target)
-	failed := r.exchange(ctx, d)
+	if !detour {
+		r.recordOrigin(choice.Target)
+	}
+	failed := r.exchange(ctx, d, request)
+	if failed != nil && failed.Refusal != nil {
+		return nil, failed.Refusal
+	}
 	if failed == nil || failed.Sent {
 		r.pass.Sent()
 	}
@@ -65,11 +76,19 @@
 	if failed.Sent {
 		r.SentFailures++
 	}
-	r.tried = append(r.tried, choice.Target.ID)
+	r.tried = append(r.tried, r.Target.ID)
 	r.OnAttemptFailed(d, failed)
 	return failed, nil
 }
 
+// send sends the request to its target, or by way of another instance that chooses one.
+func (r *relayedRequest) send(ctx context.Context, d Dispatch, choice route.Request) (*Response, error) {
+	if d.Detour {
+		return r.DispatchBy(ctx, d, choice)
+	}
+	return r.Dispatch(ctx, d)
+}
+
 // recordOrigin records the software version of a target that may begin the stream. For a stream that began before, it records under the id of this
 // attempt too, which the caller may name when it resumes again.
 func (r *relayedRequest) recordOrigin(t roster.Target) {
@@ -110,7 +129,10 @@
 // request ended and this instance closed the exchange, the target is watched.
 func (r *relayedRequest) reportCrash(ctx context.Context, d Dispatch, failed *AttemptError) {
 	switch {
-	case !failed.Sent || failed.Kind == Shed || failed.Kind == Misdirected || failed.Kind == Errored || failed.Kind == Unrecorded:
+	case failed.Crashed:
+		failed.Series = r.pass.Crashed(r.Target.Incarnation, failed.Events >= answerEvents)
+		return
+	case !failed.Sent || d.Detour || failed.Kind == Shed || failed.Kind == Misdirected || failed.Kind == Errored || failed.Kind == Unrecorded:
 		return
 	case ctx.Err() == nil && (failed.Kind == Broken || failed.Kind == Invalid) && r.HasCrashed(ctx, d.Target):
 		failed.Crashed = true
@@ -183,12 +205,20 @@
 }
 
 // exchange sends the request and forwards the response.
-func (r *relayedRequest) exchange(ctx context.Context, d Dispatch) *AttemptError {
-	a, err := r.Dispatch(ctx, d)
+func (r *relayedRequest) exchange(ctx context.Context, d Dispatch, choice route.Request) *AttemptError {
+	a, err := r.send(ctx, d, choice)
 	if err != nil {
-		return r.recordFailure(err)
+		failed := r.recordFailure(err)
+		if failed.Target.ID != "" {
+			r.Target = failed.Target
+		}
+		return failed
 	}
 	defer a.Close()
+	if a.Target != nil {
+		r.Target = *a.Target
+		r.recordOrigin(r.Target)
+	}
 	a.Read = r.limitBody(a.Read)
 	r.Unframed = a.Unframed
 	switch {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -39,6 +39,10 @@
 	Dispatch func(ctx context.Context, d Dispatch) (*Response, error)
 	// Origins knows which software version began a stream; optional.
 	Origins *origin.Tracker
+	// NeedsDetour reports whether a request for a service should be sent by way of another instance, given the number of targets that it did not
+	// reach; DispatchBy sends it to a target of that instance's choice. Optional.
+	NeedsDetour func(service string, unreached int) bool
+	DispatchBy  func(ctx context.Context, d Dispatch, choice route.Request) (*Response, error)
 	// Crashes decides whether requests like one may be sent, by the targets that have crashed under them; optional.
 	Crashes *poison.Tracker
 	// HasCrashed reports whether the process of a target has ended, after an exchange with it broke off; optional.
@@ -72,6 +76,9 @@
 	if s.Now == nil {
 		s.Now = time.Now
 	}
+	if s.NeedsDetour == nil {
+		s.NeedsDetour = func(string, int) bool { return false }
+	}
 	if s.HasCrashed == nil {
 		s.HasCrashed = func(context.Context, roster.Target) bool { return false }
 	}
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -80,7 +80,9 @@
 // Dispatch is one attempt at a target.
 type Dispatch struct {
 	*Request
-	Target       roster.Target
+	Target roster.Target
+	// Detour is set if the request is sent by way of another instance, which chooses the target.
+	Detour       bool
 	Organisation string
 	// Priority is from 0 to route.TopPriority, the highest.
 	Priority int
@@ -101,6 +103,8 @@
 	Status int
 	// Unframed is set if the body has neither a length nor chunks, so that it ends with the connection.
 	Unframed bool
+	// Target is the target if another instance chose it; nil otherwise.
+	Target *roster.Target
 	// Read reads the body. The error is io.EOF at the end of a complete body and an *AttemptError
 	// otherwise.
 	Read func(p []byte) (int, error)
@@ -170,6 +174,10 @@
 	// Crashed is set if the process of the target ended. Series is then the length of the series of crashes that ends with this one.
 	Crashed bool
 	Series  int
+	// Target is the target of an attempt that another instance made; empty if this instance made it.
+	Target roster.Target
+	// Refusal ends the request if no instance sent it; nil otherwise.
+	Refusal *codes.Error
 	// Trait is the trait of the whole request, and Probe is set if it was sent although a trait of it is quarantined.
 	Trait poison.Trait
 	Probe bool
--- a/core/route/actor.go
+++ b/core/route/actor.go
@@ -43,6 +43,8 @@
 		ID, Incarnation string
 		Pause           time.Duration
 	}
+	// ReadmitMsg ends the ejections of all targets of a service.
+	ReadmitMsg struct{ Service string }
 	// LeavingMsg marks incarnations as leaving.
 	LeavingMsg struct{ Incarnations []string }
 	// LeavingQuery requests the incarnations that are marked as leaving. The actor responds with *LeavingReply.
@@ -109,6 +111,8 @@
 		}
 	case *PauseMsg:
 		a.Balancer.Pause(m.ID, m.Incarnation, m.Pause)
+	case *ReadmitMsg:
+		a.Balancer.Readmit(m.Service)
 	case *LeavingMsg:
 		for _, incarnation := range m.Incarnations {
 			a.Balancer.MarkLeaving(incarnation)
@@ -187,6 +191,9 @@
 	c.Root.Send(c.PID, &PauseMsg{ID: id, Incarnation: incarnation, Pause: pause})
 }
 
+// Readmit ends the ejections of all targets of a service.
+func (c *Client) Readmit(service string) { c.Root.Send(c.PID, &ReadmitMsg{service}) }
+
 // MarkLeaving marks incarnations as leaving.
 func (c *Client) MarkLeaving(incarnations ...string) {
 	c.Root.Send(c.PID, &LeavingMsg{Incarnations: incarnations})
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -264,6 +264,13 @@
 	}
 }
 
+// Readmit ends the ejections of all targets of a service, after this instance had no path to any of them.
+func (b *Balancer) Readmit(service string) {
+	for _, c := range b.byService[service] {
+		c.health = health{epoch: c.health.epoch + 1}
+	}
+}
+
 // LeavingIncarnations returns the incarnations that are marked as leaving in ascending order, to be sent to peers.
 func (b *Balancer) LeavingIncarnations() []string {
 	return slices.Sorted(slices.Values(b.leaving.Keys()))
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -87,6 +87,8 @@
 	NonIdempotent bool
 	// HeaderTimeout is the timeout for the response headers.
 	HeaderTimeout time.Duration
+	// OnDialed is called if a new connection was opened for the request; optional.
+	OnDialed func()
 	// Matches reports whether a response belongs to the request.
 	Matches func(h http.Header) bool
 }
@@ -251,6 +253,9 @@
 		return nil, fmt.Errorf("dial target at %s: %w", r.Addr, err)
 	}
 	c.OnDial()
+	if r.OnDialed != nil {
+		r.OnDialed()
+	}
 	return newConn(nc, r.PoolKey, c.IdleTimeout), nil
 }
 
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -45,6 +45,9 @@
 	AcceptRepayment func(budget string, tokens int64) error
 	// Confirm opens a further slice of a grant and returns its tokens; optional.
 	Confirm func(holder, budget, grant string, tokens int64) int64
+	// Forward sends a request of another instance to a target and returns its outcome; optional. It must not forward it again, because
+	// instances could then form a loop.
+	Forward func(ctx context.Context, f Forward, w ForwardWriter) ForwardEnd
 	// Report returns a report of this instance in JSON.
 	Report func(kind string) ([]byte, error)
 
--- a/io/router/follow.go
+++ b/io/router/follow.go
@@ -130,6 +130,7 @@
 	if update(r.list) {
 		targets := r.list.Targets()
 		r.origins.SetTargets(targets)
+		r.setServices(targets)
 		r.routeClient.SetTargets(targets, 0)
 	}
 }
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -24,6 +24,7 @@
 
 	"cranberryrail/core/actors"
 	"cranberryrail/core/budget"
+	"cranberryrail/core/detour"
 	"cranberryrail/core/events"
 	"cranberryrail/core/flow"
 	"cranberryrail/core/logs"
@@ -111,6 +112,7 @@
 	rateTopic    *logs.Follower
 	rateReports  *logs.Outbox
 	origins      *origin.Tracker
+	detours      *detour.Tracker
 	relay        *relay.Server
 	link         *flow.Meter
 	entry        *entry.Server
@@ -127,6 +129,10 @@
 	targetsListed atomic.Bool
 	// crashesRead and ratesRead are set once the requests that crash targets and the rate limits of targets were read.
 	crashesRead, ratesRead atomic.Bool
+	// suspects holds services that may be unreachable.
+	suspects chan suspect
+	// forwarded is the number of requests of other instances in flight.
+	forwarded atomic.Int64
 	// running is set from the start until the shutdown begins.
 	running atomic.Bool
 	// refusedAt is when a request was last refused because the platform's log was unreachable or the link was full,
@@ -151,6 +157,7 @@
 // Default creates the components of the instance.
 func (r *Router) Default() {
 	r.Incarnation = uuid.NewString()
+	r.suspects = make(chan suspect, 1)
 	r.system = actors.NewSystem()
 	s := r.Settings
 	r.initRates()
@@ -168,8 +175,9 @@
 	r.table.OnApplied = r.configApplied
 	r.initCrashes()
 	r.initOrigins()
+	r.initDetours()
 	r.relay = &relay.Server{
-		Origins: r.origins, Crashes: r.crashes, HasCrashed: r.hasCrashed, Abandoned: r.abandoned,
+		Origins: r.origins, NeedsDetour: r.detours.Needed, DispatchBy: r.dispatchBy, Crashes: r.crashes, HasCrashed: r.hasCrashed, Abandoned: r.abandoned,
 		Table: r.table.Current, Reserve: r.budgets.Reserve, ReserveResumed: r.budgets.ReserveResumed, Settle: r.budgets.Settle, Pick: r.routeClient.Pick, Done: r.routeClient.Done,
 		Retries: r.retries, Dispatch: r.dispatch, OnAttemptFailed: r.attemptFailed, MaxResponseBytes: s.Target.MaxResponseBytes(), Zone: s.Instance.Zone, Random: rand.IntN,
 	}
@@ -303,7 +311,7 @@
 // tasks returns the functions that run concurrently.
 func (r *Router) tasks() []func(ctx context.Context) error {
 	runs := []func(ctx context.Context) error{
-		r.entry.Run, r.ready.Run, r.budgetSync.Run, r.followConfig().Run, r.followTargets().Run, r.crashTopic.Run, r.crashReports.Run, r.abandoned.Run, r.rateTopic.Run, r.rateReports.Run, r.origins.Run,
+		r.entry.Run, r.ready.Run, r.budgetSync.Run, r.followConfig().Run, r.followTargets().Run, r.crashTopic.Run, r.crashReports.Run, r.abandoned.Run, r.rateTopic.Run, r.rateReports.Run, r.origins.Run, r.watchPaths,
 		r.runPeriodic, r.watchReload,
 	}
 	if r.Settings.Metrics.Listen != "" {
@@ -386,6 +394,7 @@
 	r.entry.StopAt(deadline)
 	r.returnEarly(ctx, deadline)
 	r.awaitIdle(ctx, deadline)
+	r.awaitForwarded(ctx, deadline)
 	err := r.budgetSync.ReturnTokens(ctx)
 	r.entry.StopAt(time.Now())
 	r.awaitIdle(ctx, deadline.Add(returnReserve))
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -17,15 +17,29 @@
 
 // dispatch sends a request to a target and returns the response.
 func (r *Router) dispatch(ctx context.Context, d relay.Dispatch) (*relay.Response, error) {
+	return r.dispatchTo(ctx, d, func(http.Header) {})
+}
+
+// dispatchTo is dispatch, and calls onHeader with the headers of the response as the target sent them.
+func (r *Router) dispatchTo(ctx context.Context, d relay.Dispatch, onHeader func(http.Header)) (*relay.Response, error) {
 	sentAt := time.Now()
 	a, err := r.conns.Do(ctx, &conns.Request{
 		PoolKey: d.Target.Incarnation, Addr: d.Target.Addr, Method: d.Method, URI: d.URI, Host: d.Host,
 		Header: r.Platform.BuildHeader(d), Body: d.Body, NonIdempotent: d.NonIdempotent, HeaderTimeout: d.HeaderTimeout,
-		Matches: func(h http.Header) bool { return r.Platform.MatchesRequest(h, d.ID) },
+		OnDialed: func() { r.recordPath(d.Target, nil) },
+		Matches:  func(h http.Header) bool { return r.Platform.MatchesRequest(h, d.ID) },
 	})
 	if err != nil {
-		return nil, attemptError(err)
+		failed := attemptError(err)
+		switch {
+		case failed.Kind == relay.Unreachable && ctx.Err() == nil:
+			r.recordPath(d.Target, err)
+		case failed.Kind == relay.Silent:
+			r.pathSuspect(d.Target.Service, "")
+		}
+		return nil, failed
 	}
+	onHeader(a.Header)
 	response := &relay.Response{
 		ResponseHead: r.Platform.ParseResponseHead(a.Status, a.Header), Status: a.Status, Unframed: a.Unframed, SetReadTimeout: a.SetReadTimeout, Close: a.Close,
 		Read: func(p []byte) (int, error) {
--- a/io/router/state.go
+++ b/io/router/state.go
@@ -42,13 +42,15 @@
 	RateLimits []rate.Limit `json:"rate_limits"`
 	// Versions is how the streams of services are known, by the software versions of their targets.
 	Versions []origin.State `json:"versions"`
+	// Unreachable are the services of which this instance reaches no target.
+	Unreachable []string `json:"unreachable"`
 }
 
 // State returns the current state of the instance.
 func (r *Router) State() State {
 	s := State{
 		Instance: r.Settings.Instance.ID, Incarnation: r.Incarnation, Zone: r.Settings.Instance.Zone, Ready: r.Ready(), Stopping: !r.running.Load(),
-		InFlight: r.entry.InFlight(), LostMS: map[string]int64{}, Budgets: r.budgetSync.Balances(), Quarantines: r.crashes.Quarantines(), RateLimits: r.rates.Limits(), Versions: r.origins.States(),
+		InFlight: r.entry.InFlight(), LostMS: map[string]int64{}, Budgets: r.budgetSync.Balances(), Quarantines: r.crashes.Quarantines(), RateLimits: r.rates.Limits(), Versions: r.origins.States(), Unreachable: r.detours.CutServices(),
 	}
 	if t := r.table.Current(); t != nil {
 		s.ConfigVersion = t.Version
