fix: all instances together send a brittle target no more than it can run

Cause: Server-Brittle was read by nobody, and an instance filled the queues of targets by its own estimate. Class: a bound on all instances together that each must keep by its own part. Change: a target that announces that it is brittle gets from each instance its share of the target's slots, twice that while it reports itself half empty; what is over that is refused at once. After a rejection it is paused for as long as the fleet keeps below what the target turns away. The other targets of the service count as brittle for 10 s too, so that one that starts again is not overloaded.

--- a/core/events/table.go
+++ b/core/events/table.go
@@ -75,6 +75,7 @@
 	OriginsDelayed    = Event{5025, "origins_delayed", Warn, "The software versions of streams or services could not be read from the log or recorded in it; the calls are repeated."}
 	PathLost          = Event{5026, "path_lost", Warn, "This instance can't connect to any target of a service; it sends requests by way of other instances that can."}
 	PathBack          = Event{5027, "path_back", Info, "This instance connects to targets of a service again."}
+	TargetBrittle     = Event{5028, "target_brittle", Info, "A target announces that it falls over when it has to turn away more requests a second than the field per_second states; all instances together send it no more than it can run."}
 	ConfApplied       = Event{6001, "configuration_applied", Info, "A configuration change is in force at this instance."}
 	ConfRefused       = Event{6002, "configuration_refused", Info, "A configuration change was refused."}
 	OperatorRefused   = Event{6004, "operator_refused", Warn, "A request with a missing or wrong operator key was refused."}
@@ -99,7 +100,7 @@
 		DoubleCharge, TopUpAccepted, BudgetExhausted, HoldingChanged, HoldingUnsettled, PromiseTaken, PromiseLapsed, PromisesOff, TokensBorrowed, TransferLost,
 		ClaimWon, ClaimLost, ClaimVoided, OutcomeUnknown,
 		TargetLeaving, TargetSilent, StreamResumed,
-		StreamCut, FrameForeign, AttemptFailed, RequestEnded, TargetJoined, TargetRemoved, TargetInvalid, TargetPaused, HeaderIgnored, TargetCrashed, Quarantined, Released, ReportsDelayed, RateLimitNamed, RateLimitEnded, RatesDelayed, AbandonedCrashed, VersionsChanged, OriginsDelayed, PathLost, PathBack,
+		StreamCut, FrameForeign, AttemptFailed, RequestEnded, TargetJoined, TargetRemoved, TargetInvalid, TargetPaused, HeaderIgnored, TargetCrashed, Quarantined, Released, ReportsDelayed, RateLimitNamed, RateLimitEnded, RatesDelayed, AbandonedCrashed, VersionsChanged, OriginsDelayed, PathLost, PathBack, TargetBrittle,
 		ConfApplied, ConfRefused, OperatorRefused, ConfUnconfirmed, ConfConfirmed,
 		PeerUnreachable, PeerBack,
 		Overspend, Panic, FoldDiffers,
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -130,6 +130,8 @@
 	Pause time.Duration
 	// RateLimit is the number of requests a second that the target takes from all instances together; nil if it names no limit.
 	RateLimit *float64
+	// Brittle is the number of requests a second that the target turns away without falling over, as it announces; 0 if it is not brittle.
+	Brittle float64
 	// Ignored describes malformed headers, which were ignored; nil if there are none.
 	Ignored error
 	// Header holds the headers to forward to the caller.
--- a/core/route/actor.go
+++ b/core/route/actor.go
@@ -45,6 +45,13 @@
 	}
 	// ReadmitMsg ends the ejections of all targets of a service.
 	ReadmitMsg struct{ Service string }
+	// BrittleMsg states how many requests a second an incarnation of a target turns away without falling over; 0 if it is not brittle.
+	BrittleMsg struct {
+		ID, Incarnation string
+		PerSecond       float64
+	}
+	// FleetSizeMsg states the number of instances.
+	FleetSizeMsg struct{ Instances int }
 	// LeavingMsg marks incarnations as leaving.
 	LeavingMsg struct{ Incarnations []string }
 	// LeavingQuery requests the incarnations that are marked as leaving. The actor responds with *LeavingReply.
@@ -113,6 +120,10 @@
 		a.Balancer.Pause(m.ID, m.Incarnation, m.Pause)
 	case *ReadmitMsg:
 		a.Balancer.Readmit(m.Service)
+	case *BrittleMsg:
+		a.Balancer.SetBrittle(m.ID, m.Incarnation, m.PerSecond)
+	case *FleetSizeMsg:
+		a.Balancer.FleetSize = m.Instances
 	case *LeavingMsg:
 		for _, incarnation := range m.Incarnations {
 			a.Balancer.MarkLeaving(incarnation)
@@ -191,6 +202,14 @@
 	c.Root.Send(c.PID, &PauseMsg{ID: id, Incarnation: incarnation, Pause: pause})
 }
 
+// SetBrittle states how many requests a second an incarnation of a target turns away without falling over; 0 if it is not brittle.
+func (c *Client) SetBrittle(id, incarnation string, perSecond float64) {
+	c.Root.Send(c.PID, &BrittleMsg{id, incarnation, perSecond})
+}
+
+// SetFleetSize sets the number of instances that share what brittle targets take.
+func (c *Client) SetFleetSize(instances int) { c.Root.Send(c.PID, &FleetSizeMsg{instances}) }
+
 // Readmit ends the ejections of all targets of a service.
 func (c *Client) Readmit(service string) { c.Root.Send(c.PID, &ReadmitMsg{service}) }
 
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -52,7 +52,7 @@
 	}
 	usable := usable(untried(permitted, r.Avoid), now)
 	admissible := filter(usable, func(c *target) bool {
-		return b.estimate(c, now) < b.admissionLimit(c, r.Priority) && !c.load.full(now) && (b.MaxInFlightPerTarget == 0 || c.load.inFlight < b.MaxInFlightPerTarget)
+		return b.hasRoom(c, r.Priority, now) && !c.load.full(now) && (b.MaxInFlightPerTarget == 0 || c.load.inFlight < b.MaxInFlightPerTarget)
 	})
 	if len(admissible) == 0 {
 		return Choice{}, codes.Refuse(codes.Overloaded, b.retryAfter(usable, r.Priority, now),
@@ -147,6 +147,14 @@
 	return capacity + queue*(priority+1)/(TopPriority+1)
 }
 
+// hasRoom reports whether a target has room for a request of the priority.
+func (b *Balancer) hasRoom(c *target, priority int, now time.Time) bool {
+	if b.isBrittle(c, now) {
+		return b.brittleHasRoom(c, now)
+	}
+	return b.estimate(c, now) < b.admissionLimit(c, priority)
+}
+
 // estimate returns the estimated load of a target. It counts the changes of this instance in full and assumes half as
 // many from each other instance, because the changes of one instance are too small a sample to assume all of them.
 func (b *Balancer) estimate(c *target, now time.Time) int {
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -121,6 +121,8 @@
 	// MaxInFlightPerTarget is the maximum number of requests in flight from this instance to one target; 0 means no
 	// limit.
 	MaxInFlightPerTarget int
+	// FleetSize is the number of instances that share what brittle targets take. It may be changed at any time.
+	FleetSize int
 	// Rates decides when a request may be sent to a target that has named a rate limit; optional.
 	Rates *rate.Tracker
 	// Seed seeds the random number generator.
@@ -144,6 +146,7 @@
 	seenIncarnations []string
 	load             load
 	health           health
+	brittle          brittleness
 	// pausedUntil is until when the target wants no requests from this instance.
 	pausedUntil time.Time
 }
@@ -292,6 +295,9 @@
 	}
 	d.target.load.recordCompletion(now, o)
 	d.target.health.recordOutcome(now, o, d.epoch)
+	if o == Shed {
+		b.pauseBrittle(d.target)
+	}
 }
 
 // setIncarnation sets the incarnation of a target and resets its load and health. An incarnation that was seen before
@@ -308,6 +314,7 @@
 	entry.Incarnation = incarnation
 	entry.load = load{}
 	entry.health = health{}
+	entry.brittle = brittleness{}
 	entry.pausedUntil = time.Time{}
 }
 
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -140,6 +140,8 @@
 	refusedAt atomic.Int64
 	// headersIgnored holds the incarnations of targets with a malformed header that was logged.
 	headersIgnored *lru.Cache[string, struct{}]
+	// brittle holds the incarnations of targets that announce that they are brittle.
+	brittle *lru.Cache[string, struct{}]
 	// crashChecks checks once for all requests that break off at the same time whether their target has crashed.
 	crashChecks singleflight.Group
 	// loggedReady is the readiness that was logged last.
@@ -171,6 +173,7 @@
 	r.list = &roster.TargetList{OnChange: r.targetChanged}
 	r.list.Default()
 	r.headersIgnored, _ = lru.New[string, struct{}](route.MaxLeavingIncarnations) // fails only for a size below 1
+	r.brittle, _ = lru.New[string, struct{}](route.MaxLeavingIncarnations)
 	r.initBudgets()
 	r.table.OnApplied = r.configApplied
 	r.initCrashes()
@@ -213,7 +216,7 @@
 		Log: r.Store, Topic: r.Platform.BudgetTopic, Shards: s.Shards, Instance: r.Settings.Instance.ID, Incarnation: r.Incarnation, Book: r.budgets,
 		PeerAddr: r.Settings.Peer.Listen, PromiseTopic: r.Platform.PromiseTopic, PromiseParts: s.Shards, Boot: boot, Started: uptime.Now(), FirstStart: s.Fleet == opts.NewFleet,
 		OnPromiseOutage: r.topicUnreachable(r.Platform.PromiseTopic), OnPromiseRecovery: r.topicRecovered(r.Platform.PromiseTopic), OnInherited: r.promisesInherited,
-		OnInstances: r.rates.SetInstances, OnAdjusted: r.holdingChanged, OnUnsettled: r.batchUnsettled, OnInvalidRecord: r.recordUnreadable(r.Platform.BudgetTopic),
+		OnInstances: r.instancesChanged, OnAdjusted: r.holdingChanged, OnUnsettled: r.batchUnsettled, OnInvalidRecord: r.recordUnreadable(r.Platform.BudgetTopic),
 		OnOutage: func(part int, err error) { r.topicUnreachable(fmt.Sprintf("%s/%d", r.Platform.BudgetTopic, part))(err) },
 		OnRecovery: func(part int, outage time.Duration) {
 			r.topicRecovered(fmt.Sprintf("%s/%d", r.Platform.BudgetTopic, part))(outage)
@@ -223,6 +226,12 @@
 	r.initLoans()
 }
 
+// instancesChanged updates what depends on the instances that share the targets.
+func (r *Router) instancesChanged(ids []string, joined bool) {
+	r.rates.SetInstances(ids, joined)
+	r.routeClient.SetFleetSize(len(ids))
+}
+
 // Listen opens all listeners.
 func (r *Router) Listen(ctx context.Context) error {
 	listens := []func() error{
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -71,6 +71,9 @@
 		r.routeClient.Pause(t.ID, t.Incarnation, head.Pause)
 		events.Log(r.Log, events.TargetPaused).Str("target", t.ID).Dur("pause", head.Pause).Send()
 	}
+	if _, known := r.brittle.Get(t.Incarnation); known || head.Brittle > 0 {
+		r.setBrittle(t, head)
+	}
 	if head.Ignored != nil {
 		if _, logged := r.headersIgnored.ContainsOrAdd(t.Incarnation, struct{}{}); !logged {
 			events.Log(r.Log, events.HeaderIgnored).Str("target", t.ID).Err(head.Ignored).Send()
@@ -78,6 +81,21 @@
 	}
 }
 
+// setBrittle records whether a target is brittle. An unsigned response without the header does not end it.
+func (r *Router) setBrittle(t roster.Target, head relay.ResponseHead) {
+	switch {
+	case head.Brittle > 0:
+		if known, _ := r.brittle.ContainsOrAdd(t.Incarnation, struct{}{}); !known {
+			events.Log(r.Log, events.TargetBrittle).Str("target", t.ID).Float64("per_second", head.Brittle).Send()
+		}
+	case !head.HasSignature || head.Ignored != nil:
+		return
+	default:
+		r.brittle.Remove(t.Incarnation)
+	}
+	r.routeClient.SetBrittle(t.ID, t.Incarnation, head.Brittle)
+}
+
 // attemptError converts the error of an exchange to a *relay.AttemptError.
 func attemptError(err error) *relay.AttemptError {
 	f := &relay.AttemptError{Kind: relay.Broken, Sent: true, Err: err}
