--- a/core/budget/book.go
+++ b/core/budget/book.go
@@ -279,7 +279,7 @@
 	}
 	refused := b.refusal(a, w)
 	// Holders do not lend what is left for resumed streams.
-	borrow = borrow && !(w.resumes && refused == nil && a.unreserved+a.grantable(false) < w.tokens)
+	borrow = borrow && (!w.resumes || refused != nil || a.unreserved+a.grantable(false) >= w.tokens)
 	borrowing := borrow && (refused != nil || !b.IsHolder(organisation)) && b.tryBorrowing(a, a.demand()+w.tokens-b.spendable(a))
 	if refused != nil && !borrowing {
 		a.usage.add(-w.tokens, b.Now()) // what is not served is no usage
--- a/core/origin/tracker.go
+++ b/core/origin/tracker.go
@@ -229,6 +229,18 @@
 	return slices.ContainsFunc(t.partitions, func(p *partition) bool { return p.failing })
 }
 
+// recordNeeded reports whether a stream that begins at a version needs a record, and whether it may not begin without.
+func (s *service) recordNeeded(version string, era int64) (needed, required bool) {
+	switch current := s.exists && s.state.Era == era; {
+	case current && s.state.Mode == Recorded:
+		return true, !s.confirmed
+	case current && s.state.Version == version:
+		return s.state.Mode == Mixed, false
+	default:
+		return true, true
+	}
+}
+
 // Recording is the origin record of one attempt at a stream. A nil Recording needs no record.
 type Recording struct {
 	key  Key
@@ -245,15 +257,12 @@
 		return nil
 	}
 	t.mu.Lock()
-	s := t.service(o.Service)
-	current := s.exists && s.state.Era == t.Log.CurrentEra()
-	isDefault := current && s.state.Mode != Recorded && s.state.Version == o.Version
-	if isDefault && s.state.Mode == Open && !supersedes {
+	needed, required := t.service(o.Service).recordNeeded(o.Version, t.Log.CurrentEra())
+	if !needed && !supersedes {
 		t.mu.Unlock()
 		return nil
 	}
-	safe := current && s.confirmed && s.state.Mode == Recorded
-	r := &Recording{key: key, at: t.Now(), done: make(chan struct{}), required: supersedes || !isDefault && !safe}
+	r := &Recording{key: key, at: t.Now(), done: make(chan struct{}), required: required || supersedes}
 	if p := t.partitionOf(key); p.failing && !r.required {
 		close(r.done) // The record follows when the log is reachable again.
 		t.mu.Unlock()
@@ -442,15 +451,21 @@
 // next returns the state that follows the present one of a service, and whether it is due.
 func (t *Tracker) next(s *service, era int64) (mode Mode, version string, due bool) {
 	now := t.Now()
+	listed, alone := slices.Contains(s.versions, s.state.Version), len(s.versions) == 1
 	switch {
 	case len(s.versions) == 0:
 		return "", "", false
-	case !s.exists && t.NewFleet && len(s.versions) == 1 && now.Sub(t.startedAt) < t.Life:
+	case !s.exists && t.NewFleet && alone && now.Sub(t.startedAt) < t.Life:
 		return Open, s.versions[0], true
 	case !s.exists || s.state.Era != era:
 		return Recorded, "", true
 	}
-	listed, alone := slices.Contains(s.versions, s.state.Version), len(s.versions) == 1
+	return t.follow(s, listed, alone)
+}
+
+// follow returns the state that follows one of the present era, given whether its version is listed, and whether one version alone is.
+func (t *Tracker) follow(s *service, listed, alone bool) (mode Mode, version string, due bool) {
+	now := t.Now()
 	switch s.state.Mode {
 	case Open:
 		if listed && !alone {
--- a/core/route/actor.go
+++ b/core/route/actor.go
@@ -116,14 +116,6 @@
 		if m.Instances > 0 {
 			a.Balancer.Instances = m.Instances
 		}
-	case *PauseMsg:
-		a.Balancer.Pause(m.ID, m.Incarnation, m.Pause)
-	case *ReadmitMsg:
-		a.Balancer.Readmit(m.Service)
-	case *BrittleMsg:
-		a.Balancer.SetBrittle(m.ID, m.Incarnation, m.PerSecond)
-	case *FleetSizeMsg:
-		a.Balancer.FleetSize = m.Instances
 	case *LeavingMsg:
 		for _, incarnation := range m.Incarnations {
 			a.Balancer.MarkLeaving(incarnation)
@@ -138,6 +130,22 @@
 		c.Respond(&RetryReply{Allowed: a.Retries.Withdraw(m.Organisation)})
 	case *AbandonMsg:
 		a.abandon(m.Msg)
+	default:
+		a.restrict(m)
+	}
+}
+
+// restrict applies what restricts the targets that this instance may send requests to, or ends that.
+func (a *Actor) restrict(msg any) {
+	switch m := msg.(type) {
+	case *PauseMsg:
+		a.Balancer.Pause(m.ID, m.Incarnation, m.Pause)
+	case *ReadmitMsg:
+		a.Balancer.Readmit(m.Service)
+	case *BrittleMsg:
+		a.Balancer.SetBrittle(m.ID, m.Incarnation, m.PerSecond)
+	case *FleetSizeMsg:
+		a.Balancer.FleetSize = m.Instances
 	}
 }
 
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"cranberryrail/core/codes"
 	"cranberryrail/core/events"
 	"cranberryrail/core/relay"
@@ -131,23 +133,8 @@
 // maxLoggedID limits how much of an id is logged that a caller may choose at any length.
 const maxLoggedID = 64
 
-// requestEnded logs a finished request and records its metrics.
-func (r *Router) requestEnded(result relay.Result, took time.Duration) {
-	class := meter.NoClass
-	code := codes.Code{}
-	event := events.Log(r.Log, events.RequestEnded)
-	if result.Request != nil {
-		event.Str("request", result.Request.ID)
-	}
-	if result.Organisation != "" {
-		class = meter.ClassOf(result.Priority)
-		event.Str("organisation", result.Organisation)
-	}
-	event.Str("route", result.Route).Int64("version", result.Version).Int("status", result.Status).Dur("took", took)
-	if result.Attempts > 0 {
-		event.Str("target", result.Target.ID).Int("attempts", result.Attempts).Dur("first", result.TimeToFirstByte)
-		r.Meter.Attempt(string(route.OK))
-	}
+// addStream adds what was billed and how a stream went to the event of a finished request.
+func (r *Router) addStream(event *zerolog.Event, class meter.Class, result relay.Result) {
 	if result.Reserved > 0 {
 		event.Int64("reserved", result.Reserved).Int64("spent", result.Spent)
 		r.Meter.Billed(class, result.Spent)
@@ -171,6 +158,26 @@
 	if result.CallerGone {
 		event.Bool("gone", true)
 	}
+}
+
+// requestEnded logs a finished request and records its metrics.
+func (r *Router) requestEnded(result relay.Result, took time.Duration) {
+	class := meter.NoClass
+	code := codes.Code{}
+	event := events.Log(r.Log, events.RequestEnded)
+	if result.Request != nil {
+		event.Str("request", result.Request.ID)
+	}
+	if result.Organisation != "" {
+		class = meter.ClassOf(result.Priority)
+		event.Str("organisation", result.Organisation)
+	}
+	event.Str("route", result.Route).Int64("version", result.Version).Int("status", result.Status).Dur("took", took)
+	if result.Attempts > 0 {
+		event.Str("target", result.Target.ID).Int("attempts", result.Attempts).Dur("first", result.TimeToFirstByte)
+		r.Meter.Attempt(string(route.OK))
+	}
+	r.addStream(event, class, result)
 	if refused := result.Refused; refused != nil {
 		if refused.Code == codes.LogUnavailable || refused.Code == codes.LinkFull {
 			r.refusedAt.Store(time.Now().UnixNano())
