--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -106,8 +106,9 @@
 	keepAliveCount    = 2
 )
 
-// newDialer returns a dialer that sets TCP keep-alive and TCP_USER_TIMEOUT on connections to targets.
-func newDialer() *net.Dialer {
+// NewDialer returns a dialer that sets TCP keep-alive and TCP_USER_TIMEOUT on connections, so that one whose other end is lost fails within
+// seconds.
+func NewDialer() *net.Dialer {
 	return &net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 		ControlContext: func(_ context.Context, _, _ string, c syscall.RawConn) error {
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -37,9 +37,9 @@
 	maxForeignResponses = 2
 	// maxForeignBody is the largest body of such a response that is drained, in bytes.
 	maxForeignBody = 64 << 10
-	// tcpUserTimeout is how long sent bytes may stay unacknowledged before the connection fails. It
-	// is several times the retransmission delay.
-	tcpUserTimeout = 2 * time.Second
+	// tcpUserTimeout is how long sent bytes, or keep-alive probes, may stay unacknowledged before the connection fails. Linux applies it to
+	// probes whatever their count, so that it is no shorter than all of them; a sound target may be silent for a second.
+	tcpUserTimeout = keepAliveIdle + keepAliveCount*keepAliveInterval
 )
 
 // Phase is the phase in which an exchange failed.
@@ -119,7 +119,7 @@
 // Default sets unset fields to their defaults.
 func (c *Client) Default() {
 	if c.Dial == nil {
-		c.Dial = newDialer().DialContext
+		c.Dial = NewDialer().DialContext
 	}
 	if c.DialTimeout == 0 {
 		c.DialTimeout = DefaultDialTimeout
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"time"
 
 	"golang.org/x/sync/semaphore"
@@ -13,6 +12,7 @@
 
 	"cranberryrail/core/roster"
 	"cranberryrail/core/tail"
+	"cranberryrail/io/conns"
 	"cranberryrail/io/peer/peerpb"
 )
 
@@ -198,7 +198,7 @@
 }
 
 func dial(ctx context.Context, addr string) (*drpcconn.Conn, error) {
-	conn, err := new(net.Dialer).DialContext(ctx, "tcp", addr)
+	conn, err := conns.NewDialer().DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
