fix: a service that ends just after a call to it has failed counts as crashed under the call

Cause: TestRepeatedCallCrashesFewServices failed once in a run of all tests at the same time: four calls outcome_unknown, three targets target_crashed. Class: one check at one moment.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -65,6 +65,8 @@
 	Crashes *poison.Tracker
 	// HasCrashed reports whether the process of a target has ended, after a call to it failed; required if Crashes is set.
 	HasCrashed func(ctx context.Context, t roster.Target) bool
+	// Abandoned watches targets that may end only after a call to them has failed; optional.
+	Abandoned *poison.Watcher
 	// OnServed is called at the end of each authenticated request; optional.
 	OnServed func(s Outcome)
 
--- a/io/front/service.go
+++ b/io/front/service.go
@@ -150,6 +150,8 @@
 			pass.Sent()
 			if s.Crashes != nil && s.HasCrashed(ctx, choice.Target) {
 				pass.Crashed(choice.Target.Incarnation, false)
+			} else {
+				s.Abandoned.Add(choice.Target, pass, false)
 			}
 			return Reply{}, &codes.Error{Code: codes.OutcomeUnknown, Run: codes.Unknown, Err: err,
 				Detail: "the call was sent but no complete response was received; ask the service whether the call took effect; it will not be sent again"}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -229,7 +229,7 @@
 			return t, ok
 		},
 		OnServed: n.onServed, Ledger: n.LedgerOf, Once: n.OnceOf, Route: n.Route, CallService: newServiceCaller(n.target),
-		Crashes: n.crashes, HasCrashed: n.hasCrashed,
+		Crashes: n.crashes, HasCrashed: n.hasCrashed, Abandoned: n.abandoned,
 		Generate: &serve.Server{
 			Pick: n.Route.Pick, Done: n.Route.Done, Retry: n.Route.TryRetry, Open: newStreamOpener(n.target, n.onStreamOpened), Cancel: n.cancelAttempt,
 			OnLeaving: n.onTargetLeaving, OnAttemptFailed: n.onAttemptFailed, Crashes: n.crashes, HasCrashed: n.hasCrashed, Abandoned: n.abandoned,
