fix: only a connection that can't be opened counts against the path to a service

Cause: reading the diff: a pooled connection that had failed before a byte was written counted as an unreachable target, so that connections that are reset at once could start a detour until the next check. Also a loop without effect in core/origin. Change: the error of an exchange states whether a connection could be opened.

--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -13,6 +13,7 @@
 package origin
 
 import (
+	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
@@ -20,8 +21,6 @@
 	"strconv"
 	"strings"
 
-	"crypto/sha256"
-
 	"cranberryrail/core/logs"
 )
 
--- a/core/origin/tracker.go
+++ b/core/origin/tracker.go
@@ -163,7 +163,7 @@
 	return states
 }
 
-// SetTargets sets the listed targets.
+// SetTargets sets the listed targets. A service without any keeps the versions that were listed last.
 func (t *Tracker) SetTargets(targets []roster.Target) {
 	versions := map[string][]string{}
 	for _, target := range targets {
@@ -173,9 +173,6 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, s := range t.services {
-		s.setVersions(nil, t.Now())
-	}
 	for name, listed := range versions {
 		slices.Sort(listed)
 		t.service(name).setVersions(slices.Compact(listed), t.Now())
@@ -188,7 +185,7 @@
 
 // setVersions sets the listed versions. A state that was read before another version was listed is confirmed again.
 func (s *service) setVersions(versions []string, now time.Time) {
-	if versions == nil || slices.Equal(versions, s.versions) {
+	if slices.Equal(versions, s.versions) {
 		return
 	}
 	for _, v := range versions {
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -62,6 +62,8 @@
 	Phase Phase
 	// Timeout is set if the exchange timed out.
 	Timeout bool
+	// Unconnected is set if no connection could be opened.
+	Unconnected bool
 	// Invalid is set if the received bytes are not a valid response to the request.
 	Invalid bool
 	Err     error
@@ -230,7 +232,7 @@
 	if cn == nil {
 		var err error
 		if cn, err = c.dial(ctx, r); err != nil {
-			return nil, &Error{Phase: NotSent, Timeout: isTimeout(err), Err: err}
+			return nil, &Error{Phase: NotSent, Unconnected: true, Timeout: isTimeout(err), Err: err}
 		}
 	}
 	resp := &Response{client: c, conn: cn}
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -33,8 +33,9 @@
 	})
 	if err != nil {
 		failed := attemptError(err)
+		var exchange *conns.Error
 		switch {
-		case failed.Kind == relay.Unreachable && ctx.Err() == nil:
+		case errors.As(err, &exchange) && exchange.Unconnected && ctx.Err() == nil:
 			r.recordPath(d.Target, err)
 		case failed.Kind == relay.Silent:
 			r.pathSuspect(d.Target.Service, "")
