feat: cranberryrail state prints software versions and unreachable services

Change: two tables, when there is something to print; core/origin logs only the first error of a series of reads that fail.

--- a/cmd/state.go
+++ b/cmd/state.go
@@ -58,8 +58,12 @@
 	return a.printExceptions(s)
 }
 
-// printExceptions prints the quarantines and the rate limits of targets as tables, unless there are none.
+// printExceptions prints the quarantines, the rate limits of targets, the software versions of services and the services that are unreachable as tables,
+// unless there are none.
 func (a *App) printExceptions(s router.State) error {
+	if err := a.printServices(s); err != nil {
+		return err
+	}
 	if len(s.Quarantines) > 0 {
 		rows := make([][]any, 0, len(s.Quarantines))
 		for _, q := range s.Quarantines {
@@ -78,3 +82,24 @@
 	}
 	return a.printTable([]string{"rate limited", "per second", "share of this instance"}, rows)
 }
+
+// printServices prints the software versions of services, and the services that are unreachable.
+func (a *App) printServices(s router.State) error {
+	if len(s.Versions) > 0 {
+		rows := make([][]any, 0, len(s.Versions))
+		for _, v := range s.Versions {
+			rows = append(rows, []any{v.Service, v.Mode, v.Version})
+		}
+		if err := a.printTable([]string{"streams of service", "mode", "software"}, rows); err != nil {
+			return err
+		}
+	}
+	if len(s.Unreachable) == 0 {
+		return nil
+	}
+	rows := make([][]any, 0, len(s.Unreachable))
+	for _, service := range s.Unreachable {
+		rows = append(rows, []any{service})
+	}
+	return a.printTable([]string{"unreachable service"}, rows)
+}
--- a/core/origin/tracker.go
+++ b/core/origin/tracker.go
@@ -126,11 +126,14 @@
 	g.Go(func() error {
 		ticker := time.NewTicker(stepInterval)
 		defer ticker.Stop()
+		failing := false
 		for ctx.Err() == nil {
 			t.expireWaits()
-			if err := t.step(ctx); err != nil && ctx.Err() == nil {
+			err := t.step(ctx)
+			if err != nil && !failing && ctx.Err() == nil {
 				t.OnError(err)
 			}
+			failing = err != nil
 			select {
 			case <-ctx.Done():
 			case <-ticker.C:
