--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -392,16 +392,26 @@
 
 // mayRetry reports whether another attempt may follow a failed one.
 func (r *relayedRequest) mayRetry(failed *AttemptError) bool {
-	if !failed.Sent {
-		return r.Attempts-r.SentFailures < maxUnreachableTargets
-	}
-	if r.SentFailures >= max(r.route.MaxAttempts, 1) {
-		return false
-	}
-	if r.mayHaveRun && !r.route.Retryable() {
-		return false
+	r.RetryDenied = r.denyRetry(failed)
+	return r.RetryDenied == ""
+}
+
+// denyRetry returns why no attempt may follow a failed one; empty if one may.
+func (r *relayedRequest) denyRetry(failed *AttemptError) Denial {
+	switch {
+	case !failed.Sent && r.Attempts-r.SentFailures < maxUnreachableTargets:
+		return ""
+	case !failed.Sent:
+		return DeniedUnreachable
+	case r.SentFailures >= max(r.route.MaxAttempts, 1):
+		return DeniedAttempts
+	case r.mayHaveRun && !r.route.Retryable():
+		return DeniedRepeat
+	case !r.Retries.TryRetry(r.Service):
+		return DeniedWindow
+	default:
+		return ""
 	}
-	return r.Retries.TryRetry(r.Service)
 }
 
 // giveUp returns the refusal after the last attempt, nil if the fallback was sent instead.
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -197,6 +197,21 @@
 // Unwrap returns the cause.
 func (f *AttemptError) Unwrap() error { return f.Err }
 
+// Denial is the reason why no further attempt was made.
+type Denial string
+
+// Reasons.
+const (
+	// DeniedUnreachable means that as many targets as one request tries could not be reached.
+	DeniedUnreachable Denial = "unreachable"
+	// DeniedAttempts means that the route allows no further attempt.
+	DeniedAttempts Denial = "attempts"
+	// DeniedRepeat means that the request may have run and must not be repeated.
+	DeniedRepeat Denial = "repeat"
+	// DeniedWindow means that this instance's share of the retry budget is used up.
+	DeniedWindow Denial = "window"
+)
+
 // Sink receives the response for the caller.
 type Sink struct {
 	// Head is called once, before Write. A negative length means that it is unknown.
@@ -241,4 +256,6 @@
 	Refused *codes.Error
 	// LastFailure is the last failed attempt; nil if there is none.
 	LastFailure *AttemptError
+	// RetryDenied is why no attempt followed the last one that was not enough; empty if one did.
+	RetryDenied Denial
 }
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -149,6 +149,9 @@
 	if result.Request != nil && result.Request.LastEventID != "" {
 		event.Str("resumes", result.Request.Resumes[:min(len(result.Request.Resumes), maxLoggedID)])
 	}
+	if result.RetryDenied != "" {
+		event.Str("retry_denied", string(result.RetryDenied))
+	}
 	if result.Unframed {
 		event.Bool("unframed", true)
 	}
