fix: an attempt at a silent target goes on until another one has begun to answer

The instance closed the exchange after three times the objective and asked only then whether another attempt may follow: the retry window was used up, no other target served the version, or the next target refused, and the only target that could finish had been given up. Now silence starts a successor while the first attempt goes on; whichever begins to answer first is taken, and the other one ends. Without a successor the attempt goes on until the deadline, and one is tried for again. Only one attempt at a time is forwarded, attempts and the retry budget are counted as before, and a successor that may begin a stream is at the version of the first. The target is left out of the choice, its idle connections are closed and the path is checked when it falls silent, as before.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"cranberryrail/core/budget"
 	"cranberryrail/core/codes"
 	"cranberryrail/core/origin"
@@ -49,6 +51,9 @@
 	HasCrashed func(ctx context.Context, t roster.Target) bool
 	// Abandoned watches targets that may still run an abandoned request; optional.
 	Abandoned *poison.Watcher
+	// OnSilent is called when a target has sent nothing for as long as a sound one seldom does. The attempt at it goes on. Token is that of its
+	// choice; optional.
+	OnSilent func(d Dispatch, token int64)
 	// OnAttemptFailed is called for each failed attempt; optional.
 	OnAttemptFailed func(d Dispatch, f *AttemptError)
 	// MaxResponseBytes limits the body of a response, or the events of a stream together. A target that sends more is
@@ -82,6 +87,9 @@
 	if s.HasCrashed == nil {
 		s.HasCrashed = func(context.Context, roster.Target) bool { return false }
 	}
+	if s.OnSilent == nil {
+		s.OnSilent = func(Dispatch, int64) {}
+	}
 	if s.OnAttemptFailed == nil {
 		s.OnAttemptFailed = func(Dispatch, *AttemptError) {}
 	}
@@ -104,18 +112,22 @@
 	traits poison.Traits
 	// tried holds the ids of the targets of failed attempts.
 	tried []string
-	// streamKey identifies a resumable stream, and recording is the record of its origin that the last attempt wrote.
+	// streamKey identifies a resumable stream, and recorded is set if the last attempt recorded its origin.
 	streamKey origin.Key
-	recording *origin.Recording
-	// pass is the admission of the last attempt, and eventsBefore the number of events that were forwarded before it.
-	pass         *poison.Pass
-	eventsBefore int
+	recorded  bool
+	// pass is the admission of the last attempt that was not a successor.
+	pass *poison.Pass
+	// current is the attempt in flight, and successor the one that takes its place as soon as it begins to answer; nil if there is none.
+	current, successor *attempt
+	// group runs the exchanges of the attempts, and silence fires when the current one was silent for its bound.
+	group   errgroup.Group
+	silence *time.Timer
+	// retryTaken is set if a retry was taken from the retry budget and no attempt was sent with it yet.
+	retryTaken bool
 	// mayHaveRun is set if a target may have run the request.
 	mayHaveRun bool
 	// headSent is set once the head of a response was forwarded.
 	headSent bool
-	// progressAt is when the last attempt began, or when its last event was forwarded.
-	progressAt time.Time
 	// lastEventID is the id of the last event that was forwarded.
 	lastEventID string
 	// fallback is an error response of a target, which the caller receives if no other attempt
@@ -151,6 +163,7 @@
 	}
 	r.Retries.CountRequest(r.Service)
 	refused := r.attemptUntilResponse(ctx)
+	r.endAttempts(ctx)
 	r.pass.End()
 	r.settle()
 	if refused != nil {
@@ -321,14 +334,31 @@
 // allowed. It returns the refusal for the caller, nil if the caller received a target's response.
 func (r *relayedRequest) attemptUntilResponse(ctx context.Context) *codes.Error {
 	for {
-		failed, err := r.attempt(ctx)
+		if r.current == nil {
+			a, err := r.begin(ctx)
+			if err != nil {
+				return r.pickRefusal(err)
+			}
+			r.current = a
+			r.expect(r.headBound())
+		}
+		a, s := r.nextStep(ctx)
+		complete, failed := r.handle(ctx, a, s)
 		switch {
-		case err != nil:
-			return r.pickRefusal(err)
-		case failed == nil:
+		case complete:
+			r.succeed(a)
 			return nil
+		case failed == nil:
+			continue
+		case failed.Refusal != nil && r.successor == nil:
+			a.end(false)
+			r.current = nil
+			return r.pickRefusal(failed.Refusal)
+		}
+		r.fail(ctx, a, failed)
+		if r.current != nil {
+			continue
 		}
-		r.LastFailure = failed
 		if ctx.Err() != nil || failed.Kind == Cancelled {
 			return r.interruptionRefusal(ctx)
 		}
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -88,8 +88,10 @@
 	Priority int
 	// Remaining is the time that remains for the target to respond.
 	Remaining time.Duration
-	// HeaderTimeout is the maximum time to the head of the response.
+	// HeaderTimeout is the maximum time to the head of the response. It is longer than Remaining, which ends the attempt.
 	HeaderTimeout time.Duration
+	// SilenceBound is the time without a head after which the target counts as silent.
+	SilenceBound time.Duration
 	// LastEventID is the id of the last event received, if a stream is to be resumed; empty otherwise.
 	LastEventID string
 	// NonIdempotent is set if the request must not be retried. It should then use a connection that is known
@@ -210,6 +212,10 @@
 	DeniedRepeat Denial = "repeat"
 	// DeniedWindow means that this instance's share of the retry budget is used up.
 	DeniedWindow Denial = "window"
+	// DeniedTarget means that no other target may receive the request.
+	DeniedTarget Denial = "target"
+	// DeniedCrashes means that similar requests have crashed targets.
+	DeniedCrashes Denial = "crashes"
 )
 
 // Sink receives the response for the caller.
--- a/core/route/actor.go
+++ b/core/route/actor.go
@@ -27,6 +27,8 @@
 		DispatchID int64
 		Outcome    Outcome
 	}
+	// SilentMsg reports that the target of a dispatch has sent nothing for long.
+	SilentMsg struct{ DispatchID int64 }
 	// ReportMsg holds the load report of a target.
 	ReportMsg struct {
 		ID   string
@@ -138,6 +140,8 @@
 // restrict applies what restricts the targets that this instance may send requests to, or ends that.
 func (a *Actor) restrict(msg any) {
 	switch m := msg.(type) {
+	case *SilentMsg:
+		a.Balancer.Silent(m.DispatchID)
 	case *PauseMsg:
 		a.Balancer.Pause(m.ID, m.Incarnation, m.Pause)
 	case *ReadmitMsg:
@@ -195,6 +199,9 @@
 	c.Root.Send(c.PID, &DoneMsg{DispatchID: dispatchID, Outcome: o})
 }
 
+// Silent reports that the target of a choice has sent nothing for long, while the dispatch goes on.
+func (c *Client) Silent(dispatchID int64) { c.Root.Send(c.PID, &SilentMsg{dispatchID}) }
+
 // Report forwards the load report of a target to the actor.
 func (c *Client) Report(id string, l roster.Load) {
 	c.Root.Send(c.PID, &ReportMsg{ID: id, Load: l})
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -300,6 +300,13 @@
 	}
 }
 
+// Silent records that the target of a dispatch has sent nothing for long. The dispatch goes on.
+func (b *Balancer) Silent(dispatchID int64) {
+	if d, ok := b.dispatches[dispatchID]; ok && d.incarnation == d.target.Incarnation {
+		d.target.health.recordOutcome(b.Now(), Silent, d.epoch)
+	}
+}
+
 // setIncarnation sets the incarnation of a target and resets its load and health. An incarnation that was seen before
 // is ignored: it comes from an outdated list or report.
 func (b *Balancer) setIncarnation(entry *target, incarnation string) {
--- a/io/router/detour.go
+++ b/io/router/detour.go
@@ -136,7 +136,9 @@
 		}
 		asked = append(asked, addr)
 		sentAt := time.Now()
+		silent := time.AfterFunc(d.SilenceBound, func() { r.detours.Pause(addr, "", detour.LostPause) })
 		reply, head, end, err := r.forward(ctx, addr, f)
+		silent.Stop()
 		var failed *peer.ForwardError
 		switch {
 		case errors.As(err, &failed) && !failed.Sent:
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -59,6 +59,17 @@
 	return response, nil
 }
 
+// targetSilent handles a target that has sent nothing for long: it gets no further requests for a while, its idle connections may be silent too, and
+// the path to its service may be lost.
+func (r *Router) targetSilent(d relay.Dispatch, token int64) {
+	if d.Detour {
+		return
+	}
+	r.routeClient.Silent(token)
+	r.conns.CloseIdle(d.Target.Incarnation)
+	r.pathSuspect(d.Target.Service, "")
+}
+
 // applyResponseHead applies what a target reports in the head of a response, before the response is
 // forwarded.
 func (r *Router) applyResponseHead(t roster.Target, head relay.ResponseHead) {
