fix: text that is no field of an event is not forwarded in a stream

The reader took whatever stands between two empty lines for an event.

A line must now be a comment or a field; otherwise the response is invalid and the stream goes on at another target, or ends broken. The format itself ignores unknown fields, and any text would be one, so that their names have to be words that a colon ends, as in the fields that targets add.

A case of the tests is new: a long body that breaks off.

--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"strings"
 )
 
 // maxEventBytes is the maximum size of an event. Events usually hold a few tokens.
@@ -17,6 +18,7 @@
 
 var (
 	errEventOrder    = errors.New("an event of the stream is missing or repeated")
+	errEventText     = errors.New("the stream has text that is no field of an event")
 	errPartialEvent  = fmt.Errorf("the stream ended inside an event: %w", io.ErrUnexpectedEOF)
 	errNoEvent       = fmt.Errorf("the stream ended with its connection and has no event: %w", io.ErrUnexpectedEOF)
 	errEventTooLarge = fmt.Errorf("an event of the stream has more than %d bytes", maxEventBytes)
@@ -68,17 +70,42 @@
 		case err != nil:
 			return event{}, err
 		}
-		text := bytes.TrimRight(e.raw[lineStart:], "\r\n")
+		line := bytes.TrimSuffix(e.raw[lineStart:len(e.raw)-1], []byte("\r"))
 		lineStart = len(e.raw)
-		if len(text) == 0 {
+		if len(line) == 0 {
 			return event{raw: e.raw, id: id, hasID: hasID}, nil
 		}
-		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+		name, value, ok := field(line)
+		if !ok {
+			return event{}, &AttemptError{Kind: Invalid, Sent: true, Err: errEventText}
+		}
+		if name == "id" {
 			id, hasID = string(bytes.TrimSpace(value)), true
 		}
 	}
 }
 
+// field returns the name and the value of a line; the name of a comment is empty. It reports false if the line is neither. The format ignores
+// unknown fields, so that any text would be one; here their names are words, and a colon ends them. A carriage return alone would end a line,
+// and with it an event, for some callers.
+func field(line []byte) (name string, value []byte, ok bool) {
+	before, value, hasValue := bytes.Cut(line, []byte(":"))
+	if bytes.IndexByte(line, '\r') >= 0 {
+		return "", nil, false
+	}
+	switch name = string(before); name {
+	case "", "data", "event", "id", "retry":
+		return name, value, true
+	default:
+		return name, value, hasValue && !strings.ContainsFunc(name, func(c rune) bool { return !isWordRune(c) })
+	}
+}
+
+// isWordRune reports whether a rune may be in the name of a field.
+func isWordRune(c rune) bool {
+	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-' || c == '_' || c == '.'
+}
+
 // follows reports whether an event id may come directly after the previous one. After a number only the next one
 // may; other ids must differ.
 func follows(id, previous string) bool {
--- a/core/relay/join_test.go
+++ b/core/relay/join_test.go
@@ -41,6 +41,7 @@
 	*fixture
 	resumed []string // the event ids that requests resume from
 	body    string
+	plain   bool // the first answer is no event stream
 }
 
 // newJoinFixture returns a fixture whose first target sends begun.
@@ -49,7 +50,7 @@
 	f.fixture = newFixture(func(_ context.Context, d relay.Dispatch) (*relay.Response, error) {
 		a := next
 		if f.resumed = append(f.resumed, d.LastEventID); len(f.resumed) == 1 {
-			a = relay.Response{Status: http.StatusOK, ResponseHead: relay.ResponseHead{IsEventStream: true}, Read: textReader(begun, len(begun), end)}
+			a = relay.Response{Status: http.StatusOK, ResponseHead: relay.ResponseHead{IsEventStream: !f.plain}, Read: textReader(begun, len(begun), end)}
 		}
 		a.HasSignature, a.SetReadTimeout, a.Close = true, func(time.Duration) {}, func() {}
 		return &a, nil
@@ -129,13 +130,16 @@
 // TestAnswersThatCanNotBeJoined guards against a stream of events without ids, or a long body, that broke off and that another target's
 // answer, which begins anew, was joined to.
 func TestAnswersThatCanNotBeJoined(t *testing.T) {
-	for name, begun := range map[string]string{"no ids": "data: a\n\n", "an event without an id": beginning + "event: error\ndata: x\n\n"} {
+	for name, begun := range map[string]string{
+		"no ids": "data: a\n\n", "an event without an id": beginning + "event: error\ndata: x\n\n", "plain": strings.Repeat("x", 300<<10),
+	} {
 		t.Run(name, func(t *testing.T) {
 			f := newJoinFixture(begun, io.ErrUnexpectedEOF, relay.Response{
 				Status: http.StatusOK, ResponseHead: relay.ResponseHead{IsEventStream: true}, Read: textReader(rest, 1<<10, io.EOF),
 			})
+			f.plain = name == "plain"
 			assert.Assert(t, f.serve(t).Truncated)
-			assert.Equal(t, f.body, begun)
+			assert.Assert(t, f.body == begun)
 			assert.Equal(t, len(f.resumed), 1)
 		})
 	}
