fix: blocks without data are no events of a stream

Callers of streams lost an event where a target broke off between an id and its data: the block that held the id alone counted as the event, and the stream went on after it (ORDER). Comments and retry fields counted as events too: they were billed as output, began the answer, so that another target could not replace it, and let a stream that another target had begun end as if it were complete.

By the format a block without data dispatches no event. The reader keeps such blocks back until the event or the known end that comes after them, so that what breaks off in between goes on after the last event that the caller has. The order of ids is checked where blocks are read, before the head is sent.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -357,14 +357,14 @@
 // relayEvents forwards the events of a response. The head is sent with the first event, so that a
 // target that fails earlier can be replaced.
 func (r *relayedRequest) relayEvents(ctx context.Context, a *Response) *AttemptError {
-	events := newEventReader(a.Read)
+	events := newEventReader(a.Read, r.lastEventID)
 	timeout := r.eventTimeout()
 	for first := true; ; first = false {
 		a.SetReadTimeout(timeout)
 		event, err := events.next()
 		switch {
 		case isEOF(err):
-			return r.endEvents(a, first)
+			return r.endEvents(a, event.raw, first)
 		case err != nil:
 			return r.recordFailure(err)
 		}
@@ -374,19 +374,24 @@
 	}
 }
 
-// endEvents ends a stream that its target has completed. Without framing and events, nothing distinguishes a complete
-// stream from one that was broken off after its head.
-func (r *relayedRequest) endEvents(a *Response, empty bool) *AttemptError {
+// endEvents ends a stream that its target has completed, with what came after its last event. Without framing and events, nothing
+// distinguishes a complete stream from one that was broken off after its head.
+func (r *relayedRequest) endEvents(a *Response, rest []byte, empty bool) *AttemptError {
 	if empty && a.Unframed {
 		return &AttemptError{Kind: Broken, Sent: true, Err: errNoEvent}
 	}
 	if !r.headSent {
 		r.sendHead(a)
 	}
+	if len(rest) > 0 {
+		if err := r.sink.Write(rest); err != nil {
+			return &AttemptError{Kind: Cancelled, Sent: true, Err: err}
+		}
+	}
 	return nil
 }
 
-// relayEvent forwards one event. It fails if the event does not follow the last one forwarded.
+// relayEvent forwards one event.
 func (r *relayedRequest) relayEvent(ctx context.Context, a *Response, e event) *AttemptError {
 	if r.streamKey != "" && r.Events == 0 {
 		if failed := r.beginStream(ctx); failed != nil {
@@ -396,12 +401,7 @@
 	if !r.headSent {
 		r.sendHead(a)
 	}
-	if e.hasID {
-		if r.lastEventID != "" && !follows(e.id, r.lastEventID) {
-			return &AttemptError{Kind: Invalid, Sent: true, Err: errEventOrder}
-		}
-		r.lastEventID = e.id
-	}
+	r.lastEventID = e.id
 	r.Events++
 	if r.Events-r.eventsBefore == answerEvents {
 		r.pass.AnswerBegan()
--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"strconv"
-	"strings"
 )
 
 // maxEventBytes is the maximum size of an event. Events usually hold a few tokens.
@@ -24,81 +23,107 @@
 	errEventTooLarge = fmt.Errorf("an event of the stream has more than %d bytes", maxEventBytes)
 )
 
-// event is one event of a stream, including the empty line that ends it.
+// event is one event of a stream, including the empty line that ends it and the blocks without data before it.
 type event struct {
 	raw []byte
-	// id is the id of the event, and hasID is set if it has one, which may be empty.
-	id    string
-	hasID bool
+	// id is the last id up to the event; empty if there was none.
+	id string
+}
+
+// block is what an empty line ends. It is an event if it has data; others hold comments, the time to reconnect, or an id.
+type block struct {
+	id             string
+	hasID, hasData bool
 }
 
 // eventReader reads a stream event by event.
 type eventReader struct {
 	lines *bufio.Reader
 	raw   []byte
+	// lastID is the id that the next one must follow; empty if any may.
+	lastID string
 }
 
 type readFunc func(p []byte) (int, error)
 
 func (f readFunc) Read(p []byte) (int, error) { return f(p) }
 
-func newEventReader(read func(p []byte) (int, error)) *eventReader {
-	return &eventReader{lines: bufio.NewReaderSize(readFunc(read), eventBufferBytes)}
+// newEventReader returns a reader of the events that follow the one with an id; empty for a stream from its beginning.
+func newEventReader(read func(p []byte) (int, error), lastID string) *eventReader {
+	return &eventReader{lines: bufio.NewReaderSize(readFunc(read), eventBufferBytes), lastID: lastID}
 }
 
 // next returns the next complete event. Its bytes are valid until the next call. The error is io.EOF after the last
-// event of a complete stream. A stream that ends inside an event was broken off, however its end was framed; the partial
-// event is dropped.
+// event of a complete stream, with the blocks that come after it. A stream that ends inside an event was broken off, however
+// its end was framed; the partial event is dropped.
 func (e *eventReader) next() (event, error) {
 	e.raw = e.raw[:0]
-	var id string
-	hasID := false
-	lineStart := 0
 	for {
+		b, err := e.readBlock()
+		if err != nil {
+			return event{raw: e.raw}, err
+		}
+		if b.hasID && e.lastID != "" && !follows(b.id, e.lastID) {
+			return event{}, &AttemptError{Kind: Invalid, Sent: true, Err: errEventOrder}
+		}
+		if b.hasID {
+			e.lastID = b.id
+		}
+		if b.hasData {
+			return event{raw: e.raw, id: e.lastID}, nil
+		}
+	}
+}
+
+// readBlock reads a block and appends it to the raw bytes.
+func (e *eventReader) readBlock() (block, error) {
+	var b block
+	start := len(e.raw)
+	for lineStart := start; ; {
 		part, err := e.lines.ReadSlice('\n')
 		e.raw = append(e.raw, part...)
 		switch {
 		case len(e.raw) > maxEventBytes:
-			return event{}, &AttemptError{Kind: Invalid, Sent: true, Err: errEventTooLarge}
+			return b, &AttemptError{Kind: Invalid, Sent: true, Err: errEventTooLarge}
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case err == io.EOF: //nolint:errorlint // Read returns io.EOF itself
-			if len(e.raw) > 0 {
-				return event{}, &AttemptError{Kind: Broken, Sent: true, Err: errPartialEvent}
+			if len(e.raw) > start {
+				return b, &AttemptError{Kind: Broken, Sent: true, Err: errPartialEvent}
 			}
-			return event{}, io.EOF
+			return b, io.EOF
 		case err != nil:
-			return event{}, err
+			return b, err
 		}
 		line := bytes.TrimSuffix(e.raw[lineStart:len(e.raw)-1], []byte("\r"))
 		lineStart = len(e.raw)
 		if len(line) == 0 {
-			return event{raw: e.raw, id: id, hasID: hasID}, nil
-		}
-		name, value, ok := field(line)
-		if !ok {
-			return event{}, &AttemptError{Kind: Invalid, Sent: true, Err: errEventText}
+			return b, nil
 		}
-		if name == "id" {
-			id, hasID = string(bytes.TrimSpace(value)), true
+		if !b.add(line) {
+			return b, &AttemptError{Kind: Invalid, Sent: true, Err: errEventText}
 		}
 	}
 }
 
-// field returns the name and the value of a line; the name of a comment is empty. It reports false if the line is neither. The format ignores
-// unknown fields, so that any text would be one; here their names are words, and a colon ends them. A carriage return alone would end a line,
-// and with it an event, for some callers.
-func field(line []byte) (name string, value []byte, ok bool) {
-	before, value, hasValue := bytes.Cut(line, []byte(":"))
+// add adds a line to the block and reports whether it is a comment or a field. The format ignores unknown fields, so that any text would be
+// one; here their names are words, and a colon ends them. A carriage return alone would end a line, and with it an event, for some callers.
+func (b *block) add(line []byte) bool {
 	if bytes.IndexByte(line, '\r') >= 0 {
-		return "", nil, false
+		return false
 	}
-	switch name = string(before); name {
-	case "", "data", "event", "id", "retry":
-		return name, value, true
+	name, value, hasValue := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "":
+	case "data":
+		b.hasData = true
+	case "id":
+		b.id, b.hasID = string(bytes.TrimSpace(value)), true
+	case "event", "retry":
 	default:
-		return name, value, hasValue && !strings.ContainsFunc(name, func(c rune) bool { return !isWordRune(c) })
+		return hasValue && !bytes.ContainsFunc(name, func(c rune) bool { return !isWordRune(c) })
 	}
+	return true
 }
 
 // isWordRune reports whether a rune may be in the name of a field.
