fix: only events that follow by their id are joined to a stream

An event without an id was joined to any stream, the end of any answer ended the response, and a stream without ids or a long plain body was asked for again from its beginning.

Each event of another target now has to have an id that follows the last one forwarded, blocks without data of such a target are dropped, and its end counts only after such an event. Where the last forwarded event has no id, or the response is no event stream, no target can go on: none is asked, and a silence does not end the attempt sooner. In a target's own stream events without ids stay as they are. A caller that resumes gets an empty stream as before, since it is the target's whole answer; its first event must have an id.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -357,10 +357,9 @@
 // relayEvents forwards the events of a response. The head is sent with the first event, so that a
 // target that fails earlier can be replaced.
 func (r *relayedRequest) relayEvents(ctx context.Context, a *Response) *AttemptError {
-	events := newEventReader(a.Read, r.lastEventID)
-	timeout := r.eventTimeout()
+	events := newEventReader(a.Read, r.lastEventID, r.headSent)
 	for first := true; ; first = false {
-		a.SetReadTimeout(timeout)
+		a.SetReadTimeout(r.eventTimeout())
 		event, err := events.next()
 		switch {
 		case isEOF(err):
@@ -375,9 +374,10 @@
 }
 
 // endEvents ends a stream that its target has completed, with what came after its last event. Without framing and events, nothing
-// distinguishes a complete stream from one that was broken off after its head.
+// distinguishes a complete stream from one that was broken off after its head. The end of a stream without events is not that of the stream
+// that another target began.
 func (r *relayedRequest) endEvents(a *Response, rest []byte, empty bool) *AttemptError {
-	if empty && a.Unframed {
+	if empty && (a.Unframed || r.headSent) {
 		return &AttemptError{Kind: Broken, Sent: true, Err: errNoEvent}
 	}
 	if !r.headSent {
@@ -401,7 +401,7 @@
 	if !r.headSent {
 		r.sendHead(a)
 	}
-	r.lastEventID = e.id
+	r.lastEventID, r.joinable = e.id, e.hasID && e.id != ""
 	r.Events++
 	if r.Events-r.eventsBefore == answerEvents {
 		r.pass.AnswerBegan()
@@ -420,7 +420,7 @@
 // events: the time left, or less if the stream can be resumed at another target.
 func (r *relayedRequest) eventTimeout() time.Duration {
 	left := r.deadline.Sub(r.Now())
-	if !r.route.Resumable || r.SentFailures+1 >= r.route.MaxAttempts || r.route.GapObjective <= 0 {
+	if !r.route.Resumable || !r.canContinue() || r.SentFailures+1 >= r.route.MaxAttempts || r.route.GapObjective <= 0 {
 		return left
 	}
 	return min(left, eventTimeoutFactor*r.route.GapObjective)
--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -17,17 +17,19 @@
 
 var (
 	errEventOrder    = errors.New("an event of the stream is missing or repeated")
+	errEventID       = errors.New("an event of a resumed stream has no id")
 	errEventText     = errors.New("the stream has text that is no field of an event")
 	errPartialEvent  = fmt.Errorf("the stream ended inside an event: %w", io.ErrUnexpectedEOF)
-	errNoEvent       = fmt.Errorf("the stream ended with its connection and has no event: %w", io.ErrUnexpectedEOF)
+	errNoEvent       = fmt.Errorf("the stream ended before its first event: %w", io.ErrUnexpectedEOF)
 	errEventTooLarge = fmt.Errorf("an event of the stream has more than %d bytes", maxEventBytes)
 )
 
 // event is one event of a stream, including the empty line that ends it and the blocks without data before it.
 type event struct {
 	raw []byte
-	// id is the last id up to the event; empty if there was none.
-	id string
+	// id is the last id up to the event, and hasID is set if it is the event's own.
+	id    string
+	hasID bool
 }
 
 // block is what an empty line ends. It is an event if it has data; others hold comments, the time to reconnect, or an id.
@@ -42,6 +44,8 @@
 	raw   []byte
 	// lastID is the id that the next one must follow; empty if any may.
 	lastID string
+	// needsID is set if the next event must have an id, and joined if the events follow those of another target.
+	needsID, joined bool
 }
 
 type readFunc func(p []byte) (int, error)
@@ -49,8 +53,8 @@
 func (f readFunc) Read(p []byte) (int, error) { return f(p) }
 
 // newEventReader returns a reader of the events that follow the one with an id; empty for a stream from its beginning.
-func newEventReader(read func(p []byte) (int, error), lastID string) *eventReader {
-	return &eventReader{lines: bufio.NewReaderSize(readFunc(read), eventBufferBytes), lastID: lastID}
+func newEventReader(read func(p []byte) (int, error), lastID string, joined bool) *eventReader {
+	return &eventReader{lines: bufio.NewReaderSize(readFunc(read), eventBufferBytes), lastID: lastID, needsID: lastID != "", joined: joined}
 }
 
 // next returns the next complete event. Its bytes are valid until the next call. The error is io.EOF after the last
@@ -59,22 +63,40 @@
 func (e *eventReader) next() (event, error) {
 	e.raw = e.raw[:0]
 	for {
+		start := len(e.raw)
 		b, err := e.readBlock()
 		if err != nil {
 			return event{raw: e.raw}, err
 		}
-		if b.hasID && e.lastID != "" && !follows(b.id, e.lastID) {
-			return event{}, &AttemptError{Kind: Invalid, Sent: true, Err: errEventOrder}
+		if e.joined && !b.hasData {
+			e.raw = e.raw[:start]
+			continue
+		}
+		if err := e.checkID(b); err != nil {
+			return event{}, &AttemptError{Kind: Invalid, Sent: true, Err: err}
 		}
 		if b.hasID {
 			e.lastID = b.id
 		}
 		if b.hasData {
-			return event{raw: e.raw, id: e.lastID}, nil
+			e.needsID = e.joined
+			return event{raw: e.raw, id: e.lastID, hasID: b.hasID}, nil
 		}
 	}
 }
 
+// checkID returns an error if a block may not come after those before it.
+func (e *eventReader) checkID(b block) error {
+	switch {
+	case b.hasID && e.lastID != "" && !follows(b.id, e.lastID):
+		return errEventOrder
+	case b.hasData && e.needsID && !b.hasID:
+		return errEventID
+	default:
+		return nil
+	}
+}
+
 // readBlock reads a block and appends it to the raw bytes.
 func (e *eventReader) readBlock() (block, error) {
 	var b block
--- a/core/relay/join_test.go
+++ b/core/relay/join_test.go
@@ -41,7 +41,8 @@
 	*fixture
 	resumed []string // the event ids that requests resume from
 	body    string
-	plain   bool // the first answer is no event stream
+	plain   bool          // the first answer is no event stream
+	timeout time.Duration // of the last reads
 }
 
 // newJoinFixture returns a fixture whose first target sends begun.
@@ -52,11 +53,11 @@
 		if f.resumed = append(f.resumed, d.LastEventID); len(f.resumed) == 1 {
 			a = relay.Response{Status: http.StatusOK, ResponseHead: relay.ResponseHead{IsEventStream: !f.plain}, Read: textReader(begun, len(begun), end)}
 		}
-		a.HasSignature, a.SetReadTimeout, a.Close = true, func(time.Duration) {}, func() {}
+		a.HasSignature, a.SetReadTimeout, a.Close = true, func(d time.Duration) { f.timeout = d }, func() {}
 		return &a, nil
 	})
 	config := table.New(table.Config{
-		Routes:   []table.Route{{Host: "h", Prefix: "/", Kind: table.Streaming, Resumable: true, MaxAttempts: 2, Shares: []table.Share{{Service: "draft", Weight: 1}}}},
+		Routes:   []table.Route{{Host: "h", Prefix: "/", Kind: table.Streaming, Resumable: true, GapObjective: time.Millisecond, MaxAttempts: 2, Shares: []table.Share{{Service: "draft", Weight: 1}}}},
 		Services: []table.Service{{Name: "draft", EventTokens: 5}},
 	})
 	f.Table = func() *table.Table { return config }
@@ -128,7 +129,7 @@
 }
 
 // TestAnswersThatCanNotBeJoined guards against a stream of events without ids, or a long body, that broke off and that another target's
-// answer, which begins anew, was joined to.
+// answer, which begins anew, was joined to. Such a stream must not be broken off for a silence either.
 func TestAnswersThatCanNotBeJoined(t *testing.T) {
 	for name, begun := range map[string]string{
 		"no ids": "data: a\n\n", "an event without an id": beginning + "event: error\ndata: x\n\n", "plain": strings.Repeat("x", 300<<10),
@@ -141,6 +142,7 @@
 			assert.Assert(t, f.serve(t).Truncated)
 			assert.Assert(t, f.body == begun)
 			assert.Equal(t, len(f.resumed), 1)
+			assert.Assert(t, f.timeout > time.Second, f.timeout)
 		})
 	}
 }
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -116,8 +116,9 @@
 	headSent bool
 	// progressAt is when the last attempt began, or when its last event was forwarded.
 	progressAt time.Time
-	// lastEventID is the id of the last event that was forwarded.
+	// lastEventID is the last id that was forwarded. joinable is set if it is that of the last event, so that the events of another target may follow.
 	lastEventID string
+	joinable    bool
 	// fallback is an error response of a target, which the caller receives if no other attempt
 	// succeeds.
 	fallback *bufferedResponse
@@ -398,12 +399,15 @@
 	if r.SentFailures >= max(r.route.MaxAttempts, 1) {
 		return false
 	}
-	if r.mayHaveRun && !r.route.Retryable() {
+	if r.mayHaveRun && !r.route.Retryable() || !r.canContinue() {
 		return false
 	}
 	return r.Retries.TryRetry(r.Service)
 }
 
+// canContinue reports whether the answer of another target may follow what was forwarded.
+func (r *relayedRequest) canContinue() bool { return !r.headSent || r.joinable }
+
 // giveUp returns the refusal after the last attempt, nil if the fallback was sent instead.
 func (r *relayedRequest) giveUp(failed *AttemptError) *codes.Error {
 	if r.fallback != nil && !r.headSent {
