--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -59,7 +59,7 @@
 func (r *relayedRequest) start(ctx context.Context, pass *poison.Pass, choice route.Choice, request route.Request, detour bool) *attempt {
 	a := &attempt{
 		dispatch: r.newDispatch(choice.Target), choice: choice, target: choice.Target, pass: pass, progressAt: r.Now(),
-		steps: make(chan step), abandoned: make(chan struct{}), ended: make(chan struct{}),
+		steps: make(chan step), abandoned: make(chan struct{}), ended: make(chan struct{}), joined: r.headSent,
 	}
 	a.dispatch.Detour = detour
 	r.Attempts++
@@ -181,7 +181,7 @@
 	case s.response != nil:
 		return r.handleHead(ctx, a)
 	case isEOF(s.err):
-		failed = r.endEvents(ctx, a)
+		failed = r.endEvents(ctx, a, s.event.raw)
 		return failed == nil, failed
 	case s.err != nil:
 		failed = r.recordFailure(s.err)
@@ -349,25 +349,27 @@
 	r.sink.Head(a.Status, a.Header, -1)
 }
 
-// endEvents ends a stream that its target has completed. Without framing and events, nothing distinguishes a complete
-// stream from one that was broken off after its head.
-func (r *relayedRequest) endEvents(ctx context.Context, a *attempt) *AttemptError {
-	if a.events == 0 && a.response.Unframed {
+// endEvents ends a stream that its target has completed, with what came after its last event. Without framing and events, nothing
+// distinguishes a complete stream from one that was broken off after its head. The end of a stream without events is not that of the stream
+// that another target began.
+func (r *relayedRequest) endEvents(ctx context.Context, a *attempt, rest []byte) *AttemptError {
+	if a.events == 0 && (a.response.Unframed || r.headSent) {
 		return &AttemptError{Kind: Broken, Sent: true, Err: errNoEvent}
 	}
 	r.accept(ctx, a)
 	if !r.headSent {
 		r.sendHead(a.response)
 	}
+	if len(rest) > 0 {
+		if err := r.sink.Write(rest); err != nil {
+			return &AttemptError{Kind: Cancelled, Sent: true, Err: err}
+		}
+	}
 	return nil
 }
 
-// relayEvent forwards one event. It fails if the event does not follow the last one forwarded. The head is sent with the first event, so that a
-// target that fails earlier can be replaced.
+// relayEvent forwards one event. The head is sent with the first event, so that a target that fails earlier can be replaced.
 func (r *relayedRequest) relayEvent(ctx context.Context, a *attempt, e event) *AttemptError {
-	if e.hasID && r.lastEventID != "" && !follows(e.id, r.lastEventID) {
-		return &AttemptError{Kind: Invalid, Sent: true, Err: errEventOrder}
-	}
 	if r.streamKey != "" && r.Events == 0 {
 		if failed := r.beginStream(ctx, a); failed != nil {
 			return failed
@@ -377,9 +379,7 @@
 	if !r.headSent {
 		r.sendHead(a.response)
 	}
-	if e.hasID {
-		r.lastEventID = e.id
-	}
+	r.lastEventID, r.joinable = e.id, e.hasID && e.id != ""
 	r.Events++
 	a.events++
 	if a.events == answerEvents {
--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -17,68 +17,142 @@
 
 var (
 	errEventOrder    = errors.New("an event of the stream is missing or repeated")
+	errEventID       = errors.New("an event of a resumed stream has no id")
+	errEventText     = errors.New("the stream has text that is no field of an event")
 	errPartialEvent  = fmt.Errorf("the stream ended inside an event: %w", io.ErrUnexpectedEOF)
-	errNoEvent       = fmt.Errorf("the stream ended with its connection and has no event: %w", io.ErrUnexpectedEOF)
+	errNoEvent       = fmt.Errorf("the stream ended before its first event: %w", io.ErrUnexpectedEOF)
 	errEventTooLarge = fmt.Errorf("an event of the stream has more than %d bytes", maxEventBytes)
 )
 
-// event is one event of a stream, including the empty line that ends it.
+// event is one event of a stream, including the empty line that ends it and the blocks without data before it.
 type event struct {
 	raw []byte
-	// id is the id of the event, and hasID is set if it has one, which may be empty.
+	// id is the last id up to the event, and hasID is set if it is the event's own.
 	id    string
 	hasID bool
 }
 
+// block is what an empty line ends. It is an event if it has data; others hold comments, the time to reconnect, or an id.
+type block struct {
+	id             string
+	hasID, hasData bool
+}
+
 // eventReader reads a stream event by event.
 type eventReader struct {
 	lines *bufio.Reader
 	raw   []byte
+	// lastID is the id that the next one must follow; empty if any may.
+	lastID string
+	// needsID is set if the next event must have an id, and joined if the events follow those of another target.
+	needsID, joined bool
 }
 
 type readFunc func(p []byte) (int, error)
 
 func (f readFunc) Read(p []byte) (int, error) { return f(p) }
 
-func newEventReader(read func(p []byte) (int, error)) *eventReader {
-	return &eventReader{lines: bufio.NewReaderSize(readFunc(read), eventBufferBytes)}
+// newEventReader returns a reader of the events that follow the one with an id; empty for a stream from its beginning.
+func newEventReader(read func(p []byte) (int, error), lastID string, joined bool) *eventReader {
+	return &eventReader{lines: bufio.NewReaderSize(readFunc(read), eventBufferBytes), lastID: lastID, needsID: lastID != "", joined: joined}
 }
 
 // next returns the next complete event. Its bytes are valid until the next call. The error is io.EOF after the last
-// event of a complete stream. A stream that ends inside an event was broken off, however its end was framed; the partial
-// event is dropped.
+// event of a complete stream, with the blocks that come after it. A stream that ends inside an event was broken off, however
+// its end was framed; the partial event is dropped.
 func (e *eventReader) next() (event, error) {
 	e.raw = e.raw[:0]
-	var id string
-	hasID := false
-	lineStart := 0
 	for {
+		start := len(e.raw)
+		b, err := e.readBlock()
+		if err != nil {
+			return event{raw: e.raw}, err
+		}
+		if e.joined && !b.hasData {
+			e.raw = e.raw[:start]
+			continue
+		}
+		if err := e.checkID(b); err != nil {
+			return event{}, &AttemptError{Kind: Invalid, Sent: true, Err: err}
+		}
+		if b.hasID {
+			e.lastID = b.id
+		}
+		if b.hasData {
+			e.needsID = e.joined
+			return event{raw: e.raw, id: e.lastID, hasID: b.hasID}, nil
+		}
+	}
+}
+
+// checkID returns an error if a block may not come after those before it.
+func (e *eventReader) checkID(b block) error {
+	switch {
+	case b.hasID && e.lastID != "" && !follows(b.id, e.lastID):
+		return errEventOrder
+	case b.hasData && e.needsID && !b.hasID:
+		return errEventID
+	default:
+		return nil
+	}
+}
+
+// readBlock reads a block and appends it to the raw bytes.
+func (e *eventReader) readBlock() (block, error) {
+	var b block
+	start := len(e.raw)
+	for lineStart := start; ; {
 		part, err := e.lines.ReadSlice('\n')
 		e.raw = append(e.raw, part...)
 		switch {
 		case len(e.raw) > maxEventBytes:
-			return event{}, &AttemptError{Kind: Invalid, Sent: true, Err: errEventTooLarge}
+			return b, &AttemptError{Kind: Invalid, Sent: true, Err: errEventTooLarge}
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case err == io.EOF: //nolint:errorlint // Read returns io.EOF itself
-			if len(e.raw) > 0 {
-				return event{}, &AttemptError{Kind: Broken, Sent: true, Err: errPartialEvent}
+			if len(e.raw) > start {
+				return b, &AttemptError{Kind: Broken, Sent: true, Err: errPartialEvent}
 			}
-			return event{}, io.EOF
+			return b, io.EOF
 		case err != nil:
-			return event{}, err
+			return b, err
 		}
-		text := bytes.TrimRight(e.raw[lineStart:], "\r\n")
+		line := bytes.TrimSuffix(e.raw[lineStart:len(e.raw)-1], []byte("\r"))
 		lineStart = len(e.raw)
-		if len(text) == 0 {
-			return event{raw: e.raw, id: id, hasID: hasID}, nil
+		if len(line) == 0 {
+			return b, nil
 		}
-		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
-			id, hasID = string(bytes.TrimSpace(value)), true
+		if !b.add(line) {
+			return b, &AttemptError{Kind: Invalid, Sent: true, Err: errEventText}
 		}
 	}
 }
 
+// add adds a line to the block and reports whether it is a comment or a field. The format ignores unknown fields, so that any text would be
+// one; here their names are words, and a colon ends them. A carriage return alone would end a line, and with it an event, for some callers.
+func (b *block) add(line []byte) bool {
+	if bytes.IndexByte(line, '\r') >= 0 {
+		return false
+	}
+	name, value, hasValue := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "":
+	case "data":
+		b.hasData = true
+	case "id":
+		b.id, b.hasID = string(bytes.TrimSpace(value)), true
+	case "event", "retry":
+	default:
+		return hasValue && !bytes.ContainsFunc(name, func(c rune) bool { return !isWordRune(c) })
+	}
+	return true
+}
+
+// isWordRune reports whether a rune may be in the name of a field.
+func isWordRune(c rune) bool {
+	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-' || c == '_' || c == '.'
+}
+
 // follows reports whether an event id may come directly after the previous one. After a number only the next one
 // may; other ids must differ.
 func follows(id, previous string) bool {
--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -33,6 +33,8 @@
 	events int
 	// progressAt is when the attempt began, or when its last event was forwarded.
 	progressAt time.Time
+	// joined is set if its response follows events of another target.
+	joined bool
 	// silent is set once the target was silent for its bound.
 	silent bool
 }
@@ -62,7 +64,7 @@
 	if !a.deliver(step{response: response}) || !response.hasEvents() {
 		return
 	}
-	events := newEventReader(response.Read)
+	events := newEventReader(response.Read, a.dispatch.LastEventID, a.joined)
 	for err == nil {
 		var e event
 		e, err = events.next()
@@ -173,6 +175,8 @@
 	switch {
 	case r.SentFailures+1 >= r.route.MaxAttempts:
 		return nil, DeniedAttempts
+	case !r.canContinue():
+		return nil, DeniedRepeat
 	case r.Attempts-r.SentFailures-1 >= maxUnreachableTargets:
 		return nil, DeniedUnreachable
 	case !r.retryTaken && !r.Retries.AllowsRetry(r.Service):
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -128,8 +128,9 @@
 	mayHaveRun bool
 	// headSent is set once the head of a response was forwarded.
 	headSent bool
-	// lastEventID is the id of the last event that was forwarded.
+	// lastEventID is the last id that was forwarded. joinable is set if it is that of the last event, so that the events of another target may follow.
 	lastEventID string
+	joinable    bool
 	// fallback is an error response of a target, which the caller receives if no other attempt
 	// succeeds.
 	fallback *bufferedResponse
@@ -435,7 +436,7 @@
 		return DeniedUnreachable
 	case r.SentFailures >= max(r.route.MaxAttempts, 1):
 		return DeniedAttempts
-	case r.mayHaveRun && !r.route.Retryable():
+	case r.mayHaveRun && !r.route.Retryable() || !r.canContinue():
 		return DeniedRepeat
 	case !r.Retries.TryRetry(r.Service):
 		return DeniedWindow
@@ -444,6 +445,9 @@
 	}
 }
 
+// canContinue reports whether the answer of another target may follow what was forwarded.
+func (r *relayedRequest) canContinue() bool { return !r.headSent || r.joinable }
+
 // giveUp returns the refusal after the last attempt, nil if the fallback was sent instead.
 func (r *relayedRequest) giveUp(failed *AttemptError) *codes.Error {
 	if r.fallback != nil && !r.headSent {
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -208,7 +208,7 @@
 	DeniedUnreachable Denial = "unreachable"
 	// DeniedAttempts means that the route allows no further attempt.
 	DeniedAttempts Denial = "attempts"
-	// DeniedRepeat means that the request may have run and must not be repeated.
+	// DeniedRepeat means that the request may have run and must not be repeated, or that nothing may follow what was forwarded.
 	DeniedRepeat Denial = "repeat"
 	// DeniedWindow means that this instance's share of the retry budget is used up.
 	DeniedWindow Denial = "window"
