--- a/io/target/stream_test.go
+++ b/io/target/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -101,6 +102,42 @@
 	})
 }
 
+// TestRefusalOfAnotherCallIsNoPromise guards against callers that are told that a call was not run because its engine wrote the refusal of an earlier call once more
+// on a kept connection.
+func TestRefusalOfAnotherCallIsNoPromise(t *testing.T) {
+	for _, tc := range []struct {
+		name, body   string
+		status       int
+		kept, notRun bool
+	}{
+		{"full", `{"error":"full"}`, http.StatusTooManyRequests, true, false},
+		{"leaving", `{"error":"leaving"}`, http.StatusServiceUnavailable, true, false},
+		{"unknown model", `{"error":"unknown model"}`, http.StatusNotFound, true, false},
+		{"full, new connection", `{"error":"full"}`, http.StatusTooManyRequests, false, true},
+		{"full, names the call", `{"error":"full","request_id":"r1","attempt":1}`, http.StatusTooManyRequests, true, true},
+		{"full, names another attempt", `{"error":"full","request_id":"r1","attempt":2}`, http.StatusTooManyRequests, true, false},
+		{"full, names another call, new connection", `{"error":"full","request_id":"r0","attempt":1}`, http.StatusTooManyRequests, false, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			peers := map[string]int{}
+			addr := startRaw(t, func(w http.ResponseWriter, r *http.Request) {
+				peers[r.RemoteAddr]++
+				w.WriteHeader(tc.status)
+				_, _ = io.WriteString(w, tc.body) // the caller may have disconnected
+			})
+			c := newClient()
+			if tc.kept {
+				_, err := collect(c, addr, newCall())
+				assert.Assert(t, err != nil)
+			}
+			_, err := collect(c, addr, newCall())
+			var e *target.Error
+			assert.Assert(t, errors.As(err, &e) && len(peers) == 1, "%v, %v", err, peers)
+			assert.Equal(t, e.NotRun, tc.notRun)
+		})
+	}
+}
+
 func TestGenerateProtocolBreaches(t *testing.T) {
 	token := `data: {"request_id":"r1","attempt":1,"position":%d,"text":"x"}` + "\n\n"
 	final := `data: {"request_id":"r1","attempt":1,"position":0,"final":true,"prompt_tokens":%d,"completion_tokens":%d}`
