fix: a refusal without an id on a kept connection is no promise

Callers were told "not run, try again" for a request that a target was running (REFUSED), or the request ran once more: its target had written an earlier refusal again on a kept connection.

Cause: a target that can't read a request can't name it, so that each refusal without an id counted as the response to the request in flight, wherever on a connection it came.

The fix: a refusal without an id is accepted as the first response of a connection only, where no earlier request can have caused it, and at once. A later one is skipped like the response to another request; without the own response the outcome is unknown. The adapter of the platform only reads the id and the statement from the headers, and io/conns decides. The error of an attempt states how many responses were skipped.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -91,8 +91,10 @@
 	HeaderTimeout time.Duration
 	// OnDialed is called if a new connection was opened for the request; optional.
 	OnDialed func()
-	// Matches reports whether a response belongs to the request.
-	Matches func(h http.Header) bool
+	// ID is the id of the request, which responses to it name.
+	ID string
+	// Identify returns the id of the request that a response names, empty if it names none, and whether the response states that its request was not run.
+	Identify func(h http.Header) (id string, notRun bool)
 }
 
 // Client sends requests to targets. Exported fields are set before Default; it is safe for
--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -94,7 +94,7 @@
 func (s *target) request(id string) *conns.Request {
 	return &conns.Request{
 		PoolKey: "t", Addr: s.addr, Method: http.MethodPost, URI: "/x", Host: "h", Header: http.Header{"Id": {id}}, HeaderTimeout: time.Second,
-		Matches: func(h http.Header) bool { return h.Get("Id") == id },
+		ID: id, Identify: func(h http.Header) (string, bool) { return h.Get("Id"), h.Get("Not-Run") != "" },
 	}
 }
 
@@ -187,6 +187,52 @@
 	assertBody(t, results, "two")
 }
 
+// TestRefusalWithoutIDIsDoubted guards against a repeated refusal of an earlier request that is taken for the response to the next one, and against a long wait after
+// an honest one.
+func TestRefusalWithoutIDIsDoubted(t *testing.T) {
+	refusal := func(head string) string {
+		return "HTTP/1.1 503 No\r\n" + head + "Not-Run: 1\r\nContent-Length: 2\r\n\r\nno"
+	}
+	own, stray := responseTo("2", "two"), refusal("")
+	for _, tc := range []struct {
+		name, sent string
+		kept       bool
+		want       string
+	}{
+		{"kept", stray + own, true, "two"},
+		{"kept, after an interim response", "HTTP/1.1 103 Early\r\n\r\n" + stray + own, true, "two"},
+		{"kept, with the id", refusal("Id: 2\r\n"), true, "no"},
+		{"kept, twice", stray + stray + own, true, "two"},
+		{"kept, often", stray + stray + stray + own, true, ""},
+		{"kept, last one", refusal("Connection: close\r\n"), true, ""},
+		{"new", stray, false, "no"},
+		{"new, after an interim response", "HTTP/1.1 100 Continue\r\n\r\n" + stray, false, "no"},
+		{"new, after the response to another request", refusal("Id: 1\r\n") + stray + own, false, "two"},
+		{"new, without a statement", "HTTP/1.1 400 No\r\nContent-Length: 2\r\n\r\nno" + own, false, "two"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s, c := newTarget(t), newClient()
+			var p *serverConn
+			if tc.kept {
+				p = s.serveOne(t, c, "1", "")
+			}
+			results := startExchange(t, c, s.request("2"))
+			if !tc.kept {
+				p = s.accept(t)
+			}
+			assert.Equal(t, p.readRequest(t), "2")
+			began := time.Now()
+			p.send(t, tc.sent)
+			if tc.want == "" {
+				assertFailed(t, results, conns.Waiting)
+			} else {
+				assertBody(t, results, tc.want)
+			}
+			assert.Assert(t, time.Since(began) < 500*time.Millisecond)
+		})
+	}
+}
+
 // TestRequestIsNotRetried guards against a request that runs twice: the target may have run it before it closed the
 // connection. net/http's client would retry it on a new connection.
 func TestRequestIsNotRetried(t *testing.T) {
--- a/io/conns/response.go
+++ b/io/conns/response.go
@@ -36,15 +36,19 @@
 // readHead reads response headers until those of the response to r arrive. A target may first send
 // a late second response to an earlier request, which is discarded.
 func (resp *Response) readHead(r *Request) *Error {
-	for range maxForeignResponses + 1 {
+	for skipped := range maxForeignResponses + 1 {
 		head, err := resp.readFinalHead(r) //nolint:bodyclose // the body ends with its connection
 		if err != nil {
+			if skipped > 0 {
+				err = fmt.Errorf("%w (skipped: %d): %w", errForeignResponse, skipped, err)
+			}
 			if resp.conn.input.exhausted() {
 				return &Error{Phase: Waiting, Invalid: true, Err: fmt.Errorf("%w: %w", errHeadTooLarge, err)}
 			}
 			return &Error{Phase: Waiting, Timeout: isTimeout(err), Invalid: !isTimeout(err) && resp.conn.reader.Buffered() > 0, Err: err}
 		}
-		if r.Matches(head.Header) {
+		resp.conn.responses++
+		if resp.conn.answers(r, head.Header) {
 			resp.accept(head)
 			if head.Header.Get("Content-Encoding") != "" {
 				return &Error{Phase: Reading, Invalid: true, Err: errContentEncoding}
@@ -58,6 +62,13 @@
 	return &Error{Phase: Waiting, Invalid: true, Err: errForeignResponse}
 }
 
+// answers reports whether the response that was read last is that to r. A target that could not read the request can't name it. A refusal
+// without an id is therefore accepted as the first response of a connection; a later one may be the repeated refusal of an earlier request.
+func (cn *conn) answers(r *Request, h http.Header) bool {
+	id, notRun := r.Identify(h)
+	return id == r.ID || id == "" && notRun && cn.responses == 1
+}
+
 // readFinalHead reads the headers of the next response, skipping interim (1xx) ones.
 func (resp *Response) readFinalHead(r *Request) (*http.Response, error) {
 	resp.conn.input.limit()
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -62,8 +62,8 @@
 	ParseRequest func(r *http.Request) (*relay.Request, error)
 	// BuildHeader returns the headers of a dispatch.
 	BuildHeader func(d relay.Dispatch) http.Header
-	// MatchesRequest reports whether a response belongs to the request with the id.
-	MatchesRequest func(h http.Header, id string) bool
+	// IdentifyResponse returns the id of the request that a response names, empty if it names none, and whether it states that its request was not run.
+	IdentifyResponse func(h http.Header) (id string, notRun bool)
 	// ParseResponseHead parses the status and headers of a target's response.
 	ParseResponseHead func(status int, h http.Header) relay.ResponseHead
 	// SetRefusalHeaders sets the headers of the response to a refused request.
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -29,7 +29,7 @@
 		PoolKey: d.Target.Incarnation, Addr: d.Target.Addr, Method: d.Method, URI: d.URI, Host: d.Host,
 		Header: r.Platform.BuildHeader(d), Body: d.Body, NonIdempotent: d.NonIdempotent, HeaderTimeout: d.HeaderTimeout,
 		OnDialed: func() { r.recordPath(d.Target, nil) },
-		Matches:  func(h http.Header) bool { return r.Platform.MatchesRequest(h, d.ID) },
+		ID:       d.ID, Identify: r.Platform.IdentifyResponse,
 	})
 	if err != nil {
 		failed := attemptError(err)
