fix: a request is sent to a target again only on a new connection

Callers were told "not run, try again" for a request that a target was running (REFUSED): it had refused the first attempt and, while it ran the second one, wrote that refusal once more. Both attempts have the same id, so that the id did not show it.

Cause: the second attempt used any idle connection to the target. By way of another instance it was even that of the first attempt, because the refusal is read to its end there, so that its connection stays open.

The fix: an attempt at a target that the request was sent to before uses a new connection, on which nothing has been written for the earlier attempt. The instance that sends it for another one sees the targets tried so far in the call, so that messages stay as they are.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"cranberryrail/core/origin"
@@ -187,6 +188,7 @@
 	return Dispatch{
 		Request: r.req, Target: t, Organisation: r.Organisation, Priority: r.Priority, Remaining: left,
 		HeaderTimeout: r.headerTimeout(left), LastEventID: r.lastEventID, NonIdempotent: !r.route.Retryable(),
+		Repeated: slices.Contains(r.tried, t.ID),
 	}
 }
 
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -92,6 +92,9 @@
 	HeaderTimeout time.Duration
 	// LastEventID is the id of the last event received, if a stream is to be resumed; empty otherwise.
 	LastEventID string
+	// Repeated is set if the request has been sent to the target before. It must then use a new connection, since the target may repeat its earlier response
+	// on one that it has used.
+	Repeated bool
 	// NonIdempotent is set if the request must not be retried. It should then use a connection that is known
 	// to work.
 	NonIdempotent bool
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -87,6 +87,8 @@
 	Body              []byte
 	// NonIdempotent restricts the request to a new connection or one that carried a response within Freshness.
 	NonIdempotent bool
+	// NewConnection restricts the request to a new connection.
+	NewConnection bool
 	// HeaderTimeout is the timeout for the response headers.
 	HeaderTimeout time.Duration
 	// OnDialed is called if a new connection was opened for the request; optional.
@@ -230,7 +232,10 @@
 // Do sends a request and returns the response once its headers have arrived. Cancelling the context
 // aborts the whole exchange, including the body. The error is a *Error.
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
-	cn := c.acquireIdle(r)
+	var cn *conn
+	if !r.NewConnection {
+		cn = c.acquireIdle(r)
+	}
 	if cn == nil {
 		var err error
 		if cn, err = c.dial(ctx, r); err != nil {
--- a/io/router/detour.go
+++ b/io/router/detour.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"cranberryrail/core/codes"
@@ -275,7 +276,7 @@
 	d := relay.Dispatch{
 		Request: &relay.Request{ID: f.RequestID, Method: f.Method, Host: f.Host, URI: f.URI, Header: f.Header, Body: f.Body},
 		Target:  t, Organisation: f.Organisation, Priority: f.Priority, Remaining: left, HeaderTimeout: min(left, f.HeaderTimeout),
-		LastEventID: f.LastEventID, NonIdempotent: f.NonIdempotent,
+		LastEventID: f.LastEventID, NonIdempotent: f.NonIdempotent, Repeated: slices.Contains(f.Avoid, t.ID),
 	}
 	if f.HasPrompt {
 		d.Prompt = &relay.Prompt{}
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -27,7 +27,7 @@
 	sentAt := time.Now()
 	a, err := r.conns.Do(ctx, &conns.Request{
 		PoolKey: d.Target.Incarnation, Addr: d.Target.Addr, Method: d.Method, URI: d.URI, Host: d.Host,
-		Header: r.Platform.BuildHeader(d), Body: d.Body, NonIdempotent: d.NonIdempotent, HeaderTimeout: d.HeaderTimeout,
+		Header: r.Platform.BuildHeader(d), Body: d.Body, NonIdempotent: d.NonIdempotent, NewConnection: d.Repeated, HeaderTimeout: d.HeaderTimeout,
 		OnDialed: func() { r.recordPath(d.Target, nil) },
 		ID:       d.ID, Identify: r.Platform.IdentifyResponse,
 	})
