--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -287,6 +287,7 @@
 	if failed.Sent {
 		a.pass.Sent()
 		r.SentFailures++
+		r.sentTo = append(r.sentTo, a.target.ID)
 		r.mayHaveRun = r.mayHaveRun || failed.Kind == Silent || failed.Kind == Cancelled
 	}
 	r.Done(a.choice.DispatchID, r.failureOutcome(ctx, a, failed))
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -110,8 +110,8 @@
 	deadline time.Time
 	// traits are what the request may have in common with others.
 	traits poison.Traits
-	// tried holds the ids of the targets of failed attempts.
-	tried []string
+	// tried holds the ids of the targets of failed attempts, and sentTo those of ended attempts that may have received the request.
+	tried, sentTo []string
 	// streamKey identifies a resumable stream, and recorded is set if the last attempt recorded its origin.
 	streamKey origin.Key
 	recorded  bool
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -87,12 +87,16 @@
 	Body              []byte
 	// NonIdempotent restricts the request to a new connection or one that carried a response within Freshness.
 	NonIdempotent bool
+	// NewConnection restricts the request to a new connection.
+	NewConnection bool
 	// HeaderTimeout is the timeout for the response headers.
 	HeaderTimeout time.Duration
 	// OnDialed is called if a new connection was opened for the request; optional.
 	OnDialed func()
-	// Matches reports whether a response belongs to the request.
-	Matches func(h http.Header) bool
+	// ID is the id of the request, which responses to it name.
+	ID string
+	// Identify returns the id of the request that a response names, empty if it names none, and whether the response states that its request was not run.
+	Identify func(h http.Header) (id string, notRun bool)
 }
 
 // Client sends requests to targets. Exported fields are set before Default; it is safe for
@@ -228,7 +232,10 @@
 // Do sends a request and returns the response once its headers have arrived. Cancelling the context
 // aborts the whole exchange, including the body. The error is a *Error.
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
-	cn := c.acquireIdle(r)
+	var cn *conn
+	if !r.NewConnection {
+		cn = c.acquireIdle(r)
+	}
 	if cn == nil {
 		var err error
 		if cn, err = c.dial(ctx, r); err != nil {
