--- a/core/relay/join_test.go
+++ b/core/relay/join_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -105,25 +106,27 @@
 		"an event that breaks off":      {"id: 3\ndata: c\n\nid: 4\nda", "id: 3\ndata: c\n\n", false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			for _, broken := range []string{"", "id: 3\n", "id: 3\n\n", "id: 3\ndata: x", ": x\n\n"} {
-				for _, piece := range []int{1, 7, 1 << 10} {
-					for _, way := range []string{"framed", "unframed", "by another instance"} {
-						f := newJoinFixture(beginning+broken, io.ErrUnexpectedEOF, relay.Response{
-							Status: http.StatusOK, ResponseHead: relay.ResponseHead{IsEventStream: true}, Unframed: way == "unframed", Read: textReader(c.answer, piece, io.EOF),
-						})
-						f.NeedsDetour = func(string, int) bool { return way == "by another instance" && len(f.resumed) > 0 }
-						f.DispatchBy = func(ctx context.Context, d relay.Dispatch, _ route.Request) (*relay.Response, error) {
-							return f.Dispatch(ctx, d)
+			synctest.Test(t, func(t *testing.T) {
+				for _, broken := range []string{"", "id: 3\n", "id: 3\n\n", "id: 3\ndata: x", ": x\n\n"} {
+					for _, piece := range []int{1, 7, 1 << 10} {
+						for _, way := range []string{"framed", "unframed", "by another instance"} {
+							f := newJoinFixture(beginning+broken, io.ErrUnexpectedEOF, relay.Response{
+								Status: http.StatusOK, ResponseHead: relay.ResponseHead{IsEventStream: true}, Unframed: way == "unframed", Read: textReader(c.answer, piece, io.EOF),
+							})
+							f.NeedsDetour = func(string, int) bool { return way == "by another instance" && len(f.resumed) > 0 }
+							f.DispatchBy = func(ctx context.Context, d relay.Dispatch, _ route.Request) (*relay.Response, error) {
+								return f.Dispatch(ctx, d)
+							}
+							result := f.serve(t)
+							play := fmt.Sprintf("after %q, in pieces of %d, %s", broken, piece, way)
+							assert.Check(t, cmp.Equal(f.body, beginning+c.joined), play)
+							assert.Check(t, cmp.Equal(result.Truncated, !c.whole), play)
+							assert.Check(t, cmp.Equal(result.Events, strings.Count(f.body, "data:")), play)
+							assert.Check(t, cmp.DeepEqual(f.resumed, []string{"", "2"}), play)
 						}
-						result := f.serve(t)
-						play := fmt.Sprintf("after %q, in pieces of %d, %s", broken, piece, way)
-						assert.Check(t, cmp.Equal(f.body, beginning+c.joined), play)
-						assert.Check(t, cmp.Equal(result.Truncated, !c.whole), play)
-						assert.Check(t, cmp.Equal(result.Events, strings.Count(f.body, "data:")), play)
-						assert.Check(t, cmp.DeepEqual(f.resumed, []string{"", "2"}), play)
 					}
 				}
-			}
+			})
 		})
 	}
 }
@@ -135,14 +138,16 @@
 		"no ids": "data: a\n\n", "an event without an id": beginning + "event: error\ndata: x\n\n", "plain": strings.Repeat("x", 300<<10),
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newJoinFixture(begun, io.ErrUnexpectedEOF, relay.Response{
-				Status: http.StatusOK, ResponseHead: relay.ResponseHead{IsEventStream: true}, Read: textReader(rest, 1<<10, io.EOF),
+			synctest.Test(t, func(t *testing.T) {
+				f := newJoinFixture(begun, io.ErrUnexpectedEOF, relay.Response{
+					Status: http.StatusOK, ResponseHead: relay.ResponseHead{IsEventStream: true}, Read: textReader(rest, 1<<10, io.EOF),
+				})
+				f.plain = name == "plain"
+				assert.Assert(t, f.serve(t).Truncated)
+				assert.Assert(t, f.body == begun)
+				assert.Equal(t, len(f.resumed), 1)
+				assert.Assert(t, f.timeout > time.Second, f.timeout)
 			})
-			f.plain = name == "plain"
-			assert.Assert(t, f.serve(t).Truncated)
-			assert.Assert(t, f.body == begun)
-			assert.Equal(t, len(f.resumed), 1)
-			assert.Assert(t, f.timeout > time.Second, f.timeout)
 		})
 	}
 }
@@ -165,13 +170,15 @@
 		"another field":          {"weight-versions: 7\nid: 1\ndata: a\n\n", "weight-versions: 7\nid: 1\ndata: a\n\n", 1, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newJoinFixture(c.answer, io.EOF, relay.Response{
-				Status: http.StatusOK, ResponseHead: relay.ResponseHead{IsEventStream: true}, Read: textReader(rest, 1<<10, io.EOF),
+			synctest.Test(t, func(t *testing.T) {
+				f := newJoinFixture(c.answer, io.EOF, relay.Response{
+					Status: http.StatusOK, ResponseHead: relay.ResponseHead{IsEventStream: true}, Read: textReader(rest, 1<<10, io.EOF),
+				})
+				result := f.serve(t)
+				assert.Equal(t, f.body, c.want)
+				assert.Equal(t, result.Events, c.events)
+				assert.Equal(t, result.Truncated, !c.whole)
 			})
-			result := f.serve(t)
-			assert.Equal(t, f.body, c.want)
-			assert.Equal(t, result.Events, c.events)
-			assert.Equal(t, result.Truncated, !c.whole)
 		})
 	}
 }
