fix: the newest draws have a mark even if no record is read after them

Callers were refused (2003, may not be drawn yet) although every copy of the log contained the draws before. Marks of draws were an eighth of the copy's age apart, and a draw in between had none until a later record was read; if none was, its draws never counted as kept. Now the last mark is replaced until it is an eighth after the one before.

--- a/core/budget/era.go
+++ b/core/budget/era.go
@@ -88,13 +88,26 @@
 		g.Kept = g.Drawn
 	}
 	a.grants, a.hasRecord = g, true
-	if now := b.Now(); restorable && (len(a.marks) == 0 || now.Sub(a.marks[len(a.marks)-1].at) >= b.CopyAge/marksPerCopyAge) {
-		a.marks = append(a.marks, drawMark{now, g.Drawn})
+	if restorable {
+		a.mark(drawMark{b.Now(), g.Drawn}, b.CopyAge/marksPerCopyAge)
 	}
 	b.recordAvailable(a)
 	b.notifyIfDue(organisation, a)
 }
 
+// mark adds a mark of the draws. The last mark is replaced until it is an interval after the one before it, so that few marks are kept
+// and the newest draws have one even if no record is read after them.
+func (a *account) mark(m drawMark, interval time.Duration) {
+	n := len(a.marks)
+	switch {
+	case n > 0 && a.marks[n-1].drawn == m.drawn:
+	case n > 1 && a.marks[n-1].at.Sub(a.marks[n-2].at) < interval:
+		a.marks[n-1] = m
+	default:
+		a.marks = append(a.marks, m)
+	}
+}
+
 // paidRisk returns the limit on draws that a restored log may lack, at least the given one.
 func (a *account) paidRisk(least int64) int64 {
 	if a.paid == table.Unlimited {
