--- a/io/target/stream_test.go
+++ b/io/target/stream_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -127,6 +128,50 @@
 	}
 }
 
+// TestOnlyFollowingFramesContinueAnAnswer guards against an answer that broke off and that an engine's error, or anything else but the frames that
+// follow, was joined to, or ended as if it were complete.
+func TestOnlyFollowingFramesContinueAnAnswer(t *testing.T) {
+	const frame = `data: {"request_id":"r1","attempt":1,"position":`
+	const end = `data: {"request_id":"r1","attempt":1,"position":3,"final":true,"prompt_tokens":1,"completion_tokens":3`
+	const errorText = `{"error":"overloaded"}` + "\n\n"
+	framings := map[string]func(w http.ResponseWriter, body string){
+		"unframed": func(w http.ResponseWriter, _ string) { w.Header().Set("Transfer-Encoding", "identity") },
+		"length":   func(w http.ResponseWriter, body string) { w.Header().Set("Content-Length", strconv.Itoa(len(body))) },
+		"chunks":   func(w http.ResponseWriter, _ string) { _ = http.NewResponseController(w).Flush() },
+	}
+	for name, tt := range map[string]struct {
+		body string
+		kind target.Kind
+	}{
+		"no frame":                {"", target.Truncated},
+		"comments":                {": x\n\nretry: 5\n\nid: 3\n\n", target.Truncated},
+		"JSON":                    {errorText, target.Truncated},
+		"a head":                  {"HTTP/1.1 500 Internal Server Error\r\n\r\n" + errorText, target.Truncated},
+		"an error":                {"event: error\ndata: " + errorText, target.Crossed},
+		"text as data":            {"data: overloaded\n\n", target.Failed},
+		"a frame of an attempt":   {`data: {"request_id":"r1","attempt":2,"position":3,"text":"x"}` + "\n\n", target.Crossed},
+		"a repeated frame":        {frame + `2,"text":"x"}` + "\n\n", target.Doubled},
+		"a gap":                   {frame + `4,"text":"x"}` + "\n\n", target.Gap},
+		"an error with a place":   {frame + `3,"error":"overloaded"}` + "\n\n", target.Failed},
+		"an end without a reason": {end + "}\n\n", target.Failed},
+		"an end by an error":      {end + `,"finish_reason":"error"}` + "\n\n", target.Failed},
+	} {
+		for framing, frame := range framings {
+			t.Run(name+", "+framing, func(t *testing.T) {
+				addr := startRaw(t, func(w http.ResponseWriter, _ *http.Request) {
+					frame(w, tt.body)
+					_, _ = io.WriteString(w, tt.body)
+				})
+				call := newCall()
+				call.ResumeFrom = 3
+				text, err := collect(newClient(), addr, call)
+				assert.Equal(t, assertKind(t, err, tt.kind).Position, call.ResumeFrom)
+				assert.Equal(t, text, "")
+			})
+		}
+	}
+}
+
 // TestResume checks that a response that stalls repeatedly is complete after its resumptions, without repeated or
 // missing tokens.
 func TestResume(t *testing.T) {
