fix: an answer at the own interface ends only for a known reason

The client checked request, attempt and place of a frame, but not whether it is a token, nor why the answer ends.

Reasons other than "stop" and "length", and a token without a text, now fail the attempt, so that it is resumed, or ends with an error event.

--- a/io/target/stream.go
+++ b/io/target/stream.go
@@ -21,6 +21,12 @@
 	drainTimeout = 20 * time.Millisecond
 )
 
+// Reasons for which a response is complete: the engine ended it, or it has the maximum length.
+const (
+	finishStop   = "stop"
+	finishLength = "length"
+)
+
 // Call is one attempt of a request at an engine.
 type Call struct {
 	RequestID string `json:"request_id"`
@@ -129,8 +135,8 @@
 	if err != nil {
 		return Frame{}, err
 	}
-	var f Frame
-	if err := json.Unmarshal(data, &f); err != nil {
+	f, hasText, err := decodeFrame(data)
+	if err != nil {
 		return Frame{}, s.fail(Failed, fmt.Errorf("decode a frame: %w", err))
 	}
 	if err := s.checkFrame(f); err != nil {
@@ -140,10 +146,28 @@
 		s.err = io.EOF
 		return f, nil
 	}
+	if !hasText {
+		return Frame{}, s.fail(Failed, errors.New("the frame has neither a text nor the end"))
+	}
 	s.nextPosition++
 	return f, nil
 }
 
+// decodeFrame decodes a frame and reports whether it has a text, which may be empty.
+func decodeFrame(data []byte) (f Frame, hasText bool, err error) {
+	decoded := struct {
+		*Frame
+		Text *string `json:"text"`
+	}{Frame: &f}
+	if err := json.Unmarshal(data, &decoded); err != nil {
+		return Frame{}, false, err
+	}
+	if decoded.Text != nil {
+		f.Text = *decoded.Text
+	}
+	return f, decoded.Text != nil, nil
+}
+
 // readEvent reads up to the blank line that ends an event and returns the data of the event.
 func (s *Stream) readEvent() ([]byte, error) {
 	var data []byte
@@ -185,7 +209,13 @@
 	if f.PromptTokens < 0 || f.PromptTokens > len(s.call.Prompt) {
 		return s.fail(Failed, fmt.Errorf("the engine reported %d prompt tokens for a prompt of %d bytes", f.PromptTokens, len(s.call.Prompt)))
 	}
-	return s.checkPosition(f.CompletionTokens)
+	if err := s.checkPosition(f.CompletionTokens); err != nil {
+		return err
+	}
+	if f.FinishReason != finishStop && f.FinishReason != finishLength {
+		return s.fail(Failed, fmt.Errorf("the engine ended the response for the reason %q", f.FinishReason))
+	}
+	return nil
 }
 
 func (s *Stream) checkPosition(got int) error {
