fix: the refusal of another call at an engine is no promise

At the own interface callers were told that a call was not run, and the attempt was not cancelled at its engine, although the engine was running it: it had written the refusal of an earlier call once more on a kept connection (REFUSED).

Cause: a refusal of an engine named no call, and net/http takes whatever arrives after a request for its response. It closes a connection only for bytes that arrive between two requests. Calls to plain services use a connection each, so that they are not affected.

The fix: refusals may name the request and the attempt, as frames do, and the engines of this repository do so. One that names another call closes the connections to the engine; one without a name counts as "not run" only on a connection that has carried no call.

The test makes its earlier refusal a plain 404 now: one that names another attempt closes the connection that the case needs.

--- a/fake/engine/host/host.go
+++ b/fake/engine/host/host.go
@@ -122,6 +122,9 @@
 // ErrorBody is the body of an error response.
 type ErrorBody struct {
 	Error string `json:"error"`
+	// RequestID and Attempt name the call that the response belongs to, if it could be read.
+	RequestID string `json:"request_id,omitempty"`
+	Attempt   int    `json:"attempt,omitempty"`
 }
 
 // WriteError writes an error response with a status and a reason.
--- a/fake/engine/stream.go
+++ b/fake/engine/stream.go
@@ -31,6 +31,11 @@
 	ResumeFrom int    `json:"resume_from"`
 }
 
+// refuse writes an error response that names the request.
+func (q request) refuse(w http.ResponseWriter, status int, reason string) {
+	host.WriteJSON(w, status, host.ErrorBody{Error: reason, RequestID: q.RequestID, Attempt: q.Attempt})
+}
+
 // frame is one event of a stream.
 type frame struct {
 	RequestID        string `json:"request_id"`
@@ -68,23 +73,23 @@
 	a := s.newAttempt(q, faults)
 	switch {
 	case faults.Leaving:
-		host.WriteError(w, http.StatusServiceUnavailable, "leaving")
+		q.refuse(w, http.StatusServiceUnavailable, "leaving")
 		return
 	case !s.serves(roster.Model{Model: q.Model, Version: q.Version}):
-		host.WriteError(w, http.StatusNotFound, "unknown model")
+		q.refuse(w, http.StatusNotFound, "unknown model")
 		return
 	case q.MaxTokens <= 0 || q.ResumeFrom < 0 || q.ResumeFrom > a.total:
-		host.WriteError(w, http.StatusBadRequest, "max_tokens or resume_from out of range")
+		q.refuse(w, http.StatusBadRequest, "max_tokens or resume_from out of range")
 		return
 	case a.plan.fail:
-		host.WriteError(w, http.StatusInternalServerError, "failed")
+		q.refuse(w, http.StatusInternalServerError, "failed")
 		return
 	}
 	a.out = w
 	ctx, end := s.register(r.Context(), a)
 	defer end()
 	if err := s.batch.admit(ctx, q.Priority); err != nil {
-		s.refuseAdmission(w, err)
+		s.refuseAdmission(w, q, err)
 		return
 	}
 	defer s.batch.release()
@@ -125,13 +130,13 @@
 }
 
 // refuseAdmission writes the response to a request that was not admitted.
-func (s *Server) refuseAdmission(w http.ResponseWriter, err error) {
+func (s *Server) refuseAdmission(w http.ResponseWriter, q request, err error) {
 	if errors.Is(err, errFull) {
-		host.WriteError(w, http.StatusTooManyRequests, "full")
+		q.refuse(w, http.StatusTooManyRequests, "full")
 		return
 	}
 	s.count(func(c *Counts) { c.Cancelled++ })
-	host.WriteError(w, http.StatusConflict, "cancelled")
+	q.refuse(w, http.StatusConflict, "cancelled")
 }
 
 func (s *Server) cancel(w http.ResponseWriter, r *http.Request) {
--- a/io/target/stream.go
+++ b/io/target/stream.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 )
 
@@ -63,6 +64,8 @@
 	lines        *bufio.Scanner
 	nextPosition int
 	first        bool
+	// reused is set if the connection had carried an earlier call.
+	reused bool
 	// err is the error that ended the stream: an *Error, or io.EOF after the final frame.
 	err error
 }
@@ -74,7 +77,8 @@
 	s := &Stream{
 		client: c, addr: addr, call: call, ctx: ctx, cancel: cancel, timer: timer, nextPosition: call.ResumeFrom, first: true,
 	}
-	resp, pool, err := c.send(ctx, addr, http.MethodPost, "/v1/generate", call) //nolint:bodyclose // release closes it
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { s.reused = info.Reused }})
+	resp, pool, err := c.send(traced, addr, http.MethodPost, "/v1/generate", call) //nolint:bodyclose // release closes it
 	if err != nil {
 		s.release()
 		err.Position = s.nextPosition
@@ -96,11 +100,18 @@
 		return s.fail(kindOf(s.ctx, err), fmt.Errorf("read the response %s: %w", resp.Status, err))
 	}
 	var body struct {
-		Error string `json:"error"`
+		Error     string `json:"error"`
+		RequestID string `json:"request_id"`
+		Attempt   int    `json:"attempt"`
 	}
 	_ = json.Unmarshal(data, &body)
+	named := body.RequestID != ""
+	if named && (body.RequestID != s.call.RequestID || body.Attempt != s.call.Attempt) {
+		return s.fail(Crossed, fmt.Errorf("received the response %s to request %q attempt %d", resp.Status, body.RequestID, body.Attempt))
+	}
 	s.release()
-	e := &Error{Kind: Failed, Addr: s.addr, Position: s.nextPosition, Sent: true, NotRun: true}
+	// Without a name, it may be the repeated refusal of an earlier call on the connection.
+	e := &Error{Kind: Failed, Addr: s.addr, Position: s.nextPosition, Sent: true, NotRun: named || !s.reused}
 	e.Err = fmt.Errorf("the engine returned %s: %q", resp.Status, body.Error)
 	switch {
 	case resp.StatusCode == http.StatusTooManyRequests:
--- a/io/target/stream_test.go
+++ b/io/target/stream_test.go
@@ -122,6 +122,10 @@
 			peers := map[string]int{}
 			addr := startRaw(t, func(w http.ResponseWriter, r *http.Request) {
 				peers[r.RemoteAddr]++
+				if tc.kept && peers[r.RemoteAddr] == 1 {
+					http.NotFound(w, r)
+					return
+				}
 				w.WriteHeader(tc.status)
 				_, _ = io.WriteString(w, tc.body) // the caller may have disconnected
 			})
