fix: no status that stands for "not run" after an attempt with an unknown outcome

At the own interface a caller got 429 or 503, with the outcome "unknown" in the body, for a request of which an engine may have run an earlier attempt (REFUSED): callers that go by the status send it again as new.

Cause: the code of the final error was that of the last attempt, or of the choice of a target, whatever the attempts before had done. The relay of the platform looks at all attempts already.

The fix: once an attempt may have run, such errors are target_failed, 502.

--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -378,7 +378,7 @@
 		e.Code = codes.AnswerCut
 	case failed.Kind == Silent:
 		e.Code = codes.TargetSilent
-	case failed.Kind == Full:
+	case failed.Kind == Full && !r.mayHaveRun:
 		e.Code = codes.Overloaded
 	}
 	return e
@@ -388,8 +388,11 @@
 func (r *generation) pickError(err error) error {
 	e := *codes.From(err, codes.NotRun)
 	e.Run = r.runState()
-	if r.nextPosition > 0 {
+	switch {
+	case r.nextPosition > 0:
 		e.Code = codes.AnswerCut
+	case r.mayHaveRun:
+		e.Code = codes.TargetFailed
 	}
 	return &e
 }
--- a/core/serve/serve_test.go
+++ b/core/serve/serve_test.go
@@ -266,6 +266,19 @@
 	})
 }
 
+// TestStatusIsNoPromiseAfterUnknownAttempt guards against a status that stands for "not run" after an attempt that may have run.
+func TestStatusIsNoPromiseAfterUnknownAttempt(t *testing.T) {
+	for _, last := range []serve.Kind{serve.Full, serve.Leaving} {
+		t.Run(string(last), func(t *testing.T) {
+			refused := attemptScript{kind: last, notRun: true, failsOpen: true}
+			b := newTestBench(attemptScript{kind: serve.Silent}, refused, refused)
+			b.retries = 2
+			_, err := b.generate(context.Background())
+			assertEnd(t, err, codes.TargetFailed, codes.Unknown)
+		})
+	}
+}
+
 // TestCallerDisconnects guards against an engine that continues after its caller disconnected.
 func TestCallerDisconnects(t *testing.T) {
 	t.Run("detected by a write", func(t *testing.T) {
