--- a/core/serve/serve_test.go
+++ b/core/serve/serve_test.go
@@ -268,11 +268,11 @@
 
 // TestStatusIsNoPromiseAfterUnknownAttempt guards against a status that stands for "not run" after an attempt that may have run.
 func TestStatusIsNoPromiseAfterUnknownAttempt(t *testing.T) {
-	for _, last := range []serve.Kind{serve.Full, serve.Leaving} {
+	for last, retries := range map[serve.Kind]int{serve.Full: 1, serve.Leaving: 2} {
 		t.Run(string(last), func(t *testing.T) {
 			refused := attemptScript{kind: last, notRun: true, failsOpen: true}
 			b := newTestBench(attemptScript{kind: serve.Silent}, refused, refused)
-			b.retries = 2
+			b.retries = retries
 			_, err := b.generate(context.Background())
 			assertEnd(t, err, codes.TargetFailed, codes.Unknown)
 		})
