test: sound engines that are silent for a second end no answer of the own interface

Two engines are silent for 1 s at the same time while 24 answers are in flight, which is longer than the timeouts of a frame (0.3 s, the first 0.5 s). All answers must be whole: both engines go on.

--- a/fake/engine/engine.go
+++ b/fake/engine/engine.go
@@ -62,10 +62,12 @@
 	batch       batch
 	prefixes    *lru.Cache[string, struct{}]
 
-	mu       sync.Mutex
-	running  map[attemptKey]*attempt
-	counts   Counts
-	attempts *lru.Cache[string, int]
+	mu      sync.Mutex
+	running map[attemptKey]*attempt
+	// silentUntil is when the engine sends frames again.
+	silentUntil time.Time
+	counts      Counts
+	attempts    *lru.Cache[string, int]
 }
 
 // Counts holds the statistics of an engine.
@@ -138,6 +140,20 @@
 	return mux
 }
 
+// BeSilent makes the engine, which is sound, send nothing for a time; it goes on afterwards.
+func (s *Server) BeSilent(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silentUntil = time.Now().Add(d)
+}
+
+// silence returns how long the engine still sends nothing.
+func (s *Server) silence() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Until(s.silentUntil)
+}
+
 // SetFaults replaces the faults for attempts that arrive from now on.
 func (s *Server) SetFaults(f Faults) { s.faults.Set(f) }
 
--- a/fake/engine/stream.go
+++ b/fake/engine/stream.go
@@ -174,7 +174,7 @@
 	seed := xxhash.Sum64String(a.Prompt)
 	delay := a.firstDelay
 	for i := a.ResumeFrom; i < a.total; i++ {
-		if wait(ctx, delay) != nil || !a.applyFaults(ctx, i) {
+		if wait(ctx, delay) != nil || wait(ctx, s.silence()) != nil || !a.applyFaults(ctx, i) {
 			return false
 		}
 		delay = a.tokenGap
--- a/io/node/faults_test.go
+++ b/io/node/faults_test.go
@@ -186,6 +186,34 @@
 	assert.Equal(t, f.EngineServers[0].Counts().Started, int64(0))
 }
 
+// TestSilentEnginesEndNoAnswer guards against answers that break off because all engines, which are sound, are silent for a second at the same time, so that the
+// retry budget is used up and another attempt is as silent.
+func TestSilentEnginesEndNoAnswer(t *testing.T) {
+	const streams = 24
+	f := start(t, &fleet.Fleet{Instances: 1, Engines: 2, Capacity: streams, TokenGap: 20 * time.Millisecond, ConfigureInstance: shortTimeouts})
+	provisionAll(t, f, 1_000_000)
+	ask := func(i int) result {
+		return send(context.Background(), f.Members[0], "/v1/completions", fleet.Key("acme"), promptBody(fmt.Sprint("p", i), 16, true))
+	}
+	for _, silentAt := range []int64{0, streams} { // answers begun when the engines fall silent
+		before := startedCount(f, 0) + startedCount(f, 1)
+		wait := runConcurrently(streams, ask)
+		eventually(t, f, func() bool { return startedCount(f, 0)+startedCount(f, 1) >= before+silentAt })
+		time.Sleep(time.Duration(silentAt) * 4 * time.Millisecond) // some tokens
+		for _, e := range f.EngineServers {
+			e.BeSilent(time.Second)
+		}
+		whole := 0
+		for i, r := range wait() {
+			if strings.HasSuffix(r.body, "data: [DONE]\n\n") {
+				assertComplete(t, r, fmt.Sprint("p", i), 16)
+				whole++
+			}
+		}
+		assert.Check(t, whole == streams, "%d of %d answers are whole; the engines were silent once %d had begun", whole, streams, silentAt)
+	}
+}
+
 // TestLateResponseIsCancelled guards against an engine that keeps running a request that was retried at another engine.
 func TestLateResponseIsCancelled(t *testing.T) {
 	f := start(t, &fleet.Fleet{Instances: 1, Engines: 2, ConfigureInstance: shortTimeouts})
