--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"cranberryrail/core/codes"
@@ -63,6 +64,9 @@
 	Prompt     string
 	MaxTokens  int
 	ResumeFrom int
+	// MayGiveUp reports whether an attempt at a target that has sent nothing for as long as it may be silent is to end; otherwise it goes on for as
+	// long again. It is called while Open or Next waits.
+	MayGiveUp func() bool
 }
 
 // Frame is one token, or the end of the response.
@@ -105,7 +109,7 @@
 
 // Bounds of one request.
 const (
-	// MaxAttempts is the maximum number of dispatches of one request.
+	// MaxAttempts is the maximum number of dispatches of one request, and the number of times that a target may be silent for, one after the other.
 	MaxAttempts = 4
 	// CancelTimeout bounds the call that cancels an attempt at an engine.
 	CancelTimeout = time.Second
@@ -153,6 +157,17 @@
 	pinned *roster.Target
 	// resumedFrom is the position from which the last attempt started.
 	resumedFrom int
+	// silences counts how often the request waited for as long as a target may be silent, since its last token.
+	silences int
+	// permitted is set if the retry budget has allowed the next attempt, and next is that attempt if it was admitted while the one before was silent.
+	permitted bool
+	next      *admission
+}
+
+// admission is an attempt that may be made: its target, and the pass of requests that crash targets.
+type admission struct {
+	choice route.Choice
+	pass   *poison.Pass
 }
 
 // Generate serves a request. It calls emit with each frame in order; an error of emit
@@ -160,7 +175,10 @@
 // error is not nil. The error is a *codes.Error.
 func (s *Server) Generate(ctx context.Context, req Request, emit func(Frame) error) (Usage, error) {
 	r := &generation{server: s, req: req, emit: emit, traits: req.traits()}
-	defer func() { r.pass.End() }()
+	defer func() {
+		r.dropNext()
+		r.pass.End()
+	}()
 	for {
 		failed, err := r.attempt(ctx)
 		if err == nil && failed == nil {
@@ -178,14 +196,12 @@
 // attempt makes one dispatch. It returns an *AttemptError when another attempt may follow, and
 // an error when the request has ended.
 func (r *generation) attempt(ctx context.Context) (*AttemptError, error) {
-	if err := r.admit(ctx); err != nil {
-		return nil, err
-	}
-	choice, err := r.pick()
+	choice, err := r.choose(ctx)
 	if err != nil {
-		return nil, r.pickError(err)
+		return nil, err
 	}
 	call := r.req.Call
+	call.MayGiveUp = func() bool { return r.mayGiveUp(ctx, choice.Target) }
 	call.Attempt += r.usage.Attempts
 	call.ResumeFrom = r.nextPosition
 	r.resumedFrom = r.nextPosition
@@ -238,6 +254,69 @@
 	}
 }
 
+// choose admits the next attempt and returns its target. The error is the final one of the request.
+func (r *generation) choose(ctx context.Context) (route.Choice, error) {
+	r.permitted = false
+	if next := r.next; next != nil && (r.pinned == nil || next.choice.Target.ID == r.pinned.ID) {
+		r.next, r.pass = nil, next.pass
+		return next.choice, nil
+	}
+	r.dropNext()
+	if err := r.admit(ctx); err != nil {
+		return route.Choice{}, err
+	}
+	choice, err := r.pick()
+	if err != nil {
+		return choice, r.pickError(err)
+	}
+	return choice, nil
+}
+
+// mayGiveUp reports whether an attempt at a silent target t is to end: a further one is admitted, or the request has waited for as long as all attempts may
+// take. The silent target may be the only one that can complete the response.
+func (r *generation) mayGiveUp(ctx context.Context, t roster.Target) bool {
+	r.silences++
+	return r.silences >= MaxAttempts || r.prepareNext(ctx, t)
+}
+
+// prepareNext admits another attempt while the one at t goes on, and reports whether it could.
+func (r *generation) prepareNext(ctx context.Context, t roster.Target) bool {
+	if r.next != nil {
+		return true
+	}
+	silent := &AttemptError{Kind: Silent}
+	if r.usage.Attempts >= MaxAttempts || r.resumeFailed(silent) || !r.permit() {
+		return false
+	}
+	pass, err := r.server.Crashes.Admit(ctx, r.traits)
+	if err != nil {
+		return false
+	}
+	choice, err := r.pick(t.ID)
+	if err != nil {
+		pass.End()
+		return false
+	}
+	r.next = &admission{choice, pass}
+	return true
+}
+
+// permit takes a retry from the organisation's budget, unless the next attempt has one, and reports whether there was one.
+func (r *generation) permit() bool {
+	r.permitted = r.permitted || r.server.Retry(r.req.Route.Organisation)
+	return r.permitted
+}
+
+// dropNext ends the admission of an attempt that is not made.
+func (r *generation) dropNext() {
+	if r.next == nil {
+		return
+	}
+	r.server.Done(r.next.choice.DispatchID, route.Cancelled)
+	r.next.pass.End()
+	r.next = nil
+}
+
 // admit admits the next attempt unless similar requests have crashed targets. The error is the final one of the request.
 func (r *generation) admit(ctx context.Context) error {
 	pass, err := r.server.Crashes.Admit(ctx, r.traits)
@@ -267,13 +346,14 @@
 	return ""
 }
 
-// pick chooses a target. Once a token was relayed, it restricts the choice to the target that holds the response for
+// pick chooses a target other than those with the ids in avoid, if there is one. Once a token was relayed, it restricts the choice to the target that holds the response for
 // a resume, and raises the priority above requests that have not started.
-func (r *generation) pick() (route.Choice, error) {
+func (r *generation) pick(avoid ...string) (route.Choice, error) {
+	request := r.req.Route
 	if r.pinned == nil {
-		return r.server.Pick(r.req.Route)
+		request.Avoid = slices.Concat(request.Avoid, avoid)
+		return r.server.Pick(request)
 	}
-	request := r.req.Route
 	request.Only, request.Shares, request.Avoid, request.Priority = r.pinned, nil, nil, route.TopPriority
 	return r.server.Pick(request)
 }
@@ -311,6 +391,7 @@
 		return
 	}
 	r.nextPosition = f.Position + 1
+	r.silences = 0
 	r.usage.CompletionTokens = r.nextPosition
 	if r.nextPosition-r.resumedFrom == answerTokens {
 		r.pass.AnswerBegan()
@@ -340,9 +421,9 @@
 	switch {
 	case ctx.Err() != nil:
 		return &codes.Error{Code: codes.AnswerCut, Run: r.runState(), Detail: "the caller disconnected before the response was complete", Err: failed}
-	case r.usage.Attempts >= MaxAttempts, r.resumeFailed(failed):
+	case r.usage.Attempts >= MaxAttempts, r.silences >= MaxAttempts, r.resumeFailed(failed):
 		return r.finalError(failed)
-	case !r.server.Retry(r.req.Route.Organisation):
+	case r.next == nil && !r.permit():
 		return r.finalError(failed)
 	}
 	return nil
--- a/core/serve/serve_test.go
+++ b/core/serve/serve_test.go
@@ -29,6 +29,8 @@
 	failsOpen bool
 	// rawErr is returned by Next in place of an *AttemptError.
 	rawErr error
+	// wakes makes a silent attempt complete the response, if it may go on that often.
+	wakes int
 }
 
 // testBench is a Server whose function fields follow scripts and record their calls.
@@ -106,6 +108,13 @@
 			f.Final, f.FinishReason, f.PromptTokens, f.CompletionTokens = true, "stop", 3, totalTokens
 			return f, nil
 		}
+		for goesOn := 0; s.wakes > 0 && !c.MayGiveUp(); {
+			if goesOn++; goesOn == s.wakes {
+				s.sendsUntil, s.kind = totalTokens, ""
+				next++
+				return f, nil
+			}
+		}
 		return serve.Frame{}, fail
 	}}, nil
 }
@@ -235,6 +244,38 @@
 	})
 }
 
+// TestSilentTargetIsNotGivenUpForNothing guards against an answer that ends because its target was silent, although that target alone can complete it.
+func TestSilentTargetIsNotGivenUpForNothing(t *testing.T) {
+	goesOn := attemptScript{sendsUntil: 2, kind: serve.Silent, wakes: 2}
+	for name, change := range map[string]func(b *testBench){
+		"no retry is left":         func(b *testBench) { b.retries = 0 },
+		"its engine is leaving":    func(b *testBench) { b.onEmit = func() { b.targets = nil } },
+		"a resume is silent too":   func(b *testBench) { b.scripts = []attemptScript{{sendsUntil: 2, kind: "truncated"}, goesOn} },
+		"no answer, and no target": func(b *testBench) { b.targets, b.scripts[0].sendsUntil = b.targets[:1], 0; b.retries = 0 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestBench(goesOn)
+			change(b)
+			_, err := b.generate(t.Context())
+			assert.NilError(t, err)
+			assertRelayed(t, b, totalTokens)
+		})
+	}
+	t.Run("but when another attempt is admitted", func(t *testing.T) {
+		b := newTestBench(attemptScript{kind: serve.Silent, wakes: 1}, attemptScript{})
+		_, err := b.generate(t.Context())
+		assert.NilError(t, err)
+		assert.DeepEqual(t, b.addrs, []string{"addr-a", "addr-b"})
+		assertDone(t, b, route.Silent, route.OK)
+	})
+	t.Run("and after the time of all attempts", func(t *testing.T) {
+		b := newTestBench(attemptScript{sendsUntil: 2, kind: serve.Silent, wakes: serve.MaxAttempts})
+		b.retries = 0
+		_, err := b.generate(t.Context())
+		assertEnd(t, err, codes.AnswerCut, codes.Ran)
+	})
+}
+
 func TestAttemptsAreBounded(t *testing.T) {
 	t.Run("by their number", func(t *testing.T) {
 		b := newTestBench(attemptScript{kind: serve.Silent})
--- a/io/node/adapt.go
+++ b/io/node/adapt.go
@@ -24,7 +24,7 @@
 func toTargetCall(c serve.Call) target.Call {
 	return target.Call{
 		RequestID: c.RequestID, Attempt: c.Attempt, Model: c.Model, Version: c.Version, Priority: c.Priority,
-		Prompt: c.Prompt, MaxTokens: c.MaxTokens, ResumeFrom: c.ResumeFrom,
+		Prompt: c.Prompt, MaxTokens: c.MaxTokens, ResumeFrom: c.ResumeFrom, MayGiveUp: c.MayGiveUp,
 	}
 }
 
--- a/io/target/stream.go
+++ b/io/target/stream.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -34,6 +35,9 @@
 	MaxTokens int `json:"max_tokens"`
 	// ResumeFrom is the position of the first frame.
 	ResumeFrom int `json:"resume_from"`
+	// MayGiveUp reports whether the call is to end because the engine was silent for a timeout; otherwise the timeout begins again. It is called while
+	// Generate or Next waits. If it is nil, the call ends.
+	MayGiveUp func() bool `json:"-"`
 }
 
 // Frame is one token, or the end of a response.
@@ -63,6 +67,10 @@
 	lines        *bufio.Scanner
 	nextPosition int
 	first        bool
+	// mu protects timeout, and waiting and expired: whether the engine is waited for, and whether the timeout has passed meanwhile.
+	mu               sync.Mutex
+	timeout          time.Duration
+	waiting, expired bool
 	// err is the error that ended the stream: an *Error, or io.EOF after the final frame.
 	err error
 }
@@ -70,10 +78,13 @@
 // Generate sends a call to an engine and waits for the header of its response.
 func (c *Client) Generate(ctx context.Context, addr string, call Call) (*Stream, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	timer := time.AfterFunc(c.FirstFrameTimeout, func() { cancel(errSilent) })
 	s := &Stream{
-		client: c, addr: addr, call: call, ctx: ctx, cancel: cancel, timer: timer, nextPosition: call.ResumeFrom, first: true,
+		client: c, addr: addr, call: call, ctx: ctx, cancel: cancel, timeout: c.FirstFrameTimeout, nextPosition: call.ResumeFrom, first: true, waiting: true,
 	}
+	s.mu.Lock()
+	s.timer = time.AfterFunc(s.timeout, s.timeOut)
+	s.mu.Unlock()
+	defer s.endWait()
 	resp, pool, err := c.send(ctx, addr, http.MethodPost, "/v1/generate", call) //nolint:bodyclose // release closes it
 	if err != nil {
 		s.release()
@@ -120,10 +131,9 @@
 	if s.err != nil {
 		return Frame{}, s.err
 	}
-	if !s.first {
-		s.timer.Reset(s.client.FrameTimeout)
-	}
+	s.beginWait()
 	data, err := s.readEvent()
+	s.endWait()
 	s.timer.Stop()
 	s.first = false
 	if err != nil {
@@ -144,6 +154,43 @@
 	return f, nil
 }
 
+// beginWait begins to wait for the next frame. The timeout of the first one began with the call.
+func (s *Stream) beginWait() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting = true
+	switch {
+	case !s.first:
+		s.timeout = s.client.FrameTimeout
+		s.timer.Reset(s.timeout)
+	case s.expired:
+		s.timer.Reset(0)
+	}
+	s.expired = false
+}
+
+// endWait ends a wait. MayGiveUp is not called after it.
+func (s *Stream) endWait() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting = false
+}
+
+// timeOut ends the call after a timeout, unless it is to go on.
+func (s *Stream) timeOut() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.ctx.Err() != nil:
+	case !s.waiting:
+		s.expired = true
+	case s.call.MayGiveUp == nil || s.call.MayGiveUp():
+		s.cancel(errSilent)
+	default:
+		s.timer.Reset(s.timeout)
+	}
+}
+
 // readEvent reads up to the blank line that ends an event and returns the data of the event.
 func (s *Stream) readEvent() ([]byte, error) {
 	var data []byte
@@ -216,7 +263,8 @@
 	case s.err == nil:
 		s.err = &Error{Kind: Cancelled, Addr: s.addr, Position: s.nextPosition, Sent: true, Err: errors.New("the stream was closed before the final frame")}
 	case errors.Is(s.err, io.EOF):
-		s.timer.Reset(drainTimeout)
+		drained := time.AfterFunc(drainTimeout, func() { s.cancel(errSilent) })
+		defer drained.Stop()
 		_, _ = io.Copy(io.Discard, io.LimitReader(s.body, maxLineBytes))
 	}
 	s.release()
--- a/io/target/stream_test.go
+++ b/io/target/stream_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
@@ -193,6 +194,32 @@
 	}
 }
 
+// TestCallGoesOnUnlessItMayBeGivenUp guards against a call that ends at a timeout although no other call can replace it.
+func TestCallGoesOnUnlessItMayBeGivenUp(t *testing.T) {
+	c := &target.Client{FrameTimeout: shortTimeout, FirstFrameTimeout: shortTimeout}
+	c.Default()
+	for _, begun := range []bool{false, true} {
+		e := startEngine(t, &engine.Server{TokenGap: 20 * time.Millisecond, FixedLength: true})
+		timeouts := 0
+		call := newCall()
+		call.MayGiveUp = func() bool {
+			timeouts++
+			return false
+		}
+		if !begun {
+			e.BeSilent(3 * shortTimeout)
+		}
+		s, err := c.Generate(t.Context(), e.Addr(), call)
+		assert.NilError(t, err)
+		if begun {
+			e.BeSilent(3 * shortTimeout)
+		}
+		time.Sleep(shortTimeout * 3 / 2) // a timeout passes while nothing waits for a frame
+		assertStreamEnds(t, s)
+		assert.Assert(t, timeouts > 0)
+	}
+}
+
 // lossyConn simulates a connection whose state was dropped on the network path: once dropping is set, writes are
 // discarded.
 type lossyConn struct {
