--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"testing"
 	"time"
 
@@ -87,6 +89,49 @@
 	}
 }
 
+// TestLastResponsesAreSent guards against responses that are lost because the server closes their connections when no request is in flight any more, and net/http
+// has not written all of them yet.
+func TestLastResponsesAreSent(t *testing.T) {
+	const rounds, requests = 50, 32
+	for range rounds {
+		s := &entry.Server{
+			MaxBodyBytes: 1000, MaxBufferedBytes: 1000, SetRefusalHeaders: func(http.Header, string, time.Duration) {}, OnEnd: func(relay.Result, time.Duration) {},
+			ParseRequest: func(*http.Request) (*relay.Request, error) { return &relay.Request{}, nil },
+		}
+		release := make(chan struct{})
+		s.Serve = func(_ context.Context, _ *relay.Request, sink relay.Sink) relay.Result {
+			<-release
+			sink.Head(http.StatusOK, nil, 4)
+			return relay.Result{CallerGone: sink.Write([]byte("done")) != nil}
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		assert.NilError(t, s.Listen(ctx, "127.0.0.1:0"))
+		var server, callers errgroup.Group
+		server.Go(func() error { return s.Run(ctx) })
+		for range requests {
+			callers.Go(func() error {
+				resp, err := http.Get("http://" + s.Addr())
+				if err != nil {
+					return err
+				}
+				_, err = io.ReadAll(resp.Body)
+				return errors.Join(err, resp.Body.Close())
+			})
+		}
+		await := func(n int64) {
+			for s.InFlight() != n {
+				runtime.Gosched()
+			}
+		}
+		await(requests)
+		close(release)
+		await(0)
+		cancel()
+		assert.NilError(t, callers.Wait())
+		assert.NilError(t, server.Wait())
+	}
+}
+
 // TestFullLinkRefusesRequests checks that an instance refuses requests that its link can't carry, with the connection closed,
 // so that their callers reach another instance.
 func TestFullLinkRefusesRequests(t *testing.T) {
