fix: an instance that stops sends its last responses before it closes connections (LOST)

A caller whose request was the last in flight at an instance that stopped could get EOF in place of its answer. The instance waits until no request is in flight; that count falls when the handler returns, and net/http writes the end of the response after that, the whole of a short one. The server was closed with all connections in between. It now shuts down first, which waits for the connections to become idle, for at most 100 ms, well within the time reserved for the exit.

--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -40,8 +41,11 @@
 // Address returns the listen address.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// Run serves until the context ends, and then closes all connections. Call Shutdown first to let
-// requests in flight finish.
+// flushTimeout is how long responses whose handlers have ended may take to be written when the server ends.
+const flushTimeout = 100 * time.Millisecond
+
+// Run serves until the context ends, and then closes all connections once the responses whose handlers have ended are
+// written. Call Shutdown first to let requests in flight finish.
 func (s *Server) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
@@ -52,6 +56,11 @@
 	})
 	g.Go(func() error {
 		<-ctx.Done()
+		flush, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushTimeout)
+		defer cancel()
+		if err := s.Shutdown(flush); err == nil || !errors.Is(err, context.DeadlineExceeded) {
+			return err
+		}
 		return s.Close()
 	})
 	return g.Wait()
