--- a/core/budget/property_test.go
+++ b/core/budget/property_test.go
@@ -288,6 +288,11 @@
 
 // reserve makes a reservation while the syncer of the member syncs repeatedly.
 func reserve(t assert.TestingT, m *member, tokens int64) (budget.Reservation, error) {
+	return reserveOf(t, m, "travel", tokens)
+}
+
+// reserveOf is reserve for any organisation.
+func reserveOf(t assert.TestingT, m *member, organisation string, tokens int64) (budget.Reservation, error) {
 	type answer struct {
 		reservation budget.Reservation
 		err         error
@@ -295,7 +300,7 @@
 	answers := make(chan answer, 1)
 	var g errgroup.Group
 	g.Go(func() error {
-		reservation, err := m.book.Reserve(context.Background(), "travel", tokens)
+		reservation, err := m.book.Reserve(context.Background(), organisation, tokens)
 		answers <- answer{reservation, err}
 		return nil
 	})
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -359,3 +360,24 @@
 		}
 	})
 }
+
+// TestHugeLoadReports guards against load reports out of range that overflow, after which no target is found or the balancer panics.
+func TestHugeLoadReports(t *testing.T) {
+	for name, report := range map[string]roster.Load{
+		"capacity": {Capacity: math.MaxInt}, "running": {Running: math.MaxInt, Waiting: math.MaxInt, Capacity: 4}, "negative": {Running: -5, Waiting: math.MinInt, Capacity: -4},
+		"age": {AgeMS: math.MinInt64, Capacity: 4}, "both": {Running: math.MaxInt - 1, Capacity: math.MaxInt},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(3)
+			for i := range 2 {
+				report.Incarnation = f.list[i].Incarnation
+				f.Report(f.list[i].ID, report, f.now)
+			}
+			picked := map[string]bool{}
+			for i := range 12 {
+				picked[f.pick(t, route.Request{Prefix: fmt.Sprint(i), Priority: i % 10}).Target.ID] = true
+			}
+			assert.Assert(t, picked[f.list[2].ID] || name == "capacity" || name == "both", "%v", picked)
+		})
+	}
+}
