--- a/core/logs/logs.go
+++ b/core/logs/logs.go
@@ -8,7 +8,9 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
+	"unicode/utf8"
 )
 
 // AnyOffset makes an append unconditional.
@@ -150,6 +152,28 @@
 		if !page.More || len(page.Records) == 0 {
 			return s, nil
 		}
-		after = page.Records[len(page.Records)-1].Key
+		next := page.next(after)
+		if next == "" {
+			return Snapshot{}, fmt.Errorf("read the newest records of %s/%d after %q: %w", topic, part, after, errNoProgress)
+		}
+		after = next
+	}
+}
+
+var errNoProgress = errors.New("a page that is not the last has no key after that of the page before")
+
+// next returns the key after which the next page begins, given that of this one; empty if the page has none that is greater.
+func (p Page) next(after string) string {
+	last := after
+	for _, r := range p.Records {
+		last = max(last, r.Key)
+	}
+	if last > after {
+		return last
+	}
+	// A key that is not valid UTF-8 is shown with replacement characters, which may sort before the key itself.
+	if raw := strings.ReplaceAll(last, string(utf8.RuneError), "\xff"); raw > after {
+		return raw
 	}
+	return ""
 }
