fix: an odd record of a budget blocks this budget only

One record in the topic of budgets that can't be decoded, under any key, kept every instance that started from reading all budgets of that partition: it was never ready. A record whose key names a later era, or whose numbers overflow a sum, hid the records of the present era, so that what was granted counted as 0 and could be granted again. This budget is now unknown: nothing is drawn or returned until a valid record is read, and its requests are refused as not run (ledger_stale).

--- a/core/budget/book.go
+++ b/core/budget/book.go
@@ -61,6 +61,8 @@
 	grants         Grants
 	hasRecord      bool
 	recordEra, era int64
+	// unknown is set while the newest record can't be decoded.
+	unknown bool
 	// restorable is set if the log may be restored from a copy. marks are then the sums of draws that were
 	// recorded within the age of a copy, in order.
 	restorable bool
@@ -374,10 +376,12 @@
 // refusal returns the error for a reservation that the instance's holding does not cover, nil if it
 // may wait.
 func (b *Book) refusal(a *account, w *waiter) *codes.Error {
-	if b.loaded && a.unreserved+a.grantable(w.resumes) < w.tokens {
-		return b.refuseUncovered(a, w)
-	}
 	switch {
+	case a.unknown && a.unreserved < w.tokens:
+		b.OnStaleRefusal(a.organisation)
+		return codes.Refuse(codes.LedgerStale, RetryAfterElsewhere, "the record of the budget can't be decoded")
+	case b.loaded && a.unreserved+a.grantable(w.resumes) < w.tokens:
+		return b.refuseUncovered(a, w)
 	case !b.loaded:
 		return codes.Refuse(codes.LedgerStale, RetryAfterLogUnavailable, "the budgets have not been read yet")
 	case !b.LogReachable(a.organisation):
--- a/core/budget/era.go
+++ b/core/budget/era.go
@@ -87,7 +87,7 @@
 		g.WrittenOff += lost
 		g.Kept = g.Drawn
 	}
-	a.grants, a.hasRecord = g, true
+	a.grants, a.hasRecord, a.unknown = g, true, false
 	if now := b.Now(); restorable && (len(a.marks) == 0 || now.Sub(a.marks[len(a.marks)-1].at) >= b.CopyAge/marksPerCopyAge) {
 		a.marks = append(a.marks, drawMark{now, g.Drawn})
 	}
@@ -95,6 +95,18 @@
 	b.notifyIfDue(organisation, a)
 }
 
+// RecordUnknown states that the newest record of a budget, written in the given era, can't be decoded, given the present era of the log. Nothing
+// is drawn or returned until a valid record is read.
+func (b *Book) RecordUnknown(organisation string, recordEra, era int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.account(organisation)
+	if a.era == era && a.hasRecord && recordEra < a.recordEra {
+		return // a record of a later era holds
+	}
+	a.recordEra, a.era, a.hasRecord, a.unknown = recordEra, era, true, true
+}
+
 // paidRisk returns the limit on draws that a restored log may lack, at least the given one.
 func (a *account) paidRisk(least int64) int64 {
 	if a.paid == table.Unlimited {
@@ -125,6 +137,9 @@
 
 // drawable returns the tokens that may be drawn from the log now, for requests that resume streams or for others.
 func (b *Book) drawable(a *account, resumes bool) int64 {
+	if a.unknown {
+		return 0
+	}
 	grantable := max(a.grantable(resumes), 0)
 	if !a.restorable {
 		return grantable
--- a/core/budget/odd_test.go
+++ b/core/budget/odd_test.go
@@ -55,6 +55,7 @@
 	check("travel", 1, false) // not known what was granted
 	check("huge", 1, false)
 	put("travel", `{"granted":10}`)
+	time.Sleep(10 * time.Millisecond) // until the state is too old not to be read
 	assert.NilError(t, m.syncer.Sync(t.Context()))
 	check("travel", 100, true)
 	put("travel", "\x01\xff") // read in order, it changes nothing
--- a/core/budget/policy.go
+++ b/core/budget/policy.go
@@ -136,7 +136,7 @@
 
 // adjustment returns the number of tokens by which a holding should change.
 func (b *Book) adjustment(a *account) int64 {
-	if a.paid == table.Unlimited || !b.loaded {
+	if a.paid == table.Unlimited || !b.loaded || a.unknown {
 		return 0
 	}
 	if returnable := b.returnable(a); returnable > 0 {
