fix: no part of a promise that can't be decoded is taken over

The record of a promise was decoded into the value that was used afterwards: where a field further on had another type, the fields before it were kept, and the tokens decoded so far became spendable although the record counted as invalid. Tokens below 0 or near 2^63 were taken over as they were, so that more than the budget could be spent. The record is now decoded on its own, is empty after an error, and its tokens are bounded like those of budgets. Evidence: TestOddPromiseIsNotTakenOver; before, 500 tokens were free of a budget with 0 granted.

--- a/core/budget/promise_writer.go
+++ b/core/budget/promise_writer.go
@@ -181,9 +181,11 @@
 		if record.Key != sy.Instance {
 			continue
 		}
-		if err := json.Unmarshal(record.Value, &r); err != nil {
+		decoded, err := decodePromise(record.Value)
+		if err != nil {
 			sy.OnInvalidRecord(record.Key, err)
 		}
+		r = decoded
 	}
 	if r.By == sy.Incarnation {
 		if r.Era == p.era && p.pending != nil {
@@ -196,6 +198,20 @@
 	return nil
 }
 
+// decodePromise decodes a record. With an error, the record is empty: no part of it is taken over.
+func decodePromise(value []byte) (promiseRecord, error) {
+	var r promiseRecord
+	if err := json.Unmarshal(value, &r); err != nil {
+		return promiseRecord{}, err
+	}
+	for _, tokens := range r.Tokens {
+		if !isTokens(tokens) {
+			return promiseRecord{}, errTokens
+		}
+	}
+	return r, nil
+}
+
 // inheritable returns the promised tokens of an earlier process that certainly ended before it
 // could spend them: this process started after the promise was made and before it expired, and the
 // times are on the same clock, because both processes ran on the same boot of the machine. The log was not restored
