fix: budgets of organisations with any name are kept apart in the log

The key of a budget's record was the name of the organisation. One that begins with instance/ was read as the registration of an instance, one that begins with era/N/ as another organisation in era N, and a name over 255 bytes did not fit into a key: what was granted was never read back, and each instance could draw the whole budget. The store accepts such names, so they are used and not rejected. Budgets are now known by a budget name, at the instance and in the log: the name itself, or a digest of it where it is long or is read as something else. All other names keep their records.

--- a/core/budget/book.go
+++ b/core/budget/book.go
@@ -51,6 +51,7 @@
 
 // account is the state of one organisation's budget at this instance.
 type account struct {
+	// organisation is the budgetName of the organisation.
 	organisation string
 	// paid is the number of tokens paid for, table.Unlimited without a budget, and paidAt when it last changed.
 	// configuredAt is when the budget was first configured.
@@ -182,6 +183,7 @@
 }
 
 func (b *Book) account(organisation string) *account {
+	organisation = budgetName(organisation)
 	a := b.accounts[organisation]
 	if a == nil {
 		a = &account{organisation: organisation, paid: table.Unlimited}
@@ -470,7 +472,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, organisation := range organisations {
-		if a := b.accounts[organisation]; a != nil && len(a.waiters) > 0 {
+		if a := b.accounts[budgetName(organisation)]; a != nil && len(a.waiters) > 0 {
 			return true
 		}
 	}
@@ -522,7 +524,7 @@
 func (b *Book) ServeWaiters(organisation string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if a := b.accounts[organisation]; a != nil {
+	if a := b.accounts[budgetName(organisation)]; a != nil {
 		b.serveWaiters(a)
 	}
 }
--- a/core/budget/borrow.go
+++ b/core/budget/borrow.go
@@ -85,7 +85,7 @@
 func (b *Book) lendSpendable(organisation string, tokens, least int64) int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	a := b.accounts[organisation]
+	a := b.accounts[budgetName(organisation)]
 	if a == nil || a.paid == table.Unlimited || a.overgranted() || len(a.waiters) > 0 || b.spendable(a) < least {
 		return 0
 	}
--- a/core/budget/era.go
+++ b/core/budget/era.go
@@ -1,6 +1,8 @@
 package budget
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"strconv"
 	"strings"
 	"time"
@@ -46,8 +48,29 @@
 // era that commits late replaces no record of the present one.
 const eraPrefix = "era/"
 
+// digestPrefix is the prefix of budgetName where it is not the name of the organisation, and maxNameBytes the longest name that is used as it is:
+// with eraPrefix, a key has at most 255 bytes.
+const (
+	digestPrefix = "digest/"
+	digestBytes  = 24
+	maxNameBytes = 200
+)
+
+// budgetName returns the name under which the budget of an organisation is known, at this instance and in the log. It is another one than that of the
+// organisation if that is too long, or is read as something else in a key. The budget name of a budget name is itself.
+func budgetName(organisation string) string {
+	digest, ok := strings.CutPrefix(organisation, digestPrefix)
+	reserved := strings.HasPrefix(organisation, instancePrefix) || strings.HasPrefix(organisation, eraPrefix) || ok && len(digest) != 2*digestBytes
+	if !reserved && len(organisation) <= maxNameBytes {
+		return organisation
+	}
+	sum := sha256.Sum256([]byte(organisation))
+	return digestPrefix + hex.EncodeToString(sum[:digestBytes])
+}
+
 // recordKey returns the key of an organisation's record in an era.
 func recordKey(organisation string, era int64) string {
+	organisation = budgetName(organisation)
 	if era == 0 {
 		return organisation
 	}
--- a/core/budget/holders.go
+++ b/core/budget/holders.go
@@ -47,6 +47,7 @@
 // of returns the lenders of an organisation's budget. The holders are the MaxHolders first instances; their order
 // begins with a different one at each instance.
 func (r *ranking) of(organisation string) *lenders {
+	organisation = budgetName(organisation)
 	if cached, ok := r.lenders.Load(organisation); ok {
 		return cached.(*lenders)
 	}
--- a/core/budget/repay.go
+++ b/core/budget/repay.go
@@ -56,7 +56,7 @@
 func (b *Book) AcceptRepayment(organisation string, tokens int64) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	a := b.accounts[organisation]
+	a := b.accounts[budgetName(organisation)]
 	if tokens <= 0 || a == nil || a.paid == table.Unlimited || !b.loaded || b.stopping {
 		return fmt.Errorf("add %d repaid tokens of %q: %w", tokens, organisation, ErrNotAdded)
 	}
--- a/core/budget/syncer.go
+++ b/core/budget/syncer.go
@@ -195,7 +195,7 @@
 
 // partitionIndex returns the index of the partition that stores an organisation's budget.
 func (sy *Syncer) partitionIndex(organisation string) int {
-	return bucketOf(organisation, sy.Shards)
+	return bucketOf(budgetName(organisation), sy.Shards)
 }
 
 // bucketOf returns the bucket that a key is hashed to, from 0 to buckets-1.
