fix: rate limits of odd records are bounded in number, length and size

Each record of the topic of rate limits whose key is a hexadecimal number became a limit that was kept for 10 to 20 minutes, sorted the whole fleet and was logged, whatever number of them another writer leaves; ids of targets were kept at any length, and one target could have several keys, so that a reset removed a limit that it had just read. Records now have the canonical key, the id is cut as when it is published, and at most 8,192 limits are known from records; a limit that a target names itself is always kept. Rates above 1,000,000 a second are used as that, so that no interval is 0; no fault was seen from those.

--- a/core/rate/rate.go
+++ b/core/rate/rate.go
@@ -12,9 +12,11 @@
 import (
 	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -33,6 +35,8 @@
 const (
 	// minPerSecond is the lowest rate that is used, in requests a second. Only responses of the target show that its limit ended.
 	minPerSecond = 0.1
+	// maxPerSecond is the highest rate that is used: more than one target can run. The time between two requests stays above 0.
+	maxPerSecond = 1e6
 	// checkAfter is the time without an allowed request after which the target is preferred over others, so that a response shows
 	// whether its limit still applies.
 	checkAfter = 2 * time.Second
@@ -47,6 +51,8 @@
 	unpublished = -1.0
 	// maxLabelBytes limits the part of a target's id that is published.
 	maxLabelBytes = 64
+	// maxRead bounds the limits that are known from records: several times the targets of a large deployment.
+	maxRead = 8192
 )
 
 // limit is the rate limit of one incarnation of a target.
@@ -83,7 +89,7 @@
 
 // newShare returns the share of instance own in a limit. The target is identified by the hash of its incarnation.
 func newShare(perSecond float64, target uint64, own string, fleet []instance) share {
-	perSecond = max(perSecond, minPerSecond)
+	perSecond = min(max(perSecond, minPerSecond), maxPerSecond)
 	burst := burstSeconds*perSecond + burstRequests
 	ranked := slices.SortedFunc(slices.Values(fleet), func(a, b instance) int {
 		return cmp.Or(cmp.Compare(rendez.Score(target, b.hash), rendez.Score(target, a.hash)), cmp.Compare(a.id, b.id))
@@ -151,14 +157,24 @@
 	return logs.Record{Key: key(target), Value: value}
 }
 
+var (
+	errKey      = errors.New("the key is not the hash of an incarnation as this program writes it")
+	errNegative = errors.New("the limit is negative")
+	errTooMany  = fmt.Errorf("more than %d targets have a limit", maxRead)
+)
+
 // decode parses a record.
 func decode(r logs.Record) (target uint64, value record, err error) {
 	target, err = strconv.ParseUint(r.Key, hashBase, 64)
+	if err == nil && r.Key != key(target) {
+		err = errKey
+	}
 	if err == nil && len(r.Value) > 0 {
 		err = json.Unmarshal(r.Value, &value)
 	}
 	if err == nil && value.PerSecond < 0 {
-		err = fmt.Errorf("negative limit %v", value.PerSecond)
+		err = errNegative
 	}
+	value.Target = strings.Clone(value.Target[:min(len(value.Target), maxLabelBytes)]) // the whole may be long
 	return target, value, err
 }
--- a/core/rate/tracker.go
+++ b/core/rate/tracker.go
@@ -248,6 +248,8 @@
 	case pending[r.Key]:
 	case len(r.Value) == 0:
 		t.remove(target)
+	case t.limits[target] == nil && len(t.limits) >= maxRead:
+		t.OnInvalid(r.Key, errTooMany)
 	default:
 		t.set(target, value)
 		t.limits[target].publishedPerSecond = value.PerSecond
