--- a/core/budget/book.go
+++ b/core/budget/book.go
@@ -51,6 +51,7 @@
 
 // account is the state of one organisation's budget at this instance.
 type account struct {
+	// organisation is the budgetName of the organisation.
 	organisation string
 	// paid is the number of tokens paid for, table.Unlimited without a budget, and paidAt when it last changed.
 	// configuredAt is when the budget was first configured.
@@ -61,6 +62,8 @@
 	grants         Grants
 	hasRecord      bool
 	recordEra, era int64
+	// unknown is set while the newest record can't be decoded.
+	unknown bool
 	// restorable is set if the log may be restored from a copy. marks are then the sums of draws that were
 	// recorded within the age of a copy, in order.
 	restorable bool
@@ -180,6 +183,7 @@
 }
 
 func (b *Book) account(organisation string) *account {
+	organisation = budgetName(organisation)
 	a := b.accounts[organisation]
 	if a == nil {
 		a = &account{organisation: organisation, paid: table.Unlimited}
@@ -374,10 +378,12 @@
 // refusal returns the error for a reservation that the instance's holding does not cover, nil if it
 // may wait.
 func (b *Book) refusal(a *account, w *waiter) *codes.Error {
-	if b.loaded && a.unreserved+a.grantable(w.resumes) < w.tokens {
-		return b.refuseUncovered(a, w)
-	}
 	switch {
+	case a.unknown && a.unreserved < w.tokens:
+		b.OnStaleRefusal(a.organisation)
+		return codes.Refuse(codes.LedgerStale, RetryAfterElsewhere, "the record of the budget can't be decoded")
+	case b.loaded && a.unreserved+a.grantable(w.resumes) < w.tokens:
+		return b.refuseUncovered(a, w)
 	case !b.loaded:
 		return codes.Refuse(codes.LedgerStale, RetryAfterLogUnavailable, "the budgets have not been read yet")
 	case !b.LogReachable(a.organisation):
@@ -466,7 +472,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, organisation := range organisations {
-		if a := b.accounts[organisation]; a != nil && len(a.waiters) > 0 {
+		if a := b.accounts[budgetName(organisation)]; a != nil && len(a.waiters) > 0 {
 			return true
 		}
 	}
@@ -518,7 +524,7 @@
 func (b *Book) ServeWaiters(organisation string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if a := b.accounts[organisation]; a != nil {
+	if a := b.accounts[budgetName(organisation)]; a != nil {
 		b.serveWaiters(a)
 	}
 }
--- a/core/budget/era.go
+++ b/core/budget/era.go
@@ -1,6 +1,8 @@
 package budget
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"strconv"
 	"strings"
 	"time"
@@ -46,8 +48,29 @@
 // era that commits late replaces no record of the present one.
 const eraPrefix = "era/"
 
+// digestPrefix is the prefix of budgetName where it is not the name of the organisation, and maxNameBytes the longest name that is used as it is:
+// with eraPrefix, a key has at most 255 bytes.
+const (
+	digestPrefix = "digest/"
+	digestBytes  = 24
+	maxNameBytes = 200
+)
+
+// budgetName returns the name under which the budget of an organisation is known, at this instance and in the log. It is another one than that of the
+// organisation if that is too long, or is read as something else in a key. The budget name of a budget name is itself.
+func budgetName(organisation string) string {
+	digest, ok := strings.CutPrefix(organisation, digestPrefix)
+	reserved := strings.HasPrefix(organisation, instancePrefix) || strings.HasPrefix(organisation, eraPrefix) || ok && len(digest) != 2*digestBytes
+	if !reserved && len(organisation) <= maxNameBytes {
+		return organisation
+	}
+	sum := sha256.Sum256([]byte(organisation))
+	return digestPrefix + hex.EncodeToString(sum[:digestBytes])
+}
+
 // recordKey returns the key of an organisation's record in an era.
 func recordKey(organisation string, era int64) string {
+	organisation = budgetName(organisation)
 	if era == 0 {
 		return organisation
 	}
@@ -87,7 +110,7 @@
 		g.WrittenOff += lost
 		g.Kept = g.Drawn
 	}
-	a.grants, a.hasRecord = g, true
+	a.grants, a.hasRecord, a.unknown = g, true, false
 	if restorable {
 		a.mark(drawMark{b.Now(), g.Drawn}, b.CopyAge/marksPerCopyAge)
 	}
@@ -108,6 +131,18 @@
 	}
 }
 
+// RecordUnknown states that the newest record of a budget, written in the given era, can't be decoded, given the present era of the log. Nothing
+// is drawn or returned until a valid record is read.
+func (b *Book) RecordUnknown(organisation string, recordEra, era int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.account(organisation)
+	if a.era == era && a.hasRecord && recordEra < a.recordEra {
+		return // a record of a later era holds
+	}
+	a.recordEra, a.era, a.hasRecord, a.unknown = recordEra, era, true, true
+}
+
 // paidRisk returns the limit on draws that a restored log may lack, at least the given one.
 func (a *account) paidRisk(least int64) int64 {
 	if a.paid == table.Unlimited {
@@ -138,6 +173,9 @@
 
 // drawable returns the tokens that may be drawn from the log now, for requests that resume streams or for others.
 func (b *Book) drawable(a *account, resumes bool) int64 {
+	if a.unknown {
+		return 0
+	}
 	grantable := max(a.grantable(resumes), 0)
 	if !a.restorable {
 		return grantable
