--- a/cmd/root.go
+++ b/cmd/root.go
@@ -83,7 +83,7 @@
 			a.measureOverhead(), a.measureRouting(), a.measureAllowances(), a.measurePublishing(), a.measureSlopes(), a.measureFleets(),
 		}},
 		{"soak", "run randomised tests with invariant checks", []command{
-			a.soakBudgets(), a.soakCalls(), a.soakConfig(), a.soakServing(),
+			a.soakBudgets(), a.soakCalls(), a.soakConfig(), a.soakServing(), a.soakBuilds(),
 		}},
 	}
 }
--- a/cmd/root_test.go
+++ b/cmd/root_test.go
@@ -13,7 +13,7 @@
 		"", "check", "publish", "set", "remove", "templates", "topup", "budgets", "usage", "targets", "instances",
 		"report", "burn", "demo", "serve", "fake", "fake platform", "fake engine", "fake service",
 		"measure", "measure overhead", "measure routing", "measure allowances", "measure publishing", "measure slopes", "measure fleets",
-		"soak", "soak budgets", "soak calls", "soak config", "soak serving",
+		"soak", "soak budgets", "soak calls", "soak config", "soak serving", "soak builds",
 	}
 }
 
