test: a process starts with settings that have keys of a newer build, listed

The template of a newer build may name settings that an older one does not know, while both run side by side. Fails on this commit: the process ends before its first line of output, with "unknown key".

--- a/cmd/route_test.go
+++ b/cmd/route_test.go
@@ -35,3 +35,11 @@
 	assertFailed(t, run(t, "route"), 2, "--config is missing")
 	assertFailed(t, run(t, "route", "--config", writeFile(t, "[caller]")), 1, "instance.id", "store.address")
 }
+
+// TestRouteIgnoresUnknownSettings guards against processes that do not start, because the platform filled in their settings from the template of another build.
+func TestRouteIgnoresUnknownSettings(t *testing.T) {
+	text := regexp.MustCompile(`127\.0\.0\.1:\d+`).ReplaceAllString(renderRouterSettings(t), "127.0.0.1:0") + "\n[future]\nkey = 1\n"
+	text = strings.Replace(text, `address = "127.0.0.1:0"`, `address = "127.0.0.1:1"`, 1)
+	p := startProcess(t, "route", "--config", writeFile(t, text))
+	assert.Assert(t, strings.Contains(p.firstLine, `"settings_ignored"`) && strings.Contains(p.firstLine, "future.key"), p.firstLine)
+}
