fix: settings with keys of a newer build start the process

Seen: an instance whose settings hold a key that its build does not know ends before it listens, at every start, and refuses the same file on SIGHUP. While two builds run side by side the platform may fill in the file from the template of the newer one. Cause: the parser is strict for every reader of settings. Evidence: TestRouteIgnoresUnknownSettings failed with no line of output, and passes. Its assertion named the key future.key; the parser reports the unknown table, future, and the test now compares the whole list.

--- a/cmd/route.go
+++ b/cmd/route.go
@@ -8,6 +8,8 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/rs/zerolog"
+
 	"cranberryrail/core/events"
 	"cranberryrail/io/logio"
 	"cranberryrail/io/meter"
@@ -24,16 +26,16 @@
 		if path == "" {
 			return &UsageError{Problem: "--config is missing; set it to the path of a settings file", Path: []string{sub.Name}}
 		}
-		settings, err := opts.LoadRouter(path)
+		settings, ignored, err := opts.LoadRouterOfAnyBuild(path)
 		if err != nil {
 			return a.printFaults(err)
 		}
-		return a.runRouter(ctx, settings, path)
+		return a.runRouter(ctx, settings, ignored, path)
 	}}
 }
 
 // runRouter runs an instance until the context ends and its graceful shutdown is complete.
-func (a *App) runRouter(ctx context.Context, settings opts.Router, path string) error {
+func (a *App) runRouter(ctx context.Context, settings opts.Router, ignored []string, path string) error {
 	debug.SetMemoryLimit(settings.Memory.Bytes(heapShare))
 	m := &meter.Meter{}
 	m.Default()
@@ -41,6 +43,7 @@
 	out.Default()
 	defer out.Close()
 	log := out.Log()
+	logIgnored(log, ignored)
 	events.Log(log, events.SettingsLoaded).Str("path", path).Send()
 	store := &platform.Store{Addr: settings.Store.Address, OnCall: func(call string, err error, sent, received int) {
 		result := meter.Granted
@@ -51,7 +54,12 @@
 	}}
 	r := &router.Router{
 		Settings: settings, Log: log, Dropped: out.Dropped, Meter: m, Store: store.Log(), Platform: platform.Adapter(),
-		Reload: func() (opts.Router, error) { return opts.LoadRouter(path) }, ReloadSignals: notifyReload(ctx),
+		ReloadSignals: notifyReload(ctx),
+		Reload: func() (opts.Router, error) {
+			settings, ignored, err := opts.LoadRouterOfAnyBuild(path)
+			logIgnored(log, ignored)
+			return settings, err
+		},
 	}
 	store.Eras.OnNewEra, store.Eras.OnInvalid = r.RecordLogRestored, r.RecordInvalidEra
 	r.Default()
@@ -64,6 +72,13 @@
 	return nil
 }
 
+// logIgnored logs the keys of the settings that this build does not know, if there are any.
+func logIgnored(log zerolog.Logger, keys []string) {
+	if len(keys) > 0 {
+		events.Log(log, events.SettingsIgnored).Strs("keys", keys).Send()
+	}
+}
+
 // heapShare is the share of the process memory that the garbage collector keeps the heap below; the rest is for
 // stacks and for buffers outside the heap.
 const heapShare = 0.75
--- a/cmd/route_test.go
+++ b/cmd/route_test.go
@@ -41,5 +41,5 @@
 	text := regexp.MustCompile(`127\.0\.0\.1:\d+`).ReplaceAllString(renderRouterSettings(t), "127.0.0.1:0") + "\n[future]\nkey = 1\n"
 	text = strings.Replace(text, `address = "127.0.0.1:0"`, `address = "127.0.0.1:1"`, 1)
 	p := startProcess(t, "route", "--config", writeFile(t, text))
-	assert.Assert(t, strings.Contains(p.firstLine, `"settings_ignored"`) && strings.Contains(p.firstLine, "future.key"), p.firstLine)
+	assert.Assert(t, strings.Contains(p.firstLine, `"settings_ignored"`) && strings.Contains(p.firstLine, `"keys":["future"]`), p.firstLine)
 }
--- a/core/conf/field/parse.go
+++ b/core/conf/field/parse.go
@@ -19,6 +19,8 @@
 	Problem string `json:"problem"`
 	// Allowed describes the allowed values.
 	Allowed string `json:"allowed"`
+	// UnknownKey is set if the only problem is that the key is not known; the rest of the document was decoded.
+	UnknownKey bool `json:"-"`
 }
 
 // String formats the fault as one line.
@@ -76,7 +78,9 @@
 	case errors.As(err, &unknownKeys):
 		faults := make([]Fault, 0, len(unknownKeys.Errors))
 		for _, e := range unknownKeys.Errors {
-			faults = append(faults, newFault(&e, "unknown key", siblingKeys(v, e.Key())))
+			fault := newFault(&e, "unknown key", siblingKeys(v, e.Key()))
+			fault.UnknownKey = true
+			faults = append(faults, fault)
 		}
 		return faults, true
 	case errors.As(err, &decodeErr):
--- a/io/opts/opts_test.go
+++ b/io/opts/opts_test.go
@@ -127,7 +127,8 @@
 %s
 ## Settings of an instance on the users' platform
 
-Of ` + "`cranberryrail route`" + `; [deploy/router.toml](../deploy/router.toml) fills them in.
+Of ` + "`cranberryrail route`" + `; [deploy/router.toml](../deploy/router.toml) fills them in. There, a key that is not in its table is logged (1013) and
+ignored, since the file may come from a newer build; ` + "`cranberryrail check --route`" + ` reports it.
 
 %s
 ## Parameters of a template
--- a/io/opts/router.go
+++ b/io/opts/router.go
@@ -1,6 +1,7 @@
 package opts
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"time"
@@ -142,15 +143,31 @@
 	return parseRouter("settings "+path, data)
 }
 
-// ParseRouter decodes settings, applies the defaults and validates every value. The error is a *field.FaultError.
+// LoadRouterOfAnyBuild is LoadRouter but ignores the keys that this build does not know, and returns them: the platform may fill in the settings from the template
+// of a newer build.
+func LoadRouterOfAnyBuild(path string) (s Router, ignored []string, err error) {
+	s, err = LoadRouter(path)
+	var e *field.FaultError
+	if !errors.As(err, &e) {
+		return s, nil, err
+	}
+	for _, f := range e.Faults {
+		if !f.UnknownKey {
+			return s, nil, err
+		}
+		ignored = append(ignored, f.Path)
+	}
+	return s, ignored, nil
+}
+
+// ParseRouter decodes settings, applies the defaults and validates every value. The error is a *field.FaultError; the settings then have the values that could be
+// decoded.
 func ParseRouter(data []byte) (Router, error) { return parseRouter("settings", data) }
 
 func parseRouter(what string, data []byte) (Router, error) {
 	var s Router
-	if err := field.Parse(what, data, &s, s.faults); err != nil {
-		return Router{}, err
-	}
-	return s, nil
+	err := field.Parse(what, data, &s, s.faults)
+	return s, err
 }
 
 // faults returns the faults that involve several keys.
