--- a/cmd/route_test.go
+++ b/cmd/route_test.go
@@ -1,12 +1,22 @@
 package cmd_test
 
 import (
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"regexp"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"cranberryrail/fake/memlog"
+	"cranberryrail/platform"
+	"cranberryrail/platform/stubs"
 )
 
 // renderRouterSettings returns the router settings template with its sections and placeholders substituted, as the
@@ -43,3 +53,29 @@
 	p := startProcess(t, "route", "--config", writeFile(t, text))
 	assert.Assert(t, strings.Contains(p.firstLine, `"settings_ignored"`) && strings.Contains(p.firstLine, `"keys":["future"]`), p.firstLine)
 }
+
+// TestReloadSignalDuringStop guards against requests that are cut off, because a signal to read the settings again ends a process that is stopping gracefully.
+func TestReloadSignalDuringStop(t *testing.T) {
+	log := &memlog.Server{}
+	store := httptest.NewServer(&stubs.Store{Log: log})
+	t.Cleanup(store.Close)
+	log.Put(platform.ConfigTopic, 0, platform.ConfigKey, []byte(`{"version":1}`))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ready := l.Addr().String()
+	assert.NilError(t, l.Close())
+	text := strings.NewReplacer("127.0.0.1:8220", ready, "127.0.0.1:8223", store.Listener.Addr().String(), "127.0.0.1:8227", "127.0.0.1:0",
+		"127.0.0.1:7340", "127.0.0.1:0", "127.0.0.1:7355", "127.0.0.1:0").Replace(renderRouterSettings(t))
+	p := startProcess(t, "route", "--config", writeFile(t, text))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		resp, err := http.Get("http://" + ready + platform.ReadyPath)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			return poll.Continue("not ready: %v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(processTimeout))
+	assert.NilError(t, p.Process.Signal(syscall.SIGTERM))
+	time.Sleep(200 * time.Millisecond) // the stop takes longer, since the platform still sends requests
+	assert.NilError(t, p.Process.Signal(syscall.SIGHUP))
+	assert.NilError(t, p.Wait())
+}
