fix: a signal to read the settings again does not end a process that is stopping

Callers saw connections that ended in the middle of an answer (LOST): SIGTERM, then SIGHUP within the grace period, and the process was gone at once with all requests that it had. Cause: SIGHUP was caught until the context of the process ended, which is at SIGTERM, and then had its default effect again, while the graceful stop went on for seconds. A SIGHUP soon after the start could end it too, since it was caught only after the settings were read. Now SIGHUP is caught from the beginning of the command to the end of the process; what comes during a stop is ignored, because nothing reads the channel any more. Evidence: TestReloadSignalDuringStop ended with "signal: hangup" 3 of 3, and with status 0 5 of 5 now.

--- a/cmd/route.go
+++ b/cmd/route.go
@@ -23,6 +23,7 @@
 	sub := newSubcommand("route", "run an instance on the users' platform", "route --config settings.toml")
 	sub.String(&path, "c", "config", "Settings file in TOML.")
 	return command{sub, func(ctx context.Context) error {
+		reload := notifyReload()
 		if path == "" {
 			return &UsageError{Problem: "--config is missing; set it to the path of a settings file", Path: []string{sub.Name}}
 		}
@@ -30,12 +31,12 @@
 		if err != nil {
 			return a.printFaults(err)
 		}
-		return a.runRouter(ctx, settings, ignored, path)
+		return a.runRouter(ctx, settings, ignored, path, reload)
 	}}
 }
 
 // runRouter runs an instance until the context ends and its graceful shutdown is complete.
-func (a *App) runRouter(ctx context.Context, settings opts.Router, ignored []string, path string) error {
+func (a *App) runRouter(ctx context.Context, settings opts.Router, ignored []string, path string, reload <-chan os.Signal) error {
 	debug.SetMemoryLimit(settings.Memory.Bytes(heapShare))
 	m := &meter.Meter{}
 	m.Default()
@@ -54,7 +55,7 @@
 	}}
 	r := &router.Router{
 		Settings: settings, Log: log, Dropped: out.Dropped, Meter: m, Store: store.Log(), Platform: platform.Adapter(),
-		ReloadSignals: notifyReload(ctx),
+		ReloadSignals: reload,
 		Reload: func() (opts.Router, error) {
 			settings, ignored, err := opts.LoadRouterOfAnyBuild(path)
 			logIgnored(log, ignored)
@@ -83,10 +84,9 @@
 // stacks and for buffers outside the heap.
 const heapShare = 0.75
 
-// notifyReload returns a channel that receives SIGHUP until the context ends.
-func notifyReload(ctx context.Context) <-chan os.Signal {
+// notifyReload returns a channel that receives SIGHUP. It does so until the process ends, since SIGHUP would end a process that is stopping otherwise.
+func notifyReload() <-chan os.Signal {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
-	context.AfterFunc(ctx, func() { signal.Stop(signals) })
 	return signals
 }
