test: a crash of a test double closes its port before its connections

TestRepeatedCallCrashesFewServices, listed: 4 calls reached services, 3 allowed. The double's handler ended its own connection while another goroutine had yet to close the listener, so that the check whether the process has ended found the port open; the end of a process closes both together. The check of the test is unchanged.

--- a/fake/engine/host/host.go
+++ b/fake/engine/host/host.go
@@ -36,6 +36,8 @@
 	ready chan struct{}
 	addr  string
 	crash context.CancelFunc
+	// closed is closed once the listener and all connections are closed.
+	closed chan struct{}
 }
 
 // Default sets unset fields to their defaults.
@@ -63,6 +65,7 @@
 	}
 	ctx, s.crash = context.WithCancel(ctx)
 	defer s.crash()
+	s.closed = make(chan struct{})
 	s.addr = ln.Addr().String()
 	close(s.ready)
 	srv := &http.Server{
@@ -70,7 +73,10 @@
 		ReadHeaderTimeout: headerTimeout,
 		BaseContext:       func(net.Listener) context.Context { return ctx },
 	}
-	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	stop := context.AfterFunc(ctx, func() {
+		_ = srv.Close()
+		close(s.closed)
+	})
 	defer stop()
 	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve on %s: %w", s.addr, err)
@@ -78,9 +84,11 @@
 	return nil
 }
 
-// Crash simulates the end of the process: it closes the listener and all connections. It panics to abort the request that calls it.
+// Crash simulates the end of the process: it closes the listener and then all connections, so that no client sees its connection end while the
+// server still accepts others. It panics to abort the request that calls it.
 func (s *Server) Crash() {
 	s.crash()
+	<-s.closed
 	panic(http.ErrAbortHandler)
 }
 
