test: a refusal that arrives before the next request is written

TestRefusalBeforeTheRequestIsDoubted hides unread bytes from the check of an idle connection, as if they arrived just after it.

--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -233,6 +233,22 @@
 	}
 }
 
+// TestRefusalBeforeTheRequestIsDoubted guards against the same where the refusal arrives between the check of an idle connection and the next request.
+func TestRefusalBeforeTheRequestIsDoubted(t *testing.T) {
+	s, c := newTarget(t), newClient()
+	dial := c.Dial
+	c.Dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		nc, err := dial(ctx, network, addr)
+		return struct{ net.Conn }{nc}, err // hides the unread bytes from the check
+	}
+	p := s.serveOne(t, c, "1", "")
+	p.send(t, "HTTP/1.1 429 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	results := startExchange(t, c, s.request("2"))
+	assert.Equal(t, p.readRequest(t), "2")
+	p.send(t, responseTo("2", "two"))
+	assertBody(t, results, "two")
+}
+
 // TestRequestIsNotRetried guards against a request that runs twice: the target may have run it before it closed the
 // connection. net/http's client would retry it on a new connection.
 func TestRequestIsNotRetried(t *testing.T) {
