test: a caller that resumes a stream gets no other text for its rest

TestCallerThatResumes: of its four cases the one of an error without an id failed before, with the error as the rest of the caller's stream. The others hold what must stay: an empty rest and an end without an id are the whole answer of the target, and comments in it are forwarded as they are.

--- a/core/relay/join_test.go
+++ b/core/relay/join_test.go
@@ -43,6 +43,7 @@
 	body    string
 	plain   bool          // the first answer is no event stream
 	timeout time.Duration // of the last reads
+	after   string        // the event id that the caller resumes from
 }
 
 // newJoinFixture returns a fixture whose first target sends begun.
@@ -67,7 +68,7 @@
 func (f *joinFixture) serve(t *testing.T) relay.Result {
 	t.Helper()
 	write := func(p []byte) error { f.body += string(p); return nil }
-	req := &relay.Request{Host: "h", Path: "/", Prompt: &relay.Prompt{Tokens: 100, MaxOutput: 50}, Arrived: time.Now()}
+	req := &relay.Request{LastEventID: f.after, Host: "h", Path: "/", Prompt: &relay.Prompt{Tokens: 100, MaxOutput: 50}, Arrived: time.Now()}
 	return f.Serve(t.Context(), req, relay.Sink{Head: func(int, http.Header, int64) {}, Write: write})
 }
 
@@ -175,3 +176,23 @@
 		})
 	}
 }
+
+// TestCallerThatResumes guards against an error that a caller which resumes a stream gets for its rest, and against a whole answer to it that is changed.
+func TestCallerThatResumes(t *testing.T) {
+	for name, c := range map[string]struct{ answer, want string }{
+		"an error":     {"event: error\ndata: x\n\n", rest},
+		"a gap":        {"id: 4\ndata: d\n\n", rest},
+		"nothing more": {},
+		"an end":       {": x\n\n" + rest + "data: [DONE]\n\n", ": x\n\n" + rest + "data: [DONE]\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newJoinFixture(c.answer, io.EOF, relay.Response{
+				Status: http.StatusOK, ResponseHead: relay.ResponseHead{IsEventStream: true}, Read: textReader(rest, 1<<10, io.EOF),
+			})
+			f.after = "2"
+			result := f.serve(t)
+			assert.Equal(t, f.body, c.want)
+			assert.Equal(t, result.Status, http.StatusOK)
+		})
+	}
+}
