fix: crash records out of range change nothing, and those of one trait are bounded

A record of another writer with an epoch of 2^63-1 hid all later crashes of its trait, so that requests that crash targets were sent on and on; with a probe of 2^63-1 the next number overflowed, and a quarantined trait was never probed again; unsent probes near 2^63 allowed any number of them. Keys of any form became traits, which evicted real ones, a label was kept and logged at any length, and the crashes of one trait were kept without bound. Numbers that later ones are counted on from were taken as they came. Keys must now have the form that the program writes, numbers be in range, labels are cut as when they are published, and a trait remembers 256 targets; a longer series replaces none but still counts.

--- a/core/poison/fold.go
+++ b/core/poison/fold.go
@@ -1,9 +1,7 @@
 package poison
 
 import (
-	"encoding/json"
 	"slices"
-	"strings"
 	"time"
 
 	"cranberryrail/core/logs"
@@ -12,24 +10,27 @@
 // fold applies a record of the topic. Records of one key may come again, and a Reset delivers the newest ones in any
 // order.
 func (t *Tracker) fold(r logs.Record) error {
-	trait, target, isCrash := strings.Cut(r.Key, keySeparator)
+	trait, target, isCrash, err := parseKey(r.Key)
+	if err != nil {
+		return err
+	}
 	if len(r.Value) == 0 {
-		t.forget(Trait(trait), target, isCrash)
+		t.forget(trait, target, isCrash)
 		return nil
 	}
 	if isCrash {
-		var c crashRecord
-		if err := json.Unmarshal(r.Value, &c); err != nil {
+		c, err := decodeCrash(r.Value)
+		if err != nil {
 			return err
 		}
-		t.addCrash(Trait(trait), target, c)
+		t.addCrash(trait, target, c)
 		return nil
 	}
-	var state stateRecord
-	if err := json.Unmarshal(r.Value, &state); err != nil {
+	state, err := decodeState(r.Value)
+	if err != nil {
 		return err
 	}
-	t.applyState(Trait(trait), state)
+	t.applyState(trait, state)
 	return nil
 }
 
--- a/core/poison/trait.go
+++ b/core/poison/trait.go
@@ -49,6 +49,9 @@
 	if s.crashes[target] >= series {
 		return // it was known
 	}
+	if len(s.crashes) >= maxCrashes && s.crashes[target] == 0 && series <= s.series() {
+		return
+	}
 	s.crashes[target], s.changedAt = series, now
 	if s.pending {
 		s.failed, s.pending = s.failed+1, false
