fix: odd origin records take the place of no sound one, and odd services delay no state

A record of another writer under the key of a stream with an attempt of 2^63-1 counted instead of the one that the stream began with, so that it was resumed at another software version (MIXED) or not at all; names of any length were kept for up to 65,536 streams, and a time in the far future kept a record in the log for good. The states of all services were recorded in one append: with enough services in odd entries of the list it exceeds what the store takes, and no service got a state. Names read from the topic of states were kept for good. An append records at most 64 states, the others follow at once, and services that nothing but an invalid record named are forgotten.

--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -71,7 +71,7 @@
 	ErrUnknown = errors.New("the software version that began the stream is not known; start the request anew")
 	// ErrNotRecorded reports that the origin of a stream could not be recorded.
 	ErrNotRecorded = errors.New("the software version of the stream could not be recorded in the log")
-	errState       = errors.New("unknown mode; allowed: open, mixed, recorded; the first two with a version")
+	errState       = fmt.Errorf("unknown mode; allowed: open, mixed, recorded; the first two with a version of at most %d bytes", maxNameBytes)
 )
 
 // record is the value of an origin record.
@@ -92,9 +92,33 @@
 	if err != nil {
 		return "", 0, fmt.Errorf("parse key of origin record %q: %w", text, err)
 	}
+	digest, err := hex.DecodeString(key)
+	if err != nil || len(digest) != keyBytes || attempt < 0 || attempt > maxAttempts || recordKey(Key(key), attempt) != text {
+		return "", 0, fmt.Errorf("parse key of origin record %q: %w", text, errKey)
+	}
 	return Key(key), attempt, nil
 }
 
+// Bounds of what a record holds. maxAttempts is far above the attempts of one request, and maxNameBytes the longest name in the list of targets.
+const (
+	maxAttempts  = 1 << 16
+	maxNameBytes = 255
+)
+
+var (
+	errKey    = errors.New("the key is not that of a stream and an attempt")
+	errRecord = fmt.Errorf("the origin record of a stream is not valid JSON with a version, or a name has more than %d bytes", maxNameBytes)
+)
+
+// parseRecord decodes an origin record.
+func parseRecord(data []byte) (record, error) {
+	var r record
+	if err := json.Unmarshal(data, &r); err != nil || r.Version == "" || max(len(r.Service), len(r.Version)) > maxNameBytes {
+		return record{}, errors.Join(errRecord, err)
+	}
+	return r, nil
+}
+
 // parseState decodes the record of a state.
 func parseState(r logs.Record) (State, error) {
 	var s State
@@ -102,8 +126,8 @@
 		return State{}, fmt.Errorf("parse state of service %q: %w", r.Key, err)
 	}
 	valid := s.Mode == Recorded || (s.Mode == Open || s.Mode == Mixed) && s.Version != ""
-	if !valid {
-		return State{}, fmt.Errorf("parse state of service %q: mode %q: %w", r.Key, s.Mode, errState)
+	if !valid || len(s.Version) > maxNameBytes {
+		return State{}, fmt.Errorf("parse state of service %q: %w", r.Key, errState)
 	}
 	s.Service = r.Key
 	return s, nil
--- a/core/origin/part.go
+++ b/core/origin/part.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"sync"
@@ -17,6 +16,8 @@
 	retentionFactor = 2
 	// orphanAge is the age at which any instance removes a record, whose writer has ended. It is compared with the clocks of two machines.
 	orphanAge = 15 * time.Minute
+	// maxClockError is the age below 0 that no clock of a machine explains.
+	maxClockError = 24 * time.Hour
 	// maxStreams is the number of origins of one partition that are kept in memory: several times what a large fleet begins in the life of
 	// a stream.
 	maxStreams = 1 << 16
@@ -178,18 +179,16 @@
 			}
 			continue
 		}
-		var value record
-		if err := json.Unmarshal(r.Value, &value); err != nil || value.Version == "" {
-			p.tracker.OnInvalid(r.Key, errors.Join(errRecord, err))
+		value, err := parseRecord(r.Value)
+		if err != nil {
+			p.tracker.OnInvalid(r.Key, err)
 			continue
 		}
 		if attempt >= p.streams[key].attempt {
 			p.streams[key] = attemptOrigin{attempt, value.Origin}
 		}
-		if p.tracker.Now().Sub(time.UnixMilli(value.AtMS)) > orphanAge {
+		if age := p.tracker.Now().Sub(time.UnixMilli(value.AtMS)); age > orphanAge || age < -maxClockError {
 			p.outbox.Add(logs.Record{Key: r.Key})
 		}
 	}
 }
-
-var errRecord = errors.New("the origin record of a stream is not valid JSON with a version")
--- a/core/origin/tracker.go
+++ b/core/origin/tracker.go
@@ -39,6 +39,8 @@
 	callTimeout = 400 * time.Millisecond
 	// stepInterval is the time between two checks whether a state is due to change.
 	stepInterval = 500 * time.Millisecond
+	// maxStates is the number of states that one append records. Entries of the list may name any number of services.
+	maxStates = 64
 )
 
 // Tracker knows the origins of streams. Exported fields are set before Default. It is safe for concurrent use. A nil Tracker
@@ -180,6 +182,11 @@
 		slices.Sort(listed)
 		t.service(name).setVersions(slices.Compact(listed), t.Now())
 	}
+	t.notify()
+}
+
+// notify makes Run check at once whether a state is due to change.
+func (t *Tracker) notify() {
 	select {
 	case t.changed <- struct{}{}:
 	default: // Run is already notified
@@ -392,6 +399,10 @@
 		}
 	}
 	for name, s := range t.services {
+		if !s.exists && len(s.versions) == 0 {
+			delete(t.services, name) // only an invalid record, or a request, named it
+			continue
+		}
 		// Versions that were listed during the read are confirmed by the next one.
 		s.confirmed = s.confirmed || slices.Equal(listed[name], s.versions)
 	}
@@ -419,6 +430,9 @@
 		return fmt.Errorf("record the states of services: %w", err)
 	}
 	_, err = t.readStates(ctx) // The outcome, whichever instance recorded it.
+	if len(records) == maxStates {
+		t.notify()
+	}
 	return err
 }
 
@@ -441,6 +455,9 @@
 	var records []logs.Record
 	for _, name := range slices.Sorted(maps.Keys(t.services)) {
 		s := t.services[name]
+		if len(records) == maxStates {
+			break // the others follow
+		}
 		if mode, version, due := t.next(s, era); due {
 			records = append(records, logs.Record{Key: name, Value: mustEncode(State{Mode: mode, Version: version, Era: era})})
 		}
