fix: load reports with huge numbers don't overflow sums over targets

A target, or a process in its place, that reports a capacity or a number of requests near 2^63 made the sums over all targets of a service overflow: with two of them no candidate was below its bound, and the balancer panicked for requests with a prompt prefix; a huge capacity alone became a negative admission limit, a report of negative age one that no later report replaced. The numbers were used as they came. They are now used within 0 and 2^20, and the age within twice its maximum, which is beyond anything that one target runs and changes no decision.

--- a/core/route/load.go
+++ b/core/route/load.go
@@ -11,6 +11,9 @@
 // later load report arrives first.
 const FullBackoff = 200 * time.Millisecond
 
+// maxReported bounds the numbers of a load report, so that sums over all targets don't overflow. It is far above what one target can run.
+const maxReported = 1 << 20
+
 // load estimates the number of requests at one target: that of the last report, corrected by this instance's
 // dispatches and completions since it was measured.
 type load struct {
@@ -62,13 +65,14 @@
 }
 
 func (l *load) applyReport(r roster.Load, now time.Time) {
-	measuredAt := now.Add(-time.Duration(r.AgeMS) * time.Millisecond)
+	age := min(max(r.AgeMS, 0), (2 * ReportMaxAge).Milliseconds())
+	measuredAt := now.Add(-time.Duration(age) * time.Millisecond)
 	if !measuredAt.After(l.measuredAt) || now.Sub(measuredAt) > ReportMaxAge {
 		return
 	}
 	l.measuredAt = measuredAt
-	l.reported = r.Running + r.Waiting
-	l.capacity = r.Capacity
+	l.reported = min(max(r.Running, 0), maxReported) + min(max(r.Waiting, 0), maxReported)
+	l.capacity = min(max(r.Capacity, 0), maxReported)
 	if measuredAt.After(l.fullAt) {
 		l.fullAt = time.Time{}
 	}
