fix: invalid records are logged once until they change, shortened, and at most 60 a minute

An entry of the list or a record of any other topic that can't be decoded was logged at every write and at every read of the newest records, with whatever its error quotes: an address or a number of a megabyte made lines of that length. A writer that repeats such an entry ten times a second filled the log, and the lines of other events were dropped. A record is now logged once until its reason changes or it was valid; 1,024 are remembered, reason and key are shortened, and what exceeds 60 lines a minute is counted in the next line as suppressed.

--- a/core/events/table.go
+++ b/core/events/table.go
@@ -30,7 +30,7 @@
 	SnapshotFailed    = Event{2014, "snapshot_failed", Warn, "A snapshot of a stream could not be written; it will be retried later."}
 	TopicLost         = Event{2015, "topic_lost", Warn, "A topic of the platform's log cannot be accessed; the records read last stay in force."}
 	TopicBack         = Event{2016, "topic_back", Info, "A topic of the platform's log can be read again."}
-	RecordUnreadable  = Event{2017, "record_unreadable", Warn, "A record of the platform's log could not be decoded and is ignored."}
+	RecordUnreadable  = Event{2017, "record_unreadable", Warn, "A record of the platform's log could not be decoded and is ignored. It is logged once until its reason changes."}
 	LogRestored       = Event{2018, "log_restored", Warn, "The platform's log was restored from an older copy and began a new era; everything is read from it again, and the draws that it may lack count as granted."}
 	EraInvalid        = Event{2019, "era_invalid", Warn, "A reply of the platform's log showed no valid era and was not used. It is logged once."}
 	DrawGranted       = Event{3001, "draw_granted", Debug, "A draw on a budget was granted."}
@@ -60,7 +60,7 @@
 	RequestEnded      = Event{5010, "request_ended", Info, "A request ended; the fields state its outcome and the reason."}
 	TargetJoined      = Event{5011, "target_joined", Info, "A target is listed and accepts requests."}
 	TargetRemoved     = Event{5012, "target_removed", Info, "A target is no longer listed and receives no requests."}
-	TargetInvalid     = Event{5013, "target_invalid", Warn, "The entry of a target could not be decoded and is handled as a removal of the target."}
+	TargetInvalid     = Event{5013, "target_invalid", Warn, "The entry of a target could not be decoded and is handled as a removal of the target. It is logged once until it is valid or its reason changes."}
 	TargetPaused      = Event{5014, "target_paused", Info, "A target rejected a request and asked for a pause; it receives no requests from this instance until the pause ends."}
 	HeaderIgnored     = Event{5015, "header_ignored", Warn, "A malformed header in a target's response was ignored. It is logged once for each start of a target."}
 	TargetCrashed     = Event{5016, "target_crashed", Warn, "A target ended while a request was at it; the fields name the request and its trait, the shared parts of its prompt, how many events it had sent, the length of the series of crashes, and whether it was a probe."}
--- a/io/router/follow.go
+++ b/io/router/follow.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"cranberryrail/core/events"
 	"cranberryrail/core/logs"
 	"cranberryrail/core/roster"
@@ -32,6 +34,7 @@
 		r.recordUnreadable(r.Platform.ConfigTopic)(record.Key, err)
 		return
 	}
+	r.invalid.Valid(r.Platform.ConfigTopic, record.Key)
 	r.table.Apply(c)
 }
 
@@ -120,6 +123,7 @@
 	if err != nil {
 		return l.PutInvalid(record.Key, err)
 	}
+	r.invalid.Valid(r.Platform.TargetTopic, record.Key)
 	return l.Put(e)
 }
 
@@ -157,7 +161,9 @@
 	case roster.Removed:
 		events.Log(r.Log, events.TargetRemoved).Str("target", id).Send()
 	case roster.Invalid:
-		events.Log(r.Log, events.TargetInvalid).Str("target", id).Err(reason).Send()
+		if i := r.invalid.Record(r.Platform.TargetTopic, id, reason); i != nil {
+			logInvalid(events.Log(r.Log, events.TargetInvalid).Str("target", i.Key), i)
+		}
 	}
 }
 
@@ -188,8 +194,18 @@
 // recordUnreadable returns a callback that logs a record of the topic that can't be decoded.
 func (r *Router) recordUnreadable(topic string) func(key string, err error) {
 	return func(key string, err error) {
-		events.Log(r.Log, events.RecordUnreadable).Str("topic", topic).Str("key", key).Err(err).Send()
+		if i := r.invalid.Record(topic, key, err); i != nil {
+			logInvalid(events.Log(r.Log, events.RecordUnreadable).Str("topic", topic).Str("key", i.Key), i)
+		}
+	}
+}
+
+// logInvalid adds the reason to the line of an invalid record, and writes it.
+func logInvalid(line *zerolog.Event, i *events.InvalidRecord) {
+	if i.Suppressed > 0 {
+		line.Int("suppressed", i.Suppressed)
 	}
+	line.Str(zerolog.ErrorFieldName, i.Reason).Send()
 }
 
 // holdingChanged logs a draw or a return.
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -124,6 +124,9 @@
 	// unreachableTopics maps each unreachable topic to the time since when it is unreachable.
 	unreachableTopics sync.Map
 
+	// invalid decides which invalid records are logged.
+	invalid events.Invalid
+
 	listMu        sync.Mutex
 	list          *roster.TargetList
 	targetsListed atomic.Bool
@@ -161,6 +164,7 @@
 	r.Incarnation = uuid.NewString()
 	r.suspects = make(chan suspect, 1)
 	r.system = actors.NewSystem()
+	r.invalid.Default()
 	s := r.Settings
 	r.initRates()
 	a := &route.Actor{}
