--- a/core/budget/partition.go
+++ b/core/budget/partition.go
@@ -121,13 +121,7 @@
 		p.reset()
 	}
 	p.era = s.Era
-	for _, r := range s.Records {
-		if _, err := p.applyRecord(r); err != nil {
-			if organisation, era := parseRecordKey(r.Key); era >= 0 && era <= p.era {
-				p.syncer.Book.RecordUnknown(organisation, era, p.era)
-			}
-		}
-	}
+	p.applyNewest(s.Records)
 	if p.pending != nil && s.End > p.pending.offset {
 		p.dropPending()
 	}
@@ -142,6 +136,18 @@
 	p.serveWaiters(s.Records)
 }
 
+// applyNewest applies the newest records of all keys.
+func (p *partition) applyNewest(records []logs.Record) {
+	for _, r := range records {
+		if _, err := p.applyRecord(r); err == nil {
+			continue
+		}
+		if organisation, era := parseRecordKey(r.Key); era >= 0 && era <= p.era {
+			p.syncer.Book.RecordUnknown(organisation, era, p.era)
+		}
+	}
+}
+
 // beginNewFleet records that the state was first read when the fleet starts for the first time.
 func (p *partition) beginNewFleet() {
 	sy := p.syncer
--- a/core/origin/odd_test.go
+++ b/core/origin/odd_test.go
@@ -49,7 +49,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, found, origin.Origin{Service: "s", Version: "v1"})
 	assert.Equal(t, invalid, 7, "all but the one without a key, which no page has")
-	targets := []roster.Target{{ID: "t", Service: "s", Software: "v1", State: roster.Live}}
+	targets := append(make([]roster.Target, 0, 401), roster.Target{ID: "t", Service: "s", Software: "v1", State: roster.Live})
 	for n := range 400 {
 		targets = append(targets, roster.Target{ID: fmt.Sprint(n), Service: fmt.Sprint("a", n), Software: "v", State: roster.Live})
 	}
--- a/core/rate/odd_test.go
+++ b/core/rate/odd_test.go
@@ -22,7 +22,7 @@
 		assert.Assert(t, f.Wait(target.Incarnation) < 2*time.Second, "%v", f.Wait(target.Incarnation))
 	}
 	g := newFixture("i0")
-	var records []logs.Record
+	records := make([]logs.Record, 0, 20_006)
 	for n := range 20_000 {
 		records = append(records, logs.Record{Key: fmt.Sprintf("%x", n+1), Value: []byte(`{"per_second":1,"target":"` + strings.Repeat("x", 500) + `"}`)})
 	}
