test: requests of a route without a usable share have no target, listed

An odd entry may list a model without a name, and a configuration may give all services of a route the weight 0.

--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -381,3 +381,12 @@
 		})
 	}
 }
+
+// TestRequestOfNoServiceHasNoTarget guards against a route without a usable share whose requests go to a target, of any service, that lists a model
+// without a name.
+func TestRequestOfNoServiceHasNoTarget(t *testing.T) {
+	f := newFixture(1)
+	f.SetTargets(append(f.list, roster.Target{ID: "odd", Incarnation: "odd/1", Service: "other", State: roster.Live, Models: []roster.Model{{}}}))
+	_, err := f.Pick(route.Request{})
+	assertRefused(t, err, codes.NoTarget)
+}
