fix: a request of a route without a usable share goes to no target

A configuration may give every service of a route the weight 0. Its requests were looked up by a model without a name, and an entry of the list with such a model, whatever its service, got them: a request ran at a service that no configuration allows (ROUTE). The lookup by model is meant for engines of the own interface and took the empty name as any other. Without a service and a model there is now no target, and the request is refused as not run. Evidence: TestRequestOfNoServiceHasNoTarget; before, the odd target was picked.

--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -73,6 +73,9 @@
 	if r.Service != "" {
 		indexed = b.byService[r.Service]
 	}
+	if r.Service == "" && r.Model == "" {
+		return nil // a target may list a model without a name
+	}
 	return filter(indexed, func(c *target) bool {
 		if !serves(c, r) || b.isLeaving(c) || !isRequested(c, r.Only) {
 			return false
