fix: requests wait at least 50 ms for tokens

Callers were refused (2003, not run) just after the start of a fleet: the wait for tokens is an eighth of the objective, 12.5 ms at 100 ms, while the first draws of several instances are conditional appends that conflict and back off by 8 to 24 ms. The floor is several appends. Objectives of the sheets are 400 ms and more for requests with tokens, so that nothing changes there.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -289,6 +289,9 @@
 const (
 	reserveWaitDivisor       = 8
 	resumeReserveWaitDivisor = 2
+	// minReserveWait is the shortest such time: several conditional appends to the log, of which instances that start together lose some to
+	// each other.
+	minReserveWait = 50 * time.Millisecond
 )
 
 // reserve reserves the maximum number of tokens that the request may use.
@@ -303,7 +306,7 @@
 	}
 	if r.route.LatencyObjective > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, r.route.LatencyObjective/divisor)
+		ctx, cancel = context.WithTimeout(ctx, max(r.route.LatencyObjective/divisor, minReserveWait))
 		defer cancel()
 	}
 	reservation, err := reserve(ctx, r.org.Name, need)
