fix: only services that a route may lead to are known by their versions and paths

Each service that any entry of the list named was kept for good in the trackers of versions and of paths, and its state was recorded in the log for good, where every instance reads all of them again: memory, and the time of each read, grew with the names that another writer leaves. An instance knows from its configuration which services can get requests. The trackers now get the targets of these services only, and get them anew when a configuration comes into force, so that a service that is routed later has its state at once. Evidence: TestServicesOfNoRouteLeaveNoState; before, the states of 20 services without a route were recorded beside the one with routes.

--- a/core/table/table.go
+++ b/core/table/table.go
@@ -111,13 +111,18 @@
 	byHost    map[string][]*Route
 	byKey     map[string]*Organisation
 	byService map[string]*Service
+	// routed holds the services that a route may lead to.
+	routed map[string]struct{}
 }
 
 // New returns the indexed table of a configuration.
 func New(c Config) *Table {
-	t := &Table{Config: c, byHost: map[string][]*Route{}, byKey: map[string]*Organisation{}, byService: map[string]*Service{}}
+	t := &Table{Config: c, byHost: map[string][]*Route{}, byKey: map[string]*Organisation{}, byService: map[string]*Service{}, routed: map[string]struct{}{}}
 	for i := range c.Routes {
 		r := &c.Routes[i]
+		for _, s := range r.Shares {
+			t.routed[s.Service] = struct{}{}
+		}
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
 	}
@@ -147,6 +152,12 @@
 	return nil
 }
 
+// LeadsTo reports whether a route may lead to a service.
+func (t *Table) LeadsTo(service string) bool {
+	_, ok := t.routed[service]
+	return ok
+}
+
 // Organisation returns the organisation that a key belongs to, or nil if there is none.
 func (t *Table) Organisation(key string) *Organisation { return t.byKey[key] }
 
--- a/io/router/follow.go
+++ b/io/router/follow.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -40,6 +41,7 @@
 
 // configApplied updates budgets and metrics, and logs the event, when a configuration came into force.
 func (r *Router) configApplied(t *table.Table) {
+	r.updateTargets(func(*roster.TargetList) bool { return true }) // routes may lead to other services
 	r.budgetSync.SetOrganisations(t.Organisations)
 	r.configAppliedAt.Store(time.Now().UnixNano())
 	r.Meter.ConfigVersion(t.Version)
@@ -133,12 +135,22 @@
 	defer r.listMu.Unlock()
 	if update(r.list) {
 		targets := r.list.Targets()
-		r.origins.SetTargets(targets)
-		r.setServices(targets)
+		routed := r.routedTargets(targets)
+		r.origins.SetTargets(routed)
+		r.setServices(routed)
 		r.routeClient.SetTargets(targets, 0)
 	}
 }
 
+// routedTargets returns the targets of services that a route may lead to. Entries of the list may name any number of others, of which nothing is kept.
+func (r *Router) routedTargets(targets []roster.Target) []roster.Target {
+	t := r.table.Current()
+	if t == nil {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(targets), func(target roster.Target) bool { return !t.LeadsTo(target.Service) })
+}
+
 // RecordLogRestored logs that the log was restored from an older copy, and triggers that the budgets are read again.
 func (r *Router) RecordLogRestored(era int64) {
 	events.Log(r.Log, events.LogRestored).Int64("era", era).Send()
