--- a/io/plat/plat_test.go
+++ b/io/plat/plat_test.go
@@ -345,3 +345,16 @@
 	defer mu.Unlock()
 	assert.Equal(t, len(requestsByConn), parallel+1, "the last call uses a new connection: %v", requestsByConn)
 }
+
+// TestOddMemberLeavesOthersListed guards against one entry of another writer that fails the whole list, so that instances stop following it.
+func TestOddMemberLeavesOthersListed(t *testing.T) {
+	for _, odd := range []string{`7`, `null`, `{"id":5}`, `{"id":"x","slots":1e99}`, `{"id":"x","slots":-1}`, `{"id":""}`, `{"id":"x","addr":"here:70000"}`, `{"id":"x","addr":":0"}`} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = fmt.Fprintf(w, `{"instances":[7,{"id":"i","peer_addr":"h:1"}],"targets":[%s,{"id":"t","addr":"localhost:80"}]}`, odd)
+		}))
+		members, err := newClient(s.URL).Members(t.Context())
+		s.Close()
+		assert.NilError(t, err, odd)
+		assert.Assert(t, len(members.Instances) == 1 && len(members.Targets) == 1 && members.Targets[0].ID == "t", "%s: %+v", odd, members)
+	}
+}
