test: half of the runs of two builds have a store without eras, whose budgets are spent to the end

In a store that announces its era, draws are limited to half of a budget in 10 s and a restore writes off half.

--- a/cmd/soakbuilds.go
+++ b/cmd/soakbuilds.go
@@ -31,7 +31,7 @@
 			return err
 		}
 		return a.soak(ctx, seed, seeds, func(seed uint64) soakRun {
-			r := &mixed.Run{Old: before, New: now, Dir: filepath.Join(dir, fmt.Sprintf("seed-%d", seed)), Seed: seed, Duration: time.Duration(seconds) * time.Second}
+			r := &mixed.Run{Old: before, New: now, Dir: filepath.Join(dir, fmt.Sprintf("seed-%d", seed)), Seed: seed, Eras: seed%2 == 1, Duration: time.Duration(seconds) * time.Second}
 			r.Default()
 			return soakRun{run: r.Run, stats: func() string { return fmt.Sprintf("%+v", r.Report()) }}
 		})
