fix: a service that loses its last route for a while keeps the versions of its streams

With a configuration that leads no route to a service, and one that leads one there again, made its versions count as gone in between: its state became recorded, and streams that had begun without a record were not resumed. From reading; no run showed it. Services that a route has led to are now kept; their number is bounded by the operators' configurations. The tests of versions, streams and odd services in platform pass with the race detector.

--- a/io/router/follow.go
+++ b/io/router/follow.go
@@ -142,13 +142,20 @@
 	}
 }
 
-// routedTargets returns the targets of services that a route may lead to. Entries of the list may name any number of others, of which nothing is kept.
+// routedTargets returns the targets of services that a route leads to, or has led to: streams that began there may be resumed when one does so again.
+// Entries of the list may name any number of other services, of which nothing is kept.
 func (r *Router) routedTargets(targets []roster.Target) []roster.Target {
 	t := r.table.Current()
 	if t == nil {
 		return nil
 	}
-	return slices.DeleteFunc(slices.Clone(targets), func(target roster.Target) bool { return !t.LeadsTo(target.Service) })
+	return slices.DeleteFunc(slices.Clone(targets), func(target roster.Target) bool {
+		if t.LeadsTo(target.Service) {
+			r.routed[target.Service] = struct{}{}
+		}
+		_, routed := r.routed[target.Service]
+		return !routed
+	})
 }
 
 // RecordLogRestored logs that the log was restored from an older copy, and triggers that the budgets are read again.
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -127,8 +127,10 @@
 	// invalid decides which invalid records are logged.
 	invalid events.Invalid
 
+	// listMu protects list, and routed, which holds the services that a route has led to.
 	listMu        sync.Mutex
 	list          *roster.TargetList
+	routed        map[string]struct{}
 	targetsListed atomic.Bool
 	// crashesRead and ratesRead are set once the requests that crash targets and the rate limits of targets were read.
 	crashesRead, ratesRead atomic.Bool
@@ -176,6 +178,7 @@
 	r.conns.Default()
 	r.list = &roster.TargetList{OnChange: r.targetChanged}
 	r.list.Default()
+	r.routed = map[string]struct{}{}
 	r.headersIgnored, _ = lru.New[string, struct{}](route.MaxLeavingIncarnations) // fails only for a size below 1
 	r.brittle, _ = lru.New[string, struct{}](route.MaxLeavingIncarnations)
 	r.initBudgets()
