test: first answers of streams in one table

The cases of TestCallerThatResumes are rows of TestFirstAnswerOfAStream, with one check more, the number of events; a status of 200 says that nothing was cut.

--- a/core/relay/join_test.go
+++ b/core/relay/join_test.go
@@ -36,6 +36,11 @@
 	}
 }
 
+// eventStream returns a response with an event stream, which is read in pieces of n bytes.
+func eventStream(text string, n int, end error) relay.Response {
+	return relay.Response{Status: http.StatusOK, ResponseHead: relay.ResponseHead{IsEventStream: true}, Read: textReader(text, n, end)}
+}
+
 // joinFixture is a fixture whose targets answer with a stream that breaks off, and then with an answer each.
 type joinFixture struct {
 	*fixture
@@ -52,7 +57,8 @@
 	f.fixture = newFixture(func(_ context.Context, d relay.Dispatch) (*relay.Response, error) {
 		a := next
 		if f.resumed = append(f.resumed, d.LastEventID); len(f.resumed) == 1 {
-			a = relay.Response{Status: http.StatusOK, ResponseHead: relay.ResponseHead{IsEventStream: !f.plain}, Read: textReader(begun, len(begun), end)}
+			a = eventStream(begun, len(begun), end)
+			a.IsEventStream = !f.plain
 		}
 		a.HasSignature, a.SetReadTimeout, a.Close = true, func(d time.Duration) { f.timeout = d }, func() {}
 		return &a, nil
@@ -109,9 +115,9 @@
 			for _, broken := range []string{"", "id: 3\n", "id: 3\n\n", "id: 3\ndata: x", ": x\n\n"} {
 				for _, piece := range []int{1, 7, 1 << 10} {
 					for _, way := range []string{"framed", "unframed", "by another instance"} {
-						f := newJoinFixture(beginning+broken, io.ErrUnexpectedEOF, relay.Response{
-							Status: http.StatusOK, ResponseHead: relay.ResponseHead{IsEventStream: true}, Unframed: way == "unframed", Read: textReader(c.answer, piece, io.EOF),
-						})
+						next := eventStream(c.answer, piece, io.EOF)
+						next.Unframed = way == "unframed"
+						f := newJoinFixture(beginning+broken, io.ErrUnexpectedEOF, next)
 						f.NeedsDetour = func(string, int) bool { return way == "by another instance" && len(f.resumed) > 0 }
 						f.DispatchBy = func(ctx context.Context, d relay.Dispatch, _ route.Request) (*relay.Response, error) {
 							return f.Dispatch(ctx, d)
@@ -136,9 +142,7 @@
 		"no ids": "data: a\n\n", "an event without an id": beginning + "event: error\ndata: x\n\n", "plain": strings.Repeat("x", 300<<10),
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newJoinFixture(begun, io.ErrUnexpectedEOF, relay.Response{
-				Status: http.StatusOK, ResponseHead: relay.ResponseHead{IsEventStream: true}, Read: textReader(rest, 1<<10, io.EOF),
-			})
+			f := newJoinFixture(begun, io.ErrUnexpectedEOF, eventStream(rest, 1<<10, io.EOF))
 			f.plain = name == "plain"
 			assert.Assert(t, f.serve(t).Truncated)
 			assert.Assert(t, f.body == begun)
@@ -148,50 +152,32 @@
 	}
 }
 
-// TestFirstAnswerOfAStream guards against text that is no event of a stream and reached the caller as one, and against blocks without data that were
-// counted as events.
+// TestFirstAnswerOfAStream guards against text that is no event of a stream and reached the caller as one, against blocks without data that were
+// counted as events, and against an error as the rest of a stream that the caller resumes. What is the target's own whole answer is not changed.
 func TestFirstAnswerOfAStream(t *testing.T) {
 	for name, c := range map[string]struct {
-		answer, want string
-		events       int
-		whole        bool
+		after, answer, want string
+		events              int
 	}{
-		"JSON":                   {errorText, rest, 2, true},
-		"a head":                 {errorHead + errorText, rest, 2, true},
-		"text after events":      {beginning + errorText, beginning + rest, 4, true},
-		"blocks without data":    {": x\n\nretry: 5\n\nid: 1\n\nid: 2\ndata: b\n\n: y\n\n", ": x\n\nretry: 5\n\nid: 1\n\nid: 2\ndata: b\n\n: y\n\n", 1, true},
-		"comments only":          {": x\n\n\n", ": x\n\n\n", 0, true},
-		"without ids":            {"data: a\n\nevent: end\ndata\n\n", "data: a\n\nevent: end\ndata\n\n", 2, true},
-		"a last one without one": {beginning + "data: [DONE]\n\n", beginning + "data: [DONE]\n\n", 3, true},
-		"another field":          {"weight-versions: 7\nid: 1\ndata: a\n\n", "weight-versions: 7\nid: 1\ndata: a\n\n", 1, true},
+		"JSON":                    {"", errorText, rest, 2},
+		"a head":                  {"", errorHead + errorText, rest, 2},
+		"text after events":       {"", beginning + errorText, beginning + rest, 4},
+		"blocks without data":     {"", ": x\n\nretry: 5\n\nid: 1\n\nid: 2\ndata: b\n\n: y\n\n", ": x\n\nretry: 5\n\nid: 1\n\nid: 2\ndata: b\n\n: y\n\n", 1},
+		"comments only":           {"", ": x\n\n\n", ": x\n\n\n", 0},
+		"without ids":             {"", "data: a\n\nevent: end\ndata\n\n", "data: a\n\nevent: end\ndata\n\n", 2},
+		"a last one without one":  {"", beginning + "data: [DONE]\n\n", beginning + "data: [DONE]\n\n", 3},
+		"another field":           {"", "weight-versions: 7\nid: 1\ndata: a\n\n", "weight-versions: 7\nid: 1\ndata: a\n\n", 1},
+		"resumed by an error":     {"2", "event: error\ndata: x\n\n", rest, 2},
+		"resumed after a gap":     {"2", "id: 4\ndata: d\n\n", rest, 2},
+		"resumed at the end":      {"2", "", "", 0},
+		"resumed without last id": {"2", ": x\n\n" + rest + "data: [DONE]\n\n", ": x\n\n" + rest + "data: [DONE]\n\n", 3},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newJoinFixture(c.answer, io.EOF, relay.Response{
-				Status: http.StatusOK, ResponseHead: relay.ResponseHead{IsEventStream: true}, Read: textReader(rest, 1<<10, io.EOF),
-			})
+			f := newJoinFixture(c.answer, io.EOF, eventStream(rest, 1<<10, io.EOF))
+			f.after = c.after
 			result := f.serve(t)
 			assert.Equal(t, f.body, c.want)
 			assert.Equal(t, result.Events, c.events)
-			assert.Equal(t, result.Truncated, !c.whole)
-		})
-	}
-}
-
-// TestCallerThatResumes guards against an error that a caller which resumes a stream gets for its rest, and against a whole answer to it that is changed.
-func TestCallerThatResumes(t *testing.T) {
-	for name, c := range map[string]struct{ answer, want string }{
-		"an error":     {"event: error\ndata: x\n\n", rest},
-		"a gap":        {"id: 4\ndata: d\n\n", rest},
-		"nothing more": {},
-		"an end":       {": x\n\n" + rest + "data: [DONE]\n\n", ": x\n\n" + rest + "data: [DONE]\n\n"},
-	} {
-		t.Run(name, func(t *testing.T) {
-			f := newJoinFixture(c.answer, io.EOF, relay.Response{
-				Status: http.StatusOK, ResponseHead: relay.ResponseHead{IsEventStream: true}, Read: textReader(rest, 1<<10, io.EOF),
-			})
-			f.after = "2"
-			result := f.serve(t)
-			assert.Equal(t, f.body, c.want)
 			assert.Equal(t, result.Status, http.StatusOK)
 		})
 	}
