fix: one odd entry in the list of the own interface leaves the others in force

The list of instances and targets was decoded as one document, so that an entry with a field of another type, which another writer of the list can leave, failed it: the instances kept the list before for as long as the entry was there, and one that started had none (LOST). Entries are now decoded one by one; an odd one is ignored and logged as an unreadable record, once until its reason changes, as are those of crashes.

--- a/io/node/crash.go
+++ b/io/node/crash.go
@@ -31,7 +31,7 @@
 // abandoned requests.
 func (n *Node) makeCrashes() {
 	n.crashFeed = n.newFeed(crashStream)
-	n.crashes = &poison.Tracker{Incarnation: n.Incarnation, OnChange: n.onQuarantineChanged, OnInvalid: n.onCrashInvalid, Publish: func(r logs.Record) {
+	n.crashes = &poison.Tracker{Incarnation: n.Incarnation, OnChange: n.onQuarantineChanged, OnInvalid: n.recordInvalid(crashStream), Publish: func(r logs.Record) {
 		n.crashFeed.Add(tail.NewItem(crashItem, crashRecord{Key: r.Key, Value: r.Value}))
 	}}
 	n.crashes.Default()
@@ -69,7 +69,7 @@
 			continue
 		}
 		if err := tail.Decode(item.Body, &r); err != nil {
-			n.onCrashInvalid("", err)
+			n.recordInvalid(crashStream)("", err)
 			continue
 		}
 		n.crashes.Apply([]logs.Record{{Key: r.Key, Value: r.Value}})
@@ -77,9 +77,13 @@
 	return nil
 }
 
-// onCrashInvalid logs a record that can't be decoded and is skipped.
-func (n *Node) onCrashInvalid(key string, err error) {
-	events.Log(n.Log, events.RecordUnreadable).Str("topic", crashStream).Str("key", key).Err(err).Send()
+// recordInvalid returns a callback that logs a record of a stream, or an entry of the list, that is skipped since it can't be decoded.
+func (n *Node) recordInvalid(topic string) func(key string, err error) {
+	return func(key string, err error) {
+		if i := n.invalid.Record(topic, key, err); i != nil {
+			events.Log(n.Log, events.RecordUnreadable).Str("topic", topic).Str("key", i.Key).Int("suppressed", i.Suppressed).Str("error", i.Reason).Send()
+		}
+	}
 }
 
 // hasCrashed reports whether the process of a target has ended: its machine refuses connections.
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -93,6 +93,8 @@
 	unreachablePeers sync.Map
 	// background runs short tasks that no request waits for.
 	background errgroup.Group
+	// invalid decides which invalid records are logged.
+	invalid events.Invalid
 }
 
 // String returns the name of the instance for logs.
@@ -106,8 +108,9 @@
 	n.killed = make(chan struct{})
 	n.background.SetLimit(backgroundLimit)
 	n.system = actors.NewSystem()
+	n.invalid.Default()
 	n.logReachability = &reachability{now: time.Now, onChange: n.setLogReachable}
-	n.plat = &plat.Client{LogURL: n.Settings.Platform.LogURL, ListURL: n.Settings.Platform.ListURL, Timeout: n.Settings.Platform.TimeoutMS.Duration()}
+	n.plat = &plat.Client{LogURL: n.Settings.Platform.LogURL, ListURL: n.Settings.Platform.ListURL, Timeout: n.Settings.Platform.TimeoutMS.Duration(), OnInvalid: n.recordInvalid("list")}
 	n.plat.Default()
 	n.directReachability = &reachability{now: time.Now, onChange: func(bool) {}}
 	n.makeMeters()
--- a/io/plat/plat.go
+++ b/io/plat/plat.go
@@ -52,6 +52,8 @@
 	Timeout time.Duration
 	// MaxPage is the maximum number of records requested in one read.
 	MaxPage int
+	// OnInvalid is called with an entry of the list that is ignored, because it can't be decoded or names no address; optional.
+	OnInvalid func(entry string, err error)
 
 	mu sync.Mutex
 	// members is the last list that the platform sent, and etag its entity tag.
@@ -83,6 +85,9 @@
 	if c.MaxPage == 0 {
 		c.MaxPage = DefaultPage
 	}
+	if c.OnInvalid == nil {
+		c.OnInvalid = func(string, error) {}
+	}
 }
 
 // Log returns the platform's log for readers and writers.
@@ -129,22 +134,23 @@
 func (c *Client) Members(ctx context.Context) (roster.Members, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var members roster.Members
+	var reply MembersReply
 	etag := c.etag
 	err := c.call(ctx, c.Timeout, request{
 		op:     "read list of members",
 		method: http.MethodGet,
 		url:    c.ListURL + "/v1/members",
 		etag:   &etag,
-	}, &members)
+	}, &reply)
 	var call *CallError
 	switch {
 	case err == nil:
-		c.members, c.etag = members, etag
+		c.members, c.etag = c.decodeMembers(reply), etag
+		return c.members, nil
 	case errors.As(err, &call) && call.Err == nil && call.Status == http.StatusNotModified:
 		return c.members, nil
 	}
-	return members, err
+	return roster.Members{}, err
 }
 
 func (c *Client) recordsURL(stream string) string {
