fix: an answer that can't follow what was forwarded is refused by its head

The body of such an answer of a second target was read to its end, or to the deadline, before the attempt failed; meanwhile the first target, which had only been silent, was not heard. From reading; core/relay and fake/crash pass.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -217,6 +217,9 @@
 		}
 		return false, nil
 	}
+	if r.headSent {
+		return false, &AttemptError{Kind: Errored, Sent: true, Err: errResume}
+	}
 	return r.relayBody(ctx, a)
 }
 
@@ -276,9 +279,6 @@
 	if err != nil && !isEOF(err) {
 		return false, r.recordFailure(err)
 	}
-	if r.headSent {
-		return false, &AttemptError{Kind: Errored, Sent: true, Err: errResume}
-	}
 	if err == nil {
 		r.accept(ctx, a)
 		failed = r.relayLongBody(a.response, body)
