fix: a panic in an exchange with a target fails its attempt

Since an exchange has a goroutine of its own, where net/http does not recover a panic: a nil response or a panic in a parser ended the process with all its requests (LOST). Found by fake/crash, whose double of a refusal can't be read: the test program ended. The exchange recovers, reports the reason and fails the attempt with an unknown outcome, and does not read a response that is a refusal.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -74,9 +74,9 @@
 		send = func(ctx context.Context, d Dispatch) (*Response, error) { return r.DispatchBy(ctx, d, request) }
 	}
 	ctx, a.cancel = context.WithCancel(ctx)
-	limit, maxBytes := a.dispatch.HeaderTimeout, r.MaxResponseBytes
+	x := exchange{send: send, limit: a.dispatch.HeaderTimeout, maxBytes: r.MaxResponseBytes, onPanic: r.OnPanic}
 	r.group.Go(func() error {
-		a.run(ctx, send, limit, maxBytes)
+		a.run(ctx, x)
 		return nil
 	})
 	return a
--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -49,18 +49,38 @@
 // hasEvents reports whether the body is a stream of events.
 func (r *Response) hasEvents() bool { return r.IsEventStream && r.Status == http.StatusOK }
 
+// exchange is what an attempt needs to run in a goroutine of its own.
+type exchange struct {
+	send func(ctx context.Context, d Dispatch) (*Response, error)
+	// limit is the maximum time of the exchange, and maxBytes that of the size of the body.
+	limit    time.Duration
+	maxBytes int64
+	onPanic  func(reason any)
+}
+
+var errPanic = errors.New("the exchange panicked")
+
 // run sends the request and delivers the response, and its events if it is a stream of events. Any other body is left to the receiver of the response.
-func (a *attempt) run(ctx context.Context, send func(ctx context.Context, d Dispatch) (*Response, error), limit time.Duration, maxBytes int64) {
+// A panic fails the attempt: nothing else recovers it in this goroutine.
+func (a *attempt) run(ctx context.Context, x exchange) {
 	defer close(a.ended)
+	defer func() {
+		if reason := recover(); reason != nil {
+			x.onPanic(reason)
+			a.deliver(step{err: &AttemptError{Kind: Invalid, Sent: true, Err: errPanic}})
+		}
+	}()
 	began := time.Now()
-	response, err := send(ctx, a.dispatch)
+	response, err := x.send(ctx, a.dispatch)
 	if err != nil {
 		a.deliver(step{err: err})
 		return
 	}
-	response.SetReadTimeout(limit - time.Since(began))
-	response.Read = limitBody(response.Read, maxBytes)
 	a.response = response
+	if !response.NotRun {
+		response.SetReadTimeout(x.limit - time.Since(began))
+		response.Read = limitBody(response.Read, x.maxBytes)
+	}
 	if !a.deliver(step{response: response}) || !response.hasEvents() {
 		return
 	}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -54,6 +54,8 @@
 	// OnSilent is called when a target has sent nothing for as long as a sound one seldom does. The attempt at it goes on. Token is that of its
 	// choice; optional.
 	OnSilent func(d Dispatch, token int64)
+	// OnPanic is called with the value of a panic in an exchange with a target; optional.
+	OnPanic func(reason any)
 	// OnAttemptFailed is called for each failed attempt; optional.
 	OnAttemptFailed func(d Dispatch, f *AttemptError)
 	// MaxResponseBytes limits the body of a response, or the events of a stream together. A target that sends more is
@@ -90,6 +92,9 @@
 	if s.OnSilent == nil {
 		s.OnSilent = func(Dispatch, int64) {}
 	}
+	if s.OnPanic == nil {
+		s.OnPanic = func(any) {}
+	}
 	if s.OnAttemptFailed == nil {
 		s.OnAttemptFailed = func(Dispatch, *AttemptError) {}
 	}
--- a/core/relay/silence_test.go
+++ b/core/relay/silence_test.go
@@ -154,3 +154,23 @@
 		})
 	}
 }
+
+// TestPanicInAnExchangeEndsOnlyItsAttempt guards against a process that ends because an exchange with a target, which has a goroutine of its own, panics.
+func TestPanicInAnExchangeEndsOnlyItsAttempt(t *testing.T) {
+	for name, response := range map[string]*relay.Response{
+		"no response": nil,
+		"its events": {
+			Status: http.StatusOK, ResponseHead: relay.ResponseHead{HasSignature: true, IsEventStream: true}, SetReadTimeout: func(time.Duration) {}, Close: func() {},
+			Read: func([]byte) (int, error) { panic("read") },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(func(context.Context, relay.Dispatch) (*relay.Response, error) { return response, nil })
+			panics := 0
+			f.OnPanic = func(any) { panics++ }
+			result := f.serve(t.Context())
+			assert.Equal(t, result.Refused.Run, codes.Unknown)
+			assert.Equal(t, panics, 1)
+		})
+	}
+}
