--- a/core/roster/list_test.go
+++ b/core/roster/list_test.go
@@ -148,3 +148,17 @@
 	assert.Assert(t, l.Put(entryOf("a", 1, 6, roster.Live)))
 	assertLive(t, l, "a")
 }
+
+// TestListForgetsRemovedTargets guards against memory that grows with the ids of all targets that were ever listed.
+func TestListForgetsRemovedTargets(t *testing.T) {
+	l, c := newList()
+	for _, known := range []bool{true, false} {
+		l.Put(entryOf("a", 1, 2, roster.Live))
+		l.Remove("a")
+		if !known {
+			c.advance(2 * time.Hour)
+		}
+		l.Expire()
+		assert.Equal(t, l.Put(entryOf("a", 1, 1, roster.Live)), !known, "an older entry counts only where the removed one is forgotten")
+	}
+}
