fix: a target that was removed an hour ago is forgotten

The list kept the last entry of every target that was ever in it, so that a delayed write could not list it again: memory, and the time of each pass over the list, which is made twice a second, grew with each start of a target and with each id that another writer lists and removes. Writes are delayed by seconds, and a log is restored from a copy of seconds; after an hour the entry has no use and is dropped with the periodic expiry. Evidence: TestListForgetsRemovedTargets; before, an older entry of a target that was removed two hours ago was still ignored.

--- a/core/roster/list.go
+++ b/core/roster/list.go
@@ -11,6 +11,10 @@
 // around the outage are kept. Live targets renew their entries within about two seconds of it.
 const RecoveryGrace = 2200 * time.Millisecond
 
+// removedRetention is how long a removed target is remembered, so that a delayed write of its entry, or a removed entry in a restored log, does not
+// list it again. Writes are delayed by seconds.
+const removedRetention = time.Hour
+
 // Entry is the description that a target publishes of itself in the platform's list.
 type Entry struct {
 	Target
@@ -54,8 +58,9 @@
 	// leaving, once set, stays set until the target restarts.
 	leaving bool
 	present bool
-	// removed is set once the entry was removed, until the target writes a newer one.
-	removed bool
+	// removed is set once the entry was removed, until the target writes a newer one, and removedAt is when that was.
+	removed   bool
+	removedAt time.Time
 	// removalPending reports whether the entry was removed around an outage and may be renewed.
 	removalPending bool
 }
@@ -165,6 +170,7 @@
 		return false
 	}
 	known.present, known.removed, known.removalPending = false, true, false
+	known.removedAt = l.Now()
 	l.OnChange(id, Removed, nil)
 	return true
 }
@@ -182,16 +188,20 @@
 }
 
 // Expire removes targets whose entries were removed around an outage and were not renewed within
-// RecoveryGrace, and reports whether the targets changed.
+// RecoveryGrace, and reports whether the targets changed. It forgets targets that were removed long ago.
 func (l *TargetList) Expire() bool {
 	if l.platformLost || l.recovering() {
 		return false
 	}
 	changed := false
 	for _, id := range l.sortedIDs() {
-		if l.entries[id].removalPending {
+		known := l.entries[id]
+		if known.removalPending {
 			changed = l.remove(id) || changed
 		}
+		if known.removed && l.Now().Sub(known.removedAt) > removedRetention {
+			delete(l.entries, id)
+		}
 	}
 	return changed
 }
