--- /dev/null
+++ b/core/relay/successor_test.go
@@ -0,0 +1,130 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cranberryrail/core/codes"
+	"cranberryrail/core/relay"
+	"cranberryrail/core/roster"
+	"cranberryrail/core/route"
+	"cranberryrail/core/table"
+)
+
+type dispatchFunc func(ctx context.Context, d relay.Dispatch) (*relay.Response, error)
+
+// respondPlain returns a target with a response that is no stream, whose head and body take the given times.
+func respondPlain(status int, text string, head, body time.Duration) dispatchFunc {
+	return func(ctx context.Context, _ relay.Dispatch) (*relay.Response, error) {
+		wait := func(t time.Duration) error {
+			select {
+			case <-time.After(t):
+				return nil
+			case <-ctx.Done():
+				return &relay.AttemptError{Kind: relay.Broken, Sent: true, Err: errors.New("the context ended")}
+			}
+		}
+		if err := wait(head); err != nil {
+			return nil, err
+		}
+		return &relay.Response{
+			Status: status, ResponseHead: relay.ResponseHead{HasSignature: true}, Close: func() {}, SetReadTimeout: func(time.Duration) {},
+			Read: func(p []byte) (int, error) {
+				if err := wait(body); err != nil {
+					return 0, err
+				}
+				return copy(p, text), io.EOF
+			},
+		}, nil
+	}
+}
+
+// serveBy serves a request of a resumable stream, or of another kind, by targets of which the first that was not tried is chosen, for a caller that
+// takes a while for each part. It returns the body.
+func serveBy(t *testing.T, kind table.Kind, takes time.Duration, targets ...dispatchFunc) (string, relay.Result) {
+	t.Helper()
+	f := newFixture(func(ctx context.Context, d relay.Dispatch) (*relay.Response, error) {
+		return targets[d.Target.ID[0]-'0'](ctx, d)
+	})
+	config := table.New(table.Config{Routes: []table.Route{{
+		Host: "h", Prefix: "/", Kind: kind, Resumable: kind != table.Idempotent, LatencyObjective: objective, GapObjective: gap, Timeout: 6 * time.Second, MaxAttempts: 3,
+		Shares: []table.Share{{Service: "draft", Weight: 1}},
+	}}})
+	f.Table = func() *table.Table { return config }
+	f.Retries.Slack = 3
+	f.Pick = func(r route.Request) (route.Choice, error) {
+		for i := range targets {
+			if id := fmt.Sprint(i); !slices.Contains(r.Avoid, id) {
+				return route.Choice{Target: roster.Target{ID: id}}, nil
+			}
+		}
+		return route.Choice{}, codes.Refuse(codes.NoTarget, time.Second, "no other target")
+	}
+	var body strings.Builder
+	result := f.Serve(t.Context(), &relay.Request{ID: "1", Host: "h", Path: "/x", Arrived: time.Now(), Timeout: 10 * time.Second}, relay.Sink{
+		Head: func(int, http.Header, int64) {}, Write: func(p []byte) error {
+			time.Sleep(takes)
+			body.Write(p)
+			return nil
+		},
+	})
+	return body.String(), result
+}
+
+var soundStream = script{parts: []part{{0, 4}, {}}}.dispatch
+
+// TestSlowCallerStartsNoSuccessor guards against a second run, and a target counted as silent, because the caller reads slowly.
+func TestSlowCallerStartsNoSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for range 8 {
+			_, result := serveBy(t, table.Streaming, 4*gap, soundStream, soundStream)
+			assert.Equal(t, result.Attempts, 1)
+		}
+	})
+}
+
+// TestRequestThatMustNotBeRepeatedHasNoSuccessor guards against a second run of a request whose route is not to be repeated but has the setting for
+// resumed streams.
+func TestRequestThatMustNotBeRepeatedHasNoSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, result := serveBy(t, "non_idempotent", 0, script{parts: []part{{time.Second, 4}, {}}}.dispatch, soundStream)
+		assert.Equal(t, result.Attempts, 1)
+	})
+}
+
+// TestTwoSilentTargetsEndNoAnswer guards against an answer that ends although a third attempt is allowed, because the successor is silent for good.
+func TestTwoSilentTargetsEndNoAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lost := script{parts: []part{{0, 2}, {time.Hour, 4}}}.dispatch
+		_, result := serveBy(t, table.Streaming, 0, lost, script{head: time.Hour}.dispatch, soundStream)
+		assert.Assert(t, !result.Truncated, "%v", result.Refused)
+	})
+}
+
+// TestErrorOfSuccessorEndsNoAnswer guards against the error of a successor that is taken for the answer of a target that is only silent.
+func TestErrorOfSuccessorEndsNoAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		body, _ := serveBy(t, table.Idempotent, 0, respondPlain(200, "answer", 2*time.Second, 0), respondPlain(500, "error", 0, 0))
+		assert.Equal(t, body, "answer")
+	})
+}
+
+// TestSilentBodyOfSuccessorEndsNoAnswer guards against an answer that is not taken because another target is silent in its body.
+func TestSilentBodyOfSuccessorEndsNoAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		body, _ := serveBy(t, table.Idempotent, 0, respondPlain(200, "answer", 2*time.Second, 0), respondPlain(200, "other", 0, time.Hour))
+		assert.Equal(t, body, "answer")
+		assert.Assert(t, time.Since(began) < 3*time.Second)
+	})
+}
