--- a/core/relay/successor_test.go
+++ b/core/relay/successor_test.go
@@ -52,6 +52,11 @@
 // serveBy serves a request of a resumable stream, or of another kind, by targets of which the first that was not tried is chosen, for a caller that
 // takes a while for each part. It returns the body.
 func serveBy(t *testing.T, kind table.Kind, takes time.Duration, targets ...dispatchFunc) (string, relay.Result) {
+	t.Helper()
+	return serveWithRetries(t, 3, kind, takes, targets)
+}
+
+func serveWithRetries(t *testing.T, retries int, kind table.Kind, takes time.Duration, targets []dispatchFunc) (string, relay.Result) {
 	t.Helper()
 	f := newFixture(func(ctx context.Context, d relay.Dispatch) (*relay.Response, error) {
 		return targets[d.Target.ID[0]-'0'](ctx, d)
@@ -61,7 +66,7 @@
 		Shares: []table.Share{{Service: "draft", Weight: 1}},
 	}}})
 	f.Table = func() *table.Table { return config }
-	f.Retries.Slack = 3
+	f.Retries.Slack = retries
 	f.Pick = func(r route.Request) (route.Choice, error) {
 		for i := range targets {
 			if id := fmt.Sprint(i); !slices.Contains(r.Avoid, id) {
@@ -128,3 +133,20 @@
 		assert.Assert(t, time.Since(began) < 3*time.Second)
 	})
 }
+
+// TestRetryThatWasNotUsedIsKept guards against a stream that is broken off because the retry of a successor that reached no target is taken twice.
+func TestRetryThatWasNotUsedIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		breaks := func(ctx context.Context, d relay.Dispatch) (*relay.Response, error) {
+			ctx, cancel := context.WithTimeout(ctx, time.Second)
+			context.AfterFunc(ctx, cancel)
+			return script{parts: []part{{0, 2}, {time.Hour, 4}}}.dispatch(ctx, d)
+		}
+		unreached := func(context.Context, relay.Dispatch) (*relay.Response, error) {
+			return nil, &relay.AttemptError{Kind: relay.Unreachable, Err: errors.New("no connection")}
+		}
+		targets := []dispatchFunc{breaks, unreached, unreached, unreached, unreached, soundStream}
+		_, result := serveWithRetries(t, 1, table.Streaming, 0, targets)
+		assert.Assert(t, !result.Truncated, "%v, %s", result.Refused, result.RetryDenied)
+	})
+}
