fix: a request that must not be repeated has no successor

A route of a kind that must not be repeated with stream_resume had a second run while its first target was silent (TWICE): the bound between events asked only whether streams may be resumed. TestRequestThatMustNotBeRepeatedHasNoSuccessor: two attempts before, one now.

--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -169,9 +169,9 @@
 }
 
 // eventBound returns the time from the head of a stream to its first event and between two events after which the target counts as silent; 0 if the
-// stream can't be resumed.
+// stream must not be resumed, which is also so for kinds of requests that are no streams.
 func (r *relayedRequest) eventBound() time.Duration {
-	if !r.route.Resumable {
+	if !r.route.Resumable || !r.route.Retryable() {
 		return 0
 	}
 	return eventTimeoutFactor * r.route.GapObjective
@@ -195,7 +195,7 @@
 	switch {
 	case r.SentFailures+1 >= r.route.MaxAttempts:
 		return nil, DeniedAttempts
-	case !r.canContinue():
+	case !r.route.Retryable() || !r.canContinue():
 		return nil, DeniedRepeat
 	case r.Attempts-r.SentFailures-1 >= maxUnreachableTargets:
 		return nil, DeniedUnreachable
