fix: a slow caller or a process that stood still starts no successor

A caller that took longer for an event than its target may be silent had a second run started at another target, and its sound target was left out of the choice: the time began before the event was written, and of an event and the timer that were due together either was handled. The time now begins after the write, what the target has sent is taken first, and a timer that is late by over 50 ms asks again.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -387,11 +387,11 @@
 	if a.events == answerEvents {
 		a.pass.AnswerBegan()
 	}
-	a.progressAt = r.Now()
-	r.expect(r.eventBound())
 	if err := r.sink.Write(e.raw); err != nil {
 		return &AttemptError{Kind: Cancelled, Sent: true, Err: err}
 	}
+	a.progressAt = r.Now()
+	r.expect(r.eventBound())
 	if ctx.Err() != nil {
 		return &AttemptError{Kind: Cancelled, Sent: true, Err: ctx.Err()}
 	}
--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -142,13 +142,26 @@
 		case s := <-successor:
 			return r.successor, s
 		case <-silence:
-			r.handleSilence(ctx)
 		}
+		select {
+		case s := <-r.current.steps:
+			return r.current, s // It was due together with the timer, after the caller had been slow.
+		default:
+		}
+		if r.Now().Sub(r.silenceDue) > stallTolerance {
+			r.expect(stallTolerance) // This process stood still. What the target has sent meanwhile is read first.
+			continue
+		}
+		r.handleSilence(ctx)
 	}
 }
 
+// stallTolerance is how late the timer of a silent target may be. It is several times the latency of a process that is not overloaded.
+const stallTolerance = 50 * time.Millisecond
+
 // expect sets the time after which the current attempt counts as silent; 0 if it never does.
 func (r *relayedRequest) expect(bound time.Duration) {
+	r.silenceDue = r.Now().Add(bound)
 	switch {
 	case bound <= 0 && r.silence != nil:
 		r.silence.Stop()
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -127,6 +127,8 @@
 	// group runs the exchanges of the attempts, and silence fires when the current one was silent for its bound.
 	group   errgroup.Group
 	silence *time.Timer
+	// silenceDue is when silence should fire.
+	silenceDue time.Time
 	// retryTaken is set if a retry was taken from the retry budget and no attempt was sent with it yet.
 	retryTaken bool
 	// mayHaveRun is set if a target may have run the request.
