fix: the body of a plain response is read beside the other attempt

The loop that waits for both attempts read the body of a plain response itself. While the body of one target was silent, the finished answer of the other one was not taken, until the deadline. The exchange now reads the body, up to what is buffered. Found by review.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -181,7 +181,7 @@
 func (r *relayedRequest) handle(ctx context.Context, a *attempt, s step) (complete bool, failed *AttemptError) {
 	switch {
 	case s.response != nil:
-		return r.handleHead(ctx, a)
+		return r.handleHead(ctx, a, s)
 	case isEOF(s.err):
 		failed = r.endEvents(ctx, a, s.event.raw)
 		return failed == nil, failed
@@ -196,31 +196,39 @@
 	}
 }
 
-// handleHead handles the head of a response.
-func (r *relayedRequest) handleHead(ctx context.Context, a *attempt) (complete bool, failed *AttemptError) {
+// handleHead handles the head of a response, and its body if it is no event stream.
+func (r *relayedRequest) handleHead(ctx context.Context, a *attempt, s step) (complete bool, failed *AttemptError) {
 	if t := a.response.Target; t != nil {
 		a.target = *t
 		r.recordOrigin(a)
 	}
-	status := a.response.Status
-	switch {
-	case a.response.NotRun:
-		return false, notRunError(status)
-	case !a.response.HasSignature && (status >= 200 && status < 300 || claimsNotRun(status)):
-		r.mayHaveRun = true
-		return false, &AttemptError{Kind: Invalid, Sent: true, Err: errUnsigned}
-	}
-	r.mayHaveRun = true
-	if a.response.hasEvents() {
+	r.mayHaveRun = r.mayHaveRun || !a.response.NotRun
+	switch failed := checkHead(a.response); {
+	case failed != nil:
+		return false, failed
+	case a.response.hasEvents():
 		if a == r.current {
 			r.expect(r.eventBound())
 		}
 		return false, nil
-	}
-	if r.headSent {
+	case r.headSent:
 		return false, &AttemptError{Kind: Errored, Sent: true, Err: errResume}
+	default:
+		return r.relayBody(ctx, a, s.body, s.bodyErr)
+	}
+}
+
+// checkHead returns the failure of a response that can't be the answer by its head alone.
+func checkHead(response *Response) *AttemptError {
+	status := response.Status
+	switch {
+	case response.NotRun:
+		return notRunError(status)
+	case !response.HasSignature && (status >= 200 && status < 300 || claimsNotRun(status)):
+		return &AttemptError{Kind: Invalid, Sent: true, Err: errUnsigned}
+	default:
+		return nil
 	}
-	return r.relayBody(ctx, a)
 }
 
 // limitBody returns a function that reads a body and fails if it has more than maxBytes.
@@ -273,9 +281,8 @@
 	return &AttemptError{Kind: Shed, Sent: true, Err: errStatus}
 }
 
-// relayBody forwards a response that is not an event stream.
-func (r *relayedRequest) relayBody(ctx context.Context, a *attempt) (complete bool, failed *AttemptError) {
-	body, err := readBody(a.response)
+// relayBody forwards a response that is not an event stream, given what readBody returned.
+func (r *relayedRequest) relayBody(ctx context.Context, a *attempt, body []byte, err error) (complete bool, failed *AttemptError) {
 	if err != nil && !isEOF(err) {
 		return false, r.recordFailure(err)
 	}
--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -42,10 +42,16 @@
 // step is what an attempt brings: first the response, then the events of an event stream; an error is the last step, io.EOF at the end of the events.
 type step struct {
 	response *Response
-	event    event
-	err      error
+	// body is the body of a response that is no event stream, up to maxBufferedBody, and bodyErr what readBody returned.
+	body    []byte
+	bodyErr error
+	event   event
+	err     error
 }
 
+// isLast reports whether the exchange ends with the step.
+func (s step) isLast() bool { return s.err != nil || s.response != nil && !s.response.hasEvents() }
+
 // hasEvents reports whether the body is a stream of events.
 func (r *Response) hasEvents() bool { return r.IsEventStream && r.Status == http.StatusOK }
 
@@ -60,8 +66,8 @@
 
 var errPanic = errors.New("the exchange panicked")
 
-// run sends the request and delivers the response, and its events if it is a stream of events. Any other body is left to the receiver of the response.
-// A panic fails the attempt: nothing else recovers it in this goroutine.
+// run sends the request and delivers the response, with its body, or followed by its events. What is longer than maxBufferedBody is left to the
+// receiver of the response. A panic fails the attempt: nothing else recovers it in this goroutine.
 func (a *attempt) run(ctx context.Context, x exchange) {
 	defer close(a.ended)
 	defer func() {
@@ -77,11 +83,18 @@
 		return
 	}
 	a.response = response
-	if !response.NotRun {
-		response.SetReadTimeout(x.limit - time.Since(began))
-		response.Read = limitBody(response.Read, x.maxBytes)
+	if checkHead(response) != nil || a.joined && !response.hasEvents() {
+		a.deliver(step{response: response})
+		return
+	}
+	response.SetReadTimeout(x.limit - time.Since(began))
+	response.Read = limitBody(response.Read, x.maxBytes)
+	if !response.hasEvents() {
+		body, err := readBody(response)
+		a.deliver(step{response: response, body: body, bodyErr: err})
+		return
 	}
-	if !a.deliver(step{response: response}) || !response.hasEvents() {
+	if !a.deliver(step{response: response}) {
 		return
 	}
 	events := newEventReader(response.Read, a.dispatch.LastEventID, a.joined)
