fix: a successor that is silent too has a successor

Two lost targets ended a request at its deadline although its route allowed a third attempt, which made: there was one successor at a time, without a bound of its own. The attempts in flight are now a list, bounded by the attempts of the route and the retry budget as before; each but the newest is silent. Their steps come by one channel. TestTwoSilentTargetsEndNoAnswer: broken off after 6 s before, whole now.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -60,7 +60,7 @@
 func (r *relayedRequest) start(ctx context.Context, pass *poison.Pass, choice route.Choice, request route.Request, detour bool) *attempt {
 	a := &attempt{
 		dispatch: r.newDispatch(choice.Target), choice: choice, target: choice.Target, pass: pass, progressAt: r.Now(),
-		steps: make(chan step), abandoned: make(chan struct{}), ended: make(chan struct{}), joined: r.headSent,
+		steps: r.steps, abandoned: make(chan struct{}), ended: make(chan struct{}), joined: r.headSent,
 	}
 	a.dispatch.Detour = detour
 	r.Attempts++
@@ -207,7 +207,7 @@
 	case failed != nil:
 		return false, failed
 	case a.response.hasEvents():
-		if a == r.current {
+		if a == r.newest() {
 			r.expect(r.eventBound())
 		}
 		return false, nil
@@ -308,8 +308,8 @@
 
 // mayReplace reports whether another attempt may bring a better response than the error response of this one.
 func (r *relayedRequest) mayReplace(a *attempt) bool {
-	if r.successor != nil {
-		return a == r.current // The successor is in flight; the current attempt is silent.
+	if len(r.inFlight) > 1 {
+		return a != r.newest() // The successor is in flight; this one was silent.
 	}
 	return r.route.Retryable() && r.SentFailures+1 < r.route.MaxAttempts
 }
--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"cranberryrail/core/origin"
@@ -25,9 +26,11 @@
 	recording *origin.Recording
 	// response is set before the first step.
 	response *Response
-	// steps delivers what the target sends. The exchange ends when abandoned is closed, and ended is closed then.
-	steps            chan step
+	// steps receives what the target sends. The exchange ends when abandoned is closed, and ended is closed then. finished is set once its last
+	// step was received.
+	steps            chan<- step
 	abandoned, ended chan struct{}
+	finished         bool
 	cancel           context.CancelFunc
 	// events is the number of forwarded events.
 	events int
@@ -37,10 +40,13 @@
 	joined bool
 	// silent is set once the target was silent for its bound.
 	silent bool
+	// retry is set if a retry was taken from the retry budget for the attempt.
+	retry bool
 }
 
 // step is what an attempt brings: first the response, then the events of an event stream; an error is the last step, io.EOF at the end of the events.
 type step struct {
+	attempt  *attempt
 	response *Response
 	// body is the body of a response that is no event stream, up to maxBufferedBody, and bodyErr what readBody returned.
 	body    []byte
@@ -110,6 +116,7 @@
 
 // deliver delivers a step, and reports whether it was received.
 func (a *attempt) deliver(s step) bool {
+	s.attempt = a
 	select {
 	case a.steps <- s:
 		return true
@@ -118,15 +125,11 @@
 	}
 }
 
-// end ends the exchange. That of a complete response has ended by itself, and its connection can be used again.
-func (a *attempt) end(complete bool) {
-	if !complete {
+// end ends the exchange. One whose last step was received ends by itself, and its connection can be used again.
+func (a *attempt) end() {
+	if !a.finished {
 		close(a.abandoned)
-		select {
-		case <-a.ended:
-		default:
-			a.cancel()
-		}
+		a.cancel()
 	}
 	<-a.ended
 	if a.response != nil {
@@ -137,32 +140,26 @@
 
 var errSuperseded = errors.New("another attempt has begun to answer")
 
-// nextStep waits for the next step of the attempts in flight. If the current one is silent for its bound, a successor is started, and whichever
-// begins to answer first is taken: a silent target may go on, and the other one may refuse.
-func (r *relayedRequest) nextStep(ctx context.Context) (*attempt, step) {
+// nextStep waits for the next step of an attempt in flight. If the newest one is silent for its bound, a successor is started, and whichever begins
+// to answer first is taken: a silent target may go on, and another one may refuse.
+func (r *relayedRequest) nextStep(ctx context.Context) step {
 	for {
 		var silence <-chan time.Time
 		if r.silence != nil {
 			silence = r.silence.C
 		}
-		var successor chan step
-		if r.successor != nil {
-			successor = r.successor.steps
-		}
 		select {
-		case s := <-r.current.steps:
-			return r.current, s
-		case s := <-successor:
-			return r.successor, s
+		case s := <-r.steps:
+			return s
 		case <-silence:
 		}
 		select {
-		case s := <-r.current.steps:
-			return r.current, s // It was due together with the timer, after the caller had been slow.
+		case s := <-r.steps:
+			return s // It was due together with the timer, after the caller had been slow.
 		default:
 		}
 		if r.Now().Sub(r.silenceDue) > stallTolerance {
-			r.expect(stallTolerance) // This process stood still. What the target has sent meanwhile is read first.
+			r.expect(stallTolerance) // This process stood still. What the targets have sent meanwhile is read first.
 			continue
 		}
 		r.handleSilence(ctx)
@@ -172,7 +169,7 @@
 // stallTolerance is how late the timer of a silent target may be. It is several times the latency of a process that is not overloaded.
 const stallTolerance = 50 * time.Millisecond
 
-// expect sets the time after which the current attempt counts as silent; 0 if it never does.
+// expect sets the time after which the newest attempt counts as silent; 0 if it never does.
 func (r *relayedRequest) expect(bound time.Duration) {
 	r.silenceDue = r.Now().Add(bound)
 	switch {
@@ -203,67 +200,75 @@
 	return eventTimeoutFactor * r.route.GapObjective
 }
 
-// handleSilence starts a successor of the current attempt, whose target was silent for its bound. If none can be started, that is tried again later.
+// newest returns the attempt that was started last.
+func (r *relayedRequest) newest() *attempt { return r.inFlight[len(r.inFlight)-1] }
+
+// handleSilence starts a successor of the newest attempt, whose target was silent for its bound. If none can be started, that is tried again later.
 func (r *relayedRequest) handleSilence(ctx context.Context) {
-	if a := r.current; !a.silent {
+	if a := r.newest(); !a.silent {
 		a.silent = true
 		r.OnSilent(a.dispatch, a.choice.DispatchID)
 	}
 	r.expect(r.silenceBound())
-	if r.successor == nil && ctx.Err() == nil {
-		r.successor, r.RetryDenied = r.startSuccessor(ctx)
+	if ctx.Err() == nil {
+		r.RetryDenied = r.startSuccessor(ctx)
 	}
 }
 
-// startSuccessor starts an attempt at another target while the current one goes on. It returns the reason if none can be started.
-func (r *relayedRequest) startSuccessor(ctx context.Context) (*attempt, Denial) {
-	silent := r.current.target
+// startSuccessor starts an attempt at another target while those in flight go on. It returns the reason if none can be started.
+func (r *relayedRequest) startSuccessor(ctx context.Context) Denial {
+	silent := r.newest().target
 	switch {
-	case r.SentFailures+1 >= r.route.MaxAttempts:
-		return nil, DeniedAttempts
+	case r.SentFailures+len(r.inFlight) >= r.route.MaxAttempts:
+		return DeniedAttempts
 	case !r.route.Retryable() || !r.canContinue():
-		return nil, DeniedRepeat
-	case r.Attempts-r.SentFailures-1 >= maxUnreachableTargets:
-		return nil, DeniedUnreachable
+		return DeniedRepeat
+	case r.Attempts-r.SentFailures-len(r.inFlight) >= maxUnreachableTargets:
+		return DeniedUnreachable
+	case r.deadline.Sub(r.Now()) < minHeaderTimeout:
+		return DeniedTime
 	case !r.retryTaken && !r.Retries.AllowsRetry(r.Service):
-		return nil, DeniedWindow
+		return DeniedWindow
 	case r.streamKey != "" && r.Events == 0 && silent.ID == "":
-		return nil, DeniedTarget // The software version that may begin the stream is not known.
+		return DeniedTarget // The software version that may begin the stream is not known.
 	}
 	pass, err := r.Crashes.Admit(ctx, r.traits)
 	if err != nil {
-		return nil, DeniedCrashes
+		return DeniedCrashes
 	}
 	request := r.routeRequest()
-	request.Avoid = append(request.Avoid[:len(request.Avoid):len(request.Avoid)], silent.ID)
+	request.Avoid = slices.Clone(request.Avoid)
+	for _, a := range r.inFlight {
+		request.Avoid = append(request.Avoid, a.target.ID)
+	}
 	if r.streamKey != "" && r.Events == 0 {
-		request.Software = silent.Software // Either attempt may begin the stream.
+		request.Software = silent.Software // Any attempt may begin the stream.
 	}
-	choice, detour, denied := r.pickSuccessor(request, silent)
+	choice, detour, denied := r.pickSuccessor(request)
 	if denied != "" {
 		pass.End()
-		return nil, denied
+		return denied
 	}
-	r.retryTaken = true
 	target := r.Target
-	successor := r.start(ctx, pass, choice, request, detour)
-	r.Target = target
-	return successor, ""
+	a := r.start(ctx, pass, choice, request, detour)
+	a.retry = true
+	r.inFlight, r.Target = append(r.inFlight, a), target
+	return ""
 }
 
 // pickSuccessor chooses the target of a successor, and takes a retry from the retry budget for it.
-func (r *relayedRequest) pickSuccessor(request route.Request, silent roster.Target) (choice route.Choice, detour bool, denied Denial) {
-	detour = r.NeedsDetour(r.Service, r.Attempts-r.SentFailures-1)
+func (r *relayedRequest) pickSuccessor(request route.Request) (choice route.Choice, detour bool, denied Denial) {
+	detour = r.NeedsDetour(r.Service, r.Attempts-r.SentFailures-len(r.inFlight))
 	if !detour {
 		var err error
 		if choice, err = r.Pick(request); err != nil {
 			return choice, false, DeniedTarget
 		}
-		if choice.Target.ID == silent.ID {
+		if slices.ContainsFunc(r.inFlight, func(a *attempt) bool { return a.target.ID == choice.Target.ID }) {
 			denied = DeniedTarget
 		}
 	}
-	if denied == "" && !r.retryTaken && !r.Retries.TryRetry(r.Service) {
+	if denied == "" && !r.takeRetry() {
 		denied = DeniedWindow
 	}
 	if denied != "" && !detour {
@@ -272,27 +277,35 @@
 	return choice, detour, denied
 }
 
-// accept makes an attempt that begins to answer the current one, and ends the other one.
+// takeRetry takes a retry from the retry budget, and reports whether there was one.
+func (r *relayedRequest) takeRetry() bool { return r.retryTaken || r.Retries.TryRetry(r.Service) }
+
+// accept makes an attempt that begins to answer the only one, and ends the others.
 func (r *relayedRequest) accept(ctx context.Context, a *attempt) {
-	current, successor := r.current, r.successor
-	r.current, r.successor = a, nil
+	others := r.without(a)
+	r.inFlight, r.pass = []*attempt{a}, a.pass
 	r.Target, r.Unframed, a.silent = a.target, a.response.Unframed, false
-	switch {
-	case a == successor:
-		r.retryTaken = false
-		r.pass = a.pass
-		r.endAttempt(ctx, current, &AttemptError{Kind: Silent, Sent: true, Err: errSuperseded})
-		r.tried = append(r.tried, current.target.ID)
-	case successor != nil:
-		r.retryTaken = false
-		r.endAttempt(ctx, successor, &AttemptError{Kind: Cancelled, Sent: true, Err: errSuperseded})
+	for _, other := range others {
+		kind := Cancelled
+		if other.silent {
+			kind = Silent
+		}
+		if other.number < a.number {
+			r.tried = append(r.tried, other.target.ID)
+		}
+		r.endAttempt(ctx, other, &AttemptError{Kind: kind, Sent: true, Err: errSuperseded})
 	}
 }
 
+// without returns the attempts in flight but one.
+func (r *relayedRequest) without(a *attempt) []*attempt {
+	return slices.DeleteFunc(slices.Clone(r.inFlight), func(other *attempt) bool { return other == a })
+}
+
 // succeed ends the attempt whose response the caller has received.
 func (r *relayedRequest) succeed(a *attempt) {
-	a.end(true)
-	r.current = nil
+	a.end()
+	r.inFlight = nil
 	a.pass.Sent()
 	if r.Status < http.StatusMultipleChoices {
 		a.pass.Answered()
@@ -300,36 +313,36 @@
 	r.Done(a.choice.DispatchID, r.responseOutcome())
 }
 
-// fail ends an attempt that failed. The successor of a failed attempt takes its place.
+// fail ends an attempt that failed while others may go on.
 func (r *relayedRequest) fail(ctx context.Context, a *attempt, failed *AttemptError) {
-	isSuccessor := a == r.successor
-	if !isSuccessor {
-		r.current = r.successor
-	}
-	r.successor = nil
+	wasNewest := a == r.newest()
+	r.inFlight = r.without(a)
 	r.LastFailure = failed
-	r.retryTaken = r.retryTaken && !failed.Sent
 	r.endAttempt(ctx, a, failed)
 	r.tried = append(r.tried, a.target.ID)
-	switch {
-	case isSuccessor && !failed.Sent:
+	if len(r.inFlight) == 0 {
+		r.pass = a.pass
+		return
+	}
+	r.Target = r.newest().target
+	if !failed.Sent {
 		a.pass.End()
-		r.expect(minSuccessorPause)
-	case !isSuccessor && r.current != nil:
-		r.Target, r.pass, r.retryTaken = r.current.target, r.current.pass, false
-		r.expect(r.headBound())
+	}
+	if wasNewest {
+		r.expect(successorPause) // All others are silent.
 	}
 }
 
-// minSuccessorPause is the time after which another successor is started if one reached no target.
-const minSuccessorPause = time.Millisecond
+// successorPause is the time after which another successor is started if one failed.
+const successorPause = 20 * time.Millisecond
 
 // endAttempt ends an attempt and reports its failure.
 func (r *relayedRequest) endAttempt(ctx context.Context, a *attempt, failed *AttemptError) {
-	a.end(false)
+	a.end()
 	if failed.Refusal != nil {
 		return
 	}
+	r.retryTaken = r.retryTaken && !a.retry
 	if failed.Sent {
 		a.pass.Sent()
 		r.SentFailures++
@@ -345,12 +358,10 @@
 
 // endAttempts ends the attempts in flight when the request has ended.
 func (r *relayedRequest) endAttempts(ctx context.Context) {
-	for _, a := range []*attempt{r.current, r.successor} {
-		if a != nil {
-			r.endAttempt(ctx, a, &AttemptError{Kind: Cancelled, Sent: true, Err: errSuperseded})
-		}
+	for _, a := range r.inFlight {
+		r.endAttempt(ctx, a, &AttemptError{Kind: Cancelled, Sent: true, Err: errSuperseded})
 	}
-	r.current, r.successor = nil, nil
+	r.inFlight = nil
 	if r.silence != nil {
 		r.silence.Stop()
 	}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -120,12 +120,13 @@
 	// streamKey identifies a resumable stream, and recorded is set if the last attempt recorded its origin.
 	streamKey origin.Key
 	recorded  bool
-	// pass is the admission of the last attempt that was not a successor.
+	// pass is the admission of the last attempt that was made alone.
 	pass *poison.Pass
-	// current is the attempt in flight, and successor the one that takes its place as soon as it begins to answer; nil if there is none.
-	current, successor *attempt
-	// group runs the exchanges of the attempts, and silence fires when the current one was silent for its bound.
+	// inFlight holds the attempts in flight in the order in which they were started. All but the newest are silent.
+	inFlight []*attempt
+	// group runs the exchanges of the attempts, and steps receives what they bring. silence fires when the newest one was silent for its bound.
 	group   errgroup.Group
+	steps   chan step
 	silence *time.Timer
 	// silenceDue is when silence should fire.
 	silenceDue time.Time
@@ -154,7 +155,7 @@
 // caller must be aborted, so that the response does not appear complete. Otherwise, if Refused is
 // set, the caller must be sent that refusal.
 func (s *Server) Serve(ctx context.Context, req *Request, sink Sink) Result {
-	r := &relayedRequest{Server: s, Result: Result{Request: req}, req: req, sink: sink}
+	r := &relayedRequest{Server: s, Result: Result{Request: req}, req: req, sink: sink, steps: make(chan step)}
 	if refused := r.admit(); refused != nil {
 		return r.refuse(refused)
 	}
@@ -345,15 +346,17 @@
 // allowed. It returns the refusal for the caller, nil if the caller received a target's response.
 func (r *relayedRequest) attemptUntilResponse(ctx context.Context) *codes.Error {
 	for {
-		if r.current == nil {
+		if len(r.inFlight) == 0 {
 			a, err := r.begin(ctx)
 			if err != nil {
 				return r.pickRefusal(err)
 			}
-			r.current = a
+			r.inFlight = append(r.inFlight, a)
 			r.expect(r.headBound())
 		}
-		a, s := r.nextStep(ctx)
+		s := r.nextStep(ctx)
+		a := s.attempt
+		a.finished = s.isLast()
 		complete, failed := r.handle(ctx, a, s)
 		switch {
 		case complete:
@@ -361,13 +364,13 @@
 			return nil
 		case failed == nil:
 			continue
-		case failed.Refusal != nil && r.successor == nil:
-			a.end(false)
-			r.current = nil
+		case failed.Refusal != nil && len(r.inFlight) == 1:
+			a.end()
+			r.inFlight = nil
 			return r.pickRefusal(failed.Refusal)
 		}
 		r.fail(ctx, a, failed)
-		if r.current != nil {
+		if len(r.inFlight) > 0 {
 			continue
 		}
 		if ctx.Err() != nil || failed.Kind == Cancelled {
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -217,6 +217,8 @@
 	DeniedWindow Denial = "window"
 	// DeniedTarget means that no other target may receive the request.
 	DeniedTarget Denial = "target"
+	// DeniedTime means that too little time is left.
+	DeniedTime Denial = "time"
 	// DeniedCrashes means that similar requests have crashed targets.
 	DeniedCrashes Denial = "crashes"
 )
