fix: an error of a successor does not end the attempt at a silent target

A 500 of the successor was taken for the answer, and the first target, which was only silent, was given up although its answer was on its way. An error response now counts as a failure of its attempt while others are in flight, and is kept for the caller if none of them brings a better one by the deadline. TestErrorOfSuccessorEndsNoAnswer: the 500 before, the answer now.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -293,24 +294,20 @@
 	}
 	response := &bufferedResponse{status: a.response.Status, header: a.response.Header, body: body}
 	if response.status >= http.StatusInternalServerError {
-		if r.fallback == nil && r.mayReplace(a) {
-			r.fallback = response
+		others := len(r.inFlight) > 1
+		if others || r.fallback == nil && r.mayReplace() {
+			r.fallback = cmp.Or(r.fallback, response)
 			return false, &AttemptError{Kind: Errored, Sent: true, Err: errStatus}
 		}
-		if r.fallback != nil {
-			response = r.fallback
-		}
+		response = cmp.Or(r.fallback, response)
 	}
 	r.accept(ctx, a)
 	r.sendBuffered(response)
 	return true, nil
 }
 
-// mayReplace reports whether another attempt may bring a better response than the error response of this one.
-func (r *relayedRequest) mayReplace(a *attempt) bool {
-	if len(r.inFlight) > 1 {
-		return a != r.newest() // The successor is in flight; this one was silent.
-	}
+// mayReplace reports whether a further attempt may bring a better response than an error response.
+func (r *relayedRequest) mayReplace() bool {
 	return r.route.Retryable() && r.SentFailures+1 < r.route.MaxAttempts
 }
 
