fix: the retry of a successor that reached no target is used by the next attempt

A stream was broken off for want of a retry: its successor had taken the last one of the window and reached nobody, and when the first attempt broke too, another one was asked for. Found by review. TestRetryThatWasNotUsedIsKept: broken off before, whole now; all tests of core/relay pass with the race detector.

--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -277,8 +277,14 @@
 	return choice, detour, denied
 }
 
-// takeRetry takes a retry from the retry budget, and reports whether there was one.
-func (r *relayedRequest) takeRetry() bool { return r.retryTaken || r.Retries.TryRetry(r.Service) }
+// takeRetry takes a retry from the retry budget, or the one of a successor that reached no target, and reports whether there was one.
+func (r *relayedRequest) takeRetry() bool {
+	if r.retryTaken {
+		r.retryTaken = false
+		return true
+	}
+	return r.Retries.TryRetry(r.Service)
+}
 
 // accept makes an attempt that begins to answer the only one, and ends the others.
 func (r *relayedRequest) accept(ctx context.Context, a *attempt) {
@@ -342,7 +348,7 @@
 	if failed.Refusal != nil {
 		return
 	}
-	r.retryTaken = r.retryTaken && !a.retry
+	r.retryTaken = r.retryTaken || a.retry && !failed.Sent
 	if failed.Sent {
 		a.pass.Sent()
 		r.SentFailures++
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -130,7 +130,7 @@
 	silence *time.Timer
 	// silenceDue is when silence should fire.
 	silenceDue time.Time
-	// retryTaken is set if a retry was taken from the retry budget and no attempt was sent with it yet.
+	// retryTaken is set if a retry was taken from the retry budget for a successor that reached no target.
 	retryTaken bool
 	// mayHaveRun is set if a target may have run the request.
 	mayHaveRun bool
@@ -451,7 +451,7 @@
 		return DeniedAttempts
 	case r.mayHaveRun && !r.route.Retryable() || !r.canContinue():
 		return DeniedRepeat
-	case !r.Retries.TryRetry(r.Service):
+	case !r.takeRetry():
 		return DeniedWindow
 	default:
 		return ""
