--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -311,7 +311,7 @@
 // succeed ends the attempt whose response the caller has received.
 func (r *relayedRequest) succeed(a *attempt) {
 	a.end()
-	r.inFlight = nil
+	r.inFlight, r.RetryDenied = nil, ""
 	a.pass.Sent()
 	if r.Status < http.StatusMultipleChoices {
 		a.pass.Answered()
--- a/io/router/detour.go
+++ b/io/router/detour.go
@@ -137,7 +137,11 @@
 		}
 		asked = append(asked, addr)
 		sentAt := time.Now()
-		silent := time.AfterFunc(d.SilenceBound, func() { r.detours.Pause(addr, "", detour.LostPause) })
+		silent := time.AfterFunc(d.SilenceBound, func() {
+			if !d.NonIdempotent {
+				r.detours.Pause(addr, choice.Service, detour.LostPause) // The next attempt goes by way of another one.
+			}
+		})
 		reply, head, end, err := r.forward(ctx, addr, f)
 		silent.Stop()
 		var failed *peer.ForwardError
