fix: a budget has the same name in the log as in the version in production

While the version in production and the new one run side by side, an organisation whose name begins with era/ or digest/, or has 201 to 231 bytes, had two budgets: gave it a digest, though books it under its name. Now only names that an earlier build reads as something else, or that do not fit into a key, have a digest. TestNamesOfBudgetsOfProduction failed for four of five names before.

--- a/core/budget/era.go
+++ b/core/budget/era.go
@@ -48,20 +48,20 @@
 // era that commits late replaces no record of the present one.
 const eraPrefix = "era/"
 
-// digestPrefix is the prefix of budgetName where it is not the name of the organisation, and maxNameBytes the longest name that is used as it is:
-// with eraPrefix, a key has at most 255 bytes.
+// digestPrefix is the prefix of budgetName where it is not the name of the organisation, and maxNameBytes the longest name that is used as it is: a
+// key has at most 255 bytes, of which eraPrefix, the largest number and a slash take 24.
 const (
 	digestPrefix = "digest/"
 	digestBytes  = 24
-	maxNameBytes = 200
+	maxNameBytes = 255 - 24
 )
 
 // budgetName returns the name under which the budget of an organisation is known, at this instance and in the log. It is another one than that of the
-// organisation if that is too long, or is read as something else in a key. The budget name of a budget name is itself.
+// organisation only if that is too long for a key, or is read as something else in one: earlier builds use all other names as they are. The budget
+// name of a budget name is itself.
 func budgetName(organisation string) string {
-	digest, ok := strings.CutPrefix(organisation, digestPrefix)
-	reserved := strings.HasPrefix(organisation, instancePrefix) || strings.HasPrefix(organisation, eraPrefix) || ok && len(digest) != 2*digestBytes
-	if !reserved && len(organisation) <= maxNameBytes {
+	read, _ := parseRecordKey(organisation)
+	if read == organisation && !strings.HasPrefix(organisation, instancePrefix) && len(organisation) <= maxNameBytes {
 		return organisation
 	}
 	sum := sha256.Sum256([]byte(organisation))
--- a/core/budget/odd_test.go
+++ b/core/budget/odd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -83,6 +84,21 @@
 	}
 }
 
+// TestNamesOfBudgetsOfProduction guards against a budget that is drawn twice while an instance of the version in production, which uses each of these names as
+// it is, runs beside one that does not.
+func TestNamesOfBudgetsOfProduction(t *testing.T) {
+	for _, name := range []string{"plain", "era/x", "era/small/x", "digest/x", strings.Repeat("n", 231)} {
+		log := &memlog.Server{}
+		m := startMember(t, log, "i", name)
+		assert.NilError(t, m.syncer.Sync(t.Context()))
+		_, err := reserveOf(t, m, name, 700)
+		assert.NilError(t, err)
+		newest, err := logs.Log.NewestAll(log.Log(), t.Context(), "keyed.budgets", 0)
+		assert.NilError(t, err)
+		assert.Check(t, slices.ContainsFunc(newest.Records, func(r logs.Record) bool { return r.Key == name }), "%.20s", name)
+	}
+}
+
 // TestOddPromiseIsNotTakenOver guards against a part of an odd promise that is spent, although the promise can't be decoded.
 func TestOddPromiseIsNotTakenOver(t *testing.T) {
 	for _, tokens := range []string{`{"travel":500,"x":"y"}`, `{"travel":-500}`, `{"travel":9223372036854775807}`} {
