fix: settings mean the same at a start and on SIGHUP

Operators who set retry.ratio, retry.slack, budget.cover_ms or budget.wait_ms to 0 got the defaults of the components (0.1, 2, 12 s, 200 ms) at a start, since Default replaces 0, but 0 after a SIGHUP. Event 1009 compared three tables only, so that it asked for no restart after a change of, for example, wait_ms, window_s, stop or log; and it took a changed window_s for applied. The settings are now set after Default, and the event compares all that is in force: only ratio, slack and cover_ms apply at once. budget.fleet is left out, as it describes the start: the template fills it in as "new" once and as "running" from then on.

--- a/io/router/router.go
+++ b/io/router/router.go
@@ -174,6 +174,7 @@
 	r.routeClient = &route.Client{Root: r.system.Root, PID: r.system.Root.Spawn(a.Props())}
 	r.retries = &route.RetryWindow{Length: s.Retry.WindowS.Duration(), Ratio: s.Retry.Ratio, Slack: s.Retry.Slack}
 	r.retries.Default()
+	r.retries.Set(s.Retry.Ratio, s.Retry.Slack) // Default replaces 0, which is a valid setting
 	r.conns = &conns.Client{Dial: r.DialTarget, OnDial: r.Meter.ConnectionOpened}
 	r.conns.Default()
 	r.list = &roster.TargetList{OnChange: r.targetChanged}
@@ -230,6 +231,7 @@
 		},
 	}
 	r.budgetSync.Default()
+	r.budgets.Cover, r.budgets.MaxWait = s.CoverMS.Duration(), s.WaitMS.Duration() // Default replaces 0, which is a valid setting
 	r.initLoans()
 }
 
@@ -447,7 +449,8 @@
 	}
 }
 
-// watchReload reloads the settings on each signal from ReloadSignals.
+// watchReload reloads the settings on each signal from ReloadSignals. The ratio and the slack of repeats and the cover of budgets take effect at once, the others
+// with the next start. Settings holds those in force.
 func (r *Router) watchReload(ctx context.Context) error {
 	for {
 		select {
@@ -463,12 +466,12 @@
 			events.Log(r.Log, events.ReloadFailed).Err(err).Send()
 			continue
 		}
-		previous := r.Settings
-		r.Settings.Retry = s.Retry
+		s.Budget.Fleet = r.Settings.Budget.Fleet // describes the start of the process only
+		same := s == r.Settings
+		r.Settings.Retry.Ratio, r.Settings.Retry.Slack, r.Settings.Budget.CoverMS = s.Retry.Ratio, s.Retry.Slack, s.Budget.CoverMS
 		r.retries.Set(s.Retry.Ratio, s.Retry.Slack)
 		r.budgets.SetCover(s.Budget.CoverMS.Duration())
-		events.Log(r.Log, events.Reloaded).Bool("same", s == previous).
-			Bool("restart_needed", s.Caller != previous.Caller || s.Store != previous.Store || s.Metrics != previous.Metrics).Send()
+		events.Log(r.Log, events.Reloaded).Bool("same", same).Bool("restart_needed", s != r.Settings).Send()
 	}
 }
 
