fix: a request that failed counts no attempt as ok

cranberryrail_attempts_total counted outcome "ok" for every request that was sent to a target, even if all its attempts failed and the caller got a refusal: each such request counted once too often, so that the ratio of failed attempts looked smaller than it was. requestEnded now counts it only for a request without a refusal; failed attempts are counted by attemptFailed as before.

TestFailedRequestIsNoSuccessfulAttempt failed before with 2 ok attempts of 1, and passes now with -race. What remains: an error answer that is kept while a further attempt is made, and passed on in the end, counts as "errored" and as "ok".

--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -190,7 +190,9 @@
 	event.Str("route", result.Route).Int64("version", result.Version).Int("status", result.Status).Dur("took", took)
 	if result.Attempts > 0 {
 		event.Str("target", result.Target.ID).Int("attempts", result.Attempts).Dur("first", result.TimeToFirstByte)
-		r.Meter.Attempt(string(route.OK))
+	}
+	if result.Attempts > 0 && result.Refused == nil {
+		r.Meter.Attempt(string(route.OK)) // each failed attempt was counted by attemptFailed
 	}
 	r.addStream(event, class, result)
 	if refused := result.Refused; refused != nil {
--- /dev/null
+++ b/io/router/serve_test.go
@@ -0,0 +1,29 @@
+package router
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cranberryrail/core/codes"
+	"cranberryrail/core/relay"
+)
+
+// TestFailedRequestIsNoSuccessfulAttempt guards against a request of which all attempts failed and that counts as an attempt that succeeded too.
+func TestFailedRequestIsNoSuccessfulAttempt(t *testing.T) {
+	r, _ := start(t, settings, "")
+	for i, refused := range []*codes.Error{codes.Refuse(codes.TargetFailed, 0, ""), nil} {
+		r.attemptFailed(relay.Dispatch{Request: &relay.Request{}}, &relay.AttemptError{Kind: relay.Broken})
+		r.requestEnded(relay.Result{Attempts: i + 1, Refused: refused}, 0)
+	}
+	assert.NilError(t, r.Meter.Close())
+	w := httptest.NewRecorder()
+	r.Meter.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/", http.NoBody))
+	for outcome, want := range map[string]int{"ok": 1, "broken": 2} {
+		assert.Assert(t, strings.Contains(w.Body.String(), fmt.Sprintf("cranberryrail_attempts_total{outcome=%q} %d\n", outcome, want)), w.Body.String())
+	}
+}
