fix: the cause of a refusal reaches the log of the instance

Callers whose request failed unexpectedly get "unexpected failure; see the instance's log" (codes.From), and the log of an instance on the users' platform held the same sentence and no cause: nothing wrote codes.Error.Err. request_ended (5010) now has it in the field error. The field holds errors only: of the store, of exchanges, of targets (attempt_failed has those already); headers, keys and bodies of requests are not part of them.

TestCauseOfRefusalIsLogged failed before, with detail and without a cause in the line, and passes now with -race; it also checks that key, headers and body stay out.

--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -200,7 +200,7 @@
 			r.refusedAt.Store(time.Now().UnixNano())
 		}
 		code = refused.Code
-		event.Int("code", code.Number).Str("run", string(refused.Run)).Dur("retry_after", refused.RetryAfter).Str("detail", refused.Detail)
+		event.Int("code", code.Number).Str("run", string(refused.Run)).Dur("retry_after", refused.RetryAfter).Str("detail", refused.Detail).Err(refused.Err)
 	}
 	event.Send()
 	r.Meter.Request(class, code)
--- a/io/router/serve_test.go
+++ b/io/router/serve_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"cranberryrail/core/codes"
@@ -27,3 +29,13 @@
 		assert.Assert(t, strings.Contains(w.Body.String(), fmt.Sprintf("cranberryrail_attempts_total{outcome=%q} %d\n", outcome, want)), w.Body.String())
 	}
 }
+
+// TestCauseOfRefusalIsLogged guards against refusals that refer to the log of the instance, which lacks their cause.
+func TestCauseOfRefusalIsLogged(t *testing.T) {
+	lines := &strings.Builder{}
+	r, _ := start(t, settings, "")
+	r.Log = zerolog.New(lines)
+	r.requestEnded(relay.Result{Request: &relay.Request{ID: "r1", Key: "secret", Header: http.Header{"Authorization": {"secret"}}, Body: []byte("secret")}, Refused: codes.From(io.ErrNoProgress, codes.NotRun)}, 0)
+	assert.Assert(t, strings.Contains(lines.String(), `"error":"`+io.ErrNoProgress.Error()), lines.String())
+	assert.Assert(t, !strings.Contains(lines.String(), "secret"), lines.String())
+}
