fix: a configuration that is ignored as older leaves an event

A configuration whose version is lower than the one in force was dropped without a line in the log, so that an operator who published one (after a restored store, or with a version counted anew) could not see why it never came into force. applyConfig now logs 6007 configuration_outdated with both versions, once until another configuration is read. The same version again stays unlogged: each reset of the topic reads it.

--- a/io/router/follow.go
+++ b/io/router/follow.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -28,13 +29,20 @@
 	}
 }
 
-// applyConfig decodes a configuration record and puts it in force.
+// applyConfig decodes a configuration record and puts it in force unless it is older than the one in force.
 func (r *Router) applyConfig(record logs.Record) {
 	c, err := r.Platform.ParseConfig(record.Value)
 	if err != nil {
 		r.recordUnreadable(r.Platform.ConfigTopic)(record.Key, err)
 		return
 	}
+	if t := r.table.Current(); t != nil && c.Version < t.Version {
+		outdated := fmt.Errorf("version %d is lower than version %d, which is in force", c.Version, t.Version)
+		if i := r.invalid.Record(r.Platform.ConfigTopic, record.Key, outdated); i != nil {
+			logInvalid(events.Log(r.Log, events.ConfOutdated).Int64("version", c.Version), i)
+		}
+		return
+	}
 	r.invalid.Valid(r.Platform.ConfigTopic, record.Key)
 	r.table.Apply(c)
 }
