fix: an instance that is ready again logs it

On the own interface, an instance that fell behind a trimmed stream logged not_ready (1004) and, once it had fetched the state and accepted requests again, nothing: the last event on readiness stayed not_ready. updateGauges logged only the loss, and none if readiness was lost between awaitStartup's event and its first tick. It now logs each change, from the ready of awaitStartup on.

--- a/io/node/observe.go
+++ b/io/node/observe.go
@@ -192,16 +192,15 @@
 		Str("kind", string(err.Kind)).Err(err.Err).Send()
 }
 
-// updateGauges updates the gauges until the context is done. It also logs when the instance is no longer ready and
-// when the configuration becomes stale or is confirmed again.
+// updateGauges updates the gauges until the context is done. It also logs when the instance is no longer ready or is ready
+// again, and when the configuration becomes stale or is confirmed again.
 func (n *Node) updateGauges(ctx context.Context) error {
-	ready := false
+	ready := true // at the start, which awaitStartup logs
 	return runEvery(ctx, gaugeInterval, func(context.Context) {
-		if wasReady := ready; n.started.Load() {
+		if n.started.Load() {
+			wasReady := ready
 			ready = n.Ready()
-			if wasReady && !ready {
-				events.Log(n.Log, events.NotReady).Send()
-			}
+			n.logReadiness(wasReady, ready)
 		}
 		n.meter.LogReached(n.logReachability.isReachable())
 		n.meter.ConfigVersion(n.config.load().version)
@@ -213,6 +212,16 @@
 	})
 }
 
+// logReadiness logs a change of readiness.
+func (n *Node) logReadiness(wasReady, ready bool) {
+	switch {
+	case wasReady && !ready:
+		events.Log(n.Log, events.NotReady).Send()
+	case !wasReady && ready:
+		events.Log(n.Log, events.Ready).Send()
+	}
+}
+
 // burnReport merges the reports on service levels of all known instances.
 func (n *Node) burnReport(ctx context.Context) (any, error) {
 	now := time.Now()
