--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -190,7 +190,9 @@
 	event.Str("route", result.Route).Int64("version", result.Version).Int("status", result.Status).Dur("took", took)
 	if result.Attempts > 0 {
 		event.Str("target", result.Target.ID).Int("attempts", result.Attempts).Dur("first", result.TimeToFirstByte)
-		r.Meter.Attempt(string(route.OK))
+	}
+	if result.Attempts > 0 && result.Refused == nil {
+		r.Meter.Attempt(string(route.OK)) // each failed attempt was counted by attemptFailed
 	}
 	r.addStream(event, class, result)
 	if refused := result.Refused; refused != nil {
@@ -198,7 +200,7 @@
 			r.refusedAt.Store(time.Now().UnixNano())
 		}
 		code = refused.Code
-		event.Int("code", code.Number).Str("run", string(refused.Run)).Dur("retry_after", refused.RetryAfter).Str("detail", refused.Detail)
+		event.Int("code", code.Number).Str("run", string(refused.Run)).Dur("retry_after", refused.RetryAfter).Str("detail", refused.Detail).Err(refused.Err)
 	}
 	event.Send()
 	r.Meter.Request(class, code)
