--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -215,9 +215,8 @@
 	}
 }
 
-// startSuccessor starts an attempt at another target while those in flight go on. It returns the reason if none can be started.
-func (r *relayedRequest) startSuccessor(ctx context.Context) Denial {
-	silent := r.newest().target
+// denySuccessor returns why no successor of the attempts in flight may be started; empty if one may.
+func (r *relayedRequest) denySuccessor() Denial {
 	switch {
 	case r.SentFailures+len(r.inFlight) >= r.route.MaxAttempts:
 		return DeniedAttempts
@@ -229,8 +228,17 @@
 		return DeniedTime
 	case !r.retryTaken && !r.Retries.AllowsRetry(r.Service):
 		return DeniedWindow
-	case r.streamKey != "" && r.Events == 0 && silent.ID == "":
+	case r.streamKey != "" && r.Events == 0 && r.newest().target.ID == "":
 		return DeniedTarget // The software version that may begin the stream is not known.
+	default:
+		return ""
+	}
+}
+
+// startSuccessor starts an attempt at another target while those in flight go on. It returns the reason if none can be started.
+func (r *relayedRequest) startSuccessor(ctx context.Context) Denial {
+	if denied := r.denySuccessor(); denied != "" {
+		return denied
 	}
 	pass, err := r.Crashes.Admit(ctx, r.traits)
 	if err != nil {
@@ -242,7 +250,7 @@
 		request.Avoid = append(request.Avoid, a.target.ID)
 	}
 	if r.streamKey != "" && r.Events == 0 {
-		request.Software = silent.Software // Any attempt may begin the stream.
+		request.Software = r.newest().target.Software // Any attempt may begin the stream.
 	}
 	choice, detour, denied := r.pickSuccessor(request)
 	if denied != "" {
