test: targets that follow a script are a package of test doubles

The scripts of the tests of silent targets, successors and joined streams were parts of the tests; fake/script holds them, so that others can use them. Cases and checks are unchanged; core/relay passes with the race detector.

--- a/core/relay/join_test.go
+++ b/core/relay/join_test.go
@@ -16,6 +16,7 @@
 	"cranberryrail/core/relay"
 	"cranberryrail/core/route"
 	"cranberryrail/core/table"
+	"cranberryrail/fake/script"
 )
 
 // The stream that targets answer with, in two parts, and error texts that take the place of the second one.
@@ -26,22 +27,6 @@
 	errorHead = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/event-stream\r\n\r\n"
 )
 
-// textReader returns a function that reads a text in pieces of n bytes, and then returns an error.
-func textReader(text string, n int, end error) func(p []byte) (int, error) {
-	left := strings.NewReader(text)
-	return func(p []byte) (int, error) {
-		if left.Len() == 0 {
-			return 0, end
-		}
-		return left.Read(p[:min(n, len(p))])
-	}
-}
-
-// eventStream returns a response with an event stream, which is read in pieces of n bytes.
-func eventStream(text string, n int, end error) relay.Response {
-	return relay.Response{Status: http.StatusOK, ResponseHead: relay.ResponseHead{IsEventStream: true}, Read: textReader(text, n, end)}
-}
-
 // joinFixture is a fixture whose targets answer with a stream that breaks off, and then with an answer each.
 type joinFixture struct {
 	*fixture
@@ -58,7 +43,7 @@
 	f.fixture = newFixture(func(_ context.Context, d relay.Dispatch) (*relay.Response, error) {
 		a := next
 		if f.resumed = append(f.resumed, d.LastEventID); len(f.resumed) == 1 {
-			a = eventStream(begun, len(begun), end)
+			a = script.EventStream(begun, len(begun), end)
 			a.IsEventStream = !f.plain
 		}
 		a.HasSignature, a.SetReadTimeout, a.Close = true, func(d time.Duration) { f.timeout = d }, func() {}
@@ -117,7 +102,7 @@
 				for _, broken := range []string{"", "id: 3\n", "id: 3\n\n", "id: 3\ndata: x", ": x\n\n"} {
 					for _, piece := range []int{1, 7, 1 << 10} {
 						for _, way := range []string{"framed", "unframed", "by another instance"} {
-							next := eventStream(c.answer, piece, io.EOF)
+							next := script.EventStream(c.answer, piece, io.EOF)
 							next.Unframed = way == "unframed"
 							f := newJoinFixture(beginning+broken, io.ErrUnexpectedEOF, next)
 							f.NeedsDetour = func(string, int) bool { return way == "by another instance" && len(f.resumed) > 0 }
@@ -146,7 +131,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newJoinFixture(begun, io.ErrUnexpectedEOF, eventStream(rest, 1<<10, io.EOF))
+				f := newJoinFixture(begun, io.ErrUnexpectedEOF, script.EventStream(rest, 1<<10, io.EOF))
 				f.plain = name == "plain"
 				assert.Assert(t, f.serve(t).Truncated)
 				assert.Assert(t, f.body == begun)
@@ -179,7 +164,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newJoinFixture(c.answer, io.EOF, eventStream(rest, 1<<10, io.EOF))
+				f := newJoinFixture(c.answer, io.EOF, script.EventStream(rest, 1<<10, io.EOF))
 				f.after = c.after
 				result := f.serve(t)
 				assert.Equal(t, f.body, c.want)
--- a/core/relay/successor_test.go
+++ b/core/relay/successor_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -19,44 +18,17 @@
 	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
 	"cranberryrail/core/table"
+	"cranberryrail/fake/script"
 )
 
-type dispatchFunc func(ctx context.Context, d relay.Dispatch) (*relay.Response, error)
-
-// respondPlain returns a target with a response that is no stream, whose head and body take the given times.
-func respondPlain(status int, text string, head, body time.Duration) dispatchFunc {
-	return func(ctx context.Context, _ relay.Dispatch) (*relay.Response, error) {
-		wait := func(t time.Duration) error {
-			select {
-			case <-time.After(t):
-				return nil
-			case <-ctx.Done():
-				return &relay.AttemptError{Kind: relay.Broken, Sent: true, Err: errors.New("the context ended")}
-			}
-		}
-		if err := wait(head); err != nil {
-			return nil, err
-		}
-		return &relay.Response{
-			Status: status, ResponseHead: relay.ResponseHead{HasSignature: true}, Close: func() {}, SetReadTimeout: func(time.Duration) {},
-			Read: func(p []byte) (int, error) {
-				if err := wait(body); err != nil {
-					return 0, err
-				}
-				return copy(p, text), io.EOF
-			},
-		}, nil
-	}
-}
-
 // serveBy serves a request of a resumable stream, or of another kind, by targets of which the first that was not tried is chosen, for a caller that
 // takes a while for each part. It returns the body.
-func serveBy(t *testing.T, kind table.Kind, takes time.Duration, targets ...dispatchFunc) (string, relay.Result) {
+func serveBy(t *testing.T, kind table.Kind, takes time.Duration, targets ...script.Dispatch) (string, relay.Result) {
 	t.Helper()
 	return serveWithRetries(t, 3, kind, takes, targets)
 }
 
-func serveWithRetries(t *testing.T, retries int, kind table.Kind, takes time.Duration, targets []dispatchFunc) (string, relay.Result) {
+func serveWithRetries(t *testing.T, retries int, kind table.Kind, takes time.Duration, targets []script.Dispatch) (string, relay.Result) {
 	t.Helper()
 	f := newFixture(func(ctx context.Context, d relay.Dispatch) (*relay.Response, error) {
 		return targets[d.Target.ID[0]-'0'](ctx, d)
@@ -86,7 +58,7 @@
 	return body.String(), result
 }
 
-var soundStream = script{parts: []part{{0, 4}, {}}}.dispatch
+var soundStream = script.Stream{Parts: []script.Part{script.Until(0, 4), script.End}}.Dispatch
 
 // TestSlowCallerStartsNoSuccessor guards against a second run, and a target counted as silent, because the caller reads slowly.
 func TestSlowCallerStartsNoSuccessor(t *testing.T) {
@@ -102,7 +74,7 @@
 // resumed streams.
 func TestRequestThatMustNotBeRepeatedHasNoSuccessor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		_, result := serveBy(t, "non_idempotent", 0, script{parts: []part{{time.Second, 4}, {}}}.dispatch, soundStream)
+		_, result := serveBy(t, "non_idempotent", 0, script.Stream{Parts: []script.Part{script.Until(time.Second, 4), script.End}}.Dispatch, soundStream)
 		assert.Equal(t, result.Attempts, 1)
 	})
 }
@@ -110,8 +82,8 @@
 // TestTwoSilentTargetsEndNoAnswer guards against an answer that ends although a third attempt is allowed, because the successor is silent for good.
 func TestTwoSilentTargetsEndNoAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		lost := script{parts: []part{{0, 2}, {time.Hour, 4}}}.dispatch
-		_, result := serveBy(t, table.Streaming, 0, lost, script{head: time.Hour}.dispatch, soundStream)
+		lost := script.Stream{Parts: []script.Part{script.Until(0, 2), script.Until(time.Hour, 4)}}.Dispatch
+		_, result := serveBy(t, table.Streaming, 0, lost, script.Stream{Head: time.Hour}.Dispatch, soundStream)
 		assert.Assert(t, !result.Truncated, "%v", result.Refused)
 	})
 }
@@ -119,7 +91,7 @@
 // TestErrorOfSuccessorEndsNoAnswer guards against the error of a successor that is taken for the answer of a target that is only silent.
 func TestErrorOfSuccessorEndsNoAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		body, _ := serveBy(t, table.Idempotent, 0, respondPlain(200, "answer", 2*time.Second, 0), respondPlain(500, "error", 0, 0))
+		body, _ := serveBy(t, table.Idempotent, 0, script.Plain(200, "answer", 2*time.Second, 0), script.Plain(500, "error", 0, 0))
 		assert.Equal(t, body, "answer")
 	})
 }
@@ -128,7 +100,7 @@
 func TestSilentBodyOfSuccessorEndsNoAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
-		body, _ := serveBy(t, table.Idempotent, 0, respondPlain(200, "answer", 2*time.Second, 0), respondPlain(200, "other", 0, time.Hour))
+		body, _ := serveBy(t, table.Idempotent, 0, script.Plain(200, "answer", 2*time.Second, 0), script.Plain(200, "other", 0, time.Hour))
 		assert.Equal(t, body, "answer")
 		assert.Assert(t, time.Since(began) < 3*time.Second)
 	})
@@ -140,12 +112,12 @@
 		breaks := func(ctx context.Context, d relay.Dispatch) (*relay.Response, error) {
 			ctx, cancel := context.WithTimeout(ctx, time.Second)
 			context.AfterFunc(ctx, cancel)
-			return script{parts: []part{{0, 2}, {time.Hour, 4}}}.dispatch(ctx, d)
+			return script.Stream{Parts: []script.Part{script.Until(0, 2), script.Until(time.Hour, 4)}}.Dispatch(ctx, d)
 		}
 		unreached := func(context.Context, relay.Dispatch) (*relay.Response, error) {
 			return nil, &relay.AttemptError{Kind: relay.Unreachable, Err: errors.New("no connection")}
 		}
-		targets := []dispatchFunc{breaks, unreached, unreached, unreached, unreached, soundStream}
+		targets := []script.Dispatch{breaks, unreached, unreached, unreached, unreached, soundStream}
 		_, result := serveWithRetries(t, 1, table.Streaming, 0, targets)
 		assert.Assert(t, !result.Truncated, "%v, %s", result.Refused, result.RetryDenied)
 	})
