--- a/io/target/stream_test.go
+++ b/io/target/stream_test.go
@@ -104,7 +104,7 @@
 	})
 }
 
-// TestRefusalOfAnotherCallIsNoPromise guards against callers that are told that a call was not run because its engine wrote the refusal of an earlier call once more
+// TestRefusalOfAnotherCallIsNoPromise guards against an untrue "not run", because its engine wrote the refusal of an earlier call once more
 // on a kept connection.
 func TestRefusalOfAnotherCallIsNoPromise(t *testing.T) {
 	for _, tc := range []struct {
