--- a/fake/script/script.go
+++ b/fake/script/script.go
@@ -69,17 +69,16 @@
 	if s.Refuse {
 		return &relay.Response{Status: http.StatusServiceUnavailable, ResponseHead: relay.ResponseHead{NotRun: true}, SetReadTimeout: func(time.Duration) {}, Close: func() {}}, nil
 	}
-	play := &play{ctx: ctx, parts: s.Parts, left: -1}
+	play := &play{parts: s.Parts, left: -1}
 	_, _ = fmt.Sscan(d.LastEventID, &play.sent) // 0 without one
 	return &relay.Response{
 		Status: http.StatusOK, ResponseHead: relay.ResponseHead{HasSignature: true, IsEventStream: true}, Close: func() {},
-		SetReadTimeout: func(t time.Duration) { play.timeout = t }, Read: play.read,
+		SetReadTimeout: func(t time.Duration) { play.timeout = t }, Read: func(b []byte) (int, error) { return play.read(ctx, b) },
 	}, nil
 }
 
 // play is a stream that is played.
 type play struct {
-	ctx   context.Context //nolint:containedctx // the context of the exchange, which ends with it
 	parts []Part
 	// sent is the last event that was sent, and text what is left of the present part.
 	sent int
@@ -88,16 +87,16 @@
 	left, timeout time.Duration
 }
 
-func (p *play) read(b []byte) (int, error) {
+func (p *play) read(ctx context.Context, b []byte) (int, error) {
 	for p.text == "" {
 		if p.left < 0 {
 			p.left = p.parts[0].Silence
 		}
 		if p.left > p.timeout {
 			p.left -= p.timeout
-			return 0, silent(p.ctx, p.timeout)
+			return 0, silent(ctx, p.timeout)
 		}
-		if err := wait(p.ctx, p.left); err != nil {
+		if err := wait(ctx, p.left); err != nil {
 			return 0, err
 		}
 		if p.parts[0].Until == 0 {
