fix: an attempt that is alone in flight is accepted without a copy

Each event of a stream made a new list of the attempts in flight. Only another attempt in flight needs one. core/relay (three runs with the race detector) and fake/crash pass.

--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -296,9 +296,12 @@
 
 // accept makes an attempt that begins to answer the only one, and ends the others.
 func (r *relayedRequest) accept(ctx context.Context, a *attempt) {
+	r.Target, r.Unframed, a.silent = a.target, a.response.Unframed, false
+	if len(r.inFlight) == 1 {
+		return
+	}
 	others := r.without(a)
 	r.inFlight, r.pass = []*attempt{a}, a.pass
-	r.Target, r.Unframed, a.silent = a.target, a.response.Unframed, false
 	for _, other := range others {
 		kind := Cancelled
 		if other.silent {
