--- a/cmd/root_test.go
+++ b/cmd/root_test.go
@@ -48,6 +48,9 @@
 		"topup a -5":                    "unknown flag -5",
 		"topup a 1.5":                   "is not a positive integer",
 		"fake engine --model draft":     "name:version",
+		"soak budgets --seeds 0":        "at least 1",
+		"soak calls --steps 0":          "at least 1",
+		"soak serving --seconds -1":     "at least 1",
 		"usage a --budget=main --json1": "unknown flag --json1; see cranberryrail help usage",
 	} {
 		t.Run(args, func(t *testing.T) { assertFailed(t, run(t, strings.Fields(args)...), 2, text) })
--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/integrii/flaggy"
 	"github.com/rs/zerolog"
 
 	"cranberryrail/fake/cfgsim"
@@ -23,8 +24,11 @@
 	stats func() string
 }
 
-// soak performs one randomised run per seed, in sequence, beginning with the seed first.
-func (a *App) soak(ctx context.Context, first uint64, seeds int, newRun func(seed uint64) soakRun) error {
+// soak performs one randomised run of the given length per seed, in sequence, beginning with the seed first.
+func (a *App) soak(ctx context.Context, sub *flaggy.Subcommand, first uint64, seeds int, length int64, newRun func(seed uint64) soakRun) error {
+	if seeds < 1 || length < 1 {
+		return &UsageError{Problem: "the number of seeds and the length of a run are at least 1; a soak without a run shows nothing", Path: []string{"soak", sub.Name}}
+	}
 	for seed := first; seed < first+uint64(seeds); seed++ {
 		s := newRun(seed)
 		started := time.Now()
@@ -48,7 +52,7 @@
 	sub.Int(&seeds, "", "seeds", "Number of seeds; one run per seed.")
 	sub.Int64(&steps, "", "steps", "Number of steps per run.")
 	return command{sub, func(ctx context.Context) error {
-		return a.soak(ctx, seed, seeds, func(seed uint64) soakRun { return newRun(seed, steps) })
+		return a.soak(ctx, sub, seed, seeds, steps, func(seed uint64) soakRun { return newRun(seed, steps) })
 	}}
 }
 
@@ -83,7 +87,7 @@
 	sub.Int(&seeds, "", "seeds", "Number of seeds; one run per seed.")
 	sub.Int64(&seconds, "", "seconds", "Duration of each run, in seconds.")
 	return command{sub, func(ctx context.Context) error {
-		return a.soak(ctx, seed, seeds, func(seed uint64) soakRun {
+		return a.soak(ctx, sub, seed, seeds, seconds, func(seed uint64) soakRun {
 			r := &chaos.Run{Seed: seed, Duration: time.Duration(seconds) * time.Second, Log: zerolog.Nop()}
 			r.Default()
 			return soakRun{run: r.Run}
--- a/cmd/soakbuilds.go
+++ b/cmd/soakbuilds.go
@@ -30,7 +30,7 @@
 		if err != nil {
 			return err
 		}
-		return a.soak(ctx, seed, seeds, func(seed uint64) soakRun {
+		return a.soak(ctx, sub, seed, seeds, seconds, func(seed uint64) soakRun {
 			r := &mixed.Run{Old: before, New: now, Dir: filepath.Join(dir, fmt.Sprintf("seed-%d", seed)), Seed: seed, Eras: seed%2 == 1, Duration: time.Duration(seconds) * time.Second}
 			r.Default()
 			return soakRun{run: r.Run, stats: func() string { return fmt.Sprintf("%+v", r.Report()) }}
