fix: a top-up of a budget that no template lists is refused, and each refusal names its reason

Operators saw a top-up with a typing error in the budget or the organisation accepted; its tokens could be spent by nobody and can't be taken back. A refused amount was reported as 6004, an id that was used before. Such budgets get 6006 now, other refused amounts 1001.

--- a/core/codes/table.go
+++ b/core/codes/table.go
@@ -43,6 +43,7 @@
 	BadOperatorKey   = Code{6003, "bad_operator_key", http.StatusUnauthorized, "The operator key is missing or wrong."}
 	TopUpReused      = Code{6004, "top_up_reused", http.StatusConflict, "The top-up id was used before with another amount or budget."}
 	AcceptTimeout    = Code{6005, "accept_timeout", http.StatusGatewayTimeout, "The record was not read back from the log in time; it may still be accepted."}
+	UnlistedBudget   = Code{6006, "unlisted_budget", http.StatusNotFound, "No template in force at this instance lists the budget."}
 )
 
 // All lists every code in ascending order.
@@ -54,6 +55,6 @@
 		NoTarget, Overloaded, TargetFailed, TargetSilent, AnswerCut, CrashesTargets, OriginUnknown,
 		OutcomeUnknown, KeyReused, ClaimLost, ClaimUnavailable, KeyMissing, ClaimVoided, AnswerNotKept,
 		Internal, Stopping, NotReady, LogUnavailable, LinkFull,
-		VersionConflict, BadTemplate, BadOperatorKey, TopUpReused, AcceptTimeout,
+		VersionConflict, BadTemplate, BadOperatorKey, TopUpReused, AcceptTimeout, UnlistedBudget,
 	}
 }
--- a/io/node/operate.go
+++ b/io/node/operate.go
@@ -38,14 +38,31 @@
 
 func (n *Node) topUp(t oper.TopUp) (oper.TopUpReply, error) {
 	budget := ledger.BudgetKey(t.Organisation, t.Budget)
+	if !n.listsBudget(t.Organisation, t.Budget) {
+		return oper.TopUpReply{}, codes.Refuse(codes.UnlistedBudget, 0, "budget %s is not topped up, since nothing could spend its tokens; publish a template that lists it", budget)
+	}
 	r, err := n.LedgerOf(budget).TopUp(ledger.TopUp{ID: t.ID, Budget: budget, Tokens: t.Tokens})
 	if err != nil {
 		return oper.TopUpReply{}, err
 	}
-	if r.Refused != "" {
-		return oper.TopUpReply{}, codes.Refuse(codes.TopUpReused, 0, "top-up %s of budget %s was refused: %s; use a new id for another amount, and a positive amount that keeps the paid total within the maximum", t.ID, budget, r.Refused)
+	switch r.Refused {
+	case "":
+		return oper.TopUpReply{Budget: budget, Tokens: t.Tokens, Repeated: r.Repeated}, nil
+	case ledger.RefusedIDReused:
+		return oper.TopUpReply{}, codes.Refuse(codes.TopUpReused, 0, "top-up %s of budget %s was refused; use a new id for another amount", t.ID, budget)
+	default:
+		return oper.TopUpReply{}, codes.Refuse(codes.BadRequest, 0, "top-up %s of budget %s was refused: %s; use a positive amount that keeps the paid total within %d", t.ID, budget, r.Refused, ledger.MaxPaid)
+	}
+}
+
+// listsBudget reports whether the template of an organisation that is in force here lists a budget.
+func (n *Node) listsBudget(organisation, budget string) bool {
+	for _, t := range n.config.load().templates {
+		if t.Template.Organisation == organisation {
+			return slices.ContainsFunc(t.Template.Budgets, func(b conf.Budget) bool { return b.Name == budget })
+		}
 	}
-	return oper.TopUpReply{Budget: budget, Tokens: t.Tokens, Repeated: r.Repeated}, nil
+	return false
 }
 
 func (n *Node) balances() ([]ledger.Balance, error) {
