fix: a stopping instance refuses requests that their route ends in time

Callers with a long limit of their own got a 503 from a stopping instance for requests that would have ended well before it: the check saw the caller's limit only, though the route's is enforced as well. The platform sends requests to a stopping instance while few others are ready, so that such refusals cost retries. Now both limits count, as in the relay.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -219,7 +219,7 @@
 	}
 	r.Priority = r.priority()
 	r.Service = r.pickService()
-	r.deadline = r.req.Arrived.Add(r.timeout())
+	r.deadline = r.req.Arrived.Add(timeLimit(r.req, r.route))
 	r.traits = r.req.traits(r.Organisation)
 	return nil
 }
@@ -258,11 +258,21 @@
 	return codes.Refuse(codes.CrashesTargets, quarantined.RetryAfter, "%v", quarantined)
 }
 
-// timeout returns the maximum time from the arrival of the request to its final response.
-func (r *relayedRequest) timeout() time.Duration {
-	d := r.req.Timeout
-	if r.route.Timeout > 0 && (d <= 0 || r.route.Timeout < d) {
-		d = r.route.Timeout
+// TimeLimit returns the maximum time from the arrival of a request to its final response; 0 if it is refused at once because there is no route for it.
+func (s *Server) TimeLimit(req *Request) time.Duration {
+	if t := s.Table(); t != nil {
+		if found := t.Route(req.Host, req.Path); found != nil {
+			return timeLimit(req, found)
+		}
+	}
+	return 0
+}
+
+// timeLimit returns the maximum time from the arrival of a request on a route to its final response.
+func timeLimit(req *Request, on *table.Route) time.Duration {
+	d := req.Timeout
+	if on.Timeout > 0 && (d <= 0 || on.Timeout < d) {
+		d = on.Timeout
 	}
 	if d <= 0 {
 		d = defaultTimeout
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -57,6 +57,8 @@
 	ParseRequest func(r *http.Request) (*relay.Request, error)
 	// Serve relays a request.
 	Serve func(ctx context.Context, req *relay.Request, sink relay.Sink) relay.Result
+	// TimeLimit returns the maximum time from the arrival of a request to its final response.
+	TimeLimit func(req *relay.Request) time.Duration
 	// SetRefusalHeaders sets the headers of a refusal.
 	SetRefusalHeaders func(h http.Header, id string, after time.Duration)
 	// OnEnd is called at the end of each request.
@@ -112,14 +114,14 @@
 // a request has just arrived, and would still serve that request.
 func (s *Server) CloseConnections() { s.closeConns.Store(true) }
 
-// StopAt refuses new requests without a deadline or with one after the given time, and all new requests
+// StopAt refuses new requests whose time limit ends after the given time, and all new requests
 // from that time on.
 func (s *Server) StopAt(until time.Time) { s.stopAt.Store(until.UnixNano()) }
 
-// stopsBefore reports whether the server may stop before the deadline of a request.
-func (s *Server) stopsBefore(req *relay.Request) bool {
+// stopsBefore reports whether the server may stop before the time limit of a request that arrived at a time.
+func (s *Server) stopsBefore(req *relay.Request, arrived time.Time) bool {
 	stopAt := s.stopAt.Load()
-	return stopAt != 0 && (req.Timeout == 0 || time.Now().Add(req.Timeout).UnixNano() > stopAt)
+	return stopAt != 0 && arrived.Add(s.TimeLimit(req)).UnixNano() > stopAt
 }
 
 // ServeHTTP implements http.Handler.
@@ -128,7 +130,7 @@
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	defer s.recoverPanic(r)
-	req, refused := s.readRequest(w, r)
+	req, refused := s.readRequest(w, r, started)
 	if req != nil {
 		defer s.bufferedBytes.Add(-int64(len(req.Body)))
 	}
@@ -175,14 +177,14 @@
 
 // readRequest reads a request with its body and, unless it refuses the request, adds the size of the body to
 // bufferedBytes, from which the caller subtracts it. Only an invalid request gives no request; the other refusals (a
-// stop of the instance is scheduled, and the request has no deadline or one after it; the memory for bodies is used up;
+// stop of the instance is scheduled before the time limit of the request; the memory for bodies is used up;
 // the body is too large or incomplete) come with the request, without a body.
-func (s *Server) readRequest(w http.ResponseWriter, r *http.Request) (*relay.Request, *codes.Error) {
+func (s *Server) readRequest(w http.ResponseWriter, r *http.Request, arrived time.Time) (*relay.Request, *codes.Error) {
 	req, err := s.ParseRequest(r)
 	if err != nil {
 		return nil, codes.Refuse(codes.BadRequest, 0, "%v", err)
 	}
-	if s.stopsBefore(req) {
+	if s.stopsBefore(req, arrived) {
 		return req, codes.Refuse(codes.Stopping, retryStopping, "retry the request; another instance takes it")
 	}
 	if delay := s.LinkDelay(); delay > maxLinkDelay {
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -30,6 +30,7 @@
 			sink.Head(http.StatusOK, nil, 0)
 			return relay.Result{}
 		},
+		TimeLimit:         func(req *relay.Request) time.Duration { return req.Timeout },
 		SetRefusalHeaders: func(http.Header, string, time.Duration) {}, OnEnd: func(relay.Result, time.Duration) {},
 		OnPanic: func(reason any) { t.Error(reason) },
 	}
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -197,7 +197,7 @@
 	r.entry = &entry.Server{
 		LinkDelay: r.link.Delay, OnTraffic: r.link.Add,
 		MaxBodyBytes: s.Caller.BodyBytes, MaxBufferedBytes: s.Memory.Bytes(bodyMemoryShare),
-		ParseRequest: r.Platform.ParseRequest, Serve: r.relay.Serve, SetRefusalHeaders: r.Platform.SetRefusalHeaders, OnEnd: r.requestEnded, OnPanic: r.logPanic,
+		ParseRequest: r.Platform.ParseRequest, Serve: r.relay.Serve, TimeLimit: r.relay.TimeLimit, SetRefusalHeaders: r.Platform.SetRefusalHeaders, OnEnd: r.requestEnded, OnPanic: r.logPanic,
 	}
 	r.ready = &httpd.Server{Clients: "the platform", Setting: "caller.ready"}
 	r.ready.Handler = http.HandlerFunc(r.serveReady)
