fix: a stopping instance takes requests that it cuts at its end (LOST)

Callers whose streams reached an instance late in the notice of a planned stop got the begin of their answer and then a closed connection. Cause: the time of the stop was set only after the notice, so that until then every request was taken and passed on, whatever its time limit.

Now the limit counts from SIGTERM on. The platform goes on sending requests for two readiness checks, and to all instances of a zone while under half of them are ready, so a refusal helps only if the retry reaches another instance: a stopping instance asks others over the peer protocol (a new kind of report; an older build refuses it, which shows that it runs) whether they are ready and in its zone, and until the end of the notice refuses requests that may outlast it only while one is. An instance without others serves what it can, as before, and refuses after the notice.

TestStoppingInstanceServesWhatNoOtherTakes keeps the other side: an instance that is alone, whose zone has no other, or whose only other one is stopping too, serves a stream with a limit of 30 s.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -59,6 +59,8 @@
 	Serve func(ctx context.Context, req *relay.Request, sink relay.Sink) relay.Result
 	// TimeLimit returns the maximum time from the arrival of a request to its final response.
 	TimeLimit func(req *relay.Request) time.Duration
+	// RefusesLong reports whether requests are refused that may outlast the server before a scheduled stop. Optional; nil means always.
+	RefusesLong func() bool
 	// SetRefusalHeaders sets the headers of a refusal.
 	SetRefusalHeaders func(h http.Header, id string, after time.Duration)
 	// OnEnd is called at the end of each request.
@@ -87,6 +89,9 @@
 	if s.LinkDelay == nil {
 		s.LinkDelay = func() time.Duration { return 0 }
 	}
+	if s.RefusesLong == nil {
+		s.RefusesLong = func() bool { return true }
+	}
 	if s.OnTraffic == nil {
 		s.OnTraffic = func(int) {}
 	}
@@ -114,14 +119,14 @@
 // a request has just arrived, and would still serve that request.
 func (s *Server) CloseConnections() { s.closeConns.Store(true) }
 
-// StopAt refuses new requests whose time limit ends after the given time, and all new requests
+// StopAt refuses new requests whose time limit ends after the given time, if RefusesLong allows it, and all new requests
 // from that time on.
 func (s *Server) StopAt(until time.Time) { s.stopAt.Store(until.UnixNano()) }
 
-// stopsBefore reports whether the server may stop before the time limit of a request that arrived at a time.
+// stopsBefore reports whether the server may stop before the time limit of a request that arrived at a time, and refuses it for that.
 func (s *Server) stopsBefore(req *relay.Request, arrived time.Time) bool {
 	stopAt := s.stopAt.Load()
-	return stopAt != 0 && arrived.Add(s.TimeLimit(req)).UnixNano() > stopAt
+	return stopAt != 0 && arrived.Add(s.TimeLimit(req)).UnixNano() > stopAt && s.RefusesLong()
 }
 
 // ServeHTTP implements http.Handler.
--- a/io/router/loans.go
+++ b/io/router/loans.go
@@ -23,7 +23,7 @@
 	}
 	r.peerClient = &peer.Client{Timeout: loanTimeout}
 	r.peerClient.Default()
-	r.peerServer = &peer.Server{Listen: r.Settings.Peer.Listen, Lend: r.lend, AcceptRepayment: r.budgets.AcceptRepayment}
+	r.peerServer = &peer.Server{Listen: r.Settings.Peer.Listen, Lend: r.lend, AcceptRepayment: r.budgets.AcceptRepayment, Report: r.report}
 	r.peerServer.Default()
 	r.borrower = &budget.Borrower{Book: r.budgets, Lenders: r.budgetSync.Lenders, Ask: r.askForLoan, Repay: r.repay, OnTransferLost: r.transferLost, OnEnd: r.borrowingEnded}
 	r.borrower.Default()
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -29,7 +29,6 @@
 	"cranberryrail/core/flow"
 	"cranberryrail/core/logs"
 	"cranberryrail/core/origin"
-	"cranberryrail/core/pause"
 	"cranberryrail/core/poison"
 	"cranberryrail/core/rate"
 	"cranberryrail/core/relay"
@@ -138,8 +137,9 @@
 	suspects chan suspect
 	// forwarded is the number of requests of other instances in flight.
 	forwarded atomic.Int64
-	// running is set from the start until the shutdown begins.
-	running atomic.Bool
+	// running is set from the start until the shutdown begins. noticeOver is set once the notice of the shutdown is over, and otherReady while
+	// another instance is known to be ready, during the notice.
+	running, noticeOver, otherReady atomic.Bool
 	// refusedAt is when a request was last refused because the platform's log was unreachable or the link was full,
 	// in Unix nanoseconds.
 	refusedAt atomic.Int64
@@ -197,7 +197,7 @@
 	r.entry = &entry.Server{
 		LinkDelay: r.link.Delay, OnTraffic: r.link.Add,
 		MaxBodyBytes: s.Caller.BodyBytes, MaxBufferedBytes: s.Memory.Bytes(bodyMemoryShare),
-		ParseRequest: r.Platform.ParseRequest, Serve: r.relay.Serve, TimeLimit: r.relay.TimeLimit, SetRefusalHeaders: r.Platform.SetRefusalHeaders, OnEnd: r.requestEnded, OnPanic: r.logPanic,
+		ParseRequest: r.Platform.ParseRequest, Serve: r.relay.Serve, TimeLimit: r.relay.TimeLimit, RefusesLong: r.refusesLong, SetRefusalHeaders: r.Platform.SetRefusalHeaders, OnEnd: r.requestEnded, OnPanic: r.logPanic,
 	}
 	r.ready = &httpd.Server{Clients: "the platform", Setting: "caller.ready"}
 	r.ready.Handler = http.HandlerFunc(r.serveReady)
@@ -389,66 +389,6 @@
 	events.Log(r.Log, event).Send()
 }
 
-// Durations of a graceful shutdown.
-const (
-	// returnReserve is reserved for returning tokens, which takes several appends.
-	returnReserve = 600 * time.Millisecond
-	// exitReserve is reserved for the exit of the process.
-	exitReserve = 300 * time.Millisecond
-	// idlePollInterval is how often a stopping instance checks whether requests are in flight.
-	idlePollInterval = 25 * time.Millisecond
-)
-
-// stop waits for requests in flight and returns unused tokens.
-func (r *Router) stop(ctx context.Context) error {
-	s := r.Settings.Stop
-	events.Log(r.Log, events.StopBegan).Int64("in_flight", r.entry.InFlight()).Dur("limit", s.GraceS.Duration()).Send()
-	r.running.Store(false)
-	ctx, cancel := context.WithTimeout(ctx, s.GraceS.Duration()-exitReserve)
-	defer cancel()
-	r.entry.CloseConnections()
-	pause.For(ctx, s.NoticeS.Duration())
-	deadline := time.Now().Add(s.GraceS.Duration() - s.NoticeS.Duration() - exitReserve - returnReserve)
-	r.entry.StopAt(deadline)
-	r.returnEarly(ctx, deadline)
-	r.awaitIdle(ctx, deadline)
-	r.awaitForwarded(ctx, deadline)
-	err := r.budgetSync.ReturnTokens(ctx)
-	r.entry.StopAt(time.Now())
-	r.awaitIdle(ctx, deadline.Add(returnReserve))
-	inFlight := r.entry.InFlight()
-	if err != nil {
-		events.Log(r.Log, events.StopGaveUp).Int64("in_flight", inFlight).Err(err).Send()
-		return nil // Tokens that were not returned count as spent.
-	}
-	if inFlight > 0 {
-		events.Log(r.Log, events.StopGaveUp).Int64("in_flight", inFlight).Send()
-		return nil
-	}
-	events.Log(r.Log, events.StopDone).Send()
-	return nil
-}
-
-// awaitIdle waits until no request is in flight, the deadline passes or the context ends.
-func (r *Router) awaitIdle(ctx context.Context, until time.Time) {
-	for r.entry.InFlight() > 0 && ctx.Err() == nil && time.Now().Before(until) {
-		pause.For(ctx, idlePollInterval)
-	}
-}
-
-// returnEarly returns the tokens that requests in flight do not need. They are then not lost if the
-// machine is terminated early, and there is time for another attempt.
-func (r *Router) returnEarly(ctx context.Context, deadline time.Time) {
-	if r.entry.InFlight() == 0 {
-		return
-	}
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
-	if err := r.budgetSync.ReturnTokens(ctx); err != nil {
-		events.Log(r.Log, events.TopicLost).Str("topic", r.Platform.BudgetTopic).Err(err).Send()
-	}
-}
-
 // watchReload reloads the settings on each signal from ReloadSignals. The ratio and the slack of repeats and the cover of budgets take effect at once, the others
 // with the next start. Settings holds those in force.
 func (r *Router) watchReload(ctx context.Context) error {
