--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -90,6 +90,29 @@
 	}
 }
 
+// TestStopRefusesRequestsWithLateBodies guards against requests whose body was still being read when a stop began, and that are passed on although the
+// instance may stop before their time limit.
+func TestStopRefusesRequestsWithLateBodies(t *testing.T) {
+	admitted := make(chan struct{})
+	s := startServer(t, func(s *entry.Server) { s.OnTraffic = func(int) { close(admitted) } }) // is called before the body is read
+	c, err := net.Dial("tcp", s.Addr())
+	assert.NilError(t, err)
+	defer c.Close()
+	assert.NilError(t, c.SetDeadline(time.Now().Add(5*time.Second)))
+	_, err = fmt.Fprint(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbo")
+	assert.NilError(t, err)
+	<-admitted
+	s.CloseConnections()
+	s.StopAt(time.Now().Add(time.Second / 2)) // the time limit is 1 s
+	_, err = fmt.Fprint(c, "dy")
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, resp.Close)
+}
+
 // TestLastResponsesAreSent guards against responses that are lost because the server closes their connections when no request is in flight any more, and net/http
 // has not written all of them yet.
 func TestLastResponsesAreSent(t *testing.T) {
