--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -123,10 +123,13 @@
 // from that time on.
 func (s *Server) StopAt(until time.Time) { s.stopAt.Store(until.UnixNano()) }
 
-// stopsBefore reports whether the server may stop before the time limit of a request that arrived at a time, and refuses it for that.
-func (s *Server) stopsBefore(req *relay.Request, arrived time.Time) bool {
+// refuseStopping refuses a request that arrived at a time if the server may stop before its time limit.
+func (s *Server) refuseStopping(req *relay.Request, arrived time.Time) *codes.Error {
 	stopAt := s.stopAt.Load()
-	return stopAt != 0 && arrived.Add(s.TimeLimit(req)).UnixNano() > stopAt && s.RefusesLong()
+	if stopAt == 0 || arrived.Add(s.TimeLimit(req)).UnixNano() <= stopAt || !s.RefusesLong() {
+		return nil
+	}
+	return codes.Refuse(codes.Stopping, retryStopping, "retry the request; another instance takes it")
 }
 
 // ServeHTTP implements http.Handler.
@@ -189,8 +192,8 @@
 	if err != nil {
 		return nil, codes.Refuse(codes.BadRequest, 0, "%v", err)
 	}
-	if s.stopsBefore(req, arrived) {
-		return req, codes.Refuse(codes.Stopping, retryStopping, "retry the request; another instance takes it")
+	if refused := s.refuseStopping(req, arrived); refused != nil {
+		return req, refused
 	}
 	if delay := s.LinkDelay(); delay > maxLinkDelay {
 		return req, codes.Refuse(codes.LinkFull, retryLink, "data waits %v at the link; retry the request, another instance takes it", delay)
@@ -205,6 +208,9 @@
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout)) // supported by HTTP/1.1 servers
 	body, refused := s.readBody(http.MaxBytesReader(w, r.Body, s.MaxBodyBytes))
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	if refused == nil {
+		refused = s.refuseStopping(req, arrived) // The stop may have begun meanwhile.
+	}
 	if refused != nil {
 		return req, refused
 	}
