--- a/io/peer/forward.go
+++ b/io/peer/forward.go
@@ -205,6 +205,8 @@
 	if s.Server.Forward == nil {
 		return refusedError(errNotServed)
 	}
+	s.forwarding.Add(1)
+	defer s.forwarding.Add(-1)
 	end := s.Server.Forward(stream.Context(), decodeForward(in), ForwardWriter{stream})
 	return stream.Send(&peerpb.ForwardReply{Part: &peerpb.ForwardReply_End{End: &peerpb.ForwardEnd{
 		Failure: end.Failure, Detail: end.Detail, Sent: end.Sent, Crashed: end.Crashed, TargetId: end.TargetID, Incarnation: end.Incarnation,
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"storj.io/drpc/drpcerr"
@@ -51,7 +52,8 @@
 	// Report returns a report of this instance in JSON.
 	Report func(kind string) ([]byte, error)
 
-	listener net.Listener
+	listener   net.Listener
+	forwarding atomic.Int64
 }
 
 // String returns the name of the server for logs.
@@ -103,6 +105,9 @@
 // Addr returns the address that the server listens on; Bind must be called first.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
+// Forwarding returns the number of requests of other instances whose replies have not been sent to their end.
+func (s *Server) Forwarding() int64 { return s.forwarding.Load() }
+
 // Run serves until the context is done. It calls Bind if that was not done before.
 func (s *Server) Run(ctx context.Context) error {
 	if s.listener == nil {
--- a/io/router/detour.go
+++ b/io/router/detour.go
@@ -351,9 +351,9 @@
 	}
 }
 
-// awaitForwarded waits until no request of another instance is in flight, or the deadline passes.
+// awaitForwarded waits until all replies to other instances have been sent, or the deadline passes.
 func (r *Router) awaitForwarded(ctx context.Context, until time.Time) {
-	for r.forwarded.Load() > 0 && ctx.Err() == nil && time.Now().Before(until) {
+	for r.peerServer != nil && r.peerServer.Forwarding() > 0 && ctx.Err() == nil && time.Now().Before(until) {
 		pause.For(ctx, idlePollInterval)
 	}
 }
