--- a/io/node/stop_test.go
+++ b/io/node/stop_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -37,3 +39,21 @@
 		return b.Held == b.Own
 	}), "the allowance of the stopped instance was not returned")
 }
+
+// TestUnusedConnectionsDelayNoStop guards against a stop that takes its whole time and fails because callers have opened connections on which they send
+// nothing, or only the begin of a request.
+func TestUnusedConnectionsDelayNoStop(t *testing.T) {
+	for name, begin := range map[string]string{"unused": "", "in a head": "POST /v1/completions HTTP/1.1\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			f := start(t, &fleet.Fleet{Instances: 1, ConfigureInstance: func(_ int, s *opts.Settings) { s.Stop.TimeoutMS, s.Stop.NoticeMS = 4000, 0 }})
+			c, err := net.Dial("tcp", f.Members[0].Front.Addr())
+			assert.NilError(t, err)
+			defer c.Close()
+			_, err = io.WriteString(c, begin)
+			assert.NilError(t, err)
+			began := time.Now()
+			assert.NilError(t, f.Members[0].Stop())
+			assert.Assert(t, time.Since(began) < 2*time.Second, "%v", time.Since(began))
+		})
+	}
+}
