fix: connections without a request hold up a stop of the own interface

Operators saw stops that took their whole time and failed with "0 requests still in flight", with the part of the time gone that is for returning allowances. Cause: http.Server.Shutdown waits up to five seconds for connections on which nothing has arrived, and until the header timeout for those with a part of a head; callers open connections ahead and keep them.

Now the server waits for the requests that it has read, and closes the other connections once none has been in flight for 100 ms, in which the last responses are written. A request that arrives in that time is served.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -118,7 +118,7 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	}
-	if err := s.server.Shutdown(ctx); err != nil {
+	if err := s.server.Drain(ctx, s.InFlight); err != nil {
 		return fmt.Errorf("drain: %d requests still in flight: %w", s.inFlight.Load(), err)
 	}
 	return nil
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"cranberryrail/core/pause"
 )
 
 // Server listens on an address and serves until its context ends. Exported fields are set before
@@ -44,6 +46,33 @@
 // flushTimeout is how long responses whose handlers have ended may take to be written when the server ends.
 const flushTimeout = 100 * time.Millisecond
 
+// quietChecks is how often in a row, over flushTimeout, no request may be in flight before the connections that are left are closed.
+const quietChecks = 4
+
+// Drain closes the listener and the idle connections and waits until no request is in flight. Then it closes the connections that are left: net/http waits
+// for those on which no request, or only a part of its head, has arrived, and callers keep such connections open.
+func (s *Server) Drain(ctx context.Context, inFlight func() int64) error {
+	busy, cancel := context.WithCancel(ctx)
+	var g errgroup.Group
+	g.Go(func() error {
+		defer cancel()
+		for quiet := 0; quiet < quietChecks && busy.Err() == nil; quiet++ {
+			pause.For(busy, flushTimeout/quietChecks)
+			if inFlight() > 0 {
+				quiet = -1
+			}
+		}
+		return nil
+	})
+	err := s.Shutdown(busy)
+	cancel()
+	_ = g.Wait() // the function returns no error
+	if err != nil && ctx.Err() == nil {
+		return s.Close()
+	}
+	return err
+}
+
 // Run serves until the context ends, and then closes all connections once the responses whose handlers have ended are
 // written. Call Shutdown first to let requests in flight finish.
 func (s *Server) Run(ctx context.Context) error {
