--- a/io/router/serve_test.go
+++ b/io/router/serve_test.go
@@ -13,8 +13,15 @@
 
 	"cranberryrail/core/codes"
 	"cranberryrail/core/relay"
+	"cranberryrail/io/peer"
 )
 
+// TestFailureOfHelperIsNotTheCallers guards against callers whose connection is closed without an answer, because the instance that their request went by way of
+// could not pass the response on.
+func TestFailureOfHelperIsNotTheCallers(t *testing.T) {
+	assert.Equal(t, endError(&peer.ForwardEnd{Failure: string(relay.Cancelled), Sent: true}).Kind, relay.Broken)
+}
+
 // TestFailedRequestIsNoSuccessfulAttempt guards against a request of which all attempts failed and that counts as an attempt that succeeded too.
 func TestFailedRequestIsNoSuccessfulAttempt(t *testing.T) {
 	r, _ := start(t, settings, "")
