--- a/io/router/detour.go
+++ b/io/router/detour.go
@@ -231,10 +231,15 @@
 
 var errForwarded = errors.New("the request failed at the instance that sent it")
 
-// endError returns the failure that another instance reports.
+// endError returns the failure that another instance reports. One that could not pass the response on reports that its exchange was cancelled, which
+// does not mean that the caller here has left.
 func endError(end *peer.ForwardEnd) *relay.AttemptError {
+	kind := relay.Kind(end.Failure)
+	if kind == relay.Cancelled {
+		kind = relay.Broken
+	}
 	return &relay.AttemptError{
-		Kind: relay.Kind(end.Failure), Sent: end.Sent, Crashed: end.Crashed, Err: errors.Join(errForwarded, errors.New(end.Detail)),
+		Kind: kind, Sent: end.Sent, Crashed: end.Crashed, Err: errors.Join(errForwarded, errors.New(end.Detail)),
 		Target: roster.Target{ID: end.TargetID, Incarnation: end.Incarnation},
 	}
 }
