fix: header fields that are not valid UTF-8 pass on a detour

Callers whose request went by way of another instance got 502 when a header of the request or of the response had a byte that is not valid UTF-8, which HTTP allows: the text fields of the message between instances can't hold it.

The detail of a failure, which may quote what a target sent, has such bytes replaced.

--- a/io/peer/forward.go
+++ b/io/peer/forward.go
@@ -6,7 +6,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
+	"unicode/utf8"
 
 	"storj.io/drpc/drpcconn"
 
@@ -207,7 +210,7 @@
 	}
 	end := s.Server.Forward(stream.Context(), decodeForward(in), ForwardWriter{stream})
 	return stream.Send(&peerpb.ForwardReply{Part: &peerpb.ForwardReply_End{End: &peerpb.ForwardEnd{
-		Failure: end.Failure, Detail: end.Detail, Sent: end.Sent, Crashed: end.Crashed, TargetId: end.TargetID, Incarnation: end.Incarnation,
+		Failure: end.Failure, Detail: strings.ToValidUTF8(end.Detail, "\uFFFD"), Sent: end.Sent, Crashed: end.Crashed, TargetId: end.TargetID, Incarnation: end.Incarnation,
 		Code: int32(end.Code), RetryAfterMs: end.RetryAfter.Milliseconds(), //nolint:gosec // codes have four digits
 	}}})
 }
@@ -240,7 +243,14 @@
 func encodeHeader(h http.Header) []*peerpb.Header {
 	fields := make([]*peerpb.Header, 0, len(h))
 	for name, values := range h {
-		fields = append(fields, &peerpb.Header{Name: name, Values: values})
+		field := &peerpb.Header{Name: name, Values: values}
+		if slices.ContainsFunc(values, func(value string) bool { return !utf8.ValidString(value) }) {
+			field.Values = nil
+			for _, value := range values {
+				field.RawValues = append(field.RawValues, []byte(value))
+			}
+		}
+		fields = append(fields, field)
 	}
 	return fields
 }
@@ -249,6 +259,9 @@
 	h := make(http.Header, len(fields))
 	for _, f := range fields {
 		h[f.GetName()] = f.GetValues()
+		for _, value := range f.GetRawValues() {
+			h[f.GetName()] = append(h[f.GetName()], string(value))
+		}
 	}
 	return h
 }
