test: a list that is seconds old lets a stream go on at another version

One instance lists a further version and begins streams there; the list of another one is three seconds old when it records that the service has one version. TestStaleListOpensNoService fails on: a stream that v3 began goes on at v2. Found by reading each change of a service's state against a list that is out of step.

--- /dev/null
+++ b/core/origin/settle_test.go
@@ -0,0 +1,58 @@
+package origin_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cranberryrail/core/origin"
+	"cranberryrail/core/roster"
+	"cranberryrail/fake/memlog"
+)
+
+// TestStaleListOpensNoService guards against a stream that goes on at another version than the one that began it, after an instance that was out of step for seconds
+// recorded that its service has one version: another instance has listed a further one and begins streams there whose records may be late.
+func TestStaleListOpensNoService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, away := &memlog.Server{}, atomic.Bool{}
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		start := func(fail func(context.Context) error) *origin.Tracker {
+			m := &origin.Tracker{Log: memlog.Before(log.Log(), fail), StreamTopic: "streams", StateTopic: "versions"}
+			m.Default()
+			go func() { _ = m.Run(ctx) }()
+			return m
+		}
+		began := start(func(context.Context) error {
+			if away.Load() {
+				return errors.New("the log is away")
+			}
+			return nil
+		})
+		late := start(func(context.Context) error { return nil })
+		list := func(m *origin.Tracker, versions ...string) {
+			targets := make([]roster.Target, 0, len(versions))
+			for _, v := range versions {
+				targets = append(targets, roster.Target{ID: v, Service: "s", Software: v, State: roster.Live})
+			}
+			m.SetTargets(targets)
+		}
+		list(began, "v2")
+		list(late, "v2")
+		time.Sleep(origin.DefaultSettle - time.Second)
+		list(began, "v2", "v3")
+		time.Sleep(3 * time.Second)
+		away.Store(true)
+		key := origin.NewKey("org", "r1")
+		if began.Begin(key, 1, origin.Origin{Service: "s", Version: "v3"}, false).Wait(ctx) != nil {
+			return // Nothing was forwarded.
+		}
+		found, err := late.Find(ctx, key, "s")
+		assert.Assert(t, err != nil || found.Version == "v3", "a stream of v3 goes on at %s; states %v", found.Version, late.States())
+	})
+}
