fix: an instance with an old list opens no service at which streams begin at another version

Callers could get a stream whose events come from two software versions. An instance that had been cut off or had stood still for some seconds recorded, by its old list, that a service has one version alone, just as targets of another version joined. Another instance had listed them, had confirmed that streams are recorded, and forwarded the first event of a stream without waiting for its record. Where the record was late, a resumed stream had none and counted as one of the only version.

The recorded state now names the versions at which streams may begin before they are recorded, and an instance adds a version by a conditional append before it begins a stream there without waiting. An instance with an older list then fails to open the service, or reads the name and waits for the settling time again. A service with one version costs no further call; a release costs one append more when another version joins a recorded service, and one when a version leaves it.

--- a/core/events/table.go
+++ b/core/events/table.go
@@ -72,7 +72,7 @@
 	RateLimitEnded    = Event{5021, "rate_limit_ended", Info, "A target no longer names a limit on the rate of requests."}
 	RatesDelayed      = Event{5022, "rate_limits_delayed", Warn, "Rate limits of targets could not be published to the other instances; they are published again, unless the error states that they were dropped."}
 	AbandonedCrashed  = Event{5023, "abandoned_target_crashed", Warn, "A target ended soon after a request at it was abandoned, because the caller disconnected or the request timed out; the request may have crashed it."}
-	VersionsChanged   = Event{5024, "versions_changed", Info, "How the streams of a service are known has changed: with mode open all began at the version in the field software; with mode mixed those without a record did; with mode recorded those without a record can't be resumed."}
+	VersionsChanged   = Event{5024, "versions_changed", Info, "How the streams of a service are known has changed: with mode open all began at the version in the field software; with mode mixed those without a record did; with mode recorded those without a record can't be resumed, and streams may begin before they are recorded at those in the field versions."}
 	OriginsDelayed    = Event{5025, "origins_delayed", Warn, "The software versions of streams or services could not be read from the log or recorded in it; the calls are repeated."}
 	PathLost          = Event{5026, "path_lost", Warn, "This instance can't connect to any target of a service; it sends requests by way of other instances that can."}
 	PathBack          = Event{5027, "path_back", Info, "This instance connects to targets of a service again."}
--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -6,10 +6,11 @@
 //
 //   - open: all streams without a record began at the version of the state, and none begins at another one.
 //   - mixed: streams without a record began at the version of the state; all others are recorded.
-//   - recorded: a stream without a record has an unknown origin and is not resumed.
+//   - recorded: a stream without a record has an unknown origin and is not resumed. A stream may begin without one at versions that the state names.
 //
 // An open state becomes mixed when a second version is listed, and recorded once no stream without a record is left, or no target of the
-// version of the state. It becomes open again when one version alone was listed for the settling time.
+// version of the state. It becomes open again when the state named the only listed version alone for the settling time. States are changed by conditional
+// appends: an instance whose list lacks a version can't open a service that another one has begun to use at that version.
 package origin
 
 import (
@@ -18,6 +19,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -62,10 +64,18 @@
 	Mode    Mode   `json:"mode"`
 	// Version is the version of streams without a record; empty if Mode is Recorded.
 	Version string `json:"version,omitempty"`
+	// Versions are the versions at which streams may begin before they are recorded, in ascending order; empty unless Mode is Recorded.
+	Versions []string `json:"versions,omitempty"`
 	// Era is the era of the log in which the state was recorded. A state of an earlier era may not be the newest.
 	Era int64 `json:"era,omitempty"`
 }
 
+// equal reports whether two states are the same.
+func (s State) equal(other State) bool {
+	same := s.Service == other.Service && s.Mode == other.Mode && s.Version == other.Version && s.Era == other.Era
+	return same && slices.Equal(s.Versions, other.Versions)
+}
+
 var (
 	// ErrUnknown reports that the version that began a stream is not known.
 	ErrUnknown = errors.New("the software version that began the stream is not known; start the request anew")
--- a/core/origin/tracker.go
+++ b/core/origin/tracker.go
@@ -41,6 +41,8 @@
 	stepInterval = 500 * time.Millisecond
 	// maxStates is the number of states that one append records. Entries of the list may name any number of services.
 	maxStates = 64
+	// maxVersions is the number of versions that a state names: several times what one service has at the same time.
+	maxVersions = 16
 )
 
 // Tracker knows the origins of streams. Exported fields are set before Default. It is safe for concurrent use. A nil Tracker
@@ -240,7 +242,7 @@
 func (s *service) recordNeeded(version string, era int64) (needed, required bool) {
 	switch current := s.exists && s.state.Era == era; {
 	case current && s.state.Mode == Recorded:
-		return true, !s.confirmed
+		return true, !slices.Contains(s.state.Versions, version)
 	case current && s.state.Version == version:
 		return s.state.Mode == Mixed, false
 	default:
@@ -393,7 +395,7 @@
 		}
 		s := t.service(r.Key)
 		s.exists = true
-		if s.state != state {
+		if !s.state.equal(state) {
 			s.state, s.since = state, t.Now()
 			t.OnState(state)
 		}
@@ -458,41 +460,54 @@
 		if len(records) == maxStates {
 			break // the others follow
 		}
-		if mode, version, due := t.next(s, era); due {
-			records = append(records, logs.Record{Key: name, Value: mustEncode(State{Mode: mode, Version: version, Era: era})})
+		if state, due := t.next(s, era); due {
+			state.Era = era
+			records = append(records, logs.Record{Key: name, Value: mustEncode(state)})
 		}
 	}
 	return records
 }
 
 // next returns the state that follows the present one of a service, and whether it is due.
-func (t *Tracker) next(s *service, era int64) (mode Mode, version string, due bool) {
+func (t *Tracker) next(s *service, era int64) (state State, due bool) {
 	now := t.Now()
-	listed, alone := slices.Contains(s.versions, s.state.Version), len(s.versions) == 1
+	alone := len(s.versions) == 1
 	switch {
 	case len(s.versions) == 0:
-		return "", "", false
+		return State{}, false
 	case !s.exists && t.NewFleet && alone && now.Sub(t.startedAt) < t.Life:
-		return Open, s.versions[0], true
+		return State{Mode: Open, Version: s.versions[0]}, true
 	case !s.exists || s.state.Era != era:
-		return Recorded, "", true
+		return s.recorded(), true
 	}
-	return t.follow(s, listed, alone)
+	return t.follow(s, slices.Contains(s.versions, s.state.Version), alone)
 }
 
 // follow returns the state that follows one of the present era, given whether its version is listed, and whether one version alone is.
-func (t *Tracker) follow(s *service, listed, alone bool) (mode Mode, version string, due bool) {
+func (t *Tracker) follow(s *service, listed, alone bool) (state State, due bool) {
 	now := t.Now()
 	switch s.state.Mode {
 	case Open:
 		if listed && !alone {
-			return Mixed, s.state.Version, true
+			return State{Mode: Mixed, Version: s.state.Version}, true
 		}
-		return Recorded, "", !listed
+		return s.recorded(), !listed
 	case Mixed:
-		return Recorded, "", !listed || now.Sub(s.since) >= t.Life
+		return s.recorded(), !listed || now.Sub(s.since) >= t.Life
 	default:
-		settled := alone && now.Sub(s.aloneSince) >= t.Settle && now.Sub(s.since) >= t.Settle
-		return Open, s.versions[0], settled
+		next := s.recorded()
+		if !alone {
+			return next, slices.ContainsFunc(next.Versions, func(v string) bool { return !slices.Contains(s.state.Versions, v) })
+		}
+		if !slices.Equal(s.state.Versions, next.Versions) {
+			return next, true
+		}
+		settled := now.Sub(s.aloneSince) >= t.Settle && now.Sub(s.since) >= t.Settle
+		return State{Mode: Open, Version: s.versions[0]}, settled
 	}
 }
+
+// recorded returns the recorded state, which names the listed versions.
+func (s *service) recorded() State {
+	return State{Mode: Recorded, Versions: s.versions[:min(len(s.versions), maxVersions)]}
+}
--- a/io/router/origin.go
+++ b/io/router/origin.go
@@ -24,5 +24,8 @@
 	if s.Version != "" {
 		line.Str("software", s.Version)
 	}
+	if len(s.Versions) > 0 {
+		line.Strs("versions", s.Versions)
+	}
 	line.Send()
 }
