test: streams wait for each other's reads of a log that does not answer

Eight streams are taken up at one instance while the log is silent; the last one is refused after 3.2 s, though callers leave after 2 s.

--- a/core/origin/settle_test.go
+++ b/core/origin/settle_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"cranberryrail/core/origin"
@@ -56,3 +58,25 @@
 		assert.Assert(t, err != nil || found.Version == "v3", "a stream of v3 goes on at %s; states %v", found.Version, late.States())
 	})
 }
+
+// TestSilentLogRefusesInTime guards against streams that wait for each other's reads of a log that does not answer until their callers have left.
+func TestSilentLogRefusesInTime(t *testing.T) {
+	const callerLeaves = 2 * time.Second
+	silent := memlog.Before((&memlog.Server{}).Log(), func(ctx context.Context) error {
+		<-ctx.Done()
+		return ctx.Err()
+	})
+	m := &origin.Tracker{Log: silent, StreamTopic: "streams", StateTopic: "versions"}
+	m.Default()
+	began := time.Now()
+	var g errgroup.Group
+	for n := range 8 {
+		g.Go(func() error {
+			_, err := m.Find(t.Context(), origin.NewKey("org", strconv.Itoa(n)), "s")
+			assert.Check(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
+			return nil
+		})
+	}
+	assert.NilError(t, g.Wait())
+	assert.Assert(t, time.Since(began) < callerLeaves, "%v", time.Since(began))
+}
