fix: a stream waits for the reads of others no longer than for its own

Callers that took up a stream while the log was silent got a refusal, not run, only after the reads of all streams before theirs had timed out, 0.4 s each; most had left by then. Reads of one partition of the records were serialised by a mutex, which is waited for without a bound and after the request has ended. The wait is now bounded like a call, and ends with the request.

--- a/core/origin/part.go
+++ b/core/origin/part.go
@@ -33,7 +33,8 @@
 	// failing is set while appends fail; the mutex of the tracker protects it.
 	failing bool
 
-	mu sync.Mutex
+	// turn holds an element while a stream is looked up; it protects the fields up to readAt. Unlike a mutex it is waited for no longer than a call may take.
+	turn chan struct{}
 	// streams holds the origins that were read, up to offset next in the given era.
 	streams map[Key]attemptOrigin
 	next    int64
@@ -59,7 +60,7 @@
 }
 
 func newPartition(t *Tracker, number int) *partition {
-	p := &partition{tracker: t, number: number, streams: map[Key]attemptOrigin{}}
+	p := &partition{tracker: t, number: number, turn: make(chan struct{}, 1), streams: map[Key]attemptOrigin{}}
 	p.outbox = &logs.Outbox{Log: t.Log, Topic: t.StreamTopic, Partition: number, OnError: p.appendFailed, OnAppended: p.appended}
 	p.outbox.Default()
 	return p
@@ -110,8 +111,10 @@
 // find reads the records that the log has now, and returns the origin of a stream and whether it has one.
 func (p *partition) find(ctx context.Context, key Key) (Origin, bool, error) {
 	asked := p.tracker.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	if err := p.awaitTurn(ctx); err != nil {
+		return Origin{}, false, fmt.Errorf("wait for another read of the origins of streams: %w", err)
+	}
+	defer func() { <-p.turn }()
 	if !p.readAt.After(asked) { // A read that began later, for another stream, has covered this one.
 		began := p.tracker.Now()
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -125,6 +128,18 @@
 	return found.origin, ok, nil
 }
 
+// awaitTurn waits until no other stream is looked up.
+func (p *partition) awaitTurn(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	select {
+	case p.turn <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // catchUp reads all records that the log has now.
 func (p *partition) catchUp(ctx context.Context) error {
 	log := p.tracker.Log
