--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -332,6 +332,36 @@
 	assertBody(t, results, "to the end")
 }
 
+// TestResetWhileSendingIsNoEnd guards against a response without a length that was reset while the request was still being sent, and was taken for whole:
+// a connection reports a reset once, to the sender.
+func TestResetWhileSendingIsNoEnd(t *testing.T) {
+	const tries = 16
+	for _, reset := range []bool{true, false} {
+		whole := 0
+		for range tries {
+			s, c := newTarget(t), newClient()
+			r := s.request("1")
+			r.Body, r.HeaderTimeout = make([]byte, 8<<20), 5*time.Second
+			results := startExchange(t, c, r)
+			p := s.accept(t)
+			_, err := p.reader.ReadString('\n')
+			assert.NilError(t, err)
+			p.send(t, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\npart")
+			nc := p.Conn.(*net.TCPConn)
+			if reset {
+				assert.NilError(t, nc.SetLinger(0))
+				assert.NilError(t, nc.Close())
+			} else {
+				assert.NilError(t, nc.CloseWrite())
+			}
+			if result := <-results; result.err == nil && result.body == "part" {
+				whole++
+			}
+		}
+		assert.Check(t, reset == (whole == 0) && (reset || whole == tries), "reset %v: %d of %d were taken for whole", reset, whole, tries)
+	}
+}
+
 // A target may respond before it has read a long body. The connection must not be reused then, since
 // the request was not sent in full.
 func TestResponseBeforeTheBodyWasRead(t *testing.T) {
