fix: a response that is reset while its request is sent is not whole

Callers got a 200 with an empty or short body that looked whole. A target may answer before it has read a long request (over 16 KiB, which is sent beside the reading of the response) and break off; if its answer has neither a length nor chunks, only the kind of the end shows that it is not whole. The kernel reports a reset, or a timeout of the connection, once, to whichever of the two goroutines asks first. If that was the sender, the reader saw the end of the connection, as after an orderly close.

Now the end of such a response counts only if the sender has no error of the connection. EPIPE is none: the kernel reports it for a reset that came after an orderly close.

--- a/io/conns/response.go
+++ b/io/conns/response.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -121,6 +123,9 @@
 		return n, nil
 	}
 	if err == io.EOF { //nolint:errorlint // bodies return io.EOF itself
+		if err := resp.connError(); err != nil {
+			return n, &Error{Phase: Reading, Err: fmt.Errorf("the connection failed before the end of the response: %w", err)}
+		}
 		resp.complete = true
 		return n, io.EOF
 	}
@@ -149,6 +154,21 @@
 	resp.client.release(cn)
 }
 
+// connError returns the error of the connection of a response without framing, at its end; nil if the connection ended in order. A connection
+// reports its error once, to the reader or to the sender of the request. In the second case, the reader sees the end of the connection.
+func (resp *Response) connError() error {
+	if !resp.Unframed || resp.writeDone == nil {
+		return nil
+	}
+	_ = resp.conn.SetWriteDeadline(time.Now()) // fails only on a closed connection, where the write fails too
+	err := <-resp.writeDone
+	resp.writeDone <- err
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE) {
+		return nil // The connection had ended in order before.
+	}
+	return err
+}
+
 // requestSent reports whether the request was sent in full.
 func (resp *Response) requestSent() bool {
 	if resp.writeDone == nil {
