--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -362,6 +362,19 @@
 	}
 }
 
+// TestChunksInHTTP10AreInvalid guards against a response of HTTP/1.0, which has no chunks, whose chunks were taken for a whole body, wherever they broke off.
+func TestChunksInHTTP10AreInvalid(t *testing.T) {
+	for _, sent := range []string{"", "5\r\n", "5\r\nwh", "5\r\nwhole\r\n0\r\n\r\n"} {
+		s := newTarget(t)
+		results := startExchange(t, newClient(), s.request("1"))
+		p := s.accept(t)
+		p.readRequest(t)
+		p.send(t, "HTTP/1.0 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"+sent)
+		assert.NilError(t, p.Close())
+		assertFailed(t, results, conns.Waiting)
+	}
+}
+
 // A target may respond before it has read a long body. The connection must not be reused then, since
 // the request was not sent in full.
 func TestResponseBeforeTheBodyWasRead(t *testing.T) {
