fix: a response of HTTP/1.0 with chunks is invalid

Callers got a 200 with an empty or short body that looked whole: the chunks themselves, sizes included, up to where the target had broken off. net/http reads a header for chunks only from HTTP/1.1 and ignores it otherwise, so that a head of HTTP/1.0 that announces chunks counted as one without framing, whose body ends with the connection. RFC 9112 calls such framing faulty.

A response that begins as HTTP/1.0 is now read as HTTP/1.1, which shows the header, and is invalid if it has chunks. Its connection is used once.

--- a/io/conns/response.go
+++ b/io/conns/response.go
@@ -1,6 +1,7 @@
 package conns
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -32,6 +33,7 @@
 
 var (
 	errForeignResponse = errors.New("response belongs to another request")
+	errVersion10       = errors.New("response of HTTP/1.0 is an interim one or has chunks, which that version does not have")
 	errContentEncoding = errors.New("response has a Content-Encoding; only unencoded responses are supported")
 )
 
@@ -76,13 +78,38 @@
 	resp.conn.input.limit()
 	defer resp.conn.input.unlimit()
 	for {
-		head, err := http.ReadResponse(resp.conn.reader, &http.Request{Method: r.Method})
+		head, err := resp.conn.readResponse(r.Method)
 		if err != nil || head.StatusCode >= http.StatusOK {
 			return head, err
 		}
 	}
 }
 
+const (
+	version10 = "HTTP/1.0"
+	version11 = "HTTP/1.1"
+)
+
+// readResponse reads the headers of the next response.
+func (cn *conn) readResponse(method string) (*http.Response, error) {
+	request := &http.Request{Method: method}
+	if version, _ := cn.reader.Peek(len(version10)); string(version) != version10 {
+		return http.ReadResponse(cn.reader, request)
+	}
+	// HTTP/1.0 has no chunks and no interim responses. ReadResponse would ignore a header for chunks and take them for a body that ends with the
+	// connection. Read as HTTP/1.1, the response shows it. The connection is used only once, since what follows may be buffered twice.
+	_, _ = cn.reader.Discard(len(version10)) // these bytes are buffered
+	head, err := http.ReadResponse(bufio.NewReader(io.MultiReader(strings.NewReader(version11), cn.reader)), request)
+	if err != nil {
+		return nil, err
+	}
+	if len(head.TransferEncoding) > 0 || head.StatusCode < http.StatusOK {
+		return nil, errVersion10
+	}
+	head.Close = true
+	return head, nil
+}
+
 // discardBody drains the body of a response to another request and reports whether the connection
 // is still usable.
 func discardBody(head *http.Response) bool {
