--- /dev/null
+++ b/core/relay/record_test.go
@@ -0,0 +1,93 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"cranberryrail/core/codes"
+	"cranberryrail/core/origin"
+	"cranberryrail/core/roster"
+	"cranberryrail/core/table"
+	"cranberryrail/fake/memlog"
+	"cranberryrail/fake/script"
+)
+
+// newOrigins returns a tracker that runs until the test ends, and whose store does not reply for a time.
+func newOrigins(t *testing.T, silence time.Duration) *origin.Tracker {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	replies := time.Now().Add(silence)
+	store := memlog.Before((&memlog.Server{}).Log(), func(ctx context.Context) error {
+		select {
+		case <-time.After(time.Until(replies)):
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	})
+	tracker := &origin.Tracker{Log: store, StreamTopic: "streams", StateTopic: "versions"}
+	tracker.Default()
+	tracker.SetTargets([]roster.Target{{Service: "draft", Software: "v1"}})
+	var group errgroup.Group
+	group.Go(func() error { return tracker.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, group.Wait())
+	})
+	return tracker
+}
+
+// TestSilentStoreEndsNoStream guards against a stream of a sound target that is given up, for another one that needs the same record, while the
+// store is silent.
+func TestSilentStoreEndsNoStream(t *testing.T) {
+	long := script.Stream{Parts: []script.Part{script.Until(0, 4), script.Until(5*time.Millisecond, 500), script.End}}.Dispatch
+	lost := script.Stream{Head: time.Hour}.Dispatch
+	late := script.Stream{Parts: []script.Part{script.Until(time.Second, 4), script.End}}.Dispatch
+	refuses := script.Stream{Refuse: true}.Dispatch
+	for name, c := range map[string]struct {
+		targets  []script.Dispatch
+		silence  time.Duration
+		attempts int
+		caller   time.Duration // when the caller leaves, if it does
+		refused  error         // the cause of the end of a request without an answer
+	}{
+		"one target":                       {[]script.Dispatch{soundStream}, 1500 * time.Millisecond, 1, 0, nil},
+		"three targets":                    {[]script.Dispatch{soundStream, soundStream, soundStream}, 1500 * time.Millisecond, 1, 0, nil},
+		"events pile up":                   {[]script.Dispatch{long, soundStream}, 3 * time.Second, 1, 0, nil},
+		"the successor of a silent target": {[]script.Dispatch{lost, soundStream, soundStream}, 3 * time.Second, 2, 0, nil},
+		"both targets answer":              {[]script.Dispatch{late, late, soundStream}, 3 * time.Second, 2, 0, nil},
+		"the successor refuses":            {[]script.Dispatch{late, refuses, soundStream}, 3 * time.Second, 3, 0, nil},
+		"for good":                         {[]script.Dispatch{soundStream, soundStream}, time.Hour, 1, 0, origin.ErrNotRecorded},
+		"the caller leaves":                {[]script.Dispatch{soundStream, soundStream}, time.Hour, 1, 2 * time.Second, context.Canceled},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				origins := newOrigins(t, c.silence)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				if c.caller > 0 {
+					time.AfterFunc(c.caller, cancel)
+				}
+				began := time.Now()
+				body, result := serveRecorded(ctx, t, origins, 3, table.Streaming, 0, c.targets)
+				took := time.Since(began)
+				assert.Equal(t, result.Attempts, c.attempts)
+				if c.refused == nil {
+					assert.Assert(t, result.Refused == nil && !result.Truncated && result.Events >= 4, "%v", result.Refused)
+					assert.Assert(t, result.TimeToFirstByte >= c.silence && took < c.silence+time.Second, "after %v", took)
+					return
+				}
+				assert.Equal(t, body, "")
+				assert.Equal(t, result.Refused.Run, codes.Unknown)
+				assert.Assert(t, errors.Is(result.Refused, c.refused) || result.CallerGone, "%v", result.Refused)
+				assert.Assert(t, c.caller == 0 || took == c.caller, "after %v", took)
+			})
+		})
+	}
+}
--- a/core/relay/successor_test.go
+++ b/core/relay/successor_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"cranberryrail/core/codes"
+	"cranberryrail/core/origin"
 	"cranberryrail/core/relay"
 	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
@@ -29,6 +30,12 @@
 }
 
 func serveWithRetries(t *testing.T, retries int, kind table.Kind, takes time.Duration, targets []script.Dispatch) (string, relay.Result) {
+	t.Helper()
+	return serveRecorded(t.Context(), t, nil, retries, kind, takes, targets)
+}
+
+// serveRecorded serves a request until its context ends. The tracker knows the origins of streams; optional.
+func serveRecorded(ctx context.Context, t *testing.T, origins *origin.Tracker, retries int, kind table.Kind, takes time.Duration, targets []script.Dispatch) (string, relay.Result) {
 	t.Helper()
 	f := newFixture(func(ctx context.Context, d relay.Dispatch) (*relay.Response, error) {
 		return targets[d.Target.ID[0]-'0'](ctx, d)
@@ -38,17 +45,17 @@
 		Shares: []table.Share{{Service: "draft", Weight: 1}},
 	}}})
 	f.Table = func() *table.Table { return config }
-	f.Retries.Slack = retries
+	f.Retries.Slack, f.Origins = retries, origins
 	f.Pick = func(r route.Request) (route.Choice, error) {
 		for i := range targets {
 			if id := fmt.Sprint(i); !slices.Contains(r.Avoid, id) {
-				return route.Choice{Target: roster.Target{ID: id}}, nil
+				return route.Choice{Target: roster.Target{ID: id, Software: "v1"}}, nil
 			}
 		}
 		return route.Choice{}, codes.Refuse(codes.NoTarget, time.Second, "no other target")
 	}
 	var body strings.Builder
-	result := f.Serve(t.Context(), &relay.Request{ID: "1", Host: "h", Path: "/x", Arrived: time.Now(), Timeout: 10 * time.Second}, relay.Sink{
+	result := f.Serve(ctx, &relay.Request{ID: "1", Host: "h", Path: "/x", Arrived: time.Now(), Timeout: 10 * time.Second}, relay.Sink{
 		Head: func(int, http.Header, int64) {}, Write: func(p []byte) error {
 			time.Sleep(takes)
 			body.Write(p)
