fix: a stream waits for the record of its origin until the deadline

Callers of resumable streams got a 502 after 1 s to 3 s without an event, from sound targets that had answered, when the store was silent for over a second while the stream needed a record (LOST). The wait for the record ended after 1 s, and its end counted as a failure of the attempt, so that up to three targets ran the request although each further attempt needs the same record. Now the exchange of the attempt waits for the record with its first event in hand, until the deadline or until the caller leaves; the target is not read meanwhile, and the loop of the request goes on with other attempts. No successor is started during that wait. An event is still forwarded only once its own attempt's record is durable, or was optional for 100 ms. If the record does not come, the refusal at the deadline is 504, code 3008, and promises nothing. An append that takes over 0.6 s each time is still never acknowledged (core/logs).

--- a/core/codes/table.go
+++ b/core/codes/table.go
@@ -26,6 +26,7 @@
 	AnswerCut        = Code{3005, "answer_cut", http.StatusBadGateway, "The answer broke off before its final frame and could not be resumed."}
 	CrashesTargets   = Code{3006, "crashes_targets", http.StatusServiceUnavailable, "Requests like this one have crashed targets, and it was not sent."}
 	OriginUnknown    = Code{3007, "origin_unknown", http.StatusServiceUnavailable, "The software version that began the stream is not known, and the stream was not resumed."}
+	OriginUnrecorded = Code{3008, "origin_unrecorded", http.StatusGatewayTimeout, "The software version that began the stream was not recorded before the deadline, and no event was forwarded."}
 	OutcomeUnknown   = Code{4001, "outcome_unknown", http.StatusBadGateway, "The call may have run; its outcome is not known."}
 	KeyReused        = Code{4002, "idempotency_key_reused", http.StatusUnprocessableEntity, "The idempotency key was used before with another request."}
 	ClaimLost        = Code{4003, "claim_lost", http.StatusConflict, "Another instance holds the claim for this idempotency key."}
@@ -51,7 +52,7 @@
 		BadRequest, BadKey, BodyTooLarge, NotAllowed, UnknownModel, UnknownRoute, TooManyInFlight,
 		BodyTimeout, RequestIDActive,
 		BudgetExhausted, BudgetUnknown, BudgetElsewhere, LedgerStale,
-		NoTarget, Overloaded, TargetFailed, TargetSilent, AnswerCut, CrashesTargets, OriginUnknown,
+		NoTarget, Overloaded, TargetFailed, TargetSilent, AnswerCut, CrashesTargets, OriginUnknown, OriginUnrecorded,
 		OutcomeUnknown, KeyReused, ClaimLost, ClaimUnavailable, KeyMissing, ClaimVoided, AnswerNotKept,
 		Internal, Stopping, NotReady, LogUnavailable, LinkFull,
 		VersionConflict, BadTemplate, BadOperatorKey, TopUpReused, AcceptTimeout,
--- a/core/origin/tracker.go
+++ b/core/origin/tracker.go
@@ -31,9 +31,7 @@
 	// maxKnown is the number of streams begun at this instance whose origin is kept in memory: several times what one instance begins
 	// in the life of a stream.
 	maxKnown = 8192
-	// requiredWait is how long the first event of a stream waits for a record without which it must not be forwarded.
-	requiredWait = time.Second
-	// optionalWait is how long it waits for a record without which the stream could be resumed at this instance only.
+	// optionalWait is how long the first event of a stream waits for a record without which the stream could be resumed at this instance only.
 	optionalWait = 100 * time.Millisecond
 	// callTimeout bounds a read of the log: a hundred times its usual duration, and short of the time in which a caller gives up.
 	callTimeout = 400 * time.Millisecond
@@ -301,28 +299,39 @@
 	}
 }
 
-// Wait waits until the first event of the stream may be forwarded. The error is ErrNotRecorded, or that of the context.
-func (r *Recording) Wait(ctx context.Context) error {
+// Ready reports whether the first event of the stream may be forwarded without a wait.
+func (r *Recording) Ready() bool {
 	if r == nil {
+		return true
+	}
+	select {
+	case <-r.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// Wait waits until the first event of the stream may be forwarded. The error is ErrNotRecorded, with that of the context. A record that is
+// required may come until the context ends.
+func (r *Recording) Wait(ctx context.Context) error {
+	if r.Ready() {
 		return nil
 	}
-	limit := optionalWait
-	if r.required {
-		limit = requiredWait
+	var limit <-chan time.Time
+	if !r.required {
+		timer := time.NewTimer(optionalWait)
+		defer timer.Stop()
+		limit = timer.C
 	}
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
 	select {
 	case <-r.done:
 		return nil
+	case <-limit:
+		return nil
 	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-	}
-	if r.required {
-		return ErrNotRecorded
+		return fmt.Errorf("%w: %w", ErrNotRecorded, ctx.Err())
 	}
-	return nil
 }
 
 // Began keeps the origin of a stream whose first event is forwarded.
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -63,6 +63,9 @@
 		dispatch: r.newDispatch(choice.Target), choice: choice, target: choice.Target, pass: pass, progressAt: r.Now(),
 		steps: r.steps, abandoned: make(chan struct{}), ended: make(chan struct{}), joined: r.headSent,
 	}
+	if r.streamKey != "" && r.Events == 0 && r.Software == "" {
+		a.hold = make(chan *origin.Recording, 1)
+	}
 	a.dispatch.Detour = detour
 	r.Attempts++
 	a.number = r.Attempts
@@ -75,7 +78,7 @@
 		send = func(ctx context.Context, d Dispatch) (*Response, error) { return r.DispatchBy(ctx, d, request) }
 	}
 	ctx, a.cancel = context.WithCancel(ctx)
-	x := exchange{send: send, limit: a.dispatch.HeaderTimeout, maxBytes: r.MaxResponseBytes, onPanic: r.OnPanic}
+	x := exchange{send: send, limit: a.dispatch.HeaderTimeout, maxBytes: r.MaxResponseBytes, hold: a.hold, onPanic: r.OnPanic}
 	r.group.Go(func() error {
 		a.run(ctx, x)
 		return nil
@@ -93,16 +96,23 @@
 	r.recorded = a.recording != nil
 }
 
-// beginStream prepares for the first event of a resumable stream, which is not forwarded before its origin is recorded.
-func (r *relayedRequest) beginStream(ctx context.Context, a *attempt) *AttemptError {
-	if r.Software == "" {
-		if err := a.recording.Wait(ctx); err != nil {
-			return &AttemptError{Kind: Unrecorded, Sent: true, Err: err}
+// beginStream prepares for the first event of a resumable stream, which is not forwarded before its origin is recorded. It reports whether the
+// event may be forwarded now; otherwise the exchange delivers it again.
+func (r *relayedRequest) beginStream(a *attempt) bool {
+	if a.hold != nil {
+		hold := a.hold
+		a.hold = nil
+		if !a.recording.Ready() {
+			hold <- a.recording
+			r.unrecorded = true
+			return false
 		}
+		hold <- nil
 	}
+	r.unrecorded = false
 	r.Software = a.target.Software
 	r.Origins.Began(r.streamKey, origin.Origin{Service: r.Service, Version: r.Software})
-	return nil
+	return true
 }
 
 // answerEvents is the number of events after which a target has begun the answer: one that crashes afterwards does not crash because
@@ -376,10 +386,8 @@
 
 // relayEvent forwards one event. The head is sent with the first event, so that a target that fails earlier can be replaced.
 func (r *relayedRequest) relayEvent(ctx context.Context, a *attempt, e event) *AttemptError {
-	if r.streamKey != "" && r.Events == 0 {
-		if failed := r.beginStream(ctx, a); failed != nil {
-			return failed
-		}
+	if r.streamKey != "" && r.Events == 0 && !r.beginStream(a) {
+		return nil
 	}
 	r.accept(ctx, a)
 	if !r.headSent {
--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -24,6 +24,9 @@
 	target    roster.Target
 	pass      *poison.Pass
 	recording *origin.Recording
+	// hold receives, once the first event of a new stream was delivered, the recording to wait for before it is delivered again; nil if it was
+	// forwarded. It is nil once that was sent, and for streams that began before.
+	hold chan *origin.Recording
 	// response is set before the first step.
 	response *Response
 	// steps receives what the target sends. The exchange ends when abandoned is closed, and ended is closed then. finished is set once its last
@@ -67,7 +70,9 @@
 	// limit is the maximum time of the exchange, and maxBytes that of the size of the body.
 	limit    time.Duration
 	maxBytes int64
-	onPanic  func(reason any)
+	// hold is that of the attempt when it began.
+	hold    <-chan *origin.Recording
+	onPanic func(reason any)
 }
 
 var errPanic = errors.New("the exchange panicked")
@@ -108,12 +113,36 @@
 		var e event
 		e, err = events.next()
 		e.raw = append([]byte(nil), e.raw...)
-		if !a.deliver(step{event: e, err: err}) {
+		s := step{event: e, err: err}
+		if !a.deliver(s) || err == nil && !a.awaitRecord(ctx, x.hold, s) {
 			return
 		}
+		x.hold = nil
 	}
 }
 
+// awaitRecord delivers the first event of a stream again once its origin is recorded, and reports whether the exchange goes on. The target is not
+// read meanwhile.
+func (a *attempt) awaitRecord(ctx context.Context, hold <-chan *origin.Recording, first step) bool {
+	if hold == nil {
+		return true
+	}
+	var recording *origin.Recording
+	select {
+	case recording = <-hold:
+	case <-a.abandoned:
+		return false
+	}
+	if recording == nil {
+		return true
+	}
+	if err := recording.Wait(ctx); err != nil {
+		a.deliver(step{err: &AttemptError{Kind: Unrecorded, Sent: true, Err: err}})
+		return false
+	}
+	return a.deliver(first)
+}
+
 // deliver delivers a step, and reports whether it was received.
 func (a *attempt) deliver(s step) bool {
 	s.attempt = a
@@ -141,11 +170,11 @@
 var errSuperseded = errors.New("another attempt has begun to answer")
 
 // nextStep waits for the next step of an attempt in flight. If the newest one is silent for its bound, a successor is started, and whichever begins
-// to answer first is taken: a silent target may go on, and another one may refuse.
+// to answer first is taken: a silent target may go on, and another one may refuse. No successor helps a stream whose origin is not recorded.
 func (r *relayedRequest) nextStep(ctx context.Context) step {
 	for {
 		var silence <-chan time.Time
-		if r.silence != nil {
+		if r.silence != nil && !r.unrecorded {
 			silence = r.silence.C
 		}
 		select {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -120,6 +120,8 @@
 	// streamKey identifies a resumable stream, and recorded is set if the last attempt recorded its origin.
 	streamKey origin.Key
 	recorded  bool
+	// unrecorded is set while the first event of the stream waits for the record of its origin.
+	unrecorded bool
 	// pass is the admission of the last attempt that was made alone.
 	pass *poison.Pass
 	// inFlight holds the attempts in flight in the order in which they were started. All but the newest are silent.
@@ -412,8 +414,11 @@
 // timeoutRefusal returns the refusal of a request that timed out. It states that the request did
 // not run if that is certain.
 func (r *relayedRequest) timeoutRefusal() *codes.Error {
-	if !r.mayHaveRun {
+	switch {
+	case !r.mayHaveRun:
 		return codes.Refuse(codes.Overloaded, retryAfterShed, "no target accepted the request before its deadline")
+	case r.unrecorded:
+		return &codes.Error{Code: codes.OriginUnrecorded, Run: r.execution(), Detail: "the request reached its deadline", Err: origin.ErrNotRecorded}
 	}
 	return &codes.Error{Code: codes.TargetSilent, Run: r.execution(), Detail: "the request reached its deadline"}
 }
