--- a/io/node/stop_test.go
+++ b/io/node/stop_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -57,3 +61,45 @@
 		})
 	}
 }
+
+// TestStopRefusesStreamsItMayCut guards against streams that arrive during the notice of a stop, whose end is uncertain, and that are cut at the end of
+// the stop although another instance could have taken them. An instance that is alone takes them.
+func TestStopRefusesStreamsItMayCut(t *testing.T) {
+	for name, instances := range map[string]int{"another instance": 2, "alone": 1} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := start(t, &fleet.Fleet{Instances: instances, Engines: 1, TokenGap: 100 * time.Millisecond, FixedLength: true,
+				ConfigureInstance: func(_ int, s *opts.Settings) { s.Stop.TimeoutMS, s.Stop.NoticeMS = 5000, 2500 }})
+			provision(t, f, 100_000)
+			var g, stop errgroup.Group
+			stop.Go(f.Members[0].Stop)
+			var whole, refused, cut atomic.Int64
+			for i := range 24 {
+				time.Sleep(100 * time.Millisecond)
+				g.Go(func() error {
+					r := send(context.Background(), f.Members[0], "/v1/completions", fleet.Key("acme"), promptBody(fmt.Sprint("p", i), 24, true))
+					switch {
+					case r.err != nil || r.status == http.StatusOK && !strings.Contains(r.body, "[DONE]"):
+						cut.Add(1)
+					case r.status == http.StatusOK:
+						whole.Add(1)
+					default:
+						assertRefused(t, r.reply, 5002, "not_run")
+						assert.Check(t, r.header.Get("Retry-After") != "")
+						refused.Add(1)
+					}
+					return nil
+				})
+			}
+			assert.NilError(t, g.Wait())
+			err := stop.Wait()
+			t.Logf("%d whole, %d refused, %d cut, %v", whole.Load(), refused.Load(), cut.Load(), err)
+			if instances == 1 {
+				assert.Assert(t, whole.Load() > 0 && refused.Load() == 0)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Assert(t, cut.Load() == 0 && refused.Load() > 0)
+		})
+	}
+}
