fix: the own interface takes requests that a stop cuts (LOST)

Callers whose streams arrived during the notice of a stop got the begin of their answer, and then a closed connection without an error event. Cause: nothing compared what a request may take with the end of the stop.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -16,6 +16,7 @@
 	"cranberryrail/core/conf"
 	"cranberryrail/core/ledger"
 	"cranberryrail/core/once"
+	"cranberryrail/core/pause"
 	"cranberryrail/core/poison"
 	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
@@ -67,6 +68,12 @@
 	HasCrashed func(ctx context.Context, t roster.Target) bool
 	// Abandoned watches targets that may end only after a call to them has failed; optional.
 	Abandoned *poison.Watcher
+	// StreamLimit returns the longest time in which a model request with a maximum number of tokens ends, and CallLimit that of a call to a plain
+	// service; required if Drain is called.
+	StreamLimit func(maxTokens int) time.Duration
+	CallLimit   time.Duration
+	// OtherReady reports whether another instance takes requests; optional.
+	OtherReady func() bool
 	// OnServed is called at the end of each authenticated request; optional.
 	OnServed func(s Outcome)
 
@@ -74,6 +81,9 @@
 	active   activeSet
 	inFlight atomic.Int64
 	stopping atomic.Bool
+	// stopAt is when a stop ends, in Unix nanoseconds; 0 if none has begun. noticeOver is set once its notice is over.
+	stopAt     atomic.Int64
+	noticeOver atomic.Bool
 }
 
 // String returns the name of the server for logs.
@@ -87,6 +97,9 @@
 	if s.Ready == nil {
 		s.Ready = func() bool { return true }
 	}
+	if s.OtherReady == nil {
+		s.OtherReady = func() bool { return false }
+	}
 	s.active.ids = map[string]*active{}
 	s.server.Clients, s.server.Setting = "callers", "caller.listen"
 	s.server.Handler = s.handler()
@@ -109,15 +122,15 @@
 func (s *Server) Run(ctx context.Context) error { return s.server.Run(ctx) }
 
 // Drain marks the instance not ready, gives load balancers the notice period to redirect traffic, and
-// waits for requests in flight.
+// waits for requests in flight until the deadline of the context. Requests that may take longer are refused: during the notice
+// only if another instance takes them, since load balancers still send requests here.
 func (s *Server) Drain(ctx context.Context, notice time.Duration) error {
-	s.stopping.Store(true)
-	timer := time.NewTimer(notice)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+	if deadline, ok := ctx.Deadline(); ok {
+		s.stopAt.Store(deadline.UnixNano())
 	}
+	s.stopping.Store(true)
+	pause.For(ctx, notice)
+	s.noticeOver.Store(true)
 	if err := s.server.Drain(ctx, s.InFlight); err != nil {
 		return fmt.Errorf("drain: %d requests still in flight: %w", s.inFlight.Load(), err)
 	}
@@ -188,6 +201,18 @@
 	return serve()
 }
 
+// refuseStopping refuses a request that may take a time if the instance may stop before.
+func (s *Server) refuseStopping(limit time.Duration) *codes.Error {
+	stopAt := s.stopAt.Load()
+	if stopAt == 0 || time.Now().Add(limit).UnixNano() <= stopAt || !s.noticeOver.Load() && !s.OtherReady() {
+		return nil
+	}
+	return codes.Refuse(codes.Stopping, retryStopping, "retry the request; another instance takes it")
+}
+
+// retryStopping is the Retry-After of a stopping instance. It is short, since another instance serves the retry.
+const retryStopping = 50 * time.Millisecond
+
 // retryNotReady is the Retry-After of an instance that is starting.
 const retryNotReady = time.Second
 
--- a/io/front/generate.go
+++ b/io/front/generate.go
@@ -55,6 +55,9 @@
 	if refused := s.prepare(r, t, resp); refused != nil {
 		return refused
 	}
+	if refused := s.refuseStopping(s.StreamLimit(resp.req.maxTokens)); refused != nil {
+		return refused
+	}
 	id := resp.req.engineID()
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -226,7 +226,7 @@
 	n.makeCrashes()
 	n.Front = &front.Server{
 		Settings: n.Settings.Caller, MaxReplyBytes: n.Settings.Once.AnswerBytes,
-		Ready: n.Ready,
+		Ready: n.Ready, OtherReady: n.otherTakesWork, StreamLimit: n.streamLimit, CallLimit: n.callLimit(),
 		TemplateByKey: func(sha256 string) (conf.Template, bool) {
 			t, ok := n.config.load().byKeyHash[sha256]
 			return t, ok
@@ -398,6 +398,19 @@
 // readyPollInterval is the interval at which readiness is checked during the start.
 const readyPollInterval = 20 * time.Millisecond
 
+// streamLimit returns the longest time in which a model request ends: the wait for its tokens, and the timeouts of all its attempts and tokens.
+func (n *Node) streamLimit(maxTokens int) time.Duration {
+	s := n.Settings.Target
+	perAttempt := s.DialTimeoutMS.Duration() + s.FirstFrameTimeoutMS.Duration() + s.FrameTimeoutMS.Duration()
+	return n.Settings.Ledger.ReserveWaitMS.Duration() + serve.MaxAttempts*perAttempt + time.Duration(maxTokens)*s.FrameTimeoutMS.Duration()
+}
+
+// callLimit returns the longest time in which a call to a plain service ends.
+func (n *Node) callLimit() time.Duration {
+	s := n.Settings.Target
+	return n.Settings.Once.ClaimWaitMS.Duration() + serve.MaxAttempts*(s.DialTimeoutMS.Duration()+s.CallTimeoutMS.Duration())
+}
+
 // stop drains requests in flight, writes pending records and returns allowances.
 func (n *Node) stop(ctx context.Context) error {
 	limit := n.Settings.Stop.TimeoutMS.Duration()
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -82,6 +82,13 @@
 	return reached
 }
 
+// otherTakesWork reports whether another instance is reachable and neither stopping nor leaving.
+func (n *Node) otherTakesWork() bool {
+	return slices.ContainsFunc(n.peersByReach(), func(p roster.Peer) bool {
+		return p.Reach == roster.Reachable && !p.Stopping && p.Listed != roster.Leaving
+	})
+}
+
 // LogReached reports whether the platform's log is reachable, directly or through another instance.
 func (n *Node) LogReached() bool { return n.logReachability.isReachable() }
 
--- a/io/node/stop_test.go
+++ b/io/node/stop_test.go
@@ -103,3 +103,22 @@
 		})
 	}
 }
+
+// TestStopRefusesCallsBeforeTheirClaim guards against calls that a stopping instance may cut, or whose key a refusal uses up, so that the retry at another
+// instance fails.
+func TestStopRefusesCallsBeforeTheirClaim(t *testing.T) {
+	f := start(t, &fleet.Fleet{Instances: 2, Services: 1, ConfigureInstance: func(_ int, s *opts.Settings) { s.Stop.NoticeMS = 1000 }})
+	provision(t, f, 100_000)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	assert.NilError(t, f.AwaitConnected(ctx))
+	var stop errgroup.Group
+	stop.Go(f.Members[0].Stop)
+	assert.NilError(t, f.Await(ctx, f.Members[0].Front.Stopping))
+	call := func(m *fleet.Member) reply {
+		return post(t, m, "/v1/services/"+fleet.Service+"/record", fleet.Key("acme"), "claim", "Idempotency-Key", "k1")
+	}
+	assertRefused(t, call(f.Members[0]), 5002, "not_run")
+	assert.Equal(t, call(f.Members[1]).status, http.StatusOK)
+	assert.NilError(t, stop.Wait())
+}
