--- a/core/origin/settle_test.go
+++ b/core/origin/settle_test.go
@@ -13,7 +13,6 @@
 	"gotest.tools/v3/assert"
 
 	"cranberryrail/core/origin"
-	"cranberryrail/core/roster"
 	"cranberryrail/fake/memlog"
 )
 
@@ -22,28 +21,13 @@
 func TestStaleListOpensNoService(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log, away := &memlog.Server{}, atomic.Bool{}
-		ctx, stop := context.WithCancel(t.Context())
-		defer stop()
-		start := func(fail func(context.Context) error) *origin.Tracker {
-			m := &origin.Tracker{Log: memlog.Before(log.Log(), fail), StreamTopic: "streams", StateTopic: "versions"}
-			m.Default()
-			go func() { _ = m.Run(ctx) }()
-			return m
-		}
-		began := start(func(context.Context) error {
+		began := startTracker(t, memlog.Before(log.Log(), func(context.Context) error {
 			if away.Load() {
 				return errors.New("the log is away")
 			}
 			return nil
-		})
-		late := start(func(context.Context) error { return nil })
-		list := func(m *origin.Tracker, versions ...string) {
-			targets := make([]roster.Target, 0, len(versions))
-			for _, v := range versions {
-				targets = append(targets, roster.Target{ID: v, Service: "s", Software: v, State: roster.Live})
-			}
-			m.SetTargets(targets)
-		}
+		}), false)
+		late := startTracker(t, log.Log(), false)
 		list(began, "v2")
 		list(late, "v2")
 		time.Sleep(origin.DefaultSettle - time.Second)
@@ -51,10 +35,10 @@
 		time.Sleep(3 * time.Second)
 		away.Store(true)
 		key := origin.NewKey("org", "r1")
-		if began.Begin(key, 1, origin.Origin{Service: "s", Version: "v3"}, false).Wait(ctx) != nil {
+		if began.Begin(key, 1, origin.Origin{Service: "s", Version: "v3"}, false).Wait(t.Context()) != nil {
 			return // Nothing was forwarded.
 		}
-		found, err := late.Find(ctx, key, "s")
+		found, err := late.Find(t.Context(), key, "s")
 		assert.Assert(t, err != nil || found.Version == "v3", "a stream of v3 goes on at %s; states %v", found.Version, late.States())
 	})
 }
