--- a/core/relay/record_test.go
+++ b/core/relay/record_test.go
@@ -12,7 +12,9 @@
 
 	"cranberryrail/core/codes"
 	"cranberryrail/core/origin"
+	"cranberryrail/core/relay"
 	"cranberryrail/core/roster"
+	"cranberryrail/core/route"
 	"cranberryrail/core/table"
 	"cranberryrail/fake/memlog"
 	"cranberryrail/fake/script"
@@ -75,7 +77,7 @@
 					time.AfterFunc(c.caller, cancel)
 				}
 				began := time.Now()
-				body, result := serveRecorded(ctx, t, origins, 3, table.Streaming, 0, c.targets)
+				body, result := serveUntil(ctx, t, 3, table.Streaming, 0, c.targets, func(f *fixture) { f.Origins = origins })
 				took := time.Since(began)
 				assert.Equal(t, result.Attempts, c.attempts)
 				if c.refused == nil {
@@ -91,3 +93,38 @@
 		})
 	}
 }
+
+// TestDetourWaitsForRecord guards against a stream by way of another instance that is cut while its first event waits for its record: the time limit
+// of a forwarded reply, unlike that of a read from a target, runs on while nothing is read.
+func TestDetourWaitsForRecord(t *testing.T) {
+	pauses := script.Stream{Parts: []script.Part{script.Until(0, 4), script.Until(200*time.Millisecond, 60), script.End}}
+	for _, silence := range []time.Duration{700 * time.Millisecond, 900 * time.Millisecond, 1500 * time.Millisecond} {
+		t.Run(silence.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				origins := newOrigins(t, silence)
+				body, result := serveUntil(t.Context(), t, 3, table.Streaming, 0, nil, func(f *fixture) {
+					f.Origins = origins
+					f.NeedsDetour = func(string, int) bool { return true }
+					f.DispatchBy = func(ctx context.Context, d relay.Dispatch, _ route.Request) (*relay.Response, error) {
+						ctx, cancel := context.WithCancel(ctx)
+						timer := time.AfterFunc(d.HeaderTimeout, cancel)
+						response, err := pauses.Dispatch(ctx, d)
+						if err == nil {
+							limit := response.SetReadTimeout
+							response.Target = &roster.Target{ID: "0", Software: "v1"}
+							response.SetReadTimeout = func(left time.Duration) {
+								limit(left)
+								timer.Reset(left)
+							}
+							response.Close = cancel
+						}
+						return response, err
+					}
+				})
+				assert.Assert(t, result.Refused == nil && !result.Truncated && result.Events == 60, "%v", result.Refused)
+				assert.Assert(t, result.TimeToFirstByte >= silence && len(body) > 0, "after %v", result.TimeToFirstByte)
+				assert.Equal(t, result.Attempts, 1)
+			})
+		})
+	}
+}
--- a/core/relay/successor_test.go
+++ b/core/relay/successor_test.go
@@ -14,7 +14,6 @@
 	"gotest.tools/v3/assert"
 
 	"cranberryrail/core/codes"
-	"cranberryrail/core/origin"
 	"cranberryrail/core/relay"
 	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
@@ -31,11 +30,11 @@
 
 func serveWithRetries(t *testing.T, retries int, kind table.Kind, takes time.Duration, targets []script.Dispatch) (string, relay.Result) {
 	t.Helper()
-	return serveRecorded(t.Context(), t, nil, retries, kind, takes, targets)
+	return serveUntil(t.Context(), t, retries, kind, takes, targets, func(*fixture) {})
 }
 
-// serveRecorded serves a request until its context ends. The tracker knows the origins of streams; optional.
-func serveRecorded(ctx context.Context, t *testing.T, origins *origin.Tracker, retries int, kind table.Kind, takes time.Duration, targets []script.Dispatch) (string, relay.Result) {
+// serveUntil serves a request, until its context ends, by a server that the given function changes before.
+func serveUntil(ctx context.Context, t *testing.T, retries int, kind table.Kind, takes time.Duration, targets []script.Dispatch, change func(*fixture)) (string, relay.Result) {
 	t.Helper()
 	f := newFixture(func(ctx context.Context, d relay.Dispatch) (*relay.Response, error) {
 		return targets[d.Target.ID[0]-'0'](ctx, d)
@@ -45,7 +44,7 @@
 		Shares: []table.Share{{Service: "draft", Weight: 1}},
 	}}})
 	f.Table = func() *table.Table { return config }
-	f.Retries.Slack, f.Origins = retries, origins
+	f.Retries.Slack = retries
 	f.Pick = func(r route.Request) (route.Choice, error) {
 		for i := range targets {
 			if id := fmt.Sprint(i); !slices.Contains(r.Avoid, id) {
@@ -54,6 +53,7 @@
 		}
 		return route.Choice{}, codes.Refuse(codes.NoTarget, time.Second, "no other target")
 	}
+	change(f)
 	var body strings.Builder
 	result := f.Serve(ctx, &relay.Request{ID: "1", Host: "h", Path: "/x", Arrived: time.Now(), Timeout: 10 * time.Second}, relay.Sink{
 		Head: func(int, http.Header, int64) {}, Write: func(p []byte) error {
