fix: bodies that are being read count against the memory for bodies

Operators could lose an instance to its memory limit: a body without a declared length counted as 0 bytes, and each body only once it was complete, so that any number of callers could fill the memory at the same time. What is read of a body counts at once now, and a request is refused (429, not run) as soon as all bodies exceed the limit.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -50,8 +50,8 @@
 
 // Server is the listener for callers. Exported fields are set before Listen.
 type Server struct {
-	// MaxBodyBytes limits the body of one request. A request is refused if its declared length and the bodies
-	// buffered so far exceed MaxBufferedBytes together; bodies that are still being read are not counted.
+	// MaxBodyBytes limits the body of one request. A request is refused if its declared length and what is buffered of other bodies
+	// exceed MaxBufferedBytes together, and while its body is read as soon as all bodies do.
 	MaxBodyBytes, MaxBufferedBytes int64
 	// ParseRequest parses a request except for its body.
 	ParseRequest func(r *http.Request) (*relay.Request, error)
@@ -183,8 +183,8 @@
 	abort(r)
 }
 
-// readRequest reads a request with its body and, unless it refuses the request, adds the size of the body to
-// bufferedBytes, from which the caller subtracts it. Only an invalid request gives no request; the other refusals (a
+// readRequest reads a request with its body. Unless it refuses the request, the size of the body stays in bufferedBytes, from which the caller
+// subtracts it. Only an invalid request gives no request; the other refusals (a
 // stop of the instance is scheduled before the time limit of the request; the memory for bodies is used up;
 // the body is too large or incomplete) come with the request, without a body.
 func (s *Server) readRequest(w http.ResponseWriter, r *http.Request, arrived time.Time) (*relay.Request, *codes.Error) {
@@ -203,28 +203,56 @@
 		return req, nil
 	}
 	if s.bufferedBytes.Load()+max(r.ContentLength, 0) > s.MaxBufferedBytes {
-		return req, codes.Refuse(codes.TooManyInFlight, retryBodyMemory, "the buffered bodies of requests in flight use %d bytes, which leaves too little memory for this one; retry later", s.bufferedBytes.Load())
+		return req, s.refuseBodyMemory()
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout)) // supported by HTTP/1.1 servers
-	body, refused := s.readBody(http.MaxBytesReader(w, r.Body, s.MaxBodyBytes))
+	counted := &countedBody{Reader: http.MaxBytesReader(w, r.Body, s.MaxBodyBytes), server: s}
+	body, refused := s.readBody(counted)
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	if refused == nil {
 		refused = s.refuseStopping(req, arrived) // The stop may have begun meanwhile.
 	}
 	if refused != nil {
+		s.bufferedBytes.Add(-counted.bytes)
 		return req, refused
 	}
-	s.bufferedBytes.Add(int64(len(body)))
 	req.Body = body
 	return req, nil
 }
 
+// refuseBodyMemory refuses a request whose body does not fit into the memory for bodies.
+func (s *Server) refuseBodyMemory() *codes.Error {
+	return codes.Refuse(codes.TooManyInFlight, retryBodyMemory, "the buffered bodies of requests in flight use %d bytes, which leaves too little memory for this one; retry later", s.bufferedBytes.Load())
+}
+
+// countedBody adds what is read of a body to the buffered bytes of the server. Reading fails with errBodyMemory once they exceed the maximum.
+type countedBody struct {
+	io.Reader
+
+	server *Server
+	bytes  int64
+}
+
+var errBodyMemory = errors.New("the memory for bodies is used up")
+
+// Read implements io.Reader.
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	b.bytes += int64(n)
+	if b.server.bufferedBytes.Add(int64(n)) > b.server.MaxBufferedBytes {
+		return n, errBodyMemory
+	}
+	return n, err
+}
+
 func (s *Server) readBody(r io.Reader) ([]byte, *codes.Error) {
 	body, err := io.ReadAll(r)
 	var large *http.MaxBytesError
 	switch {
 	case err == nil:
 		return body, nil
+	case errors.Is(err, errBodyMemory):
+		return nil, s.refuseBodyMemory()
 	case errors.As(err, &large):
 		return nil, codes.Refuse(codes.BodyTooLarge, 0, "at most %d bytes are allowed", large.Limit)
 	default:
