test: a failing test of streams that are broken off before their time limit

An instance ends streams 15 ms before the time limit of the caller or the route. Where a configuration shortens the time limit of a route, all its streams that are longer are broken off from then on, each before the limit was reached, and none was before: cuts that cluster at a change of the configuration. The test fails on this code: the stream ends after 985 of 1,000 ms, and one whose last event comes in the last millisecond is not whole.

--- a/core/relay/silence_test.go
+++ b/core/relay/silence_test.go
@@ -104,3 +104,27 @@
 		})
 	}
 }
+
+// TestAnswerGoesOnUntilItsTimeLimit guards against streams that are broken off before the time limit of their route, as all of a route are when a change of the
+// configuration shortens it.
+func TestAnswerGoesOnUntilItsTimeLimit(t *testing.T) {
+	const limit, hold = time.Second, 250 * time.Millisecond // hold is how much longer an instance may hold a request
+	for name, c := range map[string]struct {
+		last  time.Duration
+		whole bool
+	}{"the last event comes just before the limit": {limit - time.Millisecond, true}, "the stream is longer": {time.Hour, false}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				target := script.Stream{Parts: []script.Part{script.Until(0, 1), script.Until(c.last, 2), script.End}}
+				f := newFixture(target.Dispatch)
+				config := table.New(table.Config{Routes: []table.Route{{Host: "h", Prefix: "/", Kind: table.Streaming, Timeout: limit, MaxAttempts: 1, Shares: []table.Share{{Service: "draft", Weight: 1}}}}})
+				f.Table = func() *table.Table { return config }
+				started := time.Now()
+				result := f.serve(t.Context())
+				assert.Equal(t, result.Truncated, !c.whole)
+				took := time.Since(started)
+				assert.Assert(t, c.whole || took >= limit && took <= limit+hold, "after %v", took)
+			})
+		})
+	}
+}
