--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -75,7 +75,8 @@
 		send = func(ctx context.Context, d Dispatch) (*Response, error) { return r.DispatchBy(ctx, d, request) }
 	}
 	ctx, a.cancel = context.WithCancel(ctx)
-	x := exchange{send: send, limit: a.dispatch.HeaderTimeout, maxBytes: r.MaxResponseBytes, onPanic: r.OnPanic}
+	limit := r.end.Sub(r.Now()) + replyMargin // The context of the request ends the exchange before.
+	x := exchange{send: send, limit: limit, maxBytes: r.MaxResponseBytes, onPanic: r.OnPanic}
 	r.group.Go(func() error {
 		a.run(ctx, x)
 		return nil
@@ -116,7 +117,7 @@
 	case failed.Crashed:
 		failed.Series = a.pass.Crashed(a.target.Incarnation, failed.Events >= answerEvents)
 	case !failed.Sent || a.dispatch.Detour || failed.Kind == Shed || failed.Kind == Misdirected || failed.Kind == Errored || failed.Kind == Unrecorded:
-	case ctx.Err() == nil && (failed.Kind == Broken || failed.Kind == Invalid) && r.HasCrashed(ctx, a.dispatch.Target):
+	case !r.isOver(ctx) && (failed.Kind == Broken || failed.Kind == Invalid) && r.HasCrashed(ctx, a.dispatch.Target):
 		failed.Crashed = true
 		failed.Series = a.pass.Crashed(a.dispatch.Target.Incarnation, failed.Events >= answerEvents)
 	default:
@@ -347,11 +348,9 @@
 	}
 }
 
-// sendHead forwards the head of a response of unknown length. It records that the head was sent, the
-// status and the time to the first byte.
+// sendHead forwards the head of a response of unknown length.
 func (r *relayedRequest) sendHead(a *Response) {
-	r.headSent, r.Status = true, a.Status
-	r.TimeToFirstByte = r.Now().Sub(r.req.Arrived)
+	r.beginAnswer(a.Status)
 	r.sink.Head(a.Status, a.Header, -1)
 }
 
@@ -413,7 +412,7 @@
 // failureOutcome returns the outcome to record for a target whose attempt failed. A request that its caller or its deadline
 // ended has no bearing on the target, unless the target had been silent for long by then.
 func (r *relayedRequest) failureOutcome(ctx context.Context, a *attempt, failed *AttemptError) route.Outcome {
-	if ctx.Err() != nil && failed.Sent && r.Now().Sub(a.progressAt) < r.silenceBound() {
+	if r.isOver(ctx) && failed.Sent && r.Now().Sub(a.progressAt) < r.silenceBound() {
 		return route.Cancelled
 	}
 	switch failed.Kind {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -111,8 +111,10 @@
 	route       *table.Route
 	org         *table.Organisation
 	reservation budget.Reservation
-	// deadline is the time by which the caller must have its final response.
-	deadline time.Time
+	// deadline is the time by which the caller must have its final response, or the beginning of an answer, which may go on until end.
+	deadline, end time.Time
+	// expiry ends the context of the request at deadline, or at end.
+	expiry *time.Timer
 	// traits are what the request may have in common with others.
 	traits poison.Traits
 	// tried holds the ids of the targets of failed attempts, and sentTo those of ended attempts that may have received the request.
@@ -162,8 +164,10 @@
 	if err := r.Crashes.Check(r.traits); err != nil {
 		return r.refuse(crashRefusal(err))
 	}
-	ctx, cancel := context.WithDeadline(ctx, r.deadline)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	r.expiry = time.AfterFunc(time.Until(r.deadline), func() { cancel(context.DeadlineExceeded) })
+	defer r.expiry.Stop()
 	if refused := r.findOrigin(ctx); refused != nil {
 		return r.refuse(refused)
 	}
@@ -189,8 +193,8 @@
 	return r.Result
 }
 
-// replyMargin is subtracted from the caller's timeout, so that the final response arrives in time. It
-// is several times the network latency to callers.
+// replyMargin is subtracted from the caller's time limit, so that the final response arrives in time, and added to it for an answer that
+// has begun, so that the caller or the target ends it. It is several times the network latency to callers.
 const replyMargin = 15 * time.Millisecond
 
 // admit finds the route and the organisation of the request.
@@ -219,7 +223,8 @@
 	}
 	r.Priority = r.priority()
 	r.Service = r.pickService()
-	r.deadline = r.req.Arrived.Add(r.timeout())
+	limit := r.timeLimit()
+	r.deadline, r.end = r.req.Arrived.Add(max(limit-replyMargin, limit/2)), r.req.Arrived.Add(limit+replyMargin)
 	r.traits = r.req.traits(r.Organisation)
 	return nil
 }
@@ -258,8 +263,8 @@
 	return codes.Refuse(codes.CrashesTargets, quarantined.RetryAfter, "%v", quarantined)
 }
 
-// timeout returns the maximum time from the arrival of the request to its final response.
-func (r *relayedRequest) timeout() time.Duration {
+// timeLimit returns the time that the caller waits from the arrival of the request, or that the route allows.
+func (r *relayedRequest) timeLimit() time.Duration {
 	d := r.req.Timeout
 	if r.route.Timeout > 0 && (d <= 0 || r.route.Timeout < d) {
 		d = r.route.Timeout
@@ -267,7 +272,7 @@
 	if d <= 0 {
 		d = defaultTimeout
 	}
-	return max(d-replyMargin, d/2)
+	return d
 }
 
 // defaultTimeout applies if neither the caller nor the route sets a timeout.
@@ -373,8 +378,8 @@
 		if len(r.inFlight) > 0 {
 			continue
 		}
-		if ctx.Err() != nil || failed.Kind == Cancelled {
-			return r.interruptionRefusal(ctx)
+		if r.isOver(ctx) || failed.Kind == Cancelled {
+			return r.interruptionRefusal(ctx, failed)
 		}
 		if !r.mayRetry(failed) {
 			return r.giveUp(failed)
@@ -395,10 +400,15 @@
 	return r.giveUp(&AttemptError{Kind: Unreachable, Sent: true, Err: err})
 }
 
+// isOver reports whether the request has ended, or no further attempt may be made: targets end their work at the deadline.
+func (r *relayedRequest) isOver(ctx context.Context) bool {
+	return ctx.Err() != nil || !r.Now().Before(r.deadline)
+}
+
 // interruptionRefusal returns the refusal of a request that timed out or whose caller disconnected,
 // nil if the fallback was sent instead.
-func (r *relayedRequest) interruptionRefusal(ctx context.Context) *codes.Error {
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+func (r *relayedRequest) interruptionRefusal(ctx context.Context, failed *AttemptError) *codes.Error {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) || ctx.Err() == nil && failed.Kind != Cancelled {
 		if r.fallback != nil && !r.headSent {
 			r.sendBuffered(r.fallback)
 			return nil
@@ -484,10 +494,16 @@
 	return &codes.Error{Code: code, Run: r.execution(), Detail: fmt.Sprintf("%d attempts, the last one failed", r.Attempts), Err: failed}
 }
 
+// beginAnswer records that the head of the answer is sent, its status and the time to its first byte. The answer may go on until its end.
+func (r *relayedRequest) beginAnswer(status int) {
+	r.headSent, r.Status = true, status
+	r.TimeToFirstByte = r.Now().Sub(r.req.Arrived)
+	r.expiry.Reset(time.Until(r.end))
+}
+
 // sendBuffered sends a complete response to the caller.
 func (r *relayedRequest) sendBuffered(response *bufferedResponse) {
-	r.headSent, r.Status = true, response.status
-	r.TimeToFirstByte = r.Now().Sub(r.req.Arrived)
+	r.beginAnswer(response.status)
 	r.sink.Head(response.status, response.header, int64(len(response.body)))
 	if len(response.body) > 0 {
 		if err := r.sink.Write(response.body); err != nil {
--- a/io/router/detour.go
+++ b/io/router/detour.go
@@ -255,7 +255,7 @@
 	}
 	defer r.forwarded.Add(-1)
 	deadline := time.Now().Add(f.Remaining)
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(max(f.HeaderTimeout-f.Remaining, 0))) // The instance that sent the request ends it before.
 	defer cancel()
 	for tries := 0; ; tries++ {
 		if r.detours.Cut(f.Service) || tries >= forwardTries {
@@ -267,7 +267,7 @@
 		if err != nil {
 			return refusedEnd(codes.From(err, codes.NotRun))
 		}
-		end, outcome := r.exchangeFor(ctx, f, choice.Target, time.Until(deadline), w)
+		end, outcome := r.exchangeFor(ctx, f, choice.Target, deadline, w)
 		r.routeClient.Done(choice.DispatchID, outcome)
 		if end.Failure != string(relay.Unreachable) {
 			end.TargetID, end.Incarnation = choice.Target.ID, choice.Target.Incarnation
@@ -283,7 +283,8 @@
 
 // exchangeFor sends a request of another instance to a target and passes the response on. It returns the outcome for the instance, and that for the
 // health of the target.
-func (r *Router) exchangeFor(ctx context.Context, f peer.Forward, t roster.Target, left time.Duration, w peer.ForwardWriter) (peer.ForwardEnd, route.Outcome) {
+func (r *Router) exchangeFor(ctx context.Context, f peer.Forward, t roster.Target, deadline time.Time, w peer.ForwardWriter) (peer.ForwardEnd, route.Outcome) {
+	left := time.Until(deadline)
 	d := relay.Dispatch{
 		Request: &relay.Request{ID: f.RequestID, Method: f.Method, Host: f.Host, URI: f.URI, Header: f.Header, Body: f.Body},
 		Target:  t, Organisation: f.Organisation, Priority: f.Priority, Remaining: left, HeaderTimeout: min(left, f.HeaderTimeout),
@@ -295,10 +296,10 @@
 	header := http.Header{}
 	response, err := r.dispatchTo(ctx, d, func(raw http.Header) { header = raw.Clone() })
 	if err != nil {
-		return r.failedEnd(ctx, t, err)
+		return r.failedEnd(ctx, t, deadline, err)
 	}
 	defer response.Close()
-	response.SetReadTimeout(left)
+	response.SetReadTimeout(max(left, f.HeaderTimeout))
 	head := peer.ForwardHead{TargetID: t.ID, Incarnation: t.Incarnation, Software: t.Software, Status: response.Status, Header: header, Unframed: response.Unframed}
 	if err := w.Head(head); err != nil {
 		return cancelledEnd(err)
@@ -315,7 +316,7 @@
 		case err == io.EOF: //nolint:errorlint // Read returns io.EOF itself
 			return peer.ForwardEnd{Sent: true}, outcomeOf(response)
 		case err != nil:
-			return r.failedEnd(ctx, t, err)
+			return r.failedEnd(ctx, t, deadline, err)
 		}
 	}
 }
@@ -328,12 +329,12 @@
 }
 
 // failedEnd returns the outcome of a failed attempt.
-func (r *Router) failedEnd(ctx context.Context, t roster.Target, err error) (peer.ForwardEnd, route.Outcome) {
+func (r *Router) failedEnd(ctx context.Context, t roster.Target, deadline time.Time, err error) (peer.ForwardEnd, route.Outcome) {
 	f := &relay.AttemptError{Kind: relay.Broken, Sent: true, Err: err}
 	errors.As(err, &f)
 	end := peer.ForwardEnd{Failure: string(f.Kind), Sent: f.Sent, Detail: f.Error()}
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || !time.Now().Before(deadline):
 		return end, route.Cancelled
 	case f.Kind == relay.Silent:
 		return end, route.Silent
