test: a failing test of a panic while a request of another instance is sent

Nothing recovers a panic in the handler of a forwarded request, so that it ends the process and with it the connections of all callers. The test panics on this code. No input is known that causes such a panic.

--- a/io/router/serve_test.go
+++ b/io/router/serve_test.go
@@ -7,12 +7,14 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"cranberryrail/core/codes"
 	"cranberryrail/core/relay"
+	"cranberryrail/core/roster"
 	"cranberryrail/io/peer"
 )
 
@@ -22,6 +24,17 @@
 	assert.Equal(t, endError(&peer.ForwardEnd{Failure: string(relay.Cancelled), Sent: true}).Kind, relay.Broken)
 }
 
+// TestPanicInAForwardedRequestEndsOnlyIt guards against a process that ends with all its connections, because a request that it sends for another instance panics.
+func TestPanicInAForwardedRequestEndsOnlyIt(t *testing.T) {
+	r, _ := start(t, settings, "")
+	r.running.Store(true)
+	r.Platform.BuildHeader = func(relay.Dispatch) http.Header { panic("header") }
+	r.routeClient.SetTargets([]roster.Target{{ID: "t", Service: "s", Incarnation: "t@1", State: roster.Live}}, 0)
+	end := r.serveForward(t.Context(), peer.Forward{Service: "s", Remaining: time.Second}, peer.ForwardWriter{})
+	assert.DeepEqual(t, end, peer.ForwardEnd{Failure: string(relay.Invalid), Sent: true, Detail: "the exchange panicked", TargetID: "t", Incarnation: "t@1"})
+	assert.Equal(t, r.forwarded.Load(), int64(0))
+}
+
 // TestFailedRequestIsNoSuccessfulAttempt guards against a request of which all attempts failed and that counts as an attempt that succeeded too.
 func TestFailedRequestIsNoSuccessfulAttempt(t *testing.T) {
 	r, _ := start(t, settings, "")
