fix: a panic while a request of another instance is sent ends only that request

It is logged as event of a panic now, and fails as an invalid answer, after which the sender repeats the request where it may. TestPanicInAForwardedRequestEndsOnlyIt ended the test process before and passes now, with TestRandomCuts and TestForwardedHeadersWithAnyBytes.

--- a/io/router/detour.go
+++ b/io/router/detour.go
@@ -282,8 +282,14 @@
 }
 
 // exchangeFor sends a request of another instance to a target and passes the response on. It returns the outcome for the instance, and that for the
-// health of the target.
-func (r *Router) exchangeFor(ctx context.Context, f peer.Forward, t roster.Target, deadline time.Time, w peer.ForwardWriter) (peer.ForwardEnd, route.Outcome) {
+// health of the target. A panic fails the exchange: nothing else recovers it.
+func (r *Router) exchangeFor(ctx context.Context, f peer.Forward, t roster.Target, deadline time.Time, w peer.ForwardWriter) (end peer.ForwardEnd, outcome route.Outcome) {
+	defer func() {
+		if reason := recover(); reason != nil {
+			r.logPanic(reason)
+			end, outcome = peer.ForwardEnd{Failure: string(relay.Invalid), Sent: true, Detail: "the exchange panicked"}, route.Failed
+		}
+	}()
 	left := time.Until(deadline)
 	d := relay.Dispatch{
 		Request: &relay.Request{ID: f.RequestID, Method: f.Method, Host: f.Host, URI: f.URI, Header: f.Header, Body: f.Body},
