--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -57,8 +57,8 @@
 	ParseRequest func(r *http.Request) (*relay.Request, error)
 	// Serve relays a request.
 	Serve func(ctx context.Context, req *relay.Request, sink relay.Sink) relay.Result
-	// TimeLimit returns the maximum time from the arrival of a request to its final response.
-	TimeLimit func(req *relay.Request) time.Duration
+	// MaxTime returns the maximum time from the arrival of a request to the end of its answer.
+	MaxTime func(req *relay.Request) time.Duration
 	// RefusesLong reports whether requests are refused that may outlast the server before a scheduled stop. Optional; nil means always.
 	RefusesLong func() bool
 	// SetRefusalHeaders sets the headers of a refusal.
@@ -126,7 +126,7 @@
 // refuseStopping refuses a request that arrived at a time if the server may stop before its time limit.
 func (s *Server) refuseStopping(req *relay.Request, arrived time.Time) *codes.Error {
 	stopAt := s.stopAt.Load()
-	if stopAt == 0 || arrived.Add(s.TimeLimit(req)).UnixNano() <= stopAt || !s.RefusesLong() {
+	if stopAt == 0 || arrived.Add(s.MaxTime(req)).UnixNano() <= stopAt || !s.RefusesLong() {
 		return nil
 	}
 	return codes.Refuse(codes.Stopping, retryStopping, "retry the request; another instance takes it")
