test: chunks in a response of a version below HTTP/1.0 are no whole body

The same fault as that of HTTP/1.0: net/http ignores the header for chunks in all versions below 1.1, and the check of the response asks for HTTP/1.0 by name. "HTTP/0.9 200 OK" with chunks, cut in a chunk, counts as whole.

--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -375,6 +375,19 @@
 	}
 }
 
+// TestOldVersionsAreInvalid guards against a response of a version below HTTP/1.0 whose chunks were taken for a whole body, wherever they broke off.
+func TestOldVersionsAreInvalid(t *testing.T) {
+	for _, version := range []string{"HTTP/0.9", "HTTP/0.1"} {
+		s := newTarget(t)
+		results := startExchange(t, newClient(), s.request("1"))
+		p := s.accept(t)
+		p.readRequest(t)
+		p.send(t, version+" 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwh")
+		assert.NilError(t, p.Close())
+		assertFailed(t, results, conns.Waiting)
+	}
+}
+
 // A target may respond before it has read a long body. The connection must not be reused then, since
 // the request was not sent in full.
 func TestResponseBeforeTheBodyWasRead(t *testing.T) {
