fix: a response of a version below HTTP/1.0 is invalid

Callers could get a 200 whose body is the chunks themselves, up to where the target had broken off. The check of names HTTP/1.0; net/http reads any HTTP/0.x and ignores the header for chunks in all versions below 1.1, so that such a response counted as one that ends with its connection.

No version below 1.0 has a status line, and no target of the platform sends one; such a response is now invalid.

--- a/io/conns/response.go
+++ b/io/conns/response.go
@@ -33,6 +33,7 @@
 
 var (
 	errForeignResponse = errors.New("response belongs to another request")
+	errVersion         = errors.New("response has a version below HTTP/1.0")
 	errVersion10       = errors.New("response of HTTP/1.0 is an interim one or has chunks, which that version does not have")
 	errContentEncoding = errors.New("response has a Content-Encoding; only unencoded responses are supported")
 )
@@ -94,7 +95,11 @@
 func (cn *conn) readResponse(method string) (*http.Response, error) {
 	request := &http.Request{Method: method}
 	if version, _ := cn.reader.Peek(len(version10)); string(version) != version10 {
-		return http.ReadResponse(cn.reader, request)
+		head, err := http.ReadResponse(cn.reader, request)
+		if err == nil && !head.ProtoAtLeast(1, 1) {
+			return nil, errVersion
+		}
+		return head, err
 	}
 	// HTTP/1.0 has no chunks and no interim responses. ReadResponse would ignore a header for chunks and take them for a body that ends with the
 	// connection. Read as HTTP/1.1, the response shows it. The connection is used only once, since what follows may be buffered twice.
