fix: a request that no message can hold is refused and ends no detours

At an instance without a path to the targets, a caller whose path, id or last event id has a byte that is not valid UTF-8 got 502, which leaves open whether the request ran, and all other callers of that instance got 503 for 2 s: the encoder failed, which counted as a request that was sent to an instance that does not answer. HTTP allows such bytes.

Such a request is now refused with 503 and is not run, without asking another instance. To carry the bytes in fields of their own, as does for headers, is no choice here: an instance of the version in production would see an empty path.

--- a/io/peer/forward.go
+++ b/io/peer/forward.go
@@ -43,6 +43,12 @@
 	Avoid                     []string
 }
 
+// Encodable reports whether a message can hold the request: its text fields hold valid UTF-8 only.
+func (f *Forward) Encodable() bool {
+	texts := append([]string{f.RequestID, f.Method, f.Host, f.URI, f.Organisation, f.LastEventID, f.Service, f.Software, f.Prefix}, f.Avoid...)
+	return !slices.ContainsFunc(texts, func(text string) bool { return !utf8.ValidString(text) })
+}
+
 // ForwardHead is the head of a target's response.
 type ForwardHead struct {
 	TargetID, Incarnation, Software string
--- a/io/router/detour.go
+++ b/io/router/detour.go
@@ -129,8 +129,12 @@
 		Service: choice.Service, Software: choice.Software, Prefix: choice.Prefix, Avoid: choice.Avoid,
 	}
 	refusal := codes.Refuse(codes.NoTarget, route.NoTargetRetryAfter, "neither this instance nor one that it can ask reaches a target of service %s", choice.Service)
+	helpers := detour.MaxHelpers
+	if !f.Encodable() {
+		helpers = 0 // A failure to encode the request would count as that of the other instance.
+	}
 	var asked []string
-	for range detour.MaxHelpers {
+	for range helpers {
 		addr, ok := r.detours.Helper(choice.Service, asked)
 		if !ok {
 			break
