test: a stop refuses what only a starting instance could take

One that is starting is reachable as soon as it is connected to the others, and refuses all requests until its feeds have caught up, which takes as long as the log is away.

--- a/io/node/stop_test.go
+++ b/io/node/stop_test.go
@@ -16,6 +16,7 @@
 
 	"cranberryrail/core/conf"
 	"cranberryrail/fake/fleet"
+	"cranberryrail/fake/proxy"
 	"cranberryrail/io/opts"
 )
 
@@ -122,3 +123,29 @@
 	assert.Equal(t, call(f.Members[1]).status, http.StatusOK)
 	assert.NilError(t, stop.Wait())
 }
+
+// TestStopTakesWhatAStartingInstanceRefuses guards against refusals during the notice of a stop while the only other instance is starting and refuses too.
+func TestStopTakesWhatAStartingInstanceRefuses(t *testing.T) {
+	var f *fleet.Fleet
+	f = start(t, &fleet.Fleet{Instances: 1, Engines: 1, Proxied: true, ConfigureInstance: func(i int, s *opts.Settings) {
+		s.Stop.TimeoutMS, s.Stop.NoticeMS = 5000, 2000
+		if i > 0 {
+			f.Members[0].LogProxy.SetState(proxy.Closed)
+			s.Platform.LogURL, s.Platform.ListURL = "http://127.0.0.1:1", "http://127.0.0.1:1" // unreachable
+			s.Peer.Seeds = []string{f.Members[0].PeerAddr()}
+		}
+	}})
+	provision(t, f, 100_000)
+	other, err := f.StartInstance()
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	assert.NilError(t, f.Await(ctx, func() bool { return f.Members[0].PeersReached() == 1 }))
+	assert.Assert(t, !other.Ready())
+	var stop errgroup.Group
+	stop.Go(f.Members[0].Stop)
+	assert.NilError(t, f.Await(ctx, f.Members[0].Front.Stopping))
+	r := send(ctx, f.Members[0], "/v1/completions", fleet.Key("acme"), promptBody("p", 8, true))
+	assert.Check(t, r.status == http.StatusOK && strings.Contains(r.body, "[DONE]"), "%d %s, the other instance is ready: %v", r.status, r.body, other.Ready())
+	_ = stop.Wait()
+}
