test: a reply of a service that is cut off does not look whole

The product's own interface, a caller of HTTP/1.0 that reads more slowly than its time limit allows: 4,011,936 of 4,194,304 bytes, and then the end of the connection, which ends a body in that version. The test for slow readers had its double of a service split off.

--- a/io/node/faults_test.go
+++ b/io/node/faults_test.go
@@ -511,7 +511,9 @@
 	assert.Assert(t, balance(t, f.Members[0], "acme/main").Spent <= used+counts.Tokens)
 }
 
-func TestSlowReaderOfServiceIsCutOff(t *testing.T) {
+// startLargeService starts an instance and a service with a reply that a slow reader does not take in time.
+func startLargeService(t *testing.T) *fleet.Fleet {
+	t.Helper()
 	large := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write(make([]byte, 4<<20))
 	}))
@@ -526,12 +528,37 @@
 		f.Members[0].Route.Done(choice.DispatchID, route.Cancelled)
 		return err == nil
 	})
+	return f
+}
+
+func TestSlowReaderOfServiceIsCutOff(t *testing.T) {
+	f := startLargeService(t)
 	dialSlow(t, f.Members[0], "%s", requestHead("/v1/services/claims/submit", 2, "Idempotency-Key: k\r\n")+"{}")
 	eventually(t, f, func() bool { return f.Members[0].Front.InFlight() == 1 })
 	eventually(t, f, func() bool { return f.Members[0].Front.InFlight() == 0 })
 	assertRefused(t, submit(context.Background(), f.Members[0]).reply, 4002, "not_run") // the key is claimed by a finished call with another body
 }
 
+// TestCutReplyIsNotWhole guards against a reply of a service that was cut off, and that looked whole to a caller of HTTP/1.0, which knows no chunks.
+func TestCutReplyIsNotWhole(t *testing.T) {
+	f := startLargeService(t)
+	for _, version := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		conn, err := net.Dial("tcp", f.Members[0].Front.Addr())
+		assert.NilError(t, err)
+		defer conn.Close()
+		assert.NilError(t, conn.(*net.TCPConn).SetReadBuffer(64<<10))
+		request := requestHead("/v1/services/claims/submit", 2, "Idempotency-Key: "+version+"\r\n") + "{}"
+		_, err = io.WriteString(conn, strings.Replace(request, "HTTP/1.1", version, 1))
+		assert.NilError(t, err)
+		eventually(t, f, func() bool { return f.Members[0].Front.InFlight() == 1 })
+		eventually(t, f, func() bool { return f.Members[0].Front.InFlight() == 0 })
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		assert.Check(t, err != nil && len(body) < 4<<20, "%s: %d bytes that look whole", version, len(body))
+	}
+}
+
 func TestCallerDisconnectsDuringResponse(t *testing.T) {
 	f := start(t, &fleet.Fleet{Instances: 1, Engines: 1, TokenGap: 20 * time.Millisecond})
 	provisionAll(t, f, 1_000_000)
