fix: a stream is resumed by a list of targets that is read after its request arrived

Callers that took up a stream at an instance whose list was some seconds old, since a read of it was silent or the instance had stood still, got events of another software version. Origins and states were read from the log after the request had arrived, but the target was chosen by the list as it was. Where a target had started again under its id with another version, that list named the version before.

A service is open only while no instance that reaches the log has listed another version, so that a service with one version costs no further call.

--- a/core/logs/follow.go
+++ b/core/logs/follow.go
@@ -54,6 +54,13 @@
 	mu      sync.Mutex
 	endRead context.CancelFunc
 	refresh bool
+	// immediate is set if the read in flight returns at once, and ended if it was ended for another one.
+	immediate, ended bool
+	// wake receives an element when refresh is set, which ends the pause between two reads.
+	wake chan struct{}
+	// begun is the number of reads that began, and applied that of the last one whose records were applied, of which changed notifies by being closed.
+	begun, applied int64
+	changed        chan struct{}
 	// started is set once the newest records were read, and era the era of the log that they were read in.
 	started bool
 	era     int64
@@ -73,6 +80,11 @@
 	if f.MaxBackoff == 0 {
 		f.MaxBackoff = DefaultMaxBackoff
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.wake == nil {
+		f.wake, f.changed = make(chan struct{}, 1), make(chan struct{})
+	}
 	if f.OnOutage == nil {
 		f.OnOutage = func(error) {}
 	}
@@ -92,7 +104,7 @@
 		for err == nil {
 			from, err = f.read(ctx, from)
 			if err == nil && f.Pause > 0 {
-				pause.For(ctx, f.Pause)
+				f.pause(ctx)
 			}
 			err = f.handleReadError(ctx, err)
 		}
@@ -103,6 +115,17 @@
 	return nil
 }
 
+// pause waits for Pause, or until the next read is to return at once.
+func (f *Follower) pause(ctx context.Context) {
+	timer := time.NewTimer(f.Pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-f.wake:
+	}
+}
+
 // requiresReset reports whether an error of a read means that the newest records must be read again.
 func requiresReset(err error) bool {
 	var gone *GoneError
@@ -113,6 +136,7 @@
 func (f *Follower) reset(ctx context.Context) (int64, error) {
 	call, cancel := context.WithTimeout(ctx, min(f.Wait, DefaultWait)+f.CallMargin)
 	defer cancel()
+	f.beginRead(nil)
 	s, err := f.Log.NewestAll(call, f.Topic, f.Partition)
 	if err != nil {
 		return 0, err
@@ -123,6 +147,7 @@
 	}
 	f.started, f.era = true, s.Era
 	f.Reset(s.Records)
+	f.recordApplied()
 	return s.End, nil
 }
 
@@ -148,12 +173,12 @@
 	if f.Log.CurrentEra() != f.era {
 		return from, ErrNewEra
 	}
-	if len(records) == 0 {
-		return from, nil
+	if len(records) > 0 {
+		from = records[len(records)-1].Offset + 1
+		f.Apply(records)
 	}
-	next := records[len(records)-1].Offset + 1
-	f.Apply(records)
-	return next, nil
+	f.recordApplied()
+	return from, nil
 }
 
 // Refresh ends a read that waits for a record, and makes the next one return at once, so that a connection that was lost without
@@ -161,27 +186,76 @@
 func (f *Follower) Refresh() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.refresh = true
+	f.setRefresh()
 	if f.endRead != nil {
+		f.ended = true
 		f.endRead()
 	}
 }
 
+// setRefresh makes the next read return at once. The mutex is locked.
+func (f *Follower) setRefresh() {
+	f.refresh = true
+	select {
+	case f.wake <- struct{}{}:
+	default: // Run is already notified, or has not begun.
+	}
+}
+
+// AwaitRead waits until the records of a read that began after the call have been applied. The read is made at once. The error is that of the context.
+func (f *Follower) AwaitRead(ctx context.Context) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next := f.begun + 1
+	f.setRefresh()
+	if f.endRead != nil && !f.immediate {
+		f.ended = true
+		f.endRead() // One that returns at once is left to complete, however many wait for the next.
+	}
+	for f.applied < next {
+		changed := f.changed
+		f.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+		f.mu.Lock()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// recordApplied records that the records of the read that began last were applied.
+func (f *Follower) recordApplied() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.applied = f.begun
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
 // beginRead records how the read that begins can be ended, and reports whether it is to return at once.
 func (f *Follower) beginRead(end context.CancelFunc) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	refresh := f.refresh
-	f.endRead, f.refresh = end, false
+	f.begun++
+	f.endRead, f.refresh, f.immediate, f.ended = end, false, refresh, false
+	select {
+	case <-f.wake:
+	default: // The pause was ended, or there was none.
+	}
 	return refresh
 }
 
-// finishRead reports whether Refresh ended the read.
+// finishRead reports whether the read was ended for another one.
 func (f *Follower) finishRead() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.endRead = nil
-	return f.refresh
+	return f.ended
 }
 
 // handleReadError records an error and returns nil if the read is to be retried from the same offset. It returns
--- a/core/logs/follow_test.go
+++ b/core/logs/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -194,3 +195,31 @@
 		assert.NilError(t, g.Wait())
 	})
 }
+
+// TestAwaitReadAppliesRecordsAtOnce guards against a caller that acts on records that are older than its call, and against callers that end each other's reads.
+func TestAwaitReadAppliesRecordsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, v := &memlog.Server{}, &keyValues{}
+		slow := memlog.Before(s.Log(), func(context.Context) error { time.Sleep(10 * time.Millisecond); return nil })
+		f := &logs.Follower{Log: slow, Topic: "t", Wait: time.Second, Pause: time.Hour, Reset: v.reset, Apply: v.apply}
+		ctx, cancel := context.WithCancel(t.Context())
+		var g errgroup.Group
+		g.Go(func() error { return f.Run(ctx) })
+		time.Sleep(time.Minute)
+		for n := range 50 {
+			g.Go(func() error {
+				time.Sleep(time.Duration(n) * time.Millisecond)
+				key := strconv.Itoa(n)
+				s.Put("t", 0, key, []byte("1"))
+				limit, end := context.WithTimeout(ctx, 40*time.Millisecond)
+				defer end()
+				assert.Check(t, f.AwaitRead(limit))
+				assert.Check(t, v.value(key) == "1", key)
+				return nil
+			})
+		}
+		time.Sleep(time.Second)
+		cancel()
+		assert.NilError(t, g.Wait())
+	})
+}
--- a/core/origin/tracker.go
+++ b/core/origin/tracker.go
@@ -57,6 +57,8 @@
 	Life, Settle time.Duration
 	// Now returns the current time.
 	Now func() time.Time
+	// AwaitTargets waits until the list of targets was read anew and passed to SetTargets; optional.
+	AwaitTargets func(ctx context.Context) error
 	// OnState is called when this instance learns of another state of a service; optional.
 	OnState func(s State)
 	// OnError is called with the first error of a series of calls of the log that fail; optional.
@@ -101,6 +103,9 @@
 	if t.Now == nil {
 		t.Now = time.Now
 	}
+	if t.AwaitTargets == nil {
+		t.AwaitTargets = func(context.Context) error { return nil }
+	}
 	if t.OnState == nil {
 		t.OnState = func(State) {}
 	}
@@ -352,14 +357,29 @@
 	if o, ok := t.known.Get(key); ok {
 		return o, nil
 	}
+	o, mode, err := t.find(ctx, key, serviceName)
+	if err != nil || mode == Open {
+		return o, err
+	}
+	// The list of this instance may be older than another version. A target may have started again with it under the id that it had.
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := t.AwaitTargets(ctx); err != nil {
+		return Origin{}, fmt.Errorf("read the list of targets: %w", err)
+	}
+	return o, nil
+}
+
+// find reads the origin of a stream that did not begin at this instance, and the mode of its service; a stream that has a record began while it was not open.
+func (t *Tracker) find(ctx context.Context, key Key, serviceName string) (Origin, Mode, error) {
 	if key != "" {
 		o, ok, err := t.partitionOf(key).find(ctx, key)
 		if ok || err != nil {
-			return o, err
+			return o, Recorded, err
 		}
 	}
 	if _, err := t.readStates(ctx); err != nil {
-		return Origin{}, err
+		return Origin{}, "", err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -367,9 +387,9 @@
 	// An id that names no stream may stand for one that was recorded.
 	usable := s.exists && s.state.Era == t.Log.CurrentEra() && (s.state.Mode == Open || s.state.Mode == Mixed && key != "")
 	if !usable {
-		return Origin{}, ErrUnknown
+		return Origin{}, "", ErrUnknown
 	}
-	return Origin{Service: serviceName, Version: s.state.Version}, nil
+	return Origin{Service: serviceName, Version: s.state.Version}, s.state.Mode, nil
 }
 
 func (t *Tracker) partitionOf(key Key) *partition {
--- a/fake/builds/builds.go
+++ b/fake/builds/builds.go
@@ -156,6 +156,11 @@
 		return add(ctx, topic, part, at, records)
 	}
 	m.Tracker = &origin.Tracker{Log: l, StreamTopic: "keyed.streams", StateTopic: "keyed.versions", Parts: 3, NewFleet: newFleet, Life: life, Settle: settle}
+	m.AwaitTargets = func(context.Context) error {
+		err := reach()
+		f.list(m)
+		return err
+	}
 	m.Default()
 	ctx, cancel := context.WithCancel(context.Background())
 	m.stop = cancel
--- a/io/router/origin.go
+++ b/io/router/origin.go
@@ -9,10 +9,11 @@
 // initOrigins creates the component that knows which software version of a service began a stream.
 func (r *Router) initOrigins() {
 	s := r.Settings
+	r.targetTopic = r.followTargets()
 	r.origins = &origin.Tracker{
 		Log: r.Store, StreamTopic: r.Platform.StreamTopic, StateTopic: r.Platform.VersionTopic, Parts: s.Budget.Shards,
 		NewFleet: s.Budget.Fleet == opts.NewFleet, Life: s.Stream.LifeS.Duration(), Settle: s.Stream.SettleS.Duration(),
-		OnState: r.versionsChanged, OnInvalid: r.recordUnreadable(r.Platform.StreamTopic),
+		AwaitTargets: r.targetTopic.AwaitRead, OnState: r.versionsChanged, OnInvalid: r.recordUnreadable(r.Platform.StreamTopic),
 		OnError: func(err error) { events.Log(r.Log, events.OriginsDelayed).Err(err).Send() },
 	}
 	r.origins.Default()
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -111,6 +111,7 @@
 	rateTopic    *logs.Follower
 	rateReports  *logs.Outbox
 	origins      *origin.Tracker
+	targetTopic  *logs.Follower
 	detours      *detour.Tracker
 	relay        *relay.Server
 	link         *flow.Meter
@@ -329,7 +330,7 @@
 // tasks returns the functions that run concurrently.
 func (r *Router) tasks() []func(ctx context.Context) error {
 	runs := []func(ctx context.Context) error{
-		r.entry.Run, r.ready.Run, r.budgetSync.Run, r.followConfig().Run, r.followTargets().Run, r.crashTopic.Run, r.crashReports.Run, r.abandoned.Run, r.rateTopic.Run, r.rateReports.Run, r.origins.Run, r.watchPaths,
+		r.entry.Run, r.ready.Run, r.budgetSync.Run, r.followConfig().Run, r.targetTopic.Run, r.crashTopic.Run, r.crashReports.Run, r.abandoned.Run, r.rateTopic.Run, r.rateReports.Run, r.origins.Run, r.watchPaths,
 		r.runPeriodic, r.watchReload,
 	}
 	if r.Settings.Metrics.Listen != "" {
