fix: instances draw ahead of use before they are counted

Callers of a fleet that starts were refused (503, code 2003, not run) though nearly all of the budget was left. Until the instances are counted, 1 s after the start, none is a holder, and only holders drew ahead: each request drew exactly its own tokens by a conditional append, and the appends of four instances conflict. Now a draw that a request waits for covers what the use so far needs as well, at most an eighth of what is left, as in a fleet without loans, and a small excess is kept until the instances are counted.

--- a/core/budget/policy.go
+++ b/core/budget/policy.go
@@ -128,12 +128,28 @@
 	if !a.low() || !b.IsHolder(a.organisation) {
 		least = max(least, min(int64(minReturnRequests*a.requestSize), a.paid/minReturnDivisor))
 	}
+	if b.instanceCount == 0 {
+		least = max(least, a.paid/minReturnDivisor) // A base share is drawn soon.
+	}
 	if float64(a.unreserved) <= returnRatio*float64(keep) || a.unreserved-keep < least {
 		return 0
 	}
 	return a.unreserved - keep
 }
 
+// unheldDraw returns the draw of an instance that is no holder, whose requests miss a number of tokens. Until the holders are known it draws ahead
+// with the tokens that a request waits for, since the appends of instances that start together conflict.
+func (b *Book) unheldDraw(a *account, missing, drawable int64) int64 {
+	switch {
+	case a.borrowing.active:
+		return 0
+	case b.instanceCount == 0 && missing > 0:
+		return max(missing, min(missing+b.target(a), b.maxDraw(drawable)))
+	default:
+		return missing
+	}
+}
+
 // adjustment returns the number of tokens by which a holding should change.
 func (b *Book) adjustment(a *account) int64 {
 	if a.paid == table.Unlimited || !b.loaded || a.unknown {
@@ -148,9 +164,7 @@
 	drawable := b.drawable(a, false)
 	draw := a.demand() - a.unreserved
 	if !b.IsHolder(a.organisation) {
-		if a.borrowing.active {
-			draw = 0
-		}
+		draw = b.unheldDraw(a, draw, drawable)
 	} else if target := b.target(a); float64(a.unreserved) < refillRatio*float64(target) {
 		if refill := min(target-a.unreserved, b.maxDraw(drawable)); refill >= a.quantum(target) {
 			draw = max(draw, refill)
--- a/core/budget/syncer_test.go
+++ b/core/budget/syncer_test.go
@@ -289,3 +289,25 @@
 	m.book.Settle(r, 0)
 	assert.Equal(t, m.book.Balance("travel").Reserved, int64(0))
 }
+
+// TestDrawBeforeInstancesAreCounted guards against an append for each request of instances that start together, whose appends conflict.
+func TestDrawBeforeInstancesAreCounted(t *testing.T) {
+	syncer := &budget.Syncer{Log: (&memlog.Server{}).Log(), Topic: "keyed.budgets", Instance: "i", Incarnation: "i#1", PeerAddr: "i", Book: &budget.Book{}}
+	syncer.Default()
+	syncer.SetOrganisations([]table.Organisation{{Name: "travel", Prepaid: paid}})
+	assert.NilError(t, syncer.Sync(t.Context()))
+	var first errgroup.Group
+	first.Go(func() error {
+		_, err := syncer.Book.Reserve(t.Context(), "travel", 10)
+		return err
+	})
+	time.Sleep(20 * time.Millisecond)
+	assert.NilError(t, syncer.Sync(t.Context()))
+	assert.NilError(t, first.Wait())
+	for range 5 {
+		r, err := syncer.Book.Reserve(t.Context(), "travel", 10)
+		assert.NilError(t, err)
+		syncer.Book.Settle(r, 5)
+	}
+	assert.Assert(t, !syncer.Book.AdjustmentDue("travel"), "tokens are returned before the instances are counted")
+}
