chore: doubles of a silent log and of a forwarded reply are in the packages of the doubles

The test of streams that wait for their record builds both itself; other tests of a silent store or a detour need the same.

--- a/core/relay/record_test.go
+++ b/core/relay/record_test.go
@@ -24,15 +24,7 @@
 func newOrigins(t *testing.T, silence time.Duration) *origin.Tracker {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
-	replies := time.Now().Add(silence)
-	store := memlog.Before((&memlog.Server{}).Log(), func(ctx context.Context) error {
-		select {
-		case <-time.After(time.Until(replies)):
-			return nil
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	})
+	store := memlog.SilentUntil((&memlog.Server{}).Log(), time.Now().Add(silence))
 	tracker := &origin.Tracker{Log: store, StreamTopic: "streams", StateTopic: "versions"}
 	tracker.Default()
 	tracker.SetTargets([]roster.Target{{Service: "draft", Software: "v1"}})
@@ -94,8 +86,7 @@
 	}
 }
 
-// TestDetourWaitsForRecord guards against a stream by way of another instance that is cut while its first event waits for its record: the time limit
-// of a forwarded reply, unlike that of a read from a target, runs on while nothing is read.
+// TestDetourWaitsForRecord guards against a stream by way of another instance that is cut by its time limit while its first event waits for its record.
 func TestDetourWaitsForRecord(t *testing.T) {
 	pauses := script.Stream{Parts: []script.Part{script.Until(0, 4), script.Until(200*time.Millisecond, 60), script.End}}
 	for _, silence := range []time.Duration{700 * time.Millisecond, 900 * time.Millisecond, 1500 * time.Millisecond} {
@@ -106,19 +97,7 @@
 					f.Origins = origins
 					f.NeedsDetour = func(string, int) bool { return true }
 					f.DispatchBy = func(ctx context.Context, d relay.Dispatch, _ route.Request) (*relay.Response, error) {
-						ctx, cancel := context.WithCancel(ctx)
-						timer := time.AfterFunc(d.HeaderTimeout, cancel)
-						response, err := pauses.Dispatch(ctx, d)
-						if err == nil {
-							limit := response.SetReadTimeout
-							response.Target = &roster.Target{ID: "0", Software: "v1"}
-							response.SetReadTimeout = func(left time.Duration) {
-								limit(left)
-								timer.Reset(left)
-							}
-							response.Close = cancel
-						}
-						return response, err
+						return pauses.Forwarded(ctx, d, roster.Target{ID: "0", Software: "v1"})
 					}
 				})
 				assert.Assert(t, result.Refused == nil && !result.Truncated && result.Events == 60, "%v", result.Refused)
--- a/fake/memlog/memlog.go
+++ b/fake/memlog/memlog.go
@@ -261,3 +261,15 @@
 		},
 	}
 }
+
+// SilentUntil returns a log that replies to no call before a time.
+func SilentUntil(l logs.Log, replies time.Time) logs.Log {
+	return Before(l, func(ctx context.Context) error {
+		select {
+		case <-time.After(time.Until(replies)):
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	})
+}
--- a/fake/script/script.go
+++ b/fake/script/script.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"cranberryrail/core/relay"
+	"cranberryrail/core/roster"
 )
 
 // Dispatch sends a request to a target, like the field of relay.Server.
@@ -77,6 +78,25 @@
 	}, nil
 }
 
+// Forwarded plays the script as the reply of another instance that has chosen a target. Its time limit, unlike that of a read from a target, runs on
+// while nothing is read.
+func (s Stream) Forwarded(ctx context.Context, d relay.Dispatch, target roster.Target) (*relay.Response, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(d.HeaderTimeout, cancel)
+	response, err := s.Dispatch(ctx, d)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	setReadTimeout := response.SetReadTimeout
+	response.Target, response.Close = &target, cancel
+	response.SetReadTimeout = func(t time.Duration) {
+		setReadTimeout(t)
+		timer.Reset(t)
+	}
+	return response, nil
+}
+
 // play is a stream that is played.
 type play struct {
 	parts []Part
