fix: replies of the product's own interface state their length

A caller of HTTP/1.0 that reads more slowly than write_timeout_ms allows got 4,011,936 of 4,194,304 bytes of a service's reply, and then an orderly end of the connection, which ends a body in HTTP/1.0. The reply was complete when its head was written, but its length was left to net/http, which frames a body of more than 2 KiB by chunks, or by the end of the connection in HTTP/1.0.

Replies of services, completions that are no streams and refusals now state their length. Streams are told by their last event, as documented, also in HTTP/1.0.

--- a/io/front/service.go
+++ b/io/front/service.go
@@ -197,6 +197,7 @@
 	if replayed {
 		w.Header().Set("X-Replayed", "1")
 	}
+	setLength(w, reply.Body)
 	w.WriteHeader(reply.Status)
 	_, _ = w.Write(reply.Body)
 }
--- a/io/front/wire.go
+++ b/io/front/wire.go
@@ -44,9 +44,16 @@
 }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
+	body := []byte(marshal(v))
 	w.Header().Set("Content-Type", "application/json")
+	setLength(w, body)
 	w.WriteHeader(status)
-	_, _ = w.Write([]byte(marshal(v)))
+	_, _ = w.Write(body)
+}
+
+// setLength states the length of a response, so that one that is cut off never looks whole. Without it, a long one has chunks, which HTTP/1.0 lacks.
+func setLength(w http.ResponseWriter, body []byte) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 }
 
 // marshal encodes a value as JSON. The types of this package can always be encoded.
