fix: the response to HEAD counts as framed

Callers that asked HEAD for a stream got a 502 after the target's whole 200, and the request was sent a second time where it may be repeated. Without a length or chunks in its head, such a response counted as one that ends with its connection, and a stream of that kind without an event as broken off. Its head ends it, whatever it states; its connection can also be used again now.

TestHeadOfAStreamIsServed: 502 before, 200 now.

--- a/io/conns/response.go
+++ b/io/conns/response.go
@@ -119,7 +119,7 @@
 
 func (resp *Response) accept(head *http.Response) {
 	resp.Status, resp.Header, resp.body = head.StatusCode, head.Header, head.Body
-	resp.Unframed = head.ContentLength < 0 && len(head.TransferEncoding) == 0
+	resp.Unframed = head.ContentLength < 0 && len(head.TransferEncoding) == 0 && head.Body != http.NoBody // a response to HEAD has no body
 	resp.reusable = !head.Close && !resp.Unframed
 	if d, ok := parseKeepAlive(head.Header.Get("Keep-Alive")); ok {
 		resp.conn.idleTimeout = d
