test: the response to HEAD states no length of its own

The length of a response is that of the body which was read, and a response to HEAD has none: a caller got Content-Length: 0 where the target states 5.

--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -59,6 +59,14 @@
 	return resp
 }
 
+// TestHeadStatesNoLengthOfItsOwn guards against a response to HEAD that states the length 0, which is not that of the body that GET would bring.
+func TestHeadStatesNoLengthOfItsOwn(t *testing.T) {
+	resp, err := http.Head("http://" + startServer(t).Addr())
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	assert.Equal(t, resp.Header.Get("Content-Length"), "")
+}
+
 // CloseConnections must not close an idle connection, since a request may just have arrived on it. The response
 // to the next request closes it.
 func TestCloseConnectionsKeepsIdleConnections(t *testing.T) {
