fix: the response to HEAD states no length of its own

Callers that asked HEAD got Content-Length: 0 where the target had stated the length of what GET would bring: a response that was read whole is sent with the length of its body, which for HEAD is none. A server may leave the length out for HEAD, and does so now; the target's own one is removed with the hop-by-hop headers before.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -139,7 +139,7 @@
 		return
 	}
 	req.Arrived = started
-	result := s.Serve(r.Context(), req, s.newSink(w))
+	result := s.Serve(r.Context(), req, s.newSink(w, r.Method))
 	s.OnEnd(result, time.Since(started))
 	switch {
 	case result.Truncated || result.CallerGone:
@@ -219,8 +219,9 @@
 	}
 }
 
-// newSink returns a sink that forwards a response to a caller.
-func (s *Server) newSink(w http.ResponseWriter) relay.Sink {
+// newSink returns a sink that forwards the response to a caller's request with a method. A response to HEAD states no length: that of the body that GET
+// would bring is not known here.
+func (s *Server) newSink(w http.ResponseWriter, method string) relay.Sink {
 	controller := http.NewResponseController(w)
 	lengthUnknown := false
 	return relay.Sink{
@@ -229,7 +230,7 @@
 			for name, values := range header {
 				h[name] = values
 			}
-			if length >= 0 {
+			if length >= 0 && method != http.MethodHead {
 				h.Set("Content-Length", strconv.FormatInt(length, 10))
 			}
 			lengthUnknown = length < 0
