test: a failing test of streams that begin as the deadline passes

Where the first event of a stream comes as the deadline passes, the head and the event are sent and the connection is then closed, before the time limit, though a refusal was due instead.

--- a/core/relay/silence_test.go
+++ b/core/relay/silence_test.go
@@ -128,3 +128,17 @@
 		})
 	}
 }
+
+// TestAnswerThatBeginsAtTheDeadline guards against streams that begin as the deadline passes, and are broken off at once instead of refused.
+func TestAnswerThatBeginsAtTheDeadline(t *testing.T) {
+	const limit = time.Second
+	for range 100 {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(script.Stream{Parts: []script.Part{script.Until(limit-15*time.Millisecond, 1), script.Until(time.Hour, 2)}}.Dispatch)
+			started, answered := time.Now(), false
+			req := &relay.Request{ID: "1", Host: "h", Path: "/x", Key: "key", Arrived: started, Timeout: limit}
+			result := f.Serve(t.Context(), req, relay.Sink{Head: func(int, http.Header, int64) { answered = true }, Write: func([]byte) error { return nil }})
+			assert.Assert(t, !answered && !result.Truncated && !result.CallerGone || time.Since(started) >= limit, "after %v", time.Since(started))
+		})
+	}
+}
