fix: a stream is not begun once the deadline has passed

Where the first event of a stream came as the deadline passed, its caller got the head and one event and then a closed connection, before the time limit, instead of the refusal that was due. The head was sent without a check that the context was still whole, and the context of an answer in progress could not be extended any more.

The head is now sent only if the end of the context could be put off; otherwise the request is refused as timed out.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -331,7 +331,9 @@
 
 // relayLongBody forwards a response that is too long to be buffered.
 func (r *relayedRequest) relayLongBody(a *Response, prefix []byte) *AttemptError {
-	r.sendHead(a)
+	if failed := r.sendHead(a); failed != nil {
+		return failed
+	}
 	for p, err := prefix, error(nil); ; {
 		if writeErr := r.sink.Write(p); writeErr != nil {
 			return &AttemptError{Kind: Cancelled, Sent: true, Err: writeErr}
@@ -348,10 +350,19 @@
 	}
 }
 
-// sendHead forwards the head of a response of unknown length.
-func (r *relayedRequest) sendHead(a *Response) {
+// sendHead forwards the head of a response of unknown length, unless it was sent before. The answer may then go on until its end. The error means
+// that the deadline has passed.
+func (r *relayedRequest) sendHead(a *Response) *AttemptError {
+	if r.headSent {
+		return nil
+	}
+	if !r.expiry.Stop() {
+		return &AttemptError{Kind: Silent, Sent: true, Err: context.DeadlineExceeded}
+	}
+	r.expiry.Reset(time.Until(r.end))
 	r.beginAnswer(a.Status)
 	r.sink.Head(a.Status, a.Header, -1)
+	return nil
 }
 
 // endEvents ends a stream that its target has completed, with what came after its last event. Without framing and events, nothing
@@ -362,8 +373,8 @@
 		return &AttemptError{Kind: Broken, Sent: true, Err: errNoEvent}
 	}
 	r.accept(ctx, a)
-	if !r.headSent {
-		r.sendHead(a.response)
+	if failed := r.sendHead(a.response); failed != nil {
+		return failed
 	}
 	if len(rest) > 0 {
 		if err := r.sink.Write(rest); err != nil {
@@ -381,8 +392,8 @@
 		}
 	}
 	r.accept(ctx, a)
-	if !r.headSent {
-		r.sendHead(a.response)
+	if failed := r.sendHead(a.response); failed != nil {
+		return failed
 	}
 	r.lastEventID, r.joinable = e.id, e.hasID && e.id != ""
 	r.Events++
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -408,7 +408,8 @@
 // interruptionRefusal returns the refusal of a request that timed out or whose caller disconnected,
 // nil if the fallback was sent instead.
 func (r *relayedRequest) interruptionRefusal(ctx context.Context, failed *AttemptError) *codes.Error {
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) || ctx.Err() == nil && failed.Kind != Cancelled {
+	// The context may end in between; its cause is set if its error is.
+	if ctx.Err() == nil && failed.Kind != Cancelled || errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		if r.fallback != nil && !r.headSent {
 			r.sendBuffered(r.fallback)
 			return nil
@@ -494,11 +495,10 @@
 	return &codes.Error{Code: code, Run: r.execution(), Detail: fmt.Sprintf("%d attempts, the last one failed", r.Attempts), Err: failed}
 }
 
-// beginAnswer records that the head of the answer is sent, its status and the time to its first byte. The answer may go on until its end.
+// beginAnswer records that the head of the answer is sent, its status and the time to its first byte.
 func (r *relayedRequest) beginAnswer(status int) {
 	r.headSent, r.Status = true, status
 	r.TimeToFirstByte = r.Now().Sub(r.req.Arrived)
-	r.expiry.Reset(time.Until(r.end))
 }
 
 // sendBuffered sends a complete response to the caller.
