fix: a stop of the own interface takes what a starting instance refuses

During the notice of a stop, callers got refusals from both instances: the stopping one refused what may outlast it because another instance was reachable and not stopping, and that one was starting and refused all requests. While the log is away that lasts as long as the outage.

Now a stopping instance asks the others for their state, at the beginning of the stop and every 250 ms of the notice, and refuses only while one of them is ready. It costs nothing but during a stop: one call to each other instance each time, and up to 250 ms before the notice begins where one does not reply.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -87,6 +87,8 @@
 	startedAt          time.Time
 	started            atomic.Bool
 	loadsPolled        atomic.Bool
+	// otherReady is set while another instance is known to be ready, during the notice of a stop.
+	otherReady atomic.Bool
 	// loanCount counts the loan requests, and fetchCount the fetches of folded states.
 	loanCount, fetchCount atomic.Int64
 	// unreachablePeers holds the addresses of instances whose last call failed.
@@ -226,7 +228,7 @@
 	n.makeCrashes()
 	n.Front = &front.Server{
 		Settings: n.Settings.Caller, MaxReplyBytes: n.Settings.Once.AnswerBytes,
-		Ready: n.Ready, OtherReady: n.otherTakesWork, StreamLimit: n.streamLimit, CallLimit: n.callLimit(),
+		Ready: n.Ready, OtherReady: n.otherReady.Load, StreamLimit: n.streamLimit, CallLimit: n.callLimit(),
 		TemplateByKey: func(sha256 string) (conf.Template, bool) {
 			t, ok := n.config.load().byKeyHash[sha256]
 			return t, ok
@@ -437,7 +439,17 @@
 func (n *Node) drain(ctx context.Context, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	err := n.Front.Drain(ctx, n.Settings.Stop.NoticeMS.Duration())
+	n.checkOthers(ctx)
+	notice := n.Settings.Stop.NoticeMS.Duration()
+	noticed, end := context.WithTimeout(ctx, notice)
+	var watch errgroup.Group
+	watch.Go(func() error {
+		n.watchOthers(noticed)
+		return nil
+	})
+	err := n.Front.Drain(ctx, notice)
+	end()
+	_ = watch.Wait() // the function returns no error
 	if err != nil {
 		n.meter.Violation(meter.CutByStop)
 		events.Log(n.Log, events.StopGaveUp).Int64("in_flight", n.Front.InFlight()).Err(err).Send()
--- a/io/node/operate.go
+++ b/io/node/operate.go
@@ -107,6 +107,9 @@
 	return out
 }
 
+// stateReady is the state of an instance that accepts requests.
+const stateReady = "ready"
+
 // localState returns the state of this instance.
 func (n *Node) localState() oper.InstanceState {
 	age := n.ConfigAge()
@@ -119,7 +122,7 @@
 	case n.Front.Stopping():
 		s.State = "stopping"
 	case n.Ready():
-		s.State = "ready"
+		s.State = stateReady
 	}
 	return s
 }
--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -13,6 +13,7 @@
 
 	"cranberryrail/core/events"
 	"cranberryrail/core/ledger"
+	"cranberryrail/core/pause"
 	"cranberryrail/core/roster"
 	"cranberryrail/core/tail"
 	"cranberryrail/io/meter"
@@ -82,11 +83,27 @@
 	return reached
 }
 
-// otherTakesWork reports whether another instance is reachable and neither stopping nor leaving.
-func (n *Node) otherTakesWork() bool {
-	return slices.ContainsFunc(n.peersByReach(), func(p roster.Peer) bool {
-		return p.Reach == roster.Reachable && !p.Stopping && p.Listed != roster.Leaving
+// otherReadyInterval is how often a stopping instance checks whether another one is ready, and the longest time of a check.
+const otherReadyInterval = 250 * time.Millisecond
+
+// watchOthers tracks until the context ends whether another instance is ready.
+func (n *Node) watchOthers(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause.For(ctx, otherReadyInterval)
+		n.checkOthers(ctx)
+	}
+}
+
+// checkOthers checks whether another instance is ready. One that is starting responds to other instances before it is ready.
+func (n *Node) checkOthers(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, otherReadyInterval)
+	defer cancel()
+	ready := slices.ContainsFunc(n.instances(bounded), func(s oper.InstanceState) bool {
+		return s.State == stateReady && s.Incarnation != n.Incarnation
 	})
+	if ctx.Err() == nil {
+		n.otherReady.Store(ready)
+	}
 }
 
 // LogReached reports whether the platform's log is reachable, directly or through another instance.
--- a/io/node/stop_test.go
+++ b/io/node/stop_test.go
@@ -136,6 +136,7 @@
 		}
 	}})
 	provision(t, f, 100_000)
+	assert.Equal(t, send(context.Background(), f.Members[0], "/v1/completions", fleet.Key("acme"), promptBody("p", 8, true)).status, http.StatusOK) // draws tokens
 	other, err := f.StartInstance()
 	assert.NilError(t, err)
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
