test: callers of forwarded replies connect again on a busy machine

TestLastForwardedRepliesAreSent waits until all its requests are in flight. One whose connection took over 150 ms failed, and the wait had no end. Such a request, which was not sent, is now sent again; what is asserted is unchanged.

--- a/io/peer/stop_test.go
+++ b/io/peer/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"runtime"
 	"testing"
 	"time"
@@ -32,6 +33,10 @@
 		for range requests {
 			callers.Go(func() error {
 				reply, err := client.Forward(t.Context(), s.Addr(), peer.Forward{HeaderTimeout: time.Minute, Remaining: time.Minute})
+				var failed *peer.ForwardError
+				for errors.As(err, &failed) && !failed.Sent { // A busy machine exceeds the time for a connection.
+					reply, err = client.Forward(t.Context(), s.Addr(), peer.Forward{HeaderTimeout: time.Minute, Remaining: time.Minute})
+				}
 				if err != nil {
 					return err
 				}
