test: first requests of an organisation with a new budget

Callers of an organisation that a configuration has just added, or that got its first budget, are served without a limit and without being billed while the table is in force and the budgets are not yet applied.

--- a/io/router/follow_test.go
+++ b/io/router/follow_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"encoding/json"
+	"runtime"
+	"strconv"
 	"strings"
 	"testing"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"cranberryrail/core/logs"
@@ -28,3 +31,30 @@
 		assert.Equal(t, r.table.Current().Version, int64(5))
 	}
 }
+
+// TestNewBudgetLimitsItsFirstRequest guards against requests of an organisation that are neither limited nor billed, because its key was in force before its budget.
+func TestNewBudgetLimitsItsFirstRequest(t *testing.T) {
+	r, _ := start(t, settings, "")
+	r.Platform.ParseConfig = func(value []byte) (c table.Config, err error) {
+		err = json.Unmarshal(value, &c.Version)
+		c.Organisations = []table.Organisation{{Name: string(value), Prepaid: 10}}
+		return c, err
+	}
+	unlimited := 0
+	for version := range int64(500) {
+		name := strconv.FormatInt(version+1, 10)
+		var group errgroup.Group
+		group.Go(func() error {
+			for current := r.table.Current(); current == nil || current.Version <= version; current = r.table.Current() {
+				runtime.Gosched()
+			}
+			if _, err := r.budgets.Reserve(t.Context(), name, 20); err == nil {
+				unlimited++
+			}
+			return nil
+		})
+		r.applyConfig(logs.Record{Key: "config", Value: []byte(name)})
+		assert.NilError(t, group.Wait())
+	}
+	assert.Equal(t, unlimited, 0)
+}
