fix: budgets are known before the configuration that names them is in force

Callers of an organisation that a configuration added, or gave its first budget, could be served without a limit and without being billed: the table came into force first, then the list of targets was rebuilt, and only then the budgets were set, and an organisation without a known budget is not limited. The budgets of a configuration are now set before its table is current; an admitted request always finds the budget of its table or of a newer one.

--- a/core/table/holder.go
+++ b/core/table/holder.go
@@ -8,7 +8,9 @@
 // Holder holds the table in force. Exported fields must be set before the first call; it is
 // safe for concurrent use.
 type Holder struct {
-	// OnApplied is called with each table that comes into force; optional.
+	// BeforeApply is called with each table before it comes into force; optional.
+	BeforeApply func(t *Table)
+	// OnApplied is called with each table that came into force; optional.
 	OnApplied func(t *Table)
 
 	mu      sync.Mutex
@@ -30,6 +32,9 @@
 		return false
 	}
 	t := New(c)
+	if h.BeforeApply != nil {
+		h.BeforeApply(t)
+	}
 	h.current.Store(t)
 	if h.OnApplied != nil {
 		h.OnApplied(t)
--- a/io/router/follow.go
+++ b/io/router/follow.go
@@ -47,10 +47,12 @@
 	r.table.Apply(c)
 }
 
-// configApplied updates budgets and metrics, and logs the event, when a configuration came into force.
+// applyBudgets sets the budgets of a configuration before it comes into force. An organisation whose budget is not known is not limited.
+func (r *Router) applyBudgets(t *table.Table) { r.budgetSync.SetOrganisations(t.Organisations) }
+
+// configApplied updates targets and metrics, and logs the event, when a configuration came into force.
 func (r *Router) configApplied(t *table.Table) {
 	r.updateTargets(func(*roster.TargetList) bool { return true }) // routes may lead to other services
-	r.budgetSync.SetOrganisations(t.Organisations)
 	r.configAppliedAt.Store(time.Now().UnixNano())
 	r.Meter.ConfigVersion(t.Version)
 	events.Log(r.Log, events.ConfApplied).Int64("version", t.Version).Int("routes", len(t.Routes)).
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -184,7 +184,7 @@
 	r.headersIgnored, _ = lru.New[string, struct{}](route.MaxLeavingIncarnations) // fails only for a size below 1
 	r.brittle, _ = lru.New[string, struct{}](route.MaxLeavingIncarnations)
 	r.initBudgets()
-	r.table.OnApplied = r.configApplied
+	r.table.BeforeApply, r.table.OnApplied = r.applyBudgets, r.configApplied
 	r.initCrashes()
 	r.initOrigins()
 	r.initDetours()
