fix: a reservation has the tokens that it was decided with

Cause: Book.Reserve took the tokens under its lock, and asked under the lock again whether the organisation has a budget. If a budget was set in between, a request without tokens was returned as one with tokens, and Settle added them to the holding; if it was removed in between, the tokens that were taken stayed reserved for good. Why it works: whether there is a budget is decided once, under the same lock as the tokens.

--- a/core/budget/book.go
+++ b/core/budget/book.go
@@ -87,7 +87,7 @@
 	tokens int64
 	// resumes is set if the request resumes a stream.
 	resumes bool
-	// done is closed once the reservation is decided; err is set before, and unlimited if the budget was removed meanwhile.
+	// done is closed once the reservation is decided; err is set before, and unlimited if the organisation has no budget then.
 	done      chan struct{}
 	err       error
 	unlimited bool
@@ -228,7 +228,7 @@
 		return Reservation{}, err
 	}
 	if !queued {
-		return b.clearUnlimited(r), nil
+		return w.reservation(r), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, b.MaxWait)
 	defer cancel()
@@ -247,21 +247,15 @@
 			waiting = false
 		}
 	}
-	switch {
-	case w.err != nil:
+	if w.err != nil {
 		return Reservation{}, w.err
-	case w.unlimited:
-		r.Tokens = 0
 	}
-	return r, nil
+	return w.reservation(r), nil
 }
 
-// clearUnlimited returns the reservation with 0 tokens if the organisation has no budget, and
-// unchanged otherwise.
-func (b *Book) clearUnlimited(r Reservation) Reservation {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.account(r.Organisation).paid == table.Unlimited {
+// reservation returns r, without tokens if the organisation had no budget when it was decided.
+func (w *waiter) reservation(r Reservation) Reservation {
+	if w.unlimited {
 		r.Tokens = 0
 	}
 	return r
@@ -274,6 +268,7 @@
 	defer b.mu.Unlock()
 	a := b.account(organisation)
 	if a.paid == table.Unlimited {
+		w.unlimited = true
 		return false, nil
 	}
 	a.recordRequest(w.tokens, b.Now())
