fix: the retry of a loan request gets its tokens although a later loan was requested

Cause: a holder knew the reply to the last loan of each borrower and budget only. If a reply was lost and the borrower requested a later loan before its retry, which comes up to 20 s later, the retry got 0: the holder counted the tokens as lent, and the borrower never had them. Evidence: TestLateLoanRetryGetsItsTokens, two loans of 100: the retry of the first got 0 tokens before, 100 after; the tests of core/ledger pass. Why it works: the replies of the last 64 loans that lent something are known. A request that is late and was never handled still gets 0, so that nothing is lent twice. Not changed: the retries end after 20 s, when the tokens stay with the holder.

--- a/core/ledger/book.go
+++ b/core/ledger/book.go
@@ -129,7 +129,7 @@
 	MaxWait time.Duration
 
 	accounts map[string]*account
-	loans    map[loanKey]lastLoan
+	loans    map[loanKey]knownLoans
 	// budgets holds the keys of accounts. tickCursor is the index that Tick processed last, and
 	// checkCursor the one that CheckNext checked last.
 	budgets                 []string
@@ -167,7 +167,7 @@
 		b.MaxWait = 400 * time.Millisecond
 	}
 	b.accounts = map[string]*account{}
-	b.loans = map[loanKey]lastLoan{}
+	b.loans = map[loanKey]knownLoans{}
 	b.reservations = map[int64]Reservation{}
 	b.waitingBudgets = map[string]bool{}
 }
--- a/core/ledger/book_test.go
+++ b/core/ledger/book_test.go
@@ -332,6 +332,22 @@
 	assert.Equal(t, a.LendOnce(ledger.LoanID{Borrower: "b", Number: 0}, budget, 400, 1), int64(0))
 }
 
+// TestLateLoanRetryGetsItsTokens guards against tokens that nobody can spend until their holder ends, because the reply to a loan request was lost and a
+// later loan was requested before the retry arrived. Loans that lent none, and requests that arrive late for the first time, lend none.
+func TestLateLoanRetryGetsItsTokens(t *testing.T) {
+	f := newFleet(t, fixedPolicy(1000))
+	a, b := f.start("a"), f.start("b")
+	drawAllowances(2000, a, b)
+	ask := func(number int64) int64 {
+		return a.LendOnce(ledger.LoanID{Borrower: "b", Number: number}, budget, 100, 1)
+	}
+	first, later := ask(2), ask(4)
+	assert.Equal(t, ask(2), first)
+	assert.Equal(t, ask(4), later)
+	assert.Equal(t, ask(3), int64(0))
+	assert.Equal(t, a.Spendable(budget), 1000-first-later)
+}
+
 func TestOverflowingTopUpIsNotCounted(t *testing.T) {
 	f := ledger.New()
 	for i, tokens := range []int64{1000, math.MaxInt64} {
--- a/core/ledger/loans.go
+++ b/core/ledger/loans.go
@@ -89,24 +89,38 @@
 	Number   int64
 }
 
-// lastLoan is the last loan that a borrower requested from one budget.
-type lastLoan struct {
-	number, tokens int64
+// maxKnownLoans is the number of loans of one budget to one borrower whose replies are known: several times the loan requests that a borrower sends
+// while it retries one.
+const maxKnownLoans = 64
+
+// knownLoans are the last loans of one budget to one borrower, in the order of their numbers.
+type knownLoans struct {
+	last  int64
+	loans []knownLoan
 }
 
+type knownLoan struct{ number, tokens int64 }
+
 // LendOnce is an idempotent Lend: a retried request for the same loan gets the same reply, and the tokens are
-// lent once. A request for an older loan than the last one gets 0.
+// lent once. A request for an older loan than the last one that lent none, or is no longer known, gets 0.
 func (b *Book) LendOnce(id LoanID, budget string, tokens, least int64) int64 {
 	key := loanKey{borrower: id.Borrower, budget: budget}
-	last := b.loans[key]
-	switch {
-	case id.Number == last.number:
-		return last.tokens
-	case id.Number < last.number:
+	known := b.loans[key]
+	if id.Number <= known.last {
+		for _, l := range known.loans {
+			if l.number == id.Number {
+				return l.tokens
+			}
+		}
 		return 0
 	}
+	known.last = id.Number
 	lent := b.Lend(budget, tokens, least)
-	b.loans[key] = lastLoan{number: id.Number, tokens: lent}
+	if lent > 0 {
+		known.loans = append(known.loans, knownLoan{id.Number, lent})
+		known.loans = known.loans[max(0, len(known.loans)-maxKnownLoans):]
+	}
+	b.loans[key] = known
 	return lent
 }
 
