fix: a state that can't be saved or restored leaves an event and is no outage of the log

Cause: the search for a state to continue from dropped the errors of the log, of other instances and of restore, and repeated itself in silence. Evidence: TestLocalFailuresAreReported: before 0 events of 10 s without a state, and the error of Save recorded as one of the log; after both leave their events and only results of the log are recorded.

--- a/core/tail/feed.go
+++ b/core/tail/feed.go
@@ -63,14 +63,18 @@
 	Restore func(offset int64, state []byte) error
 	// Fetch returns the State of a peer; optional.
 	Fetch func(ctx context.Context, stream string) (State, error)
-	// OnLogResult is called with the result of each read, and with the error of each failed append or snapshot;
-	// optional.
+	// OnLogResult is called with the result of each read, and with the error of each failed append; optional.
 	OnLogResult func(err error)
 	// OnStalled is called when folding stopped permanently; optional.
 	OnStalled func(err *StalledError)
 	// OnSnapshot is called with true for each snapshot written, and with false for each state restored from a snapshot
 	// or from a peer; optional.
 	OnSnapshot func(at int64, written bool)
+	// OnSnapshotFailed is called when a due snapshot could not be written; optional.
+	OnSnapshotFailed func(err error)
+	// OnRestoreFailed is called after each search in vain for a state to continue from, once records that were not read are no longer retained;
+	// optional.
+	OnRestoreFailed func(err error)
 
 	mu           sync.Mutex
 	dedup        *Deduplicator
@@ -106,6 +110,12 @@
 	if f.OnSnapshot == nil {
 		f.OnSnapshot = func(int64, bool) {}
 	}
+	if f.OnSnapshotFailed == nil {
+		f.OnSnapshotFailed = func(error) {}
+	}
+	if f.OnRestoreFailed == nil {
+		f.OnRestoreFailed = func(error) {}
+	}
 	f.dedup = NewDeduplicator()
 	f.lastSnapshot = -1
 	f.writer = &Writer{Log: f.Log, Stream: f.Stream, Incarnation: f.Incarnation, Linger: f.Linger, Base: f.Next, OnFailure: f.OnLogResult}
--- a/core/tail/snapshot.go
+++ b/core/tail/snapshot.go
@@ -118,6 +118,11 @@
 	delete(f.assemblies, oldest)
 }
 
+var (
+	errNoSnapshot = errors.New("the log retains no complete snapshot to continue from")
+	errNoPeer     = errors.New("there is no instance to fetch the state from")
+)
+
 // recoverTrimmed restores a state to continue from: a snapshot in the log for which all later
 // records are retained, or the state of a peer. It retries until the context ends.
 func (f *Feed) recoverTrimmed(ctx context.Context, err *TrimmedError) (int64, error) {
@@ -128,11 +133,16 @@
 			// A state that includes the trimmed records was already adopted.
 			return next, nil
 		}
-		if next, ok := f.restoreFromLog(ctx, earliest); ok {
-			return next, nil
+		logErr := f.restoreFromLog(ctx, earliest)
+		if logErr == nil {
+			return f.Next(), nil
 		}
-		if next, ok := f.restoreFromPeer(ctx); ok {
-			return next, nil
+		peerErr := f.restoreFromPeer(ctx)
+		if peerErr == nil {
+			return f.Next(), nil
+		}
+		if ctx.Err() == nil {
+			f.OnRestoreFailed(errors.Join(logErr, peerErr))
 		}
 		if sleep(ctx, RetryMax) != nil {
 			return f.Next(), nil
@@ -141,8 +151,8 @@
 }
 
 // restoreFromLog scans the retained records for a complete snapshot for which all later records are retained.
-func (f *Feed) restoreFromLog(ctx context.Context, earliest int64) (int64, bool) {
-	from := earliest
+func (f *Feed) restoreFromLog(ctx context.Context, earliest int64) error {
+	from, failed := earliest, errNoSnapshot
 	for ctx.Err() == nil {
 		page, err := f.Log.Read(ctx, f.Stream, from, 0)
 		var trimmed *TrimmedError
@@ -151,59 +161,69 @@
 			continue
 		}
 		f.OnLogResult(err)
-		if err != nil || len(page.Records) == 0 {
-			return 0, false
+		if err != nil {
+			return err
+		}
+		if len(page.Records) == 0 {
+			return failed
 		}
 		for _, e := range page.Records {
-			if f.restoreFromRecord(e, earliest) {
-				return f.Next(), true
+			restored, err := f.restoreFromRecord(e, earliest)
+			if restored {
+				return nil
+			}
+			if err != nil {
+				failed = err
 			}
 			from = e.Offset + 1
 		}
 	}
-	return 0, false
+	return ctx.Err()
 }
 
-// restoreFromRecord restores the state if the record completes a snapshot that is not behind the present
-// state.
-func (f *Feed) restoreFromRecord(e Record, earliest int64) bool {
+// restoreFromRecord restores the state, and reports whether it did, if the record completes a snapshot that is not behind
+// the present state.
+func (f *Feed) restoreFromRecord(e Record, earliest int64) (bool, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	b, err := DecodeBatch(e.Data)
-	if err != nil || b.Seq != 0 {
-		return false
+	b, _ := DecodeBatch(e.Data) // a record that is no batch has no items
+	if b.Seq != 0 {
+		return false, nil
 	}
 	at, encoded, ok := f.assemble(b)
 	if !ok || at < earliest-1 || at < f.next-1 {
-		return false
+		return false, nil
 	}
 	var st State
-	if Decode(encoded, &st) != nil {
-		return false
+	if err := Decode(encoded, &st); err != nil {
+		return false, err
 	}
-	return f.restore(st) == nil
+	err := f.restore(st)
+	return err == nil, err
 }
 
 // Adopt replaces the state if the given one is ahead of it, and reports whether it did.
-func (f *Feed) Adopt(st State) bool {
+func (f *Feed) Adopt(st State) bool { return f.adopt(st) == nil }
+
+func (f *Feed) adopt(st State) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return st.At >= f.next && f.restore(st) == nil
+	if st.At < f.next {
+		return fmt.Errorf("a state of stream %s at offset %d is not ahead of the present one", f.Stream, st.At)
+	}
+	return f.restore(st)
 }
 
 // restoreFromPeer adopts the state of a peer if it is ahead of the present one.
-func (f *Feed) restoreFromPeer(ctx context.Context) (int64, bool) {
+func (f *Feed) restoreFromPeer(ctx context.Context) error {
 	if f.Fetch == nil {
-		return 0, false
+		return errNoPeer
 	}
 	st, err := f.Fetch(ctx, f.Stream)
 	if err != nil {
-		return 0, false
-	}
-	if !f.Adopt(st) {
-		return 0, false
+		return err
 	}
-	return f.Next(), true
+	return f.adopt(st)
 }
 
 // restore replaces the state; the caller holds the lock.
@@ -232,7 +252,7 @@
 			continue
 		}
 		if err := f.WriteSnapshot(ctx); err != nil {
-			f.OnLogResult(err)
+			f.OnSnapshotFailed(err)
 		}
 	}
 	return nil
@@ -264,6 +284,7 @@
 		}
 		offset, err := f.Log.Append(ctx, f.Stream, record)
 		if err != nil {
+			f.OnLogResult(err)
 			return fmt.Errorf("append part %d of %d of a snapshot of stream %s: %w", i, parts, f.Stream, err)
 		}
 		f.skipOwnRecord(offset)
--- a/core/tail/snapshot_test.go
+++ b/core/tail/snapshot_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -68,3 +69,32 @@
 		assertFolded(t, third, "x")
 	})
 }
+
+// TestLocalFailuresAreReported guards against a state that can't be saved or restored and counts as an unreachable log, or leaves no trace.
+func TestLocalFailuresAreReported(t *testing.T) {
+	errLocal := errors.New("the state can't be encoded")
+	for name, trims := range map[string]bool{"no snapshot is written": false, "no state is found": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log, fold := &fakeLog{}, &recordingFold{}
+				f := fold.feed(log, "a")
+				writeBatches(t, log, 0, 10)
+				if trims {
+					assert.NilError(t, fold.feed(log, "b").WriteSnapshot(t.Context()))
+					log.trim(1)
+				}
+				var failures []error
+				count := func(err error) { failures = append(failures, err) }
+				f.SnapshotEvery, f.OnSnapshotFailed, f.OnRestoreFailed = 1, count, count
+				f.OnLogResult = func(err error) {
+					var trimmed *tail.TrimmedError
+					assert.Assert(t, err == nil || errors.As(err, &trimmed), "%v", err)
+				}
+				f.Save = func() ([]byte, error) { return nil, errLocal }
+				runFeeds(t, 10*time.Second, f)
+				assert.Assert(t, len(failures) > 0 && len(failures) < 20, "%d failures", len(failures))
+				assert.Assert(t, trims || errors.Is(failures[0], errLocal), "%v", failures[0])
+			})
+		})
+	}
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -150,6 +150,8 @@
 			}
 			events.Log(n.Log, e).Str("stream", stream).Int64("at", at).Send()
 		},
+		OnSnapshotFailed: n.snapshotFailed(stream),
+		OnRestoreFailed:  func(err error) { events.Log(n.Log, events.StateMissing).Str("stream", stream).Err(err).Send() },
 	}
 }
 
--- a/io/node/observe.go
+++ b/io/node/observe.go
@@ -152,8 +152,8 @@
 	return events.Event{}, false
 }
 
-// logResultRecorder returns a function that records the result of each read, and the error of each failed append or
-// snapshot, of a stream.
+// logResultRecorder returns a function that records the result of each read, and the error of each failed append, of a
+// stream.
 func (n *Node) logResultRecorder(stream string) func(err error) {
 	return func(err error) {
 		n.logReachability.recordResult(err)
--- a/io/node/snapshots.go
+++ b/io/node/snapshots.go
@@ -34,6 +34,13 @@
 		return
 	}
 	if err := f.WriteSnapshot(ctx); err != nil {
-		events.Log(n.Log, events.SnapshotFailed).Str("stream", f.Stream).Err(err).Send()
+		n.snapshotFailed(f.Stream)(err)
+	}
+}
+
+// snapshotFailed returns a function that logs that a snapshot of a stream could not be written.
+func (n *Node) snapshotFailed(stream string) func(err error) {
+	return func(err error) {
+		events.Log(n.Log, events.SnapshotFailed).Str("stream", stream).Err(err).Send()
 	}
 }
