fix: an internal error of the operator interface reaches the log

Cause: the handler wrote the reply and dropped the cause. Why it works: each reply with that code logs operator_failed (6008) with the path and the cause.

--- a/core/events/table.go
+++ b/core/events/table.go
@@ -84,6 +84,7 @@
 	ConfUnconfirmed   = Event{6005, "configuration_unconfirmed", Warn, "The configuration has not been confirmed recently; a newer one may be in force at other instances."}
 	ConfConfirmed     = Event{6006, "configuration_confirmed", Info, "The configuration is again confirmed to be the newest."}
 	ConfOutdated      = Event{6007, "configuration_outdated", Warn, "A configuration was ignored, because its version is lower than that of the one in force. It is logged once until another one is read."}
+	OperatorFailed    = Event{6008, "operator_failed", Error, "A request of an operator failed for an internal reason, which the error states."}
 	PeerUnreachable   = Event{7001, "peer_unreachable", Warn, "Another instance is unreachable."}
 	PeerBack          = Event{7002, "peer_back", Info, "Another instance is reachable again."}
 	Overspend         = Event{9002, "overspend", Error, "An invariant of a budget was violated, for example more tokens were spent or held than were paid for; the error states which."}
@@ -104,7 +105,7 @@
 		ClaimWon, ClaimLost, ClaimVoided, OutcomeUnknown,
 		TargetLeaving, TargetSilent, StreamResumed,
 		StreamCut, FrameForeign, AttemptFailed, RequestEnded, TargetJoined, TargetRemoved, TargetInvalid, TargetPaused, HeaderIgnored, TargetCrashed, Quarantined, Released, ReportsDelayed, RateLimitNamed, RateLimitEnded, RatesDelayed, AbandonedCrashed, VersionsChanged, OriginsDelayed, PathLost, PathBack, TargetBrittle,
-		ConfApplied, ConfRefused, OperatorRefused, ConfUnconfirmed, ConfConfirmed, ConfOutdated,
+		ConfApplied, ConfRefused, OperatorRefused, ConfUnconfirmed, ConfConfirmed, ConfOutdated, OperatorFailed,
 		PeerUnreachable, PeerBack,
 		Overspend, Panic, FoldDiffers,
 	}
--- a/io/node/operate.go
+++ b/io/node/operate.go
@@ -25,6 +25,9 @@
 		Instances: n.instances,
 		Reports:   map[string]func(ctx context.Context) (any, error){reportBurn: n.burnReport},
 		Metrics:   n.meter.Handler(),
+		OnInternal: func(path string, err error) {
+			events.Log(n.Log, events.OperatorFailed).Str("path", path).Err(err).Send()
+		},
 		OnRefused: func(remote string) { events.Log(n.Log, events.OperatorRefused).Str("remote", remote).Send() },
 	}
 	n.Oper.Default()
--- a/io/oper/oper.go
+++ b/io/oper/oper.go
@@ -119,6 +119,8 @@
 	Metrics http.Handler
 	// OnRefused is called with the remote address of each request with a wrong key; optional.
 	OnRefused func(remote string)
+	// OnInternal is called with the path and the cause of each request that failed with the code internal; optional.
+	OnInternal func(path string, err error)
 
 	server httpd.Server
 }
@@ -131,6 +133,9 @@
 	if s.OnRefused == nil {
 		s.OnRefused = func(string) {}
 	}
+	if s.OnInternal == nil {
+		s.OnInternal = func(string, error) {}
+	}
 	s.server.Clients, s.server.Setting = "operators", "operator.listen"
 	s.server.Handler, s.server.ReadHeaderTimeout = s.handler(), headerTimeout
 }
@@ -146,14 +151,14 @@
 
 func (s *Server) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/changes", handle(s.publish))
-	mux.HandleFunc("POST /v1/top_ups", handle(s.topUp))
-	mux.HandleFunc("GET /v1/templates", handle(func(*http.Request) (any, error) { return s.Templates() }))
-	mux.HandleFunc("GET /v1/budgets", handle(func(*http.Request) (any, error) { return s.Balances() }))
-	mux.HandleFunc("GET /v1/usage", handle(func(r *http.Request) (any, error) { return s.Usage(r.URL.Query().Get("budget")) }))
-	mux.HandleFunc("GET /v1/targets", handle(func(*http.Request) (any, error) { return s.Targets(), nil }))
-	mux.HandleFunc("GET /v1/instances", handle(func(r *http.Request) (any, error) { return s.Instances(r.Context()), nil }))
-	mux.HandleFunc("GET /v1/reports/{name}", handle(s.report))
+	mux.HandleFunc("POST /v1/changes", s.handle(s.publish))
+	mux.HandleFunc("POST /v1/top_ups", s.handle(s.topUp))
+	mux.HandleFunc("GET /v1/templates", s.handle(func(*http.Request) (any, error) { return s.Templates() }))
+	mux.HandleFunc("GET /v1/budgets", s.handle(func(*http.Request) (any, error) { return s.Balances() }))
+	mux.HandleFunc("GET /v1/usage", s.handle(func(r *http.Request) (any, error) { return s.Usage(r.URL.Query().Get("budget")) }))
+	mux.HandleFunc("GET /v1/targets", s.handle(func(*http.Request) (any, error) { return s.Targets(), nil }))
+	mux.HandleFunc("GET /v1/instances", s.handle(func(r *http.Request) (any, error) { return s.Instances(r.Context()), nil }))
+	mux.HandleFunc("GET /v1/reports/{name}", s.handle(s.report))
 	if s.Metrics != nil {
 		mux.Handle("GET /metrics", s.Metrics)
 	}
@@ -175,11 +180,15 @@
 }
 
 // handle returns a handler that writes the result of f, or its error, as JSON.
-func handle(f func(r *http.Request) (any, error)) http.HandlerFunc {
+func (s *Server) handle(f func(r *http.Request) (any, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		v, err := f(r)
 		if err != nil {
-			writeError(w, codes.From(err, codes.Unknown))
+			e := codes.From(err, codes.Unknown)
+			if e.Code == codes.Internal {
+				s.OnInternal(r.URL.Path, e)
+			}
+			writeError(w, e)
 			return
 		}
 		writeJSON(w, http.StatusOK, v)
