fix: stream_cut is logged for answers that were cut, not for failed attempts

Cause: the event was the default of all kinds of failed attempts of the product's own interface. Why it works: a failed attempt logs attempt_failed, unless its kind has an event; stream_cut is logged where the metric of cut streams is counted.

--- a/io/node/observe.go
+++ b/io/node/observe.go
@@ -66,6 +66,7 @@
 	}
 	if code == codes.AnswerCut && !s.CallerGone {
 		n.meter.StreamCut()
+		events.Log(n.Log, events.StreamCut).Str("organisation", s.Organisation).Err(s.Err).Send()
 	}
 }
 
@@ -179,7 +180,7 @@
 
 // onAttemptFailed logs a failed attempt.
 func (n *Node) onAttemptFailed(t roster.Target, c serve.Call, err *serve.AttemptError) {
-	e := events.StreamCut
+	e := events.AttemptFailed
 	switch err.Kind {
 	case serve.Silent:
 		e = events.TargetSilent
