fix: a target whose address was changed gets new connections

Cause: connections are pooled by incarnation only. Evidence: TestNewAddressHasNewConnections: no connection to the new address within 2 s before, one after; the tests of io/conns pass. Why it works: an idle connection to another address is closed when it would be chosen.

--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -55,8 +55,10 @@
 	net.Conn
 
 	poolKey string
-	input   *headLimiter
-	reader  *bufio.Reader
+	// addr is the address that it was opened to.
+	addr   string
+	input  *headLimiter
+	reader *bufio.Reader
 	// idleTimeout is how long the connection may stay idle before it is closed.
 	idleTimeout time.Duration
 	// lastUsed is when the last response ended, and expires when the idle connection must no longer be used.
@@ -66,9 +68,9 @@
 	responses int
 }
 
-func newConn(nc net.Conn, poolKey string, idleTimeout time.Duration) *conn {
+func newConn(nc net.Conn, poolKey, addr string, idleTimeout time.Duration) *conn {
 	input := &headLimiter{Conn: nc}
-	return &conn{Conn: nc, poolKey: poolKey, idleTimeout: idleTimeout, input: input, reader: bufio.NewReaderSize(input, readBufferBytes)}
+	return &conn{Conn: nc, poolKey: poolKey, addr: addr, idleTimeout: idleTimeout, input: input, reader: bufio.NewReaderSize(input, readBufferBytes)}
 }
 
 func (cn *conn) close() {
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -150,7 +150,7 @@
 			return nil
 		}
 		now := time.Now()
-		if now.Before(cn.expires) && (!r.NonIdempotent || now.Sub(cn.lastUsed) < c.Freshness) && cn.isReusable() {
+		if now.Before(cn.expires) && cn.addr == r.Addr && (!r.NonIdempotent || now.Sub(cn.lastUsed) < c.Freshness) && cn.isReusable() {
 			return cn
 		}
 		cn.close()
@@ -265,7 +265,7 @@
 	if r.OnDialed != nil {
 		r.OnDialed()
 	}
-	return newConn(nc, r.PoolKey, c.IdleTimeout), nil
+	return newConn(nc, r.PoolKey, r.Addr, c.IdleTimeout), nil
 }
 
 // Check checks whether the target of a request is reachable: the pool has an open connection to it, or a new one can be opened, which is added to
--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -459,3 +459,11 @@
 		})
 	}
 }
+
+// TestNewAddressHasNewConnections guards against requests at the earlier address of a target whose entry was changed while its process goes on.
+func TestNewAddressHasNewConnections(t *testing.T) {
+	before, now, c := newTarget(t), newTarget(t), newClient()
+	assert.NilError(t, c.Connect(t.Context(), before.request("1")))
+	assert.NilError(t, c.Check(t.Context(), now.request("2")))
+	now.accept(t)
+}
