refactor: what nothing uses is removed, and the pages say what the code does

The call of the protocol stays and replies with 0 tokens, as before, so that the wire format is the same.

--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -44,8 +44,6 @@
 	Lend func(ctx context.Context, l LoanRequest) (holder string, lent int64)
 	// AcceptRepayment adds tokens of a budget that another instance does not need. After an error they were not added; optional.
 	AcceptRepayment func(budget string, tokens int64) error
-	// Confirm opens a further slice of a grant and returns its tokens; optional.
-	Confirm func(holder, budget, grant string, tokens int64) int64
 	// Forward sends a request of another instance to a target and returns its outcome; optional. It must not forward it again, because
 	// instances could then form a loop.
 	Forward func(ctx context.Context, f Forward, w ForwardWriter) ForwardEnd
@@ -87,9 +85,6 @@
 	if s.AcceptRepayment == nil {
 		s.AcceptRepayment = func(string, int64) error { return errNotServed }
 	}
-	if s.Confirm == nil {
-		s.Confirm = func(string, string, string, int64) int64 { return 0 }
-	}
 }
 
 // Bind opens the listener, so that Addr is known before Run.
@@ -202,10 +197,9 @@
 	return &peerpb.RepayReply{}, nil
 }
 
-// Confirm opens a further slice of a grant.
-func (s *rpcHandler) Confirm(_ context.Context, in *peerpb.ConfirmRequest) (*peerpb.ConfirmReply, error) {
-	opened := s.Server.Confirm(in.GetHolder(), in.GetBudget(), in.GetGrant(), in.GetTokens())
-	return &peerpb.ConfirmReply{Tokens: opened}, nil
+// Confirm opens no further slice of a grant: no build has such grants.
+func (s *rpcHandler) Confirm(context.Context, *peerpb.ConfirmRequest) (*peerpb.ConfirmReply, error) {
+	return &peerpb.ConfirmReply{}, nil
 }
 
 // Report returns a report in JSON.
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -90,12 +90,8 @@
 	}
 }
 
-// Retire discards the pooled connections to an address: idle ones are closed now, those in use when their request ends.
-// Later requests use new connections.
-func (c *Client) Retire(addr string) { c.pools.Remove(addr) }
-
-// retire does the same as Retire if t is still the current transport of the address. If another transport has replaced
-// t, it only closes the idle connections of t.
+// retire closes the idle connections to an address and makes later requests use new ones, if t is still its current transport.
+// If another transport has replaced t, it only closes the idle connections of t.
 func (c *Client) retire(addr string, t *http.Transport) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
