fix: values of a wrong type are refused without names of Go

Cause: the errors of the parsers were printed as they are. Why it works: a number, a boolean and a length of time have their own words; for a key the part with the names is left out, and the allowed type follows as before.

--- a/cmd/root.go
+++ b/cmd/root.go
@@ -9,6 +9,8 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
+	"strings"
 	"syscall"
 
 	"github.com/integrii/flaggy"
@@ -133,7 +135,7 @@
 		return a.help(p, l)
 	}
 	if err := p.ParseArgs(args); err != nil {
-		return &UsageError{Problem: "invalid flag value: " + err.Error(), Path: l.path}
+		return &UsageError{Problem: "invalid flag value: " + flagProblem(err), Path: l.path}
 	}
 	for _, c := range commands {
 		if c.sub == l.sub {
@@ -143,6 +145,21 @@
 	return &UsageError{Problem: "a subcommand is missing", Path: l.path}
 }
 
+// flagProblem describes the error of a flag's value without names of Go.
+func flagProblem(err error) string {
+	var number *strconv.NumError
+	switch {
+	case !errors.As(err, &number):
+		return strings.TrimPrefix(err.Error(), "time: ")
+	case number.Func == "ParseBool":
+		return fmt.Sprintf("%q is neither true nor false", number.Num)
+	case errors.Is(err, strconv.ErrRange):
+		return fmt.Sprintf("%s is out of range", number.Num)
+	default:
+		return fmt.Sprintf("%q is not a number", number.Num)
+	}
+}
+
 // parser returns a parser and the commands that can run.
 func (a *App) parser() (*flaggy.Parser, []command) {
 	p := flaggy.NewParser(name)
--- a/core/conf/conf_test.go
+++ b/core/conf/conf_test.go
@@ -68,7 +68,7 @@
 	t.Run("reports the line of a wrong type", func(t *testing.T) {
 		_, err := conf.Parse([]byte("organisation = \"a\"\n[objectives]\ntarget_ratio = \"x\""))
 		assertFaults(t, err, "objectives.target_ratio")
-		assert.ErrorContains(t, err, "line 3")
+		assert.ErrorContains(t, err, "(line 3): cannot decode TOML string; allowed")
 	})
 }
 
--- a/core/conf/field/parse.go
+++ b/core/conf/field/parse.go
@@ -65,6 +65,9 @@
 	return nil
 }
 
+// wrongType begins the error of a value of a wrong type.
+const wrongType = "cannot decode TOML "
+
 // decode decodes data into v and reports whether all known keys were decoded.
 func decode(data []byte, v any) ([]Fault, bool) {
 	dec := toml.NewDecoder(bytes.NewReader(data))
@@ -84,7 +87,11 @@
 		}
 		return faults, true
 	case errors.As(err, &decodeErr):
-		return []Fault{newFault(decodeErr, strings.TrimPrefix(decodeErr.Error(), "toml: "), expectedValue(v, decodeErr.Key()))}, false
+		problem := strings.TrimPrefix(decodeErr.Error(), "toml: ")
+		if strings.HasPrefix(problem, wrongType) {
+			problem, _, _ = strings.Cut(problem, " into ") // a type and a field of Go follow
+		}
+		return []Fault{newFault(decodeErr, problem, expectedValue(v, decodeErr.Key()))}, false
 	default:
 		return []Fault{{Problem: err.Error(), Allowed: "TOML"}}, false
 	}
