--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -34,7 +34,7 @@
 	ReserveResumed func(ctx context.Context, organisation string, tokens int64) (budget.Reservation, error)
 	// Pick chooses a target. Done is called with the outcome of the attempt at it.
 	Pick func(r route.Request) (route.Choice, error)
-	Done func(token int64, o route.Outcome)
+	Done func(dispatchID int64, o route.Outcome)
 	// Retries is this instance's share of the retry budgets.
 	Retries *route.RetryWindow
 	// Dispatch sends a request to a target and returns its response. The error is an *AttemptError.
@@ -51,9 +51,9 @@
 	HasCrashed func(ctx context.Context, t roster.Target) bool
 	// Abandoned watches targets that may still run an abandoned request; optional.
 	Abandoned *poison.Watcher
-	// OnSilent is called when a target has sent nothing for as long as a sound one seldom does. The attempt at it goes on. Token is that of its
-	// choice; optional.
-	OnSilent func(d Dispatch, token int64)
+	// OnSilent is called when a target has sent nothing for as long as a sound one seldom does. The attempt at it goes on. The id is that of the
+	// dispatch in Done; optional.
+	OnSilent func(d Dispatch, dispatchID int64)
 	// OnPanic is called with the value of a panic in an exchange with a target; optional.
 	OnPanic func(reason any)
 	// OnAttemptFailed is called for each failed attempt; optional.
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -61,11 +61,11 @@
 
 // targetSilent handles a target that has sent nothing for long: it gets no further requests for a while, its idle connections may be silent too, and
 // the path to its service may be lost.
-func (r *Router) targetSilent(d relay.Dispatch, token int64) {
+func (r *Router) targetSilent(d relay.Dispatch, dispatchID int64) {
 	if d.Detour {
 		return
 	}
-	r.routeClient.Silent(token)
+	r.routeClient.Silent(dispatchID)
 	r.conns.CloseIdle(d.Target.Incarnation)
 	r.pathSuspect(d.Target.Service, "")
 }
