fix: a newer state of another instance that can't be used leaves an event

Cause: an instance that hears of a newer configuration fetches its state and adopts it; Adopt returned only that it did not. Evidence: TestUnusableStateIsReported: 0 reports of a state that can't be decoded before, 1 after, and none of one that is older. Why it works: Adopt reports the error of restore as the search after a trim does, and state_missing (2020) covers both.

--- a/core/events/table.go
+++ b/core/events/table.go
@@ -34,7 +34,7 @@
 	RecordUnreadable  = Event{2017, "record_unreadable", Warn, "A record of the platform's log could not be decoded and is ignored. It is logged once until its reason changes."}
 	LogRestored       = Event{2018, "log_restored", Warn, "The platform's log was restored from an older copy and began a new era; everything is read from it again, and the draws that it may lack count as granted."}
 	EraInvalid        = Event{2019, "era_invalid", Warn, "A reply of the platform's log showed no valid era and was not used. It is logged once."}
-	StateMissing      = Event{2020, "state_missing", Warn, "Records of a stream that had not been read are no longer retained, and no state to continue from was found in the log or at another instance; the search is repeated. The error states the causes."}
+	StateMissing      = Event{2020, "state_missing", Warn, "Records of a stream that had not been read are no longer retained, and no state to continue from was found in the log or at another instance; or a newer state of another instance can't be used. It is tried again. The error states the causes."}
 	DrawGranted       = Event{3001, "draw_granted", Debug, "A draw on a budget was granted."}
 	DrawRefused       = Event{3002, "draw_refused", Info, "A draw on a budget was refused; the field cause states the reason."}
 	AllowanceReturned = Event{3003, "allowance_returned", Info, "Unused allowance was returned to its budget."}
--- a/core/tail/feed.go
+++ b/core/tail/feed.go
@@ -72,8 +72,8 @@
 	OnSnapshot func(at int64, written bool)
 	// OnSnapshotFailed is called when a due snapshot could not be written; optional.
 	OnSnapshotFailed func(err error)
-	// OnRestoreFailed is called after each search in vain for a state to continue from, once records that were not read are no longer retained;
-	// optional.
+	// OnRestoreFailed is called after each search in vain for a state to continue from, once records that were not read are no longer retained, and
+	// when a state that is ahead can't be adopted; optional.
 	OnRestoreFailed func(err error)
 
 	mu           sync.Mutex
--- a/core/tail/snapshot.go
+++ b/core/tail/snapshot.go
@@ -203,13 +203,21 @@
 }
 
 // Adopt replaces the state if the given one is ahead of it, and reports whether it did.
-func (f *Feed) Adopt(st State) bool { return f.adopt(st) == nil }
+func (f *Feed) Adopt(st State) bool {
+	err := f.adopt(st)
+	if err != nil && !errors.Is(err, errBehind) {
+		f.OnRestoreFailed(err)
+	}
+	return err == nil
+}
+
+var errBehind = errors.New("the state is not ahead of the present one")
 
 func (f *Feed) adopt(st State) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if st.At < f.next {
-		return fmt.Errorf("a state of stream %s at offset %d is not ahead of the present one", f.Stream, st.At)
+		return fmt.Errorf("adopt a state of stream %s at offset %d: %w", f.Stream, st.At, errBehind)
 	}
 	return f.restore(st)
 }
--- a/core/tail/snapshot_test.go
+++ b/core/tail/snapshot_test.go
@@ -98,3 +98,13 @@
 		})
 	}
 }
+
+// TestUnusableStateIsReported guards against a newer state of another instance that is dropped in silence. An older one is of no interest.
+func TestUnusableStateIsReported(t *testing.T) {
+	f, failures := (&recordingFold{}).feed(&fakeLog{}, "a"), 0
+	f.OnRestoreFailed = func(error) { failures++ }
+	assert.Assert(t, !f.Adopt(tail.State{At: -1}))
+	assert.Equal(t, failures, 0)
+	assert.Assert(t, !f.Adopt(tail.State{At: 5, Data: []byte("no state")}))
+	assert.Equal(t, failures, 1)
+}
