--- a/core/events/table.go
+++ b/core/events/table.go
@@ -34,6 +34,7 @@
 	RecordUnreadable  = Event{2017, "record_unreadable", Warn, "A record of the platform's log could not be decoded and is ignored. It is logged once until its reason changes."}
 	LogRestored       = Event{2018, "log_restored", Warn, "The platform's log was restored from an older copy and began a new era; everything is read from it again, and the draws that it may lack count as granted."}
 	EraInvalid        = Event{2019, "era_invalid", Warn, "A reply of the platform's log showed no valid era and was not used. It is logged once."}
+	StateMissing      = Event{2020, "state_missing", Warn, "Records of a stream that had not been read are no longer retained, and no state to continue from was found in the log or at another instance; or a newer state of another instance can't be used. It is tried again. The error states the causes."}
 	DrawGranted       = Event{3001, "draw_granted", Debug, "A draw on a budget was granted."}
 	DrawRefused       = Event{3002, "draw_refused", Info, "A draw on a budget was refused; the field cause states the reason."}
 	AllowanceReturned = Event{3003, "allowance_returned", Info, "Unused allowance was returned to its budget."}
@@ -83,6 +84,7 @@
 	ConfUnconfirmed   = Event{6005, "configuration_unconfirmed", Warn, "The configuration has not been confirmed recently; a newer one may be in force at other instances."}
 	ConfConfirmed     = Event{6006, "configuration_confirmed", Info, "The configuration is again confirmed to be the newest."}
 	ConfOutdated      = Event{6007, "configuration_outdated", Warn, "A configuration was ignored, because its version is lower than that of the one in force. It is logged once until another one is read."}
+	OperatorFailed    = Event{6008, "operator_failed", Error, "A request of an operator failed for an internal reason, which the error states."}
 	PeerUnreachable   = Event{7001, "peer_unreachable", Warn, "Another instance is unreachable."}
 	PeerBack          = Event{7002, "peer_back", Info, "Another instance is reachable again."}
 	Overspend         = Event{9002, "overspend", Error, "An invariant of a budget was violated, for example more tokens were spent or held than were paid for; the error states which."}
@@ -97,13 +99,13 @@
 		StopGaveUp, ListenFailed, Reloaded, ReloadFailed, LinesDropped, StateUnsent, SettingsIgnored,
 		LogUnreachable, LogBack, RelayUsed, ListUnreachable, ListBack, FormatUnknown,
 		KindUnknown, Trimmed, SnapshotWritten, SnapshotLoaded,
-		StateFetched, SnapshotFailed, TopicLost, TopicBack, RecordUnreadable, LogRestored, EraInvalid,
+		StateFetched, SnapshotFailed, TopicLost, TopicBack, RecordUnreadable, LogRestored, EraInvalid, StateMissing,
 		DrawGranted, DrawRefused, AllowanceReturned, AllowanceLent,
 		DoubleCharge, TopUpAccepted, BudgetExhausted, HoldingChanged, HoldingUnsettled, PromiseTaken, PromiseLapsed, PromisesOff, TokensBorrowed, TransferLost,
 		ClaimWon, ClaimLost, ClaimVoided, OutcomeUnknown,
 		TargetLeaving, TargetSilent, StreamResumed,
 		StreamCut, FrameForeign, AttemptFailed, RequestEnded, TargetJoined, TargetRemoved, TargetInvalid, TargetPaused, HeaderIgnored, TargetCrashed, Quarantined, Released, ReportsDelayed, RateLimitNamed, RateLimitEnded, RatesDelayed, AbandonedCrashed, VersionsChanged, OriginsDelayed, PathLost, PathBack, TargetBrittle,
-		ConfApplied, ConfRefused, OperatorRefused, ConfUnconfirmed, ConfConfirmed, ConfOutdated,
+		ConfApplied, ConfRefused, OperatorRefused, ConfUnconfirmed, ConfConfirmed, ConfOutdated, OperatorFailed,
 		PeerUnreachable, PeerBack,
 		Overspend, Panic, FoldDiffers,
 	}
--- a/io/node/observe.go
+++ b/io/node/observe.go
@@ -66,6 +66,7 @@
 	}
 	if code == codes.AnswerCut && !s.CallerGone {
 		n.meter.StreamCut()
+		events.Log(n.Log, events.StreamCut).Str("organisation", s.Organisation).Err(s.Err).Send()
 	}
 }
 
@@ -152,8 +153,8 @@
 	return events.Event{}, false
 }
 
-// logResultRecorder returns a function that records the result of each read, and the error of each failed append or
-// snapshot, of a stream.
+// logResultRecorder returns a function that records the result of each read, and the error of each failed append, of a
+// stream.
 func (n *Node) logResultRecorder(stream string) func(err error) {
 	return func(err error) {
 		n.logReachability.recordResult(err)
@@ -179,7 +180,7 @@
 
 // onAttemptFailed logs a failed attempt.
 func (n *Node) onAttemptFailed(t roster.Target, c serve.Call, err *serve.AttemptError) {
-	e := events.StreamCut
+	e := events.AttemptFailed
 	switch err.Kind {
 	case serve.Silent:
 		e = events.TargetSilent
