test: records and streams while appends of the log take 0.3 to 3 s

Callers of streams whose origin must be recorded got 504, code 3008, at their deadline while each append of the log took over 0.6 s, though the target was sound. The finding had no test.

--- a/core/relay/record_test.go
+++ b/core/relay/record_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"cranberryrail/core/codes"
+	"cranberryrail/core/logs"
 	"cranberryrail/core/origin"
 	"cranberryrail/core/relay"
 	"cranberryrail/core/roster"
@@ -23,7 +24,13 @@
 // newOrigins returns a tracker that runs until the test ends, and whose store does not reply for a time.
 func newOrigins(t *testing.T, silence time.Duration) *origin.Tracker {
 	t.Helper()
-	tracker, stop := builds.StartTracker(t.Context(), memlog.SilentUntil((&memlog.Server{}).Log(), time.Now().Add(silence)), false)
+	return newOriginsOver(t, memlog.SilentUntil((&memlog.Server{}).Log(), time.Now().Add(silence)))
+}
+
+// newOriginsOver returns a tracker that runs over a log until the test ends.
+func newOriginsOver(t *testing.T, log logs.Log) *origin.Tracker {
+	t.Helper()
+	tracker, stop := builds.StartTracker(t.Context(), log, false)
 	tracker.SetTargets([]roster.Target{{Service: "draft", Software: "v1"}})
 	t.Cleanup(func() { assert.NilError(t, stop()) })
 	return tracker
@@ -78,6 +85,21 @@
 	}
 }
 
+// TestSlowStoreEndsNoStream guards against streams of a sound target that are given up because the append of their record takes longer than usual.
+func TestSlowStoreEndsNoStream(t *testing.T) {
+	for _, took := range []time.Duration{300 * time.Millisecond, 500 * time.Millisecond, 700 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second} {
+		t.Run(took.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				origins := newOriginsOver(t, memlog.Slow((&memlog.Server{}).Log(), took, true))
+				_, result := serveUntil(t.Context(), t, 3, table.Streaming, 0, []script.Dispatch{soundStream, soundStream}, func(f *fixture) { f.Origins = origins })
+				assert.Assert(t, result.Refused == nil && !result.Truncated && result.Events >= 4, "%v", result.Refused)
+				assert.Assert(t, result.TimeToFirstByte >= took && result.TimeToFirstByte < took+100*time.Millisecond, "after %v", result.TimeToFirstByte)
+				assert.Equal(t, result.Attempts, 1)
+			})
+		})
+	}
+}
+
 // TestDetourWaitsForRecord guards against a stream by way of another instance that is cut by its time limit while its first event waits for its record.
 func TestDetourWaitsForRecord(t *testing.T) {
 	pauses := script.Stream{Parts: []script.Part{script.Until(0, 4), script.Until(200*time.Millisecond, 60), script.End}}
