--- a/core/budget/syncer.go
+++ b/core/budget/syncer.go
@@ -186,6 +186,9 @@
 	notify(p.due)
 }
 
+// ReserveWait returns how long a request waits for tokens, given how long one waits usually.
+func (sy *Syncer) ReserveWait(usual time.Duration) time.Duration { return usual }
+
 // ScheduleAll schedules a sync of all partitions after the batch interval. It never blocks.
 func (sy *Syncer) ScheduleAll() {
 	for _, p := range sy.partitions {
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -190,7 +190,8 @@
 	r.initDetours()
 	r.relay = &relay.Server{
 		Origins: r.origins, NeedsDetour: r.detours.Needed, DispatchBy: r.dispatchBy, Crashes: r.crashes, HasCrashed: r.hasCrashed, Abandoned: r.abandoned,
-		Table: r.table.Current, Reserve: r.budgets.Reserve, ReserveResumed: r.budgets.ReserveResumed, Settle: r.budgets.Settle, Pick: r.routeClient.Pick, Done: r.routeClient.Done,
+		Table: r.table.Current, Reserve: r.budgets.Reserve, ReserveResumed: r.budgets.ReserveResumed, ReserveWait: r.budgetSync.ReserveWait,
+		Settle: r.budgets.Settle, Pick: r.routeClient.Pick, Done: r.routeClient.Done,
 		Retries: r.retries, Dispatch: r.dispatch, OnSilent: r.targetSilent, OnPanic: r.logPanic, OnAttemptFailed: r.attemptFailed, MaxResponseBytes: s.Target.MaxResponseBytes(), Zone: s.Instance.Zone, Random: rand.IntN,
 	}
 	r.relay.Default()
