fix: requests wait longer for the first draws of a small fleet

Callers of a fleet that starts were refused (503, code 2003, not run) though all of the budget was left: a request whose objective is short waits 50 ms for tokens, and the first draws of four instances conflict, so that the last of them takes up to 143 ms. Until the instances are counted, 1 s after the start, a request now waits for the setting budget.wait_ms, 200 ms, as long as no more instances have registered than are holders; that it is served late is better for its caller than a refusal and a retry to another instance that draws as well. Readiness was left as it is: a draw without use before an instance is ready would be made at each start.

--- a/core/budget/start_test.go
+++ b/core/budget/start_test.go
@@ -29,7 +29,7 @@
 	var served, failed, slowest, drawn atomic.Int64
 	ctx, cancel := context.WithCancel(t.Context())
 	var run, callers errgroup.Group
-	delays := make(chan time.Duration, 1<<16)
+	delays := make(chan time.Duration, 1<<19)
 	for range cap(delays) {
 		delays <- 5*time.Millisecond + time.Duration(rng.Int64N(int64(10*time.Millisecond)))
 	}
--- a/core/budget/syncer.go
+++ b/core/budget/syncer.go
@@ -186,8 +186,14 @@
 	notify(p.due)
 }
 
-// ReserveWait returns how long a request waits for tokens, given how long one waits usually.
-func (sy *Syncer) ReserveWait(usual time.Duration) time.Duration { return usual }
+// ReserveWait returns how long a request waits for tokens, given how long one waits usually. Until the instances are counted it is MaxWait, since
+// the first draws of instances that start together conflict, unless more have registered than are holders: the draws of that many would only conflict for longer.
+func (sy *Syncer) ReserveWait(usual time.Duration) time.Duration {
+	if sy.Book.InstanceCount() > 0 || sy.partitions[0].registrations() > MaxHolders {
+		return usual
+	}
+	return max(usual, sy.Book.MaxWait)
+}
 
 // ScheduleAll schedules a sync of all partitions after the batch interval. It never blocks.
 func (sy *Syncer) ScheduleAll() {
@@ -389,6 +395,13 @@
 	sy.ScheduleAll()
 }
 
+// registrations returns the number of instances that are known to have registered.
+func (p *partition) registrations() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.instances)
+}
+
 // isLoaded reports whether the state of the partition was read.
 func (p *partition) isLoaded() bool {
 	p.mu.Lock()
