--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -30,8 +30,8 @@
 	// Reserve reserves tokens of a prepaid budget, and Settle ends the reservation.
 	Reserve func(ctx context.Context, organisation string, tokens int64) (budget.Reservation, error)
 	Settle  func(reservation budget.Reservation, used int64)
-	// ReserveWait returns how long a request waits for tokens, given how long one waits usually; optional.
-	ReserveWait func(usual time.Duration) time.Duration
+	// ReserveWait returns how long a request waits for tokens of an organisation, given how long one waits usually; optional.
+	ReserveWait func(organisation string, usual time.Duration) time.Duration
 	// ReserveResumed is Reserve for requests that resume a stream; optional.
 	ReserveResumed func(ctx context.Context, organisation string, tokens int64) (budget.Reservation, error)
 	// Pick chooses a target. Done is called with the outcome of the attempt at it.
@@ -83,7 +83,7 @@
 		s.ReserveResumed = s.Reserve
 	}
 	if s.ReserveWait == nil {
-		s.ReserveWait = func(usual time.Duration) time.Duration { return usual }
+		s.ReserveWait = func(_ string, usual time.Duration) time.Duration { return usual }
 	}
 	if s.Now == nil {
 		s.Now = time.Now
@@ -336,7 +336,7 @@
 	}
 	if r.route.LatencyObjective > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, r.ReserveWait(max(r.route.LatencyObjective/divisor, minReserveWait)))
+		ctx, cancel = context.WithTimeout(ctx, r.ReserveWait(r.org.Name, max(r.route.LatencyObjective/divisor, minReserveWait)))
 		defer cancel()
 	}
 	reservation, err := reserve(ctx, r.org.Name, need)
