fix: requests wait longer until their instance has drawn once

Callers of a new fleet over a log with eras were refused (503, code 2003, not run) with the first draws, 3 s after the start: the longer wait for draws that conflict had ended when the instances were counted. Now it also holds until the instance has drawn tokens of the budget, in a fleet of no more instances than are holders. A budget that can't be drawn is refused at once as before, so that no request is held in vain for long.

--- a/core/budget/book.go
+++ b/core/budget/book.go
@@ -71,6 +71,8 @@
 	// unreserved is the part of this instance's holding that is not reserved, and reserved the part that
 	// its requests in flight may spend.
 	unreserved, reserved int64
+	// drawn is set once this instance has drawn tokens from the log.
+	drawn bool
 	// usage measures the tokens that this instance reserves or lends. requestSize is the moving average of the
 	// tokens of one reservation.
 	usage       rateMeter
@@ -453,6 +455,13 @@
 	return b.instanceCount
 }
 
+// hasDrawn reports whether the instances are counted, and this one has drawn tokens of an organisation.
+func (b *Book) hasDrawn(organisation string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.instanceCount > 0 && b.account(organisation).drawn
+}
+
 // BeginAdjustment returns the number of tokens by which the holding of an organisation should
 // change: positive to draw from the log, negative to return. Returned tokens are no longer available;
 // AbortAdjustment restores them if the return was not recorded.
@@ -493,6 +502,7 @@
 	a := b.account(organisation)
 	if adjustment > 0 {
 		a.unreserved += adjustment
+		a.drawn = true
 		b.recordAvailable(a)
 		b.serveWaiters(a)
 	}
--- a/core/budget/syncer.go
+++ b/core/budget/syncer.go
@@ -186,10 +186,11 @@
 	notify(p.due)
 }
 
-// ReserveWait returns how long a request waits for tokens of an organisation, given how long one waits usually. Until the instances are counted it is MaxWait, since
-// the first draws of instances that start together conflict, unless more have registered than are holders: the draws of that many would only conflict for longer.
-func (sy *Syncer) ReserveWait(_ string, usual time.Duration) time.Duration {
-	if sy.Book.InstanceCount() > 0 || sy.partitions[0].registrations() > MaxHolders {
+// ReserveWait returns how long a request waits for tokens of an organisation, given how long one waits usually. It is MaxWait until the instances are counted, and
+// until this one has held tokens of the budget, since the first draws of instances that start together conflict, unless more have registered than
+// are holders: the draws of that many would only conflict for longer.
+func (sy *Syncer) ReserveWait(organisation string, usual time.Duration) time.Duration {
+	if sy.Book.hasDrawn(organisation) || sy.partitions[0].registrations() > MaxHolders {
 		return usual
 	}
 	return max(usual, sy.Book.MaxWait)
