--- a/core/budget/syncer.go
+++ b/core/budget/syncer.go
@@ -186,6 +186,16 @@
 	notify(p.due)
 }
 
+// ReserveWait returns how long a request waits for tokens of an organisation, given how long one waits usually. It is MaxWait until the instances are counted, and
+// until this one has held tokens of the budget, since the first draws of instances that start together conflict, unless more have registered than
+// are holders: the draws of that many would only conflict for longer.
+func (sy *Syncer) ReserveWait(organisation string, usual time.Duration) time.Duration {
+	if sy.Book.hasDrawn(organisation) || sy.partitions[0].registrations() > MaxHolders {
+		return usual
+	}
+	return max(usual, sy.Book.MaxWait)
+}
+
 // ScheduleAll schedules a sync of all partitions after the batch interval. It never blocks.
 func (sy *Syncer) ScheduleAll() {
 	for _, p := range sy.partitions {
@@ -386,6 +396,13 @@
 	sy.ScheduleAll()
 }
 
+// registrations returns the number of instances that are known to have registered.
+func (p *partition) registrations() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.instances)
+}
+
 // isLoaded reports whether the state of the partition was read.
 func (p *partition) isLoaded() bool {
 	p.mu.Lock()
