refactor: the model of fleets that start and the publisher of records live with the other models

Tests of core/budget and core/logs held the loops that play a fleet and an outbox; they are now in fake/loads and fake/memlog, so that other tests can play them. No product code changed.

--- a/core/logs/outbox_test.go
+++ b/core/logs/outbox_test.go
@@ -1,14 +1,13 @@
 package logs_test
 
 import (
-	"context"
 	"fmt"
 	"slices"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"cranberryrail/core/logs"
@@ -18,38 +17,21 @@
 // callerLeaves is when a caller of a stream gives up.
 const callerLeaves = 6 * time.Second
 
-// publish adds a record to an outbox every interval, and returns how long after that each was acknowledged, if it was within a time after the last one, and the
-// number of records in the log.
-func publish(t *testing.T, l logs.Log, n int, interval, after time.Duration) (acknowledged []time.Duration, copies int) {
+// publish adds n records to an outbox, one every interval, and returns how long after that each was acknowledged, and the number of records in the log. The first
+// copies of the records are acknowledged and stored in order.
+func publish(t *testing.T, l logs.Log, n int, interval, after time.Duration) (took []time.Duration, copies int) {
 	t.Helper()
-	began := time.Now()
-	o := &logs.Outbox{Log: l, Topic: "t", OnAppended: func(records []logs.Record) {
-		for _, r := range records {
-			assert.Equal(t, r.Key, fmt.Sprint(len(acknowledged)))
-			acknowledged = append(acknowledged, time.Since(began)-time.Duration(len(acknowledged))*interval)
-		}
-	}}
-	o.Default()
-	ctx, cancel := context.WithCancel(t.Context())
-	var g errgroup.Group
-	g.Go(func() error { return o.Run(ctx) })
-	for i := range n {
-		o.Add(logs.Record{Key: fmt.Sprint(i), Value: []byte("v")})
-		time.Sleep(interval)
-	}
-	time.Sleep(after)
-	cancel()
-	assert.NilError(t, g.Wait())
-	records, _, err := l.Read(t.Context(), "t", 0, 0, 0)
+	acknowledged, took, stored, err := memlog.Publish(t.Context(), l, n, interval, after)
 	assert.NilError(t, err)
+	first := slices.Clone(stored)
 	seen := map[string]bool{}
-	for _, r := range records {
-		if !seen[r.Key] {
-			assert.Equal(t, r.Key, fmt.Sprint(len(seen)), "the first copies of records are in order")
-			seen[r.Key] = true
+	first = slices.DeleteFunc(first, func(key string) bool { known := seen[key]; seen[key] = true; return known })
+	for _, keys := range [][]string{acknowledged, first} {
+		for i, key := range keys {
+			assert.Equal(t, key, strconv.Itoa(i))
 		}
 	}
-	return acknowledged, len(records)
+	return took, len(stored)
 }
 
 // TestSlowAppendsAreAcknowledged guards against records that are sent again and again, and never known to be in the log, while appends are slow.
