--- a/core/route/brittle_test.go
+++ b/core/route/brittle_test.go
@@ -1,41 +1,15 @@
 package route_test
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
-	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
+	"cranberryrail/fake/frail"
 )
 
-// brittleFixture returns the balancer of one of several instances, with one target that announced that it is brittle, and the time that it reads.
-func brittleFixture(instances, own, slots int, perSecond float64) (*route.Balancer, *time.Time) {
-	now, ids := time.Unix(1000, 0), make([]string, 0, instances)
-	for i := range instances {
-		ids = append(ids, fmt.Sprint("i", i))
-	}
-	b := &route.Balancer{Now: func() time.Time { return now }, Instances: instances, Queue: 4}
-	b.Default()
-	b.SetFleet(ids[own], ids)
-	b.SetTargets([]roster.Target{{ID: "t", Incarnation: "t", Service: "s", Kind: roster.PlainService, State: roster.Live, Slots: slots}})
-	b.SetBrittle("t", "t", perSecond)
-	return b, &now
-}
-
-// fill sends requests until one is refused.
-func fill(b *route.Balancer) (sent []route.Choice) {
-	for {
-		c, err := b.Pick(route.Request{Service: "s"})
-		if err != nil {
-			return sent
-		}
-		sent = append(sent, c)
-	}
-}
-
 // TestSharesOfBrittleTarget guards against shares that add up to more than a target runs and half of what it may turn away, or to more than it runs after a
 // rejection.
 func TestSharesOfBrittleTarget(t *testing.T) {
@@ -43,8 +17,8 @@
 		for _, slots := range []int{4, 8, 16} {
 			first, strict := 0, 0
 			for own := range instances {
-				b, now := brittleFixture(instances, own, slots, 5)
-				sent := fill(b)
+				b, now := frail.NewBalancer(instances, own, slots, 5)
+				sent := frail.Fill(b)
 				first += len(sent)
 				for _, c := range sent {
 					b.Done(c.DispatchID, route.OK)
@@ -53,11 +27,11 @@
 					continue
 				}
 				*now = now.Add(time.Second)
-				c, err := b.Pick(route.Request{Service: "s"})
+				c, err := b.Pick(route.Request{Service: frail.Service})
 				assert.NilError(t, err)
 				b.Done(c.DispatchID, route.Shed)
 				*now = now.Add(route.FullBackoff)
-				strict += len(fill(b))
+				strict += len(frail.Fill(b))
 			}
 			assert.Equal(t, first, slots+2, "%d instances", instances)
 			assert.Equal(t, strict, slots, "%d instances", instances)
@@ -69,19 +43,19 @@
 // target still is brittle.
 func TestEndOfBrittleness(t *testing.T) {
 	for own := range 30 {
-		b, now := brittleFixture(30, own, 4, 5)
-		if len(fill(b)) > 0 {
+		b, now := frail.NewBalancer(30, own, 4, 5)
+		if len(frail.Fill(b)) > 0 {
 			continue
 		}
 		*now = now.Add(time.Minute)
-		probes := fill(b)
+		probes := frail.Fill(b)
 		assert.Equal(t, len(probes), 1)
 		b.SetBrittle("t", "t", 5)
 		b.Done(probes[0].DispatchID, route.OK)
-		assert.Equal(t, len(fill(b)), 0)
+		assert.Equal(t, len(frail.Fill(b)), 0)
 		*now = now.Add(time.Minute)
-		probes = fill(b)
+		probes = frail.Fill(b)
 		b.Done(probes[0].DispatchID, route.OK)
-		assert.Assert(t, len(fill(b)) > 4)
+		assert.Assert(t, len(frail.Fill(b)) > 4)
 	}
 }
--- a/fake/frail/frail.go
+++ b/fake/frail/frail.go
@@ -14,6 +14,9 @@
 	"cranberryrail/fake/simul"
 )
 
+// Service is the service of all targets.
+const Service = "s"
+
 const (
 	// meanWork is the mean time that a target works at a request. Work follows a log-normal distribution with workSigma.
 	meanWork  = 40 * time.Millisecond
@@ -24,7 +27,6 @@
 	downTime = time.Second
 	// attempts is how many targets are tried for a request.
 	attempts = 3
-	service  = "s"
 	// reportFreshness is how long the version in production uses a report.
 	reportFreshness = 500 * time.Millisecond
 )
@@ -137,7 +139,7 @@
 	m.setFleet(fleet)
 	list := make([]roster.Target, 0, r.Targets)
 	for _, t := range r.targets {
-		list = append(list, roster.Target{ID: t.id, Incarnation: t.id, Service: service, Kind: roster.PlainService, State: roster.Live, Slots: r.Slots})
+		list = append(list, roster.Target{ID: t.id, Incarnation: t.id, Service: Service, Kind: roster.PlainService, State: roster.Live, Slots: r.Slots})
 	}
 	m.balancer.SetTargets(list)
 	for _, t := range r.targets {
@@ -230,7 +232,7 @@
 	if len(tried) == attempts {
 		return nil, nil
 	}
-	choice, err := m.balancer.Pick(route.Request{Service: service, Avoid: tried})
+	choice, err := m.balancer.Pick(route.Request{Service: Service, Avoid: tried})
 	if err != nil {
 		return nil, nil
 	}
--- /dev/null
+++ b/fake/frail/share.go
@@ -0,0 +1,33 @@
+package frail
+
+import (
+	"time"
+
+	"cranberryrail/core/roster"
+	"cranberryrail/core/route"
+)
+
+// shareQueue is how many requests may wait at a target that is not known to be brittle.
+const shareQueue = 4
+
+// NewBalancer returns the balancer of one of several instances, with one target that announced that it is brittle, and the time that it reads.
+func NewBalancer(fleet, own, slots int, perSecond float64) (*route.Balancer, *time.Time) {
+	now, ids := time.Unix(1000, 0), instances(fleet)
+	b := &route.Balancer{Now: func() time.Time { return now }, Instances: fleet, Queue: shareQueue}
+	b.Default()
+	b.SetFleet(ids[own], ids)
+	b.SetTargets([]roster.Target{{ID: "t", Incarnation: "t", Service: Service, Kind: roster.PlainService, State: roster.Live, Slots: slots}})
+	b.SetBrittle("t", "t", perSecond)
+	return b, &now
+}
+
+// Fill sends requests until one is refused.
+func Fill(b *route.Balancer) (sent []route.Choice) {
+	for {
+		c, err := b.Pick(route.Request{Service: Service})
+		if err != nil {
+			return sent
+		}
+		sent = append(sent, c)
+	}
+}
