test: a cut is not found when the second check goes to the same target

A trace shows that an instance draws the target of each check of its paths at random, so that the second check goes to the target of the first in one of three cases, and finds nothing.

--- /dev/null
+++ b/io/router/detour_test.go
@@ -0,0 +1,60 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"cranberryrail/core/detour"
+	"cranberryrail/core/roster"
+	"cranberryrail/io/conns"
+)
+
+// newPathWatcher returns an instance with three targets for each service, to which no connection can be opened, and that checks paths.
+func newPathWatcher(t *testing.T, services ...string) *Router {
+	t.Helper()
+	r := &Router{suspects: make(chan suspect, 1), list: &roster.TargetList{}, detours: &detour.Tracker{}}
+	r.conns = &conns.Client{Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}}
+	r.conns.Default()
+	r.list.Default()
+	r.detours.Default()
+	for i, service := range services {
+		for k := range 3 {
+			r.list.Put(roster.Entry{Target: roster.Target{ID: fmt.Sprint(i, k), Incarnation: fmt.Sprint(i, k), Service: service, State: roster.Live}, StartedAtMS: 1})
+		}
+	}
+	r.setServices(r.list.Targets())
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error { return r.watchPaths(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, group.Wait())
+	})
+	return r
+}
+
+// TestCutIsFoundByTwoChecks guards against requests that wait for targets, because the second check of a service went to the target that the first one could
+// not connect to, so that the instance did not know that it is cut off.
+func TestCutIsFoundByTwoChecks(t *testing.T) {
+	for range 64 { // Targets are drawn at random.
+		synctest.Test(t, func(t *testing.T) {
+			r := newPathWatcher(t, "claims")
+			for range 2 { // two silent requests
+				r.pathSuspect("claims", "")
+				synctest.Wait()
+			}
+			time.Sleep(2*conns.DefaultDialTimeout + time.Millisecond)
+			assert.Assert(t, r.detours.Cut("claims"))
+		})
+	}
+}
