fix: a check of the paths to a service tries a target not known to be unreachable

Cause: an instance that found a target silent checks the path by a connection to a target that is drawn at random. Each second silent request queues one more check that excludes no target, and that check displaces the one which excludes the target that has just failed. In one of three cases the second check draws the same target again, and a failure that is known triggers no other check. The instance then counts as connected, sends requests to targets one after the other, and is asked by others for help that it can't give, until requests have found the cut.

Now the check prefers the targets of which it isn't known that they can't be connected to, so that two checks after a silent request decide, whichever request caused them. It needs no excluded target for that, which the queue no longer carries.

--- a/core/detour/detour.go
+++ b/core/detour/detour.go
@@ -125,6 +125,14 @@
 	return !known
 }
 
+// IsUnreachable reports whether a target of a service could not be connected to since the last one that could.
+func (t *Tracker) IsUnreachable(name, target string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, known := t.service(name).unreachable[target]
+	return known
+}
+
 // Cut reports whether this instance is cut off from a service.
 func (t *Tracker) Cut(name string) bool {
 	t.mu.Lock()
--- a/io/router/detour.go
+++ b/io/router/detour.go
@@ -61,21 +61,18 @@
 		return
 	}
 	if r.detours.Unreachable(t.Service, t.Incarnation) {
-		r.pathSuspect(t.Service, t.ID)
+		r.pathSuspect(t.Service)
 	}
 }
 
 // pathSuspect triggers a check of a service after one of its targets could not be reached, or did not reply.
-func (r *Router) pathSuspect(service, except string) {
+func (r *Router) pathSuspect(service string) {
 	select {
-	case r.suspects <- suspect{service, except}:
+	case r.suspects <- service:
 	default: // a check is due anyway
 	}
 }
 
-// suspect is a service that may be unreachable, and the target that has shown it.
-type suspect struct{ service, except string }
-
 // watchPaths checks suspected services at once, and those that this instance is cut off from repeatedly.
 func (r *Router) watchPaths(ctx context.Context) error {
 	ticker := time.NewTicker(pathCheckInterval)
@@ -84,26 +81,35 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case s := <-r.suspects:
-			r.checkPath(ctx, s.service, s.except)
+		case service := <-r.suspects:
+			r.checkPath(ctx, service)
 		case <-ticker.C:
 			for _, service := range r.detours.CutServices() {
-				r.checkPath(ctx, service, "")
+				r.checkPath(ctx, service)
 			}
 		}
 	}
 }
 
-// checkPath opens a connection to a target of a service, which is used for a later request.
-func (r *Router) checkPath(ctx context.Context, service, except string) {
+// checkPath opens a connection to a target of a service, which is used for a later request. It prefers targets that are not known to be unreachable:
+// another failure at one that is shows nothing new.
+func (r *Router) checkPath(ctx context.Context, service string) {
 	r.listMu.Lock()
-	var candidates []roster.Target
+	var untried, unreachable []roster.Target
 	for _, t := range r.list.Targets() {
-		if t.Service == service && t.State == roster.Live && t.ID != except {
-			candidates = append(candidates, t)
+		switch {
+		case t.Service != service || t.State != roster.Live:
+		case r.detours.IsUnreachable(service, t.Incarnation):
+			unreachable = append(unreachable, t)
+		default:
+			untried = append(untried, t)
 		}
 	}
 	r.listMu.Unlock()
+	candidates := untried
+	if len(candidates) == 0 {
+		candidates = unreachable
+	}
 	if len(candidates) > 0 {
 		t := candidates[rand.IntN(len(candidates))]
 		r.recordPath(t, r.conns.Connect(ctx, &conns.Request{PoolKey: t.Incarnation, Addr: t.Addr}))
--- a/io/router/detour_test.go
+++ b/io/router/detour_test.go
@@ -19,7 +19,7 @@
 // newPathWatcher returns an instance with three targets for each service, to which no connection can be opened, and that checks paths.
 func newPathWatcher(t *testing.T, services ...string) *Router {
 	t.Helper()
-	r := &Router{suspects: make(chan suspect, 1), list: &roster.TargetList{}, detours: &detour.Tracker{}}
+	r := &Router{suspects: make(chan string, 1), list: &roster.TargetList{}, detours: &detour.Tracker{}}
 	r.conns = &conns.Client{Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -50,7 +50,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			r := newPathWatcher(t, "claims")
 			for range 2 { // two silent requests
-				r.pathSuspect("claims", "")
+				r.pathSuspect("claims")
 				synctest.Wait()
 			}
 			time.Sleep(2*conns.DefaultDialTimeout + time.Millisecond)
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -135,7 +135,7 @@
 	// crashesRead and ratesRead are set once the requests that crash targets and the rate limits of targets were read.
 	crashesRead, ratesRead atomic.Bool
 	// suspects holds services that may be unreachable.
-	suspects chan suspect
+	suspects chan string
 	// forwarded is the number of requests of other instances in flight.
 	forwarded atomic.Int64
 	// running is set from the start until the shutdown begins. noticeOver is set once the notice of the shutdown is over, and otherReady while
@@ -165,7 +165,7 @@
 // Default creates the components of the instance.
 func (r *Router) Default() {
 	r.Incarnation = uuid.NewString()
-	r.suspects = make(chan suspect, 1)
+	r.suspects = make(chan string, 1)
 	r.system = actors.NewSystem()
 	r.invalid.Default()
 	s := r.Settings
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -38,7 +38,7 @@
 		case errors.As(err, &exchange) && exchange.Unconnected && ctx.Err() == nil:
 			r.recordPath(d.Target, err)
 		case failed.Kind == relay.Silent:
-			r.pathSuspect(d.Target.Service, "")
+			r.pathSuspect(d.Target.Service)
 		}
 		return nil, failed
 	}
@@ -67,7 +67,7 @@
 	}
 	r.routeClient.Silent(token)
 	r.conns.CloseIdle(d.Target.Incarnation)
-	r.pathSuspect(d.Target.Service, "")
+	r.pathSuspect(d.Target.Service)
 }
 
 // applyResponseHead applies what a target reports in the head of a response, before the response is
