test: an instance that is cut off from several services does not find all of them

An instance whose paths hang finds a service to be cut off by two checks, one after the other. While the check of one service hangs, one suspicion waits and others are dropped, also that of the service which is being checked.

--- a/io/router/detour_test.go
+++ b/io/router/detour_test.go
@@ -58,3 +58,17 @@
 		})
 	}
 }
+
+// TestCutsFromAllServicesAreFound guards against requests that wait for targets, because the check of one service hung while others were suspected, so that the
+// instance did not know that it is cut off from them too.
+func TestCutsFromAllServicesAreFound(t *testing.T) {
+	services := []string{"claims", "drafts", "mail", "quotes"}
+	synctest.Test(t, func(t *testing.T) {
+		r := newPathWatcher(t, services...)
+		for _, service := range services {
+			r.pathSuspect(service)
+		}
+		time.Sleep(2*conns.DefaultDialTimeout + time.Millisecond)
+		assert.DeepEqual(t, r.detours.CutServices(), services)
+	})
+}
