fix: the paths to several services are checked independently of each other

An instance whose paths hang sent requests of some services to targets although it could have known that it reaches none of them. Cause: one check runs at a time and takes the time of a dial, 0.3 s, while its path hangs, and one suspicion waits for it; a suspicion that finds another waiting was dropped, also one of another service, and one that shows that the second check of a service is due.

Now each service has its own checks, one at a time, and a suspicion that arrives during a check leads to another one after it. Suspicions are received at once, so that the queue fills up only if hundreds of services are suspected in an instant.

Evidence: of four services suspected at the same time, in virtual time, one was found within two dials before, in 3 of 3 runs, and a scratch run with three services showed one of them 3 s later; all four are found after, in 5 of 5 runs with -race. TestInstancesWithoutTargetsServe passed in 6 of 6 runs beside other tests, at a load of 10 to 23 on 8 CPUs.

--- a/io/router/detour.go
+++ b/io/router/detour.go
@@ -9,6 +9,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"cranberryrail/core/codes"
 	"cranberryrail/core/detour"
 	"cranberryrail/core/events"
@@ -30,6 +32,8 @@
 	forwardTries = 2
 	// pathCheckInterval is the time between two checks whether a service is reachable again.
 	pathCheckInterval = 300 * time.Millisecond
+	// maxSuspects is the number of suspicions that wait for their checks to begin: several times the number of services of a platform.
+	maxSuspects = 256
 )
 
 // initDetours creates the component that sends requests by way of other instances.
@@ -69,23 +73,48 @@
 func (r *Router) pathSuspect(service string) {
 	select {
 	case r.suspects <- service:
-	default: // a check is due anyway
+	default: // The queue is full of suspicions; later requests raise this one again.
 	}
 }
 
-// watchPaths checks suspected services at once, and those that this instance is cut off from repeatedly.
+// watchPaths checks suspected services at once, and those that this instance is cut off from repeatedly. Services are checked independently of each
+// other, since a check of a path that hangs takes the time of a dial.
 func (r *Router) watchPaths(ctx context.Context) error {
+	var group errgroup.Group
+	checked := make(chan string)
+	running, again := map[string]bool{}, map[string]bool{}
+	check := func(service string) {
+		if running[service] {
+			return
+		}
+		running[service] = true
+		group.Go(func() error {
+			r.checkPath(ctx, service)
+			select {
+			case checked <- service:
+			case <-ctx.Done():
+			}
+			return nil
+		})
+	}
 	ticker := time.NewTicker(pathCheckInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return group.Wait()
 		case service := <-r.suspects:
-			r.checkPath(ctx, service)
+			again[service] = running[service]
+			check(service)
+		case service := <-checked:
+			running[service] = false
+			if again[service] {
+				again[service] = false
+				check(service)
+			}
 		case <-ticker.C:
 			for _, service := range r.detours.CutServices() {
-				r.checkPath(ctx, service)
+				check(service)
 			}
 		}
 	}
--- a/io/router/detour_test.go
+++ b/io/router/detour_test.go
@@ -19,7 +19,7 @@
 // newPathWatcher returns an instance with three targets for each service, to which no connection can be opened, and that checks paths.
 func newPathWatcher(t *testing.T, services ...string) *Router {
 	t.Helper()
-	r := &Router{suspects: make(chan string, 1), list: &roster.TargetList{}, detours: &detour.Tracker{}}
+	r := &Router{suspects: make(chan string, maxSuspects), list: &roster.TargetList{}, detours: &detour.Tracker{}}
 	r.conns = &conns.Client{Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
 		<-ctx.Done()
 		return nil, ctx.Err()
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -165,7 +165,7 @@
 // Default creates the components of the instance.
 func (r *Router) Default() {
 	r.Incarnation = uuid.NewString()
-	r.suspects = make(chan string, 1)
+	r.suspects = make(chan string, maxSuspects)
 	r.system = actors.NewSystem()
 	r.invalid.Default()
 	s := r.Settings
