--- a/io/router/detour.go
+++ b/io/router/detour.go
@@ -9,6 +9,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"cranberryrail/core/codes"
 	"cranberryrail/core/detour"
 	"cranberryrail/core/events"
@@ -30,6 +32,8 @@
 	forwardTries = 2
 	// pathCheckInterval is the time between two checks whether a service is reachable again.
 	pathCheckInterval = 300 * time.Millisecond
+	// maxSuspects is the number of suspicions that wait for their checks to begin: several times the number of services of a platform.
+	maxSuspects = 256
 )
 
 // initDetours creates the component that sends requests by way of other instances.
@@ -61,49 +65,80 @@
 		return
 	}
 	if r.detours.Unreachable(t.Service, t.Incarnation) {
-		r.pathSuspect(t.Service, t.ID)
+		r.pathSuspect(t.Service)
 	}
 }
 
 // pathSuspect triggers a check of a service after one of its targets could not be reached, or did not reply.
-func (r *Router) pathSuspect(service, except string) {
+func (r *Router) pathSuspect(service string) {
 	select {
-	case r.suspects <- suspect{service, except}:
-	default: // a check is due anyway
+	case r.suspects <- service:
+	default: // The queue is full of suspicions; later requests raise this one again.
 	}
 }
 
-// suspect is a service that may be unreachable, and the target that has shown it.
-type suspect struct{ service, except string }
-
-// watchPaths checks suspected services at once, and those that this instance is cut off from repeatedly.
+// watchPaths checks suspected services at once, and those that this instance is cut off from repeatedly. Services are checked independently of each
+// other, since a check of a path that hangs takes the time of a dial.
 func (r *Router) watchPaths(ctx context.Context) error {
+	var group errgroup.Group
+	checked := make(chan string)
+	running, again := map[string]bool{}, map[string]bool{}
+	check := func(service string) {
+		if running[service] {
+			return
+		}
+		running[service] = true
+		group.Go(func() error {
+			r.checkPath(ctx, service)
+			select {
+			case checked <- service:
+			case <-ctx.Done():
+			}
+			return nil
+		})
+	}
 	ticker := time.NewTicker(pathCheckInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
-		case s := <-r.suspects:
-			r.checkPath(ctx, s.service, s.except)
+			return group.Wait()
+		case service := <-r.suspects:
+			again[service] = running[service]
+			check(service)
+		case service := <-checked:
+			running[service] = false
+			if again[service] {
+				again[service] = false
+				check(service)
+			}
 		case <-ticker.C:
 			for _, service := range r.detours.CutServices() {
-				r.checkPath(ctx, service, "")
+				check(service)
 			}
 		}
 	}
 }
 
-// checkPath opens a connection to a target of a service, which is used for a later request.
-func (r *Router) checkPath(ctx context.Context, service, except string) {
+// checkPath opens a connection to a target of a service, which is used for a later request. It prefers targets that are not known to be unreachable:
+// another failure at one that is shows nothing new.
+func (r *Router) checkPath(ctx context.Context, service string) {
 	r.listMu.Lock()
-	var candidates []roster.Target
+	var untried, unreachable []roster.Target
 	for _, t := range r.list.Targets() {
-		if t.Service == service && t.State == roster.Live && t.ID != except {
-			candidates = append(candidates, t)
+		switch {
+		case t.Service != service || t.State != roster.Live:
+		case r.detours.IsUnreachable(service, t.Incarnation):
+			unreachable = append(unreachable, t)
+		default:
+			untried = append(untried, t)
 		}
 	}
 	r.listMu.Unlock()
+	candidates := untried
+	if len(candidates) == 0 {
+		candidates = unreachable
+	}
 	if len(candidates) > 0 {
 		t := candidates[rand.IntN(len(candidates))]
 		r.recordPath(t, r.conns.Connect(ctx, &conns.Request{PoolKey: t.Incarnation, Addr: t.Addr}))
