--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -180,7 +180,7 @@
 	return Dispatch{
 		Request: r.req, Target: t, Organisation: r.Organisation, Priority: r.Priority, Remaining: left,
 		HeaderTimeout: left + replyMargin, SilenceBound: r.silenceBound(), LastEventID: r.lastEventID, NonIdempotent: !r.route.Retryable(),
-		Repeated: slices.Contains(r.sentTo, t.ID),
+		Repeated: slices.Contains(r.sentTo, t.ID), Resumable: r.streamKey != "",
 	}
 }
 
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -94,6 +94,9 @@
 	SilenceBound time.Duration
 	// LastEventID is the id of the last event received, if a stream is to be resumed; empty otherwise.
 	LastEventID string
+	// Resumable is set if the response is a stream that may go on at another target of its software version. It must then use a connection that leads to the
+	// listed start of the target.
+	Resumable bool
 	// Repeated is set if the request has been sent to the target before. It must then use a new connection, since the target may repeat its earlier response
 	// on one that it has used.
 	Repeated bool
--- a/core/roster/list.go
+++ b/core/roster/list.go
@@ -145,7 +145,12 @@
 }
 
 // incarnation identifies the start of the target.
-func (r *record) incarnation() string { return r.ID + "@" + strconv.FormatInt(r.StartedAtMS, 10) }
+func (r *record) incarnation() string { return Incarnation(r.ID, r.StartedAtMS) }
+
+// Incarnation identifies a start of the target with an id.
+func Incarnation(id string, startedAtMS int64) string {
+	return id + "@" + strconv.FormatInt(startedAtMS, 10)
+}
 
 // Remove handles the removal of an entry and reports whether the targets changed. Around an outage
 // of the platform, it keeps the target until Expire.
--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -62,6 +62,8 @@
 	// lastUsed is when the last response ended, and expires when the idle connection must no longer be used.
 	lastUsed, expires time.Time
 	closed            atomic.Bool
+	// verified is set once the target has shown on the connection which start it is.
+	verified bool
 	// responses is the number of responses that were read, without interim ones.
 	responses int
 }
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -91,6 +91,8 @@
 	NewConnection bool
 	// HeaderTimeout is the timeout for the response headers.
 	HeaderTimeout time.Duration
+	// Verify restricts the request to a connection that is verified by it; nil for any.
+	Verify *Verification
 	// OnDialed is called if a new connection was opened for the request; optional.
 	OnDialed func()
 	// ID is the id of the request, which responses to it name.
@@ -232,15 +234,9 @@
 // Do sends a request and returns the response once its headers have arrived. Cancelling the context
 // aborts the whole exchange, including the body. The error is a *Error.
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
-	var cn *conn
-	if !r.NewConnection {
-		cn = c.acquireIdle(r)
-	}
-	if cn == nil {
-		var err error
-		if cn, err = c.dial(ctx, r); err != nil {
-			return nil, &Error{Phase: NotSent, Unconnected: true, Timeout: isTimeout(err), Err: err}
-		}
+	cn, failed := c.acquire(ctx, r)
+	if failed != nil {
+		return nil, failed
 	}
 	resp := &Response{client: c, conn: cn}
 	resp.stopWatch = context.AfterFunc(ctx, cn.close)
--- a/io/conns/response.go
+++ b/io/conns/response.go
@@ -42,7 +42,7 @@
 // a late second response to an earlier request, which is discarded.
 func (resp *Response) readHead(r *Request) *Error {
 	for skipped := range maxForeignResponses + 1 {
-		head, err := resp.readFinalHead(r) //nolint:bodyclose // the body ends with its connection
+		head, err := resp.conn.readFinalHead(r.Method) //nolint:bodyclose // the body ends with its connection
 		if err != nil {
 			if skipped > 0 {
 				err = fmt.Errorf("%w (skipped: %d): %w", errForeignResponse, skipped, err)
@@ -75,11 +75,11 @@
 }
 
 // readFinalHead reads the headers of the next response, skipping interim (1xx) ones.
-func (resp *Response) readFinalHead(r *Request) (*http.Response, error) {
-	resp.conn.input.limit()
-	defer resp.conn.input.unlimit()
+func (cn *conn) readFinalHead(method string) (*http.Response, error) {
+	cn.input.limit()
+	defer cn.input.unlimit()
 	for {
-		head, err := resp.conn.readResponse(r.Method)
+		head, err := cn.readResponse(method)
 		if err != nil || head.StatusCode >= http.StatusOK {
 			return head, err
 		}
--- a/io/router/detour.go
+++ b/io/router/detour.go
@@ -299,6 +299,7 @@
 		Request: &relay.Request{ID: f.RequestID, Method: f.Method, Host: f.Host, URI: f.URI, Header: f.Header, Body: f.Body},
 		Target:  t, Organisation: f.Organisation, Priority: f.Priority, Remaining: left, HeaderTimeout: min(left, f.HeaderTimeout),
 		LastEventID: f.LastEventID, NonIdempotent: f.NonIdempotent, Repeated: slices.Contains(f.Avoid, t.ID),
+		Resumable: f.Software != "" || f.HasPrompt && !f.NonIdempotent, // The other instance may not state it.
 	}
 	if f.HasPrompt {
 		d.Prompt = &relay.Prompt{}
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -57,6 +57,9 @@
 	// ParseConfig and ParseTarget decode records of the topics.
 	ParseConfig func(value []byte) (table.Config, error)
 	ParseTarget func(id string, value []byte) (roster.Entry, error)
+	// ReportPath is the path of the report of a target. ParseReport returns the start time in Unix milliseconds that it states, and whether it states one.
+	ReportPath  string
+	ParseReport func(status int, body []byte) (startedAtMS int64, shown bool, err error)
 	// ParseRequest parses the request of a caller except for its body.
 	ParseRequest func(r *http.Request) (*relay.Request, error)
 	// BuildHeader returns the headers of a dispatch.
@@ -146,6 +149,8 @@
 	refusedAt atomic.Int64
 	// headersIgnored holds the incarnations of targets with a malformed header that was logged.
 	headersIgnored *lru.Cache[string, struct{}]
+	// startsHidden holds the incarnations of targets that have no report of their start.
+	startsHidden *lru.Cache[string, struct{}]
 	// brittle holds the incarnations of targets that announce that they are brittle.
 	brittle *lru.Cache[string, struct{}]
 	// crashChecks checks once for all requests that break off at the same time whether their target has crashed.
@@ -182,6 +187,7 @@
 	r.list.Default()
 	r.routed = map[string]struct{}{}
 	r.headersIgnored, _ = lru.New[string, struct{}](route.MaxLeavingIncarnations) // fails only for a size below 1
+	r.startsHidden, _ = lru.New[string, struct{}](route.MaxLeavingIncarnations)
 	r.brittle, _ = lru.New[string, struct{}](route.MaxLeavingIncarnations)
 	r.initBudgets()
 	r.table.OnApplied = r.configApplied
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -28,6 +28,7 @@
 	a, err := r.conns.Do(ctx, &conns.Request{
 		PoolKey: d.Target.Incarnation, Addr: d.Target.Addr, Method: d.Method, URI: d.URI, Host: d.Host,
 		Header: r.Platform.BuildHeader(d), Body: d.Body, NonIdempotent: d.NonIdempotent, NewConnection: d.Repeated, HeaderTimeout: d.HeaderTimeout,
+		Verify:   r.verification(d),
 		OnDialed: func() { r.recordPath(d.Target, nil) },
 		ID:       d.ID, Identify: r.Platform.IdentifyResponse,
 	})
@@ -59,6 +60,28 @@
 	return response, nil
 }
 
+var errOtherStart = errors.New("the target has started again since its entry was read")
+
+// verification returns how a connection shows that it leads to the listed start of a target, whose software version is known; nil if any start will do.
+func (r *Router) verification(d relay.Dispatch) *conns.Verification {
+	t := d.Target
+	if _, hidden := r.startsHidden.Get(t.Incarnation); hidden || !d.Resumable {
+		return nil
+	}
+	return &conns.Verification{URI: r.Platform.ReportPath, Check: func(status int, body []byte) error {
+		startedAtMS, shown, err := r.Platform.ParseReport(status, body)
+		switch {
+		case err != nil:
+			return err
+		case !shown:
+			r.startsHidden.Add(t.Incarnation, struct{}{})
+		case roster.Incarnation(t.ID, startedAtMS) != t.Incarnation:
+			return errOtherStart
+		}
+		return nil
+	}}
+}
+
 // targetSilent handles a target that has sent nothing for long: it gets no further requests for a while, its idle connections may be silent too, and
 // the path to its service may be lost.
 func (r *Router) targetSilent(d relay.Dispatch, token int64) {
