--- a/core/logs/outbox_test.go
+++ b/core/logs/outbox_test.go
@@ -23,9 +23,8 @@
 	t.Helper()
 	acknowledged, took, stored, err := memlog.Publish(t.Context(), l, n, interval, after)
 	assert.NilError(t, err)
-	first := slices.Clone(stored)
 	seen := map[string]bool{}
-	first = slices.DeleteFunc(first, func(key string) bool { known := seen[key]; seen[key] = true; return known })
+	first := slices.DeleteFunc(slices.Clone(stored), func(key string) bool { known := seen[key]; seen[key] = true; return known })
 	for _, keys := range [][]string{acknowledged, first} {
 		for i, key := range keys {
 			assert.Equal(t, key, strconv.Itoa(i))
--- a/io/router/follow_test.go
+++ b/io/router/follow_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"runtime"
 	"strconv"
 	"strings"
 	"testing"
@@ -46,7 +45,6 @@
 		var group errgroup.Group
 		group.Go(func() error {
 			for current := r.table.Current(); current == nil || current.Version <= version; current = r.table.Current() {
-				runtime.Gosched()
 			}
 			if _, err := r.budgets.Reserve(t.Context(), name, 20); err == nil {
 				unlimited++
