--- a/io/conns/verify.go
+++ b/io/conns/verify.go
@@ -14,8 +14,10 @@
 type Verification struct {
 	// URI is that of a GET request without a body.
 	URI string
-	// Check returns an error unless the reply may be that of the incarnation in the key of the pool.
+	// Check returns an error unless the reply is that of the incarnation in the key of the pool, ErrUnverifiable if the target can't show its start.
 	Check func(status int, body []byte) error
+	// OnUnverifiable is called when the target replied that it can't show its start.
+	OnUnverifiable func()
 }
 
 const (
@@ -25,6 +27,9 @@
 	maxVerificationBody = 64 << 10
 )
 
+// ErrUnverifiable is returned by a Verification if the target can't show its start. The request then uses another connection, since the reply may be repeated on this one.
+var ErrUnverifiable = errors.New("the target does not show its start")
+
 var (
 	errUnverified         = errors.New("the connection is not known to lead to the expected start of the target")
 	errVerificationClosed = errors.New("the target closes the connection after its reply")
@@ -47,11 +52,21 @@
 		if r.Verify == nil || cn.verified {
 			return cn, nil
 		}
+		reused := cn.responses > 0
 		err := cn.verify(ctx, r)
 		if err == nil {
 			return cn, nil
 		}
 		cn.close()
+		if errors.Is(err, ErrUnverifiable) {
+			if reused { // It may be the late refusal of an earlier request.
+				err = errForeignResponse
+			} else {
+				r.Verify.OnUnverifiable()
+				r.Verify = nil
+				continue
+			}
+		}
 		if tries == maxVerifications || ctx.Err() != nil || isTimeout(err) || errors.Is(err, errUnverified) {
 			return nil, &Error{Phase: NotSent, Timeout: isTimeout(err), Err: fmt.Errorf("verify the start of the target: %w", err)}
 		}
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -149,8 +149,8 @@
 	refusedAt atomic.Int64
 	// headersIgnored holds the incarnations of targets with a malformed header that was logged.
 	headersIgnored *lru.Cache[string, struct{}]
-	// startsHidden holds the incarnations of targets that have no report of their start.
-	startsHidden *lru.Cache[string, struct{}]
+	// startsShown states by incarnation of a target whether its report shows its start.
+	startsShown *lru.Cache[string, bool]
 	// brittle holds the incarnations of targets that announce that they are brittle.
 	brittle *lru.Cache[string, struct{}]
 	// crashChecks checks once for all requests that break off at the same time whether their target has crashed.
@@ -187,7 +187,7 @@
 	r.list.Default()
 	r.routed = map[string]struct{}{}
 	r.headersIgnored, _ = lru.New[string, struct{}](route.MaxLeavingIncarnations) // fails only for a size below 1
-	r.startsHidden, _ = lru.New[string, struct{}](route.MaxLeavingIncarnations)
+	r.startsShown, _ = lru.New[string, bool](route.MaxLeavingIncarnations)
 	r.brittle, _ = lru.New[string, struct{}](route.MaxLeavingIncarnations)
 	r.initBudgets()
 	r.table.BeforeApply, r.table.OnApplied = r.applyBudgets, r.configApplied
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -65,21 +65,29 @@
 // verification returns how a connection shows that it leads to the listed start of a target, whose software version is known; nil if any start will do.
 func (r *Router) verification(d relay.Dispatch) *conns.Verification {
 	t := d.Target
-	if _, hidden := r.startsHidden.Get(t.Incarnation); hidden || !d.Resumable {
+	if shows, known := r.startsShown.Get(t.Incarnation); known && !shows || !d.Resumable {
 		return nil
 	}
-	return &conns.Verification{URI: r.Platform.ReportPath, Check: func(status int, body []byte) error {
+	check := func(status int, body []byte) error {
 		startedAtMS, shown, err := r.Platform.ParseReport(status, body)
 		switch {
 		case err != nil:
 			return err
 		case !shown:
-			r.startsHidden.Add(t.Incarnation, struct{}{})
+			if shows, _ := r.startsShown.Get(t.Incarnation); shows {
+				return errOtherStart
+			}
+			return conns.ErrUnverifiable
 		case roster.Incarnation(t.ID, startedAtMS) != t.Incarnation:
 			return errOtherStart
 		}
+		r.startsShown.Add(t.Incarnation, true)
 		return nil
-	}}
+	}
+	return &conns.Verification{
+		URI: r.Platform.ReportPath, Check: check,
+		OnUnverifiable: func() { r.startsShown.Add(t.Incarnation, false) },
+	}
 }
 
 // targetSilent handles a target that has sent nothing for long: it gets no further requests for a while, its idle connections may be silent too, and
