fix: instances without a share of a brittle target probe it at different times

Callers lost targets that fall over when they get more than they can run: instances that learned at the same moment that a target is brittle, and have no share of it, sent their probes exactly 10 s later, all at once. The pause between probes is now those 10 s and a random time, on average the one in which each instance may cause a rejection.

--- a/core/route/brittle.go
+++ b/core/route/brittle.go
@@ -51,7 +51,7 @@
 			other.brittle.perSecond = perSecond
 		}
 		other.brittle.announcedAt = now
-		other.brittle.probeAt = now.Add(max(brittleTime, b.brittlePause(other)))
+		other.brittle.probeAt = now.Add(brittleTime + b.brittlePause(other))
 	}
 }
 
@@ -97,7 +97,7 @@
 // recordBrittleDispatch delays the next probe of a target that has not announced for long that it is brittle.
 func (b *Balancer) recordBrittleDispatch(c *target, now time.Time) {
 	if b.isBrittle(c) {
-		c.brittle.probeAt = now.Add(max(brittleTime, b.brittlePause(c)))
+		c.brittle.probeAt = now.Add(brittleTime + b.brittlePause(c))
 	}
 }
 
