--- a/core/route/brittle_test.go
+++ b/core/route/brittle_test.go
@@ -39,6 +39,17 @@
 	}
 }
 
+// TestProbesAreSpread guards against a target that falls over because all instances without a share probe it at the same moment.
+func TestProbesAreSpread(t *testing.T) {
+	inFlight := 0
+	for own := range 20 {
+		b, now := frail.NewBalancer(20, own, 2, 8)
+		*now = now.Add(10 * time.Second)
+		inFlight += len(frail.Fill(b))
+	}
+	assert.Assert(t, inFlight <= 2+8, "%d", inFlight)
+}
+
 // TestEndOfBrittleness guards against an instance without a share of a brittle target that never sends to it again, or all of its requests at once while the
 // target still is brittle.
 func TestEndOfBrittleness(t *testing.T) {
--- a/fake/fleet/fleet.go
+++ b/fake/fleet/fleet.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"cranberryrail/core/once"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
@@ -84,6 +85,20 @@
 	err    error
 }
 
+// HasAnswered reports whether the instance has read the answer of a call back from the log.
+func (m *Member) HasAnswered(call string) bool {
+	state, err := m.Once[0].Feed.State()
+	if err != nil {
+		return false
+	}
+	fold := once.New()
+	if fold.Load(state.Data) != nil {
+		return false
+	}
+	c := fold.Call(call)
+	return c != nil && c.State == once.Done
+}
+
 // String describes the fleet for logs.
 func (f *Fleet) String() string {
 	return fmt.Sprintf("fleet of %d instances, %d engines and %d services", f.Instances, f.Engines, f.Services)
--- a/io/node/faults_test.go
+++ b/io/node/faults_test.go
@@ -15,7 +15,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"cranberryrail/core/once"
 	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
 	"cranberryrail/fake/engine"
@@ -655,7 +654,7 @@
 		eventually(t, f, func() bool { return runCount(f) == 1 })
 		cancel()
 		assert.Assert(t, wait()[0].err != nil)
-		eventually(t, f, func() bool { return f.Members[0].Front.InFlight() == 0 && isAnswered(t, f.Members[0]) })
+		eventually(t, f, func() bool { return f.Members[0].Front.InFlight() == 0 && f.Members[0].HasAnswered("acme/k") })
 		f.Members[0].Kill()
 		r := submit(context.Background(), f.Members[1])
 		assert.NilError(t, r.err)
@@ -665,17 +664,6 @@
 	})
 }
 
-// isAnswered reports whether an instance has read the answer of the call with the key k back from the log.
-func isAnswered(t *testing.T, m *fleet.Member) bool {
-	t.Helper()
-	state, err := m.Once[0].Feed.State()
-	assert.NilError(t, err)
-	fold := once.New()
-	assert.NilError(t, fold.Load(state.Data))
-	call := fold.Call("acme/k")
-	return call != nil && call.State == once.Done
-}
-
 func delayServices(f *fleet.Fleet) {
 	for _, s := range f.ServiceServers {
 		s.SetFaults(plain.Faults{DelayMS: 500})
