fix: a report takes at most half of the time of its request, which is taken off its time limit

Cause: a verification had the time-out of the whole request, and the headers were made before it. Now it takes at most half of the time that is left, and headers and time-outs are made anew after it.

--- a/fake/fleet/fleet.go
+++ b/fake/fleet/fleet.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"cranberryrail/core/once"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
@@ -16,6 +15,7 @@
 
 	"cranberryrail/core/conf"
 	"cranberryrail/core/ledger"
+	"cranberryrail/core/once"
 	"cranberryrail/core/roster"
 	"cranberryrail/fake/engine"
 	"cranberryrail/fake/plain"
--- a/io/conns/verify.go
+++ b/io/conns/verify.go
@@ -18,11 +18,15 @@
 	Check func(status int, body []byte) error
 	// OnUnverifiable is called when the target replied that it can't show its start.
 	OnUnverifiable func()
+	// OnVerified is called after the reply of a new verification, before the request is sent: time has passed, and its headers may name the time that is left; optional.
+	OnVerified func(r *Request)
 }
 
 const (
 	// maxVerifications is the number of connections that are tried for one request. A target may close one after its reply.
 	maxVerifications = 2
+	// verificationDivisor is the part of the time of a request, as a divisor, that a verification may take, so that the rest suffices for another target.
+	verificationDivisor = 2
 	// maxVerificationBody is several times the report of a target that runs some hundred requests, in bytes.
 	maxVerificationBody = 64 << 10
 )
@@ -55,6 +59,9 @@
 		reused := cn.responses > 0
 		err := cn.verify(ctx, r)
 		if err == nil {
+			if r.Verify.OnVerified != nil {
+				r.Verify.OnVerified(r)
+			}
 			return cn, nil
 		}
 		cn.close()
@@ -77,7 +84,7 @@
 func (cn *conn) verify(ctx context.Context, r *Request) error {
 	stop := context.AfterFunc(ctx, cn.close)
 	defer stop()
-	if err := cn.SetDeadline(time.Now().Add(r.HeaderTimeout)); err != nil {
+	if err := cn.SetDeadline(time.Now().Add(r.HeaderTimeout / verificationDivisor)); err != nil {
 		return err
 	}
 	if _, err := cn.Write(encodeRequest(&Request{Method: http.MethodGet, URI: r.Verify.URI, Host: r.Addr})); err != nil {
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -28,7 +28,7 @@
 	a, err := r.conns.Do(ctx, &conns.Request{
 		PoolKey: d.Target.Incarnation, Addr: d.Target.Addr, Method: d.Method, URI: d.URI, Host: d.Host,
 		Header: r.Platform.BuildHeader(d), Body: d.Body, NonIdempotent: d.NonIdempotent, NewConnection: d.Repeated, HeaderTimeout: d.HeaderTimeout,
-		Verify:   r.verification(d),
+		Verify:   r.verification(d, sentAt),
 		OnDialed: func() { r.recordPath(d.Target, nil) },
 		ID:       d.ID, Identify: r.Platform.IdentifyResponse,
 	})
@@ -63,7 +63,7 @@
 var errOtherStart = errors.New("the target has started again since its entry was read")
 
 // verification returns how a connection shows that it leads to the listed start of a target, whose software version is known; nil if any start will do.
-func (r *Router) verification(d relay.Dispatch) *conns.Verification {
+func (r *Router) verification(d relay.Dispatch, began time.Time) *conns.Verification {
 	t := d.Target
 	if shows, known := r.startsShown.Get(t.Incarnation); known && !shows || !d.Resumable {
 		return nil
@@ -87,6 +87,12 @@
 	return &conns.Verification{
 		URI: r.Platform.ReportPath, Check: check,
 		OnUnverifiable: func() { r.startsShown.Add(t.Incarnation, false) },
+		OnVerified: func(c *conns.Request) {
+			now, spent := d, time.Since(began)
+			now.Remaining -= spent
+			c.HeaderTimeout -= spent
+			c.Header = r.Platform.BuildHeader(now)
+		},
 	}
 }
 
