refactor: opening a connection and verifying it are two functions

The linter counted 16 branches in acquire of io/conns, of 15 allowed. No behaviour changes: the tests of verifications, reports and restarts with the same id pass with -race.

--- a/io/conns/verify.go
+++ b/io/conns/verify.go
@@ -43,18 +43,9 @@
 // acquire returns a connection for a request, verified if the request requires that.
 func (c *Client) acquire(ctx context.Context, r *Request) (*conn, *Error) {
 	for tries := 1; ; tries++ {
-		var cn *conn
-		if !r.NewConnection && tries == 1 {
-			cn = c.acquireIdle(r)
-		}
-		if cn == nil {
-			var err error
-			if cn, err = c.dial(ctx, r); err != nil {
-				return nil, &Error{Phase: NotSent, Unconnected: true, Timeout: isTimeout(err), Err: err}
-			}
-		}
-		if r.Verify == nil || cn.verified {
-			return cn, nil
+		cn, failed := c.connect(ctx, r, tries == 1)
+		if failed != nil || r.Verify == nil || cn.verified {
+			return cn, failed
 		}
 		reused := cn.responses > 0
 		err := cn.verify(ctx, r)
@@ -65,14 +56,14 @@
 			return cn, nil
 		}
 		cn.close()
-		if errors.Is(err, ErrUnverifiable) {
-			if reused { // It may be the late refusal of an earlier request.
-				err = errForeignResponse
-			} else {
-				r.Verify.OnUnverifiable()
-				r.Verify = nil
-				continue
-			}
+		switch {
+		case !errors.Is(err, ErrUnverifiable):
+		case reused:
+			err = errForeignResponse // It may be the late refusal of an earlier request.
+		default:
+			r.Verify.OnUnverifiable()
+			r.Verify = nil
+			continue
 		}
 		if tries == maxVerifications || ctx.Err() != nil || isTimeout(err) || errors.Is(err, errUnverified) {
 			return nil, &Error{Phase: NotSent, Timeout: isTimeout(err), Err: fmt.Errorf("verify the start of the target: %w", err)}
@@ -80,6 +71,20 @@
 	}
 }
 
+// connect returns an idle connection if the request may use one and idle is set, or else a new one.
+func (c *Client) connect(ctx context.Context, r *Request, idle bool) (*conn, *Error) {
+	if idle && !r.NewConnection {
+		if cn := c.acquireIdle(r); cn != nil {
+			return cn, nil
+		}
+	}
+	cn, err := c.dial(ctx, r)
+	if err != nil {
+		return nil, &Error{Phase: NotSent, Unconnected: true, Timeout: isTimeout(err), Err: err}
+	}
+	return cn, nil
+}
+
 // verify sends the verification of a request. The error is errUnverified if the reply is not that of the expected start.
 func (cn *conn) verify(ctx context.Context, r *Request) error {
 	stop := context.AfterFunc(ctx, cn.close)
