--- a/review/driver/budgets.go
+++ b/review/driver/budgets.go
@@ -6,9 +6,10 @@
 
 // cases are the cases by name.
 var cases = map[string]func(rec *recorder, dir string) int{
-	"first-start": playFirstStart,
-	"new-tenant":  playNewTenant,
-	"drill":       playDrill,
+	"first-drill":  playFirstDrill,
+	"first-outage": playFirstOutage,
+	"new-tenant":   playNewTenant,
+	"drill":        playDrill,
 }
 
 // lead is the time from the start of the machines to that of the traffic.
@@ -17,14 +18,48 @@
 // copyAge is the age of the copy in a drill of the store.
 const copyAge = 5 * time.Second
 
-// playFirstStart starts the system for the first time. The store, which was in a drill before that, is down for the first 4.5 s.
-func playFirstStart(rec *recorder, dir string) int {
+// firstTenants are the tenants of a system that starts for the first time. Their requests use less than a third of what they have prepaid.
+func firstTenants() []*tenant {
+	return []*tenant{{name: "lagos", key: "key-lagos", prepaid: 2_000_000}, {name: "yaba", key: "key-yaba", prepaid: 2_000_000}}
+}
+
+// playFirstDrill starts the system for the first time. 4 s later, before the traffic starts, the store is away for 1 s and comes back from a copy.
+func playFirstDrill(rec *recorder, dir string) int {
+	s, err := newScene(rec, dir)
+	if err != nil {
+		return ran(rec, err)
+	}
+	defer s.fleet.killAll()
+	tenants := firstTenants()
+	s.configure(tenants...)
+	time.Sleep(2 * beatInterval)
+	started := time.Now()
+	if err := s.fleet.startAll(true); err != nil {
+		return ran(rec, err)
+	}
+	s.fleet.watchReadiness()
+	time.Sleep(4 * time.Second)
+	if s.trouble {
+		s.store.setMode(storeSilent)
+		time.Sleep(time.Second)
+		s.store.restore(copyAge)
+		s.store.setMode(storeUp)
+		s.configure(tenants...) // the operator writes again what it wrote
+	}
+	time.Sleep(time.Until(started.Add(lead)))
+	s.requesters.run(tenants, 20, 30*time.Second)
+	s.requesters.wg.Wait()
+	return s.judgeDenied(started.Add(lead), tenants...)
+}
+
+// playFirstOutage starts the system for the first time. The store, which was in a drill before that, is down for the first 4.5 s.
+func playFirstOutage(rec *recorder, dir string) int {
 	s, err := newScene(rec, dir)
 	if err != nil {
 		return ran(rec, err)
 	}
 	defer s.fleet.killAll()
-	tenants := []*tenant{{name: "lagos", key: "key-lagos", prepaid: 2_000_000}, {name: "yaba", key: "key-yaba", prepaid: 2_000_000}}
+	tenants := firstTenants()
 	s.store.restore(copyAge)
 	s.configure(tenants...)
 	time.Sleep(2 * beatInterval)
