test: case 1 of the review, a topped-up budget is granted twice after a drill and a kill

The store is restored from a copy while all processes are killed and started again; the tenant then gets 2.78 million of 2.0 million prepaid tokens (BUDGET).

--- a/review/driver/budgets.go
+++ b/review/driver/budgets.go
@@ -6,6 +6,7 @@
 
 // cases are the cases by name.
 var cases = map[string]func(rec *recorder, dir string) int{
+	"top-up":       playTopUp,
 	"first-drill":  playFirstDrill,
 	"first-outage": playFirstOutage,
 	"new-tenant":   playNewTenant,
@@ -20,7 +21,7 @@
 
 // firstTenants are the tenants of a system that starts for the first time. Their requests use less than a third of what they have prepaid.
 func firstTenants() []*tenant {
-	return []*tenant{{name: "lagos", key: "key-lagos", prepaid: 2_000_000}, {name: "yaba", key: "key-yaba", prepaid: 2_000_000}}
+	return []*tenant{{name: "lagos", key: "key-lagos", prepaid: 2_000_000, size: chat}, {name: "yaba", key: "key-yaba", prepaid: 2_000_000, size: chat}}
 }
 
 // playFirstDrill starts the system for the first time. 4 s later, before the traffic starts, the store is away for 1 s and comes back from a copy.
@@ -87,7 +88,7 @@
 		return ran(rec, err)
 	}
 	defer s.fleet.killAll()
-	first, added := &tenant{name: "lagos", key: "key-lagos", prepaid: 2_000_000}, &tenant{name: "yaba", key: "key-yaba", prepaid: 2_000_000}
+	first, added := &tenant{name: "lagos", key: "key-lagos", prepaid: 2_000_000, size: chat}, &tenant{name: "yaba", key: "key-yaba", prepaid: 2_000_000, size: chat}
 	s.store.restore(copyAge)
 	s.configure(first)
 	if err := s.fleet.startAll(true); err != nil {
@@ -121,8 +122,8 @@
 	defer s.fleet.killAll()
 	const rate, length = 20.0, 60 * time.Second
 	// The tenant sends at most nine tenths of what it has paid for.
-	paid := int64(rate * length.Seconds() * maxTokens / 0.9)
-	t := &tenant{name: "lagos", key: "key-lagos", prepaid: paid}
+	paid := int64(rate * length.Seconds() * float64(chat.total()) / 0.9)
+	t := &tenant{name: "lagos", key: "key-lagos", prepaid: paid, size: chat}
 	s.configure(t)
 	if err := s.fleet.startAll(true); err != nil {
 		return ran(rec, err)
--- a/review/driver/client.go
+++ b/review/driver/client.go
@@ -17,22 +17,29 @@
 
 // Requests of the stand-in are calls of a model, as the sheets have them.
 const (
-	host         = "chat.example"
-	prefix       = "/chat/"
-	timeLimit    = 12 * time.Second
-	promptTokens = 628
-	maxOutput    = 294
-	maxTokens    = promptTokens + maxOutput
+	host      = "chat.example"
+	prefix    = "/chat/"
+	timeLimit = 12 * time.Second
 	// settleTime is the bound settle_ms.
 	settleTime = 1500 * time.Millisecond
 	// maxTries is the number of tries of one requester.
 	maxTries = 2
 )
 
+// size is the size of a request in tokens.
+type size struct{ prompt, output int64 }
+
+// chat is the mean size of the requests of member-chat on the sheet.
+var chat = size{628, 294}
+
+func (s size) total() int64 { return s.prompt + s.output }
+
 // tenant is a tenant as its requesters see it.
 type tenant struct {
 	name, key string
 	prepaid   int64
+	// size is that of its requests.
+	size size
 
 	mu sync.Mutex
 	// consumed is the input tokens of requests that have run, once each, and the output tokens that were delivered.
@@ -95,14 +102,14 @@
 	in := rotation[n%len(rotation)]
 	a = answer{tenant: t, id: fmt.Sprintf("%016x", n), sent: time.Now()}
 	t.mu.Lock()
-	a.owed = t.consumed+t.open+maxTokens <= t.prepaid*97/100
-	t.open += maxTokens
+	a.owed = t.consumed+t.open+t.size.total() <= t.prepaid*97/100
+	t.open += t.size.total()
 	t.mu.Unlock()
 	q.rec.printf("sent %s for %s to %s", a.id, t.name, in.name)
 	after = q.exchange(&a, in, left)
 	used := int64(0)
 	if a.events > 0 {
-		used = promptTokens + min(int64(a.events)*stride, maxOutput)
+		used = t.size.prompt + min(int64(a.events)*stride, t.size.output)
 	}
 	t.mu.Lock()
 	t.consumed += used
@@ -110,7 +117,7 @@
 	t.mu.Unlock()
 	time.AfterFunc(settleTime, func() {
 		t.mu.Lock()
-		t.open -= maxTokens - used
+		t.open -= t.size.total() - used
 		t.mu.Unlock()
 	})
 	q.rec.printf("answered %s for %s by %s: %d, %d events, complete %v, owed %v, %v", a.id, t.name, in.name, a.status, a.events, a.complete, a.owed, a.err)
@@ -129,8 +136,8 @@
 	h := req.Header
 	h.Set("Cranberryrail-Attempt-Id", a.id)
 	h.Set("Cranberryrail-Model", "m")
-	h.Set("Cranberryrail-Token-Usage", fmt.Sprintf("%d,%d", promptTokens, maxOutput))
-	h.Set("Cranberryrail-Prompt-Prefix", fmt.Sprintf("5c1e07a2:200,%s:%d", a.id, promptTokens-200))
+	h.Set("Cranberryrail-Token-Usage", fmt.Sprintf("%d,%d", a.tenant.size.prompt, a.tenant.size.output))
+	h.Set("Cranberryrail-Prompt-Prefix", fmt.Sprintf("5c1e07a2:200,%s:%d", a.id, a.tenant.size.prompt-200))
 	h.Set("Cranberryrail-Request-Deadline", strconv.FormatInt(left.Milliseconds(), 10))
 	h.Set("Authorization", "Bearer "+a.tenant.key)
 	resp, err := q.http.Do(req)
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -69,6 +69,9 @@
 	return s, nil
 }
 
+// idleRoutes is the number of routes that get no requests: 110 as the site file has them, and 350 of one big_config.
+const idleRoutes = 110 + 350
+
 // configure writes the next version of the operator's config. The reply of the store is the confirmation.
 func (s *scene) configure(tenants ...*tenant) {
 	s.version++
@@ -76,12 +79,20 @@
 	for _, t := range tenants {
 		list = append(list, map[string]any{"name": t.name, "api_keys": []string{t.key}, "priority": 1, "prepaid": t.prepaid})
 	}
+	routes := []any{}
+	for i := range idleRoutes + 1 {
+		route := map[string]any{
+			"name": fmt.Sprintf("chat-%d", i), "host": host, "path_prefix": prefix, "kind": "streaming", "timeout_ms": timeLimit.Milliseconds(), "target_latency_ms": 400, "priority": 0,
+			"service": "llm", "max_attempts": 2, "anonymous": false, "session_affinity": true, "stream_resume": false, "target_gap_ms": 400,
+		}
+		if i > 0 {
+			route["path_prefix"] = fmt.Sprintf("/idle%d/", i)
+		}
+		routes = append(routes, route)
+	}
 	value, err := json.Marshal(map[string]any{
 		"version": s.version,
-		"routes": []any{map[string]any{
-			"name": "chat", "host": host, "path_prefix": prefix, "kind": "streaming", "timeout_ms": timeLimit.Milliseconds(), "target_latency_ms": 400, "priority": 0,
-			"service": "llm", "max_attempts": 2, "anonymous": false, "session_affinity": true, "stream_resume": false, "target_gap_ms": 400,
-		}},
+		"routes":  routes,
 		"services": []any{map[string]any{
 			"name": "llm", "health_path": "/health", "max_connections": 360, "protocol": "h1", "tls": false,
 			"engine": map[string]any{"slots": 64, "kv_capacity": 498884, "stride": stride, "models": []any{map[string]any{"name": "m"}}},
