--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -149,15 +149,15 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: driver CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: driver CASE RECORD, the file to write the record of the run to")
 		os.Exit(exitFailed)
 	}
 	os.Exit(play(os.Args[1], os.Args[2]))
 }
 
-// play plays a case and ends all processes that it started.
-func play(name, folder string) int {
-	file, err := os.Create(filepath.Join(folder, "record.txt"))
+// play plays a case, writes its record to a file and ends all processes that it started.
+func play(name, record string) int {
+	file, err := os.Create(record)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
