fix: a lone instance that stops refuses what it would cut

What has taken longer than is left is refused, not run, with the end of the notice as Retry-After: from then on the platform sends requests elsewhere. An instance that has served no request of a route yet still takes the first ones.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -19,6 +19,7 @@
 	"cranberryrail/core/poison"
 	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
+	"cranberryrail/core/spans"
 	"cranberryrail/core/table"
 )
 
@@ -60,6 +61,8 @@
 	OnPanic func(reason any)
 	// OnAttemptFailed is called for each failed attempt; optional.
 	OnAttemptFailed func(d Dispatch, f *AttemptError)
+	// Spans knows how long the requests of each route take; optional.
+	Spans *spans.Tracker
 	// MaxResponseBytes limits the body of a response, or the events of a stream together. A target that sends more is
 	// assumed to send without end. Optional; 0 means DefaultMaxResponseBytes.
 	MaxResponseBytes int64
@@ -171,6 +174,8 @@
 	if err := r.Crashes.Check(r.traits); err != nil {
 		return r.refuse(crashRefusal(err))
 	}
+	span := r.Spans.Begin(r.Route, req.Arrived)
+	defer func() { span.End(r.Now()) }()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	r.expiry = time.AfterFunc(time.Until(r.deadline), func() { cancel(context.DeadlineExceeded) })
@@ -280,6 +285,16 @@
 	return 0
 }
 
+// UsualTime returns the longest time that requests on the route of a request have taken recently, at most MaxTime; 0 if there were none.
+func (s *Server) UsualTime(req *Request) time.Duration {
+	if t := s.Table(); t != nil {
+		if found := t.Route(req.Host, req.Path); found != nil {
+			return min(s.Spans.Longest(found.Name, s.Now()), timeLimit(req, found)+replyMargin)
+		}
+	}
+	return 0
+}
+
 // timeLimit returns the time that the caller waits from the arrival of a request, or that the route allows.
 func timeLimit(req *Request, on *table.Route) time.Duration {
 	d := req.Timeout
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -59,8 +59,13 @@
 	Serve func(ctx context.Context, req *relay.Request, sink relay.Sink) relay.Result
 	// MaxTime returns the maximum time from the arrival of a request to the end of its answer.
 	MaxTime func(req *relay.Request) time.Duration
-	// RefusesLong reports whether requests are refused that may outlast the server before a scheduled stop. Optional; nil means always.
+	// RefusesLong reports whether all requests are refused that may outlast the server before a scheduled stop, since another one takes them. Otherwise only
+	// those are that usually do. Optional; nil means always.
 	RefusesLong func() bool
+	// UsualTime returns the time that requests like one have taken. StopRetryAfter returns when a caller should retry that can reach no other server yet. Both
+	// are optional if RefusesLong is nil.
+	UsualTime      func(req *relay.Request) time.Duration
+	StopRetryAfter func() time.Duration
 	// SetRefusalHeaders sets the headers of a refusal.
 	SetRefusalHeaders func(h http.Header, id string, after time.Duration)
 	// OnEnd is called at the end of each request.
@@ -119,17 +124,24 @@
 // a request has just arrived, and would still serve that request.
 func (s *Server) CloseConnections() { s.closeConns.Store(true) }
 
-// StopAt refuses new requests whose time limit ends after the given time, if RefusesLong allows it, and all new requests
-// from that time on.
+// StopAt refuses new requests whose time limit ends after the given time, if RefusesLong reports so, or else those that usually end after it. From that time
+// on all new requests are refused.
 func (s *Server) StopAt(until time.Time) { s.stopAt.Store(until.UnixNano()) }
 
-// refuseStopping refuses a request that arrived at a time if the server may stop before its time limit.
+// refuseStopping refuses a request that arrived at a time if the server may stop before its time limit and another one takes it, or if it usually takes longer
+// than is left.
 func (s *Server) refuseStopping(req *relay.Request, arrived time.Time) *codes.Error {
 	stopAt := s.stopAt.Load()
-	if stopAt == 0 || arrived.Add(s.MaxTime(req)).UnixNano() <= stopAt || !s.RefusesLong() {
+	switch {
+	case stopAt == 0 || arrived.Add(s.MaxTime(req)).UnixNano() <= stopAt:
+		return nil
+	case s.RefusesLong():
+		return codes.Refuse(codes.Stopping, retryStopping, "retry the request; another instance takes it")
+	case arrived.Add(s.UsualTime(req)).UnixNano() <= stopAt:
 		return nil
+	default:
+		return codes.Refuse(codes.Stopping, max(s.StopRetryAfter(), retryStopping), "the instance stops before requests like this one usually end; retry it later")
 	}
-	return codes.Refuse(codes.Stopping, retryStopping, "retry the request; another instance takes it")
 }
 
 // ServeHTTP implements http.Handler.
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -34,6 +34,7 @@
 	"cranberryrail/core/relay"
 	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
+	"cranberryrail/core/spans"
 	"cranberryrail/core/table"
 	"cranberryrail/io/conns"
 	"cranberryrail/io/entry"
@@ -144,6 +145,8 @@
 	// running is set from the start until the shutdown begins. noticeOver is set once the notice of the shutdown is over, and otherReady while
 	// another instance is known to be ready, during the notice.
 	running, noticeOver, otherReady atomic.Bool
+	// noticeEnds is when the notice of the shutdown ends, in Unix nanoseconds; 0 before the shutdown.
+	noticeEnds atomic.Int64
 	// refusedAt is when a request was last refused because the platform's log was unreachable or the link was full,
 	// in Unix nanoseconds.
 	refusedAt atomic.Int64
@@ -198,14 +201,15 @@
 		Origins: r.origins, NeedsDetour: r.detours.Needed, DispatchBy: r.dispatchBy, Crashes: r.crashes, HasCrashed: r.hasCrashed, Abandoned: r.abandoned,
 		Table: r.table.Current, Reserve: r.budgets.Reserve, ReserveResumed: r.budgets.ReserveResumed, ReserveWait: r.budgetSync.ReserveWait,
 		Settle: r.budgets.Settle, Pick: r.routeClient.Pick, Done: r.routeClient.Done,
-		Retries: r.retries, Dispatch: r.dispatch, OnSilent: r.targetSilent, OnPanic: r.logPanic, OnAttemptFailed: r.attemptFailed, MaxResponseBytes: s.Target.MaxResponseBytes(), Zone: s.Instance.Zone, Random: rand.IntN,
+		Retries: r.retries, Dispatch: r.dispatch, OnSilent: r.targetSilent, OnPanic: r.logPanic, OnAttemptFailed: r.attemptFailed, Spans: &spans.Tracker{}, MaxResponseBytes: s.Target.MaxResponseBytes(), Zone: s.Instance.Zone, Random: rand.IntN,
 	}
 	r.relay.Default()
 	r.link = &flow.Meter{BytesPerSecond: s.Link.BytesPerSecond()}
 	r.entry = &entry.Server{
 		LinkDelay: r.link.Delay, OnTraffic: r.link.Add,
 		MaxBodyBytes: s.Caller.BodyBytes, MaxBufferedBytes: s.Memory.Bytes(bodyMemoryShare),
-		ParseRequest: r.Platform.ParseRequest, Serve: r.relay.Serve, MaxTime: r.relay.MaxTime, RefusesLong: r.refusesLong, SetRefusalHeaders: r.Platform.SetRefusalHeaders, OnEnd: r.requestEnded, OnPanic: r.logPanic,
+		ParseRequest: r.Platform.ParseRequest, Serve: r.relay.Serve, MaxTime: r.relay.MaxTime, RefusesLong: r.refusesLong, UsualTime: r.relay.UsualTime, StopRetryAfter: r.stopRetryAfter,
+		SetRefusalHeaders: r.Platform.SetRefusalHeaders, OnEnd: r.requestEnded, OnPanic: r.logPanic,
 	}
 	r.ready = &httpd.Server{Clients: "the platform", Setting: "caller.ready"}
 	r.ready.Handler = http.HandlerFunc(r.serveReady)
--- a/io/router/stop.go
+++ b/io/router/stop.go
@@ -30,7 +30,8 @@
 )
 
 // stop waits for requests in flight and returns unused tokens. From its beginning on, requests that may outlast the instance are refused: at first only
-// while another instance can take them, since the platform still sends requests here, and after the notice always.
+// while another instance can take them, since the platform still sends requests here, and after the notice always. Those that usually last longer than is
+// left are refused even if this instance is alone.
 func (r *Router) stop(ctx context.Context) error {
 	s := r.Settings.Stop
 	events.Log(r.Log, events.StopBegan).Int64("in_flight", r.entry.InFlight()).Dur("limit", s.GraceS.Duration()).Send()
@@ -38,6 +39,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.GraceS.Duration()-exitReserve)
 	defer cancel()
 	deadline := time.Now().Add(s.GraceS.Duration() - exitReserve - returnReserve)
+	r.noticeEnds.Store(time.Now().Add(s.NoticeS.Duration()).UnixNano())
 	r.entry.CloseConnections()
 	r.entry.StopAt(deadline)
 	r.watchOthers(ctx, s.NoticeS.Duration())
@@ -84,6 +86,9 @@
 // refusesLong reports whether requests that may outlast this stopping instance are refused.
 func (r *Router) refusesLong() bool { return r.noticeOver.Load() || r.otherReady.Load() }
 
+// stopRetryAfter returns the time until the platform sends requests to other instances, if there are any: the rest of the notice.
+func (r *Router) stopRetryAfter() time.Duration { return time.Until(time.Unix(0, r.noticeEnds.Load())) }
+
 // watchOthers tracks for a time whether another instance is ready.
 func (r *Router) watchOthers(ctx context.Context, notice time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, notice)
