fix: a lone instance of the own interface refuses streams and calls that it would cut at its stop

TestLoneStopRefusesStreamsItWouldCut failed: 8 of 8 streams of 2 s that were sent 0.7 s before the end of the stop got a part of their answer, and the stop failed with 8 requests in flight. Now refused, not run, with the end of the notice as Retry-After; the kinds are a model with about the same number of tokens, and an operation of a service.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -21,6 +21,7 @@
 	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
 	"cranberryrail/core/serve"
+	"cranberryrail/core/spans"
 	"cranberryrail/io/httpd"
 	"cranberryrail/io/opts"
 )
@@ -81,9 +82,11 @@
 	active   activeSet
 	inFlight atomic.Int64
 	stopping atomic.Bool
-	// stopAt is when a stop ends, in Unix nanoseconds; 0 if none has begun. noticeOver is set once its notice is over.
-	stopAt     atomic.Int64
-	noticeOver atomic.Bool
+	// stopAt is when a stop ends, and noticeEnds when its notice does, in Unix nanoseconds; 0 if none has begun. noticeOver is set once its notice is over.
+	stopAt, noticeEnds atomic.Int64
+	noticeOver         atomic.Bool
+	// spans knows how long requests of each kind take.
+	spans spans.Tracker
 }
 
 // String returns the name of the server for logs.
@@ -123,11 +126,12 @@
 
 // Drain marks the instance not ready, gives load balancers the notice period to redirect traffic, and
 // waits for requests in flight until the deadline of the context. Requests that may take longer are refused: during the notice
-// only if another instance takes them, since load balancers still send requests here.
+// only if another instance takes them, since load balancers still send requests here, or if requests of their kind have taken longer.
 func (s *Server) Drain(ctx context.Context, notice time.Duration) error {
 	if deadline, ok := ctx.Deadline(); ok {
 		s.stopAt.Store(deadline.UnixNano())
 	}
+	s.noticeEnds.Store(time.Now().Add(notice).UnixNano())
 	s.stopping.Store(true)
 	pause.For(ctx, notice)
 	s.noticeOver.Store(true)
@@ -201,13 +205,21 @@
 	return serve()
 }
 
-// refuseStopping refuses a request that may take a time if the instance may stop before.
-func (s *Server) refuseStopping(limit time.Duration) *codes.Error {
-	stopAt := s.stopAt.Load()
-	if stopAt == 0 || time.Now().Add(limit).UnixNano() <= stopAt || !s.noticeOver.Load() && !s.OtherReady() {
+// refuseStopping refuses a request of a kind that may take a time if the instance may stop before and another one takes it, or if requests of its kind have
+// taken longer than is left.
+func (s *Server) refuseStopping(limit time.Duration, kind string) *codes.Error {
+	stopAt, now := s.stopAt.Load(), time.Now()
+	switch {
+	case stopAt == 0 || now.Add(limit).UnixNano() <= stopAt:
 		return nil
+	case s.noticeOver.Load() || s.OtherReady():
+		return codes.Refuse(codes.Stopping, retryStopping, "retry the request; another instance takes it")
+	case now.Add(min(s.spans.Longest(kind, now), limit)).UnixNano() <= stopAt:
+		return nil
+	default:
+		after := time.Until(time.Unix(0, s.noticeEnds.Load()))
+		return codes.Refuse(codes.Stopping, max(after, retryStopping), "the instance stops before requests like this one usually end; retry it later")
 	}
-	return codes.Refuse(codes.Stopping, retryStopping, "retry the request; another instance takes it")
 }
 
 // retryStopping is the Retry-After of a stopping instance. It is short, since another instance serves the retry.
--- a/io/front/generate.go
+++ b/io/front/generate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/bits"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -55,9 +56,12 @@
 	if refused := s.prepare(r, t, resp); refused != nil {
 		return refused
 	}
-	if refused := s.refuseStopping(s.StreamLimit(resp.req.maxTokens)); refused != nil {
+	kind := resp.req.kind()
+	if refused := s.refuseStopping(s.StreamLimit(resp.req.maxTokens), kind); refused != nil {
 		return refused
 	}
+	span := s.spans.Begin(kind, time.Now())
+	defer func() { span.End(time.Now()) }()
 	id := resp.req.engineID()
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
@@ -84,6 +88,12 @@
 	return resp.finish(usage)
 }
 
+// kind returns the kind of the request for the time that it takes: requests of one model with about the same maximum number of tokens, up to the next power
+// of two.
+func (r *request) kind() string {
+	return fmt.Sprintf("%s/%d", r.model, bits.Len(uint(max(r.maxTokens, 0))))
+}
+
 // newReserveRequest returns the maximum number of tokens that a request may use. The prompt's length in bytes is an
 // upper bound of its tokens.
 func newReserveRequest(req request) ledger.ReserveRequest {
--- a/io/front/service.go
+++ b/io/front/service.go
@@ -67,10 +67,13 @@
 	if refused != nil {
 		return refused
 	}
-	if refused := s.refuseStopping(s.CallLimit); refused != nil {
+	call := Call{Operation: r.PathValue("operation"), Key: t.Organisation + "/" + key, Header: forwardedHeader(r), Body: data}
+	kind := name + "/" + call.Operation
+	if refused := s.refuseStopping(s.CallLimit, kind); refused != nil {
 		return refused // The key is not claimed, so that the retry can use it.
 	}
-	call := Call{Operation: r.PathValue("operation"), Key: t.Organisation + "/" + key, Header: forwardedHeader(r), Body: data}
+	span := s.spans.Begin(kind, time.Now())
+	defer func() { span.End(time.Now()) }()
 	replica := s.Once(call.Key)
 	claim, err := replica.Claim(call.Key, callDigest(name, call))
 	switch {
