feat: one line and one counter for each answer that ends before its end

Operators saw answers cut beside a change of the configuration, and the lines of the instances did not show who ended them, how long before their time limit, or how old the configuration was; a panic in a handler and what the end of a stop closes by force left no line for the request at all. Now 5029 answer_ended_early follows 5010 for each request whose head was sent or which a target may have run, and whose caller got no whole answer, with who ended it (caller, deadline, target with the kind of the failure, process), and cranberryrail_answers_ended_early_total counts them. The listener marks what it closes itself, waits up to 100 ms for the handlers, within the time reserved for the exit, and reports a panic as the end of its request.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -236,6 +236,7 @@
 	r.Priority = r.priority()
 	r.Service = r.pickService()
 	limit := timeLimit(r.req, r.route)
+	r.TimeLimit = limit
 	r.deadline, r.end = r.req.Arrived.Add(max(limit-replyMargin, limit/2)), r.req.Arrived.Add(limit+replyMargin)
 	r.traits = r.req.traits(r.Organisation)
 	return nil
@@ -449,16 +450,19 @@
 		return r.timeoutRefusal()
 	}
 	r.CallerGone = true
+	r.endedBy(ByCaller)
 	return &codes.Error{Code: codes.AnswerCut, Run: r.execution(), Detail: "the caller disconnected before its response was complete"}
 }
 
 // timeoutRefusal returns the refusal of a request that timed out. It states that the request did
 // not run if that is certain.
 func (r *relayedRequest) timeoutRefusal() *codes.Error {
+	r.endedBy(ByDeadline)
 	switch {
 	case !r.mayHaveRun:
 		return codes.Refuse(codes.Overloaded, retryAfterShed, "no target accepted the request before its deadline")
 	case r.unrecorded:
+		r.endedBy(ByProcess)
 		return &codes.Error{Code: codes.OriginUnrecorded, Run: r.execution(), Detail: "the request reached its deadline", Err: origin.ErrNotRecorded}
 	}
 	return &codes.Error{Code: codes.TargetSilent, Run: r.execution(), Detail: "the request reached its deadline"}
@@ -520,6 +524,10 @@
 		}
 		return codes.Refuse(code, retryAfterShed, "%d attempts, the last one failed: %v", r.Attempts, failed)
 	}
+	r.endedBy(ByTarget)
+	if failed.Kind == Unrecorded {
+		r.endedBy(ByProcess)
+	}
 	code := codes.TargetFailed
 	switch {
 	case r.headSent:
@@ -543,6 +551,7 @@
 	if len(response.body) > 0 {
 		if err := r.sink.Write(response.body); err != nil {
 			r.CallerGone = true
+			r.endedBy(ByCaller)
 		}
 	}
 }
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -266,6 +266,10 @@
 	Truncated bool
 	// CallerGone is set if the caller disconnected before the end.
 	CallerGone bool
+	// EndedBy is who ended the request without a whole answer after its head was sent or a target may have run it; empty if nobody did.
+	EndedBy Ender
+	// TimeLimit is the time from the arrival of the request to its time limit; 0 if it was refused before a route was found.
+	TimeLimit time.Duration
 	// Refused is the refusal for the caller; nil if it received a target's response.
 	Refused *codes.Error
 	// LastFailure is the last failed attempt; nil if there is none.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -42,6 +42,10 @@
 	// retryLink is the Retry-After of a request that the link can't carry. It is short, since another instance serves the
 	// retry.
 	retryLink = 50 * time.Millisecond
+	// endTimeout is how long the handlers of closed connections may take to end, in a third of the time that is reserved for the exit of the process, and
+	// endChecks is how often it is checked meanwhile.
+	endTimeout = 100 * time.Millisecond
+	endChecks  = 20
 	// overheadBytes is the size of the headers of a request and its response, and of the frames that carry them.
 	overheadBytes = 1500
 	// writeOverheadBytes is the size of the frames that carry one part of a stream.
@@ -81,7 +85,9 @@
 	// stopAt is when the server stops, in Unix nanoseconds; 0 if no stop is scheduled.
 	stopAt atomic.Int64
 	// closeConns is set if every response closes its connection.
-	closeConns    atomic.Bool
+	closeConns atomic.Bool
+	// closed is set once the connections of requests in flight are closed.
+	closed        atomic.Bool
 	inFlight      atomic.Int64
 	bufferedBytes atomic.Int64
 }
@@ -101,6 +107,7 @@
 		s.OnTraffic = func(int) {}
 	}
 	s.server.Clients, s.server.Setting = "callers", "caller.listen"
+	s.server.OnClose = func() { s.closed.Store(true) }
 	s.server.Server = http.Server{
 		Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return context.WithoutCancel(ctx) },
@@ -110,8 +117,14 @@
 }
 
 // Run serves on the listener that Listen opened until the context ends, and then closes all connections,
-// including those with requests in flight.
-func (s *Server) Run(ctx context.Context) error { return s.server.Run(ctx) }
+// including those with requests in flight. It returns once their handlers have ended, or shortly afterwards.
+func (s *Server) Run(ctx context.Context) error {
+	err := s.server.Run(ctx)
+	for end := time.Now().Add(endTimeout); s.InFlight() > 0 && time.Now().Before(end); {
+		time.Sleep(endTimeout / endChecks)
+	}
+	return err
+}
 
 // Addr returns the listen address.
 func (s *Server) Addr() string { return s.server.Address() }
@@ -144,25 +157,35 @@
 	}
 }
 
+// exchange is one request and its answer.
+type exchange struct {
+	started time.Time
+	// req is set once the request is relayed, and headAt once the head of its answer is sent.
+	req    *relay.Request
+	headAt time.Time
+	// reported is set once the end was reported.
+	reported bool
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	started := time.Now()
+	x := &exchange{started: time.Now()}
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	defer s.recoverPanic(r)
-	req, refused := s.readRequest(w, r, started)
+	defer s.recoverPanic(r, x)
+	req, refused := s.readRequest(w, r, x.started)
 	if req != nil {
 		defer s.bufferedBytes.Add(-int64(len(req.Body)))
 	}
 	if refused != nil {
 		result := relay.Result{Request: req, Refused: refused, Status: refused.Code.Status}
 		s.writeRefusal(w, req, refused)
-		s.OnEnd(result, time.Since(started))
+		s.reportEnd(x, result)
 		return
 	}
-	req.Arrived = started
-	result := s.Serve(r.Context(), req, s.newSink(w, r.Method))
-	s.OnEnd(result, time.Since(started))
+	req.Arrived, x.req = x.started, req
+	result := s.Serve(r.Context(), req, s.newSink(w, r.Method, x))
+	s.reportEnd(x, s.attribute(r.Context(), result))
 	switch {
 	case result.Truncated || result.CallerGone:
 		panic(http.ErrAbortHandler) // recoverPanic closes the connection, so that the response does not look complete
@@ -171,6 +194,24 @@
 	}
 }
 
+// attribute corrects who ended a request, given its context: the relay doesn't know who closed the connection, nor that the caller disconnected before an
+// answer was sent that net/http had buffered.
+func (s *Server) attribute(ctx context.Context, result relay.Result) relay.Result {
+	if result.EndedBy == "" && result.Refused == nil && ctx.Err() != nil {
+		result.EndedBy = relay.ByCaller
+	}
+	if result.EndedBy == relay.ByCaller && s.closed.Load() {
+		result.EndedBy = relay.ByProcess
+	}
+	return result
+}
+
+// reportEnd reports the end of a request.
+func (s *Server) reportEnd(x *exchange, result relay.Result) {
+	x.reported = true
+	s.OnEnd(result, time.Since(x.started))
+}
+
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
@@ -183,18 +224,33 @@
 	panic(http.ErrAbortHandler)
 }
 
-// recoverPanic reports a panic other than http.ErrAbortHandler and closes the connection.
-func (s *Server) recoverPanic(r *http.Request) {
+// recoverPanic reports a panic other than http.ErrAbortHandler, and with it the end of the request, and closes the connection.
+func (s *Server) recoverPanic(r *http.Request, x *exchange) {
 	reason := recover()
 	if reason == nil {
 		return
 	}
 	if err, ok := reason.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
 		s.OnPanic(reason)
+		if !x.reported && x.req != nil {
+			s.reportEnd(x, s.panicked(x, reason))
+		}
 	}
 	abort(r)
 }
 
+// panicked returns the result of a request whose handler panicked.
+func (s *Server) panicked(x *exchange, reason any) relay.Result {
+	result := relay.Result{
+		Request: x.req, TimeLimit: s.MaxTime(x.req), EndedBy: relay.ByProcess, Truncated: !x.headAt.IsZero(),
+		Refused: codes.From(fmt.Errorf("the handler panicked: %v", reason), codes.Unknown),
+	}
+	if result.Truncated {
+		result.TimeToFirstByte = x.headAt.Sub(x.started)
+	}
+	return result
+}
+
 // readRequest reads a request with its body. Unless it refuses the request, the size of the body stays in bufferedBytes, from which the caller
 // subtracts it. Only an invalid request gives no request; the other refusals (a
 // stop of the instance is scheduled before the time limit of the request; the memory for bodies is used up;
@@ -274,7 +330,7 @@
 
 // newSink returns a sink that forwards the response to a caller's request with a method. A response to HEAD states no length: that of the body that GET
 // would bring is not known here.
-func (s *Server) newSink(w http.ResponseWriter, method string) relay.Sink {
+func (s *Server) newSink(w http.ResponseWriter, method string, x *exchange) relay.Sink {
 	controller := http.NewResponseController(w)
 	lengthUnknown := false
 	return relay.Sink{
@@ -291,6 +347,7 @@
 				h.Set("Connection", "close")
 			}
 			w.WriteHeader(status)
+			x.headAt = time.Now()
 		},
 		Write: func(p []byte) error {
 			s.OnTraffic(len(p) + writeOverheadBytes)
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -23,6 +23,8 @@
 	// Clients names the clients of the server, and Setting the setting with its address; both are for logs and
 	// errors.
 	Clients, Setting string
+	// OnClose is called before Run closes connections with requests in flight; optional.
+	OnClose func()
 
 	listener net.Listener
 }
@@ -90,6 +92,9 @@
 		if err := s.Shutdown(flush); err == nil || !errors.Is(err, context.DeadlineExceeded) {
 			return err
 		}
+		if s.OnClose != nil {
+			s.OnClose()
+		}
 		return s.Close()
 	})
 	return g.Wait()
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -3,6 +3,7 @@
 package meter
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -219,6 +220,11 @@
 	m.counter(storeBytes, "received").Inc(int64(received))
 }
 
+// AnswerEnded counts a request that ended without a whole answer by who ended it and the kind of a target's failure.
+func (m *Meter) AnswerEnded(by, kind string) {
+	m.counter(answersEnded, by, cmp.Or(kind, "none")).Inc(1)
+}
+
 // ConnectionOpened counts a connection that was established to a target.
 func (m *Meter) ConnectionOpened() { m.counter(connections).Inc(1) }
 
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -212,6 +212,29 @@
 	}
 }
 
+// logEarlyEnd logs and counts a request that ended without a whole answer after its head was sent or a target may have run it.
+func (r *Router) logEarlyEnd(result relay.Result, took time.Duration) {
+	event := events.Log(r.Log, events.AnswerEnded).Str("request", result.Request.ID).Str("target", result.Target.ID).Str("by", string(result.EndedBy))
+	kind := relay.Kind("")
+	if failed := result.LastFailure; failed != nil {
+		event.Str("failure", string(failed.Kind)).AnErr("cause", failed.Err)
+		if result.EndedBy == relay.ByTarget {
+			kind = failed.Kind
+		}
+	}
+	if result.TimeLimit > 0 {
+		event.Dur("left", result.TimeLimit-took)
+	}
+	if result.TimeToFirstByte > 0 {
+		event.Dur("since_head", took-result.TimeToFirstByte)
+	}
+	if t := r.table.Current(); t != nil {
+		event.Int64("version", result.Version).Int64("config", t.Version).Dur("config_age", time.Since(time.Unix(0, r.configAppliedAt.Load())))
+	}
+	event.Send()
+	r.Meter.AnswerEnded(string(result.EndedBy), string(kind))
+}
+
 // requestEnded logs a finished request and records its metrics.
 func (r *Router) requestEnded(result relay.Result, took time.Duration) {
 	class := meter.NoClass
@@ -240,6 +263,9 @@
 		event.Int("code", code.Number).Str("run", string(refused.Run)).Dur("retry_after", refused.RetryAfter).Str("detail", refused.Detail).Err(refused.Err)
 	}
 	event.Send()
+	if result.EndedBy != "" {
+		r.logEarlyEnd(result, took)
+	}
 	r.Meter.Request(class, code)
 	r.Meter.RequestDuration(class, took)
 	if result.TimeToFirstByte > 0 {
--- a/io/router/serve_test.go
+++ b/io/router/serve_test.go
@@ -15,6 +15,7 @@
 	"cranberryrail/core/codes"
 	"cranberryrail/core/relay"
 	"cranberryrail/core/roster"
+	"cranberryrail/core/table"
 	"cranberryrail/io/peer"
 )
 
@@ -59,3 +60,25 @@
 	assert.Assert(t, strings.Contains(lines.String(), `"error":"`+io.ErrNoProgress.Error()), lines.String())
 	assert.Assert(t, !strings.Contains(lines.String(), "secret"), lines.String())
 }
+
+// TestEarlyEndIsLoggedAndCounted guards against an answer that ended before its end and whose line does not show who ended it, how long before its time limit and beside
+// which configuration.
+func TestEarlyEndIsLoggedAndCounted(t *testing.T) {
+	lines := &strings.Builder{}
+	r, _ := start(t, settings, "")
+	r.table.Apply(table.Config{Version: 8})
+	r.Log = zerolog.New(lines)
+	r.configAppliedAt.Store(time.Now().Add(-time.Minute).UnixNano())
+	r.requestEnded(relay.Result{
+		Request: &relay.Request{ID: "r1"}, Version: 7, Target: roster.Target{ID: "t1"}, EndedBy: relay.ByTarget, TimeLimit: time.Second, TimeToFirstByte: 100 * time.Millisecond,
+		Truncated: true, LastFailure: &relay.AttemptError{Kind: relay.Broken, Err: io.ErrUnexpectedEOF}, Refused: codes.From(io.ErrNoProgress, codes.Ran),
+	}, 300*time.Millisecond)
+	r.requestEnded(relay.Result{Request: &relay.Request{ID: "r2"}}, 0)
+	assert.Equal(t, strings.Count(lines.String(), "answer_ended_early"), 1)
+	field := `"request":"r1","target":"t1","by":"target","failure":"broken","cause":"unexpected EOF","left":700,"since_head":200,"version":7,"config":8,"config_age":6000`
+	assert.Assert(t, strings.Contains(lines.String(), field), lines.String())
+	assert.NilError(t, r.Meter.Close())
+	w := httptest.NewRecorder()
+	r.Meter.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/", http.NoBody))
+	assert.Assert(t, strings.Contains(w.Body.String(), `cranberryrail_answers_ended_early_total{by="target",kind="broken"} 1`+"\n"), w.Body.String())
+}
