fix: heads of responses of engines and services are limited to 64 KiB

The transports of io/target set no limit of their own. They now use the 64 KiB that io/conns has on the platform's path; net/http counts interim responses towards it, since no trace looks at them. Chunk sizes, chunk extensions, trailers, lines of a stream and bodies were within their limits before, which the test holds too.

With the fix, no form is read beyond the sum of the limits.

--- /dev/null
+++ b/io/target/endless_test.go
@@ -0,0 +1,96 @@
+package target_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cranberryrail/io/target"
+)
+
+// readCounter counts the bytes that are read from a connection.
+type readCounter struct {
+	net.Conn
+
+	bytes *atomic.Int64
+}
+
+func (c readCounter) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// startEndless starts a server that answers each request with a prefix and then a pattern without end.
+func startEndless(t *testing.T, prefix, pattern string) string {
+	t.Helper()
+	block := []byte(strings.Repeat(pattern, 1+4096/len(pattern)))
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		for _, err = conn.Write([]byte(prefix)); err == nil; _, err = conn.Write(block) {
+		}
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// TestEndlessResponses guards against a target that sends without end, in a head or a body, and fills the memory of the process.
+func TestEndlessResponses(t *testing.T) {
+	const (
+		kib     = 1 << 10
+		chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		// maxRead is the sum of the limits: a head, a line of a stream or the body of a short reply, and buffers of the connection.
+		maxRead = 64*kib + 64*kib + 32*kib
+		// maxReply is the limit for the replies of services.
+		maxReply = 256 * kib
+	)
+	for name, form := range map[string]struct{ prefix, pattern string }{
+		"status line":     {"HTTP/1.1 200 ", "O"},
+		"header":          {"HTTP/1.1 200 OK\r\nX: ", "x"},
+		"headers":         {"HTTP/1.1 200 OK\r\n", "X: x\r\n"},
+		"interim":         {"", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
+		"chunk size":      {chunked, "0"},
+		"chunk extension": {chunked + "1;", "x"},
+		"extensions":      {chunked, "1;" + strings.Repeat("x", 100) + "\r\nx\r\n"},
+		"trailer":         {chunked + "0\r\nX: ", "x"},
+		"line":            {chunked + "fffffff\r\n", "data: x"},
+		"refusal":         {"HTTP/1.1 503 Service Unavailable\r\n\r\n", "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var read atomic.Int64
+			c := &target.Client{MaxReplyBytes: maxReply, Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+				conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+				return readCounter{conn, &read}, err
+			}}
+			c.Default()
+			addr := startEndless(t, form.prefix, form.pattern)
+			for operation, call := range map[string]func() error{
+				"generate": func() error { _, err := collect(c, addr, newCall()); return err },
+				"load":     func() error { _, err := c.Load(context.Background(), addr); return err },
+				"service":  func() error { _, err := callService(c, addr, nil); return err },
+			} {
+				read.Store(0)
+				err := call()
+				var failed *target.Error
+				assert.Assert(t, errors.As(err, &failed) && failed.Kind != target.Silent, "%s: %v", operation, err)
+				bound := int64(maxRead)
+				if operation == "service" {
+					bound += maxReply
+				}
+				assert.Assert(t, read.Load() <= bound, "%s: %d bytes were read, the bound is %d", operation, read.Load(), bound)
+			}
+		})
+	}
+}
--- a/io/target/service.go
+++ b/io/target/service.go
@@ -89,8 +89,9 @@
 			}
 			return nc, nil
 		},
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -41,6 +41,8 @@
 	keepAliveIdle     = 2 * time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 3
+	// maxHeadBytes limits the status line and the headers of a response, with the interim responses before it. net/http allows 10 MB.
+	maxHeadBytes = 64 << 10
 	// maxShortReplyBytes is the maximum size of a load report or error body.
 	maxShortReplyBytes = 16 << 10
 )
@@ -113,9 +115,10 @@
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			return asNetConn(c.dial(ctx, network, addr))
 		},
-		MaxIdleConnsPerHost: maxIdlePerAddr,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		MaxIdleConnsPerHost:    maxIdlePerAddr,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	c.pools.Add(addr, t)
 	return t
