--- a/io/plat/plat.go
+++ b/io/plat/plat.go
@@ -35,6 +35,8 @@
 	DefaultPage = 500
 	// MaxReplyBytes limits the size of a reply.
 	MaxReplyBytes = 64 << 20
+	// MaxHeadBytes limits the status line and the headers of a reply, with the interim ones before it. net/http allows 10 MB.
+	MaxHeadBytes = 64 << 10
 	// maxErrorBytes limits how much of a reply an error quotes.
 	maxErrorBytes = 200
 )
@@ -74,9 +76,10 @@
 	if c.HTTP == nil {
 		dialer := &net.Dialer{Timeout: DialTimeout}
 		c.HTTP = &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxIdleConnsPerHost: MaxIdleConns,
-			IdleConnTimeout:     IdleTimeout,
+			DialContext:            dialer.DialContext,
+			MaxIdleConnsPerHost:    MaxIdleConns,
+			IdleConnTimeout:        IdleTimeout,
+			MaxResponseHeaderBytes: MaxHeadBytes,
 		}}
 	}
 	if c.Timeout == 0 {
--- a/io/plat/plat_test.go
+++ b/io/plat/plat_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -358,3 +359,16 @@
 		assert.Assert(t, len(members.Instances) == 1 && len(members.Targets) == 1 && members.Targets[0].ID == "t", "%s: %+v", odd, members)
 	}
 }
+
+// TestLongHeadOfAReply guards against a platform that sends a head without end, which would fill the memory of the process.
+func TestLongHeadOfAReply(t *testing.T) {
+	for bytes, sound := range map[int]bool{plat.MaxHeadBytes / 2: true, plat.MaxHeadBytes: false} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Long", strings.Repeat("x", bytes))
+			_, _ = w.Write([]byte(`{"offset": 1}`))
+		}))
+		defer s.Close()
+		_, err := newClient(s.URL).Append(t.Context(), stream, nil)
+		assert.Equal(t, err == nil, sound, "%d bytes: %v", bytes, err)
+	}
+}
