fix: the answers in flight share a limit of memory, and the largest ends when they exceed it

Callers would have lost their requests with the process: each answer in flight may hold an event of up to 1 MiB in two copies or a body of up to 256 KiB, and nothing limited them together. Targets that send the beginning of large answers and then a byte at a time make an instance hold all of them until the time limits of the requests. Bodies of requests shared a limit, answers did not.

An instance now counts the buffers of answers (the event that is read, the one that waits for the caller, a body, a kept error response) against an eighth of its memory. Beyond it the answer that holds the most ends as an invalid one, is logged with this cause, and its request is retried where that is allowed; up to 4 KiB is not counted, so that small answers never end for it. If the largest one waits for a caller that does not read, its write is aborted. A large event is passed on instead of copied, and a long body is forwarded in parts of 32 KiB instead of 256 KiB. Ending the largest needs no knowledge of targets; forwarding a body early instead was tried and cut stalled answers that another target would have replaced.

--- /dev/null
+++ b/core/memory/memory_test.go
@@ -0,0 +1,40 @@
+package memory_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cranberryrail/core/memory"
+)
+
+// TestLargestEnds guards against a small answer that ends because a large one uses up the memory.
+func TestLargestEnds(t *testing.T) {
+	const limit = 100 << 10
+	p := &memory.Pool{Bytes: limit}
+	var ended []string
+	hold := func(name string, n int) *memory.Holder {
+		h := p.NewHolder(func() { ended = append(ended, name) })
+		assert.NilError(t, h.Add(n))
+		return h
+	}
+	kept := p.NewHolder(nil)
+	assert.NilError(t, kept.Add(limit/2))
+	assert.Assert(t, p.HasRoom())
+	large, small := hold("large", limit/4), hold("small", limit/8)
+	assert.Assert(t, !p.HasRoom())
+
+	assert.NilError(t, small.Add(limit/8))
+	assert.ErrorIs(t, small.Add(1), memory.ErrUsedUp) // it is the largest that may be ended now
+	assert.ErrorIs(t, small.Add(1), memory.ErrUsedUp)
+	assert.DeepEqual(t, ended, []string{"small"})
+	assert.Assert(t, small.Ended() && !large.Ended())
+
+	hold("third", limit/4-1)
+	assert.NilError(t, kept.Add(2))
+	assert.DeepEqual(t, ended, []string{"small", "large"})
+	kept.Release()
+	large.Release()
+	hold("fourth", 3*limit/4)
+	assert.Equal(t, len(ended), 2)
+}
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"cranberryrail/core/memory"
 	"cranberryrail/core/origin"
 	"cranberryrail/core/poison"
 	"cranberryrail/core/roster"
@@ -29,6 +30,8 @@
 	// maxBufferedBody is the size up to which a body is read whole before it is forwarded, so that a
 	// truncated response can be replaced by a refusal.
 	maxBufferedBody = 256 << 10
+	// longBodyBytes is the size of the parts in which a longer body is forwarded.
+	longBodyBytes = 32 << 10
 )
 
 // begin admits the request, chooses a target and begins an attempt at it. The error is final if no target could be chosen.
@@ -78,6 +81,7 @@
 		send = func(ctx context.Context, d Dispatch) (*Response, error) { return r.DispatchBy(ctx, d, request) }
 	}
 	ctx, a.cancel = context.WithCancel(ctx)
+	a.memory = r.Memory.NewHolder(func() { a.releaseMemory(r.sink.Abort) })
 	limit := r.end.Sub(r.Now()) + replyMargin // The context of the request ends the exchange before.
 	x := exchange{send: send, limit: limit, maxBytes: r.MaxResponseBytes, hold: a.hold, onPanic: r.OnPanic}
 	r.group.Go(func() error {
@@ -192,6 +196,8 @@
 // handle handles what the target of an attempt has sent. It reports whether the response is complete.
 func (r *relayedRequest) handle(ctx context.Context, a *attempt, s step) (complete bool, failed *AttemptError) {
 	switch {
+	case s.err == nil && a.memory.Ended():
+		return false, r.recordFailure(usedUpError())
 	case s.response != nil:
 		return r.handleHead(ctx, a, s)
 	case isEOF(s.err):
@@ -300,23 +306,36 @@
 	}
 	if err == nil {
 		r.accept(ctx, a)
-		failed = r.relayLongBody(a.response, body)
+		failed = r.relayLongBody(a, body)
 		return failed == nil, failed
 	}
 	response := &bufferedResponse{status: a.response.Status, header: a.response.Header, body: body}
 	if response.status >= http.StatusInternalServerError {
 		others := len(r.inFlight) > 1
-		if others || r.fallback == nil && r.mayReplace() {
-			r.fallback = cmp.Or(r.fallback, response)
+		kept := r.fallback == nil && (others || r.mayReplace()) && r.keeps(response)
+		if kept {
+			r.fallback = response
+		}
+		if kept || others {
 			return false, &AttemptError{Kind: Errored, Sent: true, Err: errStatus}
 		}
 		response = cmp.Or(r.fallback, response)
 	}
 	r.accept(ctx, a)
-	r.sendBuffered(response)
+	if failed := r.sendBuffered(a, response); failed != nil {
+		return false, failed
+	}
 	return true, nil
 }
 
+// keeps reports whether there is memory to keep a response while another one is awaited, and counts it.
+func (r *relayedRequest) keeps(response *bufferedResponse) bool {
+	if cap(response.body) <= memory.SmallBytes {
+		return true
+	}
+	return r.Memory.HasRoom() && r.kept.Add(cap(response.body)) == nil
+}
+
 // mayReplace reports whether a further attempt may bring a better response than an error response.
 func (r *relayedRequest) mayReplace() bool {
 	return r.route.Retryable() && r.SentFailures+1 < r.route.MaxAttempts
@@ -324,13 +343,19 @@
 
 // readBody reads a body up to maxBufferedBody. The error is io.EOF if the body is complete, and nil
 // if there is more.
-func readBody(a *Response) ([]byte, error) {
-	body := make([]byte, 0, 2048)
+func (a *attempt) readBody() ([]byte, error) {
+	body, held := make([]byte, 0, 2048), 0
 	for len(body) < maxBufferedBody {
 		if len(body) == cap(body) {
 			body = append(body, make([]byte, len(body))...)[:len(body)]
 		}
-		n, err := a.Read(body[len(body):cap(body)])
+		if size := cap(body); size > memory.SmallBytes && size != held {
+			if a.memory.Add(size-held) != nil {
+				return nil, usedUpError()
+			}
+			held = size
+		}
+		n, err := a.response.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		if err != nil {
 			return body, err
@@ -340,13 +365,22 @@
 }
 
 // relayLongBody forwards a response that is too long to be buffered.
-func (r *relayedRequest) relayLongBody(a *Response, prefix []byte) *AttemptError {
-	if failed := r.sendHead(a); failed != nil {
+func (r *relayedRequest) relayLongBody(a *attempt, prefix []byte) *AttemptError {
+	if failed := r.sendHead(a.response); failed != nil {
+		return failed
+	}
+	if failed := r.write(a, prefix); failed != nil {
 		return failed
 	}
-	for p, err := prefix, error(nil); ; {
-		if writeErr := r.sink.Write(p); writeErr != nil {
-			return &AttemptError{Kind: Cancelled, Sent: true, Err: writeErr}
+	buffer := prefix[:cap(prefix)]
+	if len(buffer) > longBodyBytes {
+		buffer = make([]byte, longBodyBytes)
+		_ = a.memory.Add(longBodyBytes - cap(prefix)) // write reports an attempt that has ended
+	}
+	for {
+		n, err := a.response.Read(buffer)
+		if failed := r.write(a, buffer[:n]); failed != nil {
+			return failed
 		}
 		if isEOF(err) {
 			return nil
@@ -354,9 +388,6 @@
 		if err != nil {
 			return r.recordFailure(err)
 		}
-		var n int
-		n, err = a.Read(prefix[:cap(prefix)])
-		p = prefix[:n]
 	}
 }
 
@@ -387,9 +418,7 @@
 		return failed
 	}
 	if len(rest) > 0 {
-		if err := r.sink.Write(rest); err != nil {
-			return &AttemptError{Kind: Cancelled, Sent: true, Err: err}
-		}
+		return r.write(a, rest)
 	}
 	return nil
 }
@@ -409,8 +438,11 @@
 	if a.events == answerEvents {
 		a.pass.AnswerBegan()
 	}
-	if err := r.sink.Write(e.raw); err != nil {
-		return &AttemptError{Kind: Cancelled, Sent: true, Err: err}
+	if failed := r.write(a, e.raw); failed != nil {
+		return failed
+	}
+	if e.held > 0 {
+		_ = a.memory.Add(-e.held) // the next write reports an attempt that has ended
 	}
 	a.progressAt = r.Now()
 	r.expect(r.eventBound())
--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -6,7 +6,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
+
+	"cranberryrail/core/memory"
 )
 
 // maxEventBytes is the maximum size of an event. Events usually hold a few tokens.
@@ -27,6 +30,8 @@
 // event is one event of a stream, including the empty line that ends it and the blocks without data before it.
 type event struct {
 	raw []byte
+	// held is how many bytes are counted for raw until the event is forwarded.
+	held int
 	// id is the last id up to the event, and hasID is set if it is the event's own.
 	id    string
 	hasID bool
@@ -41,7 +46,10 @@
 // eventReader reads a stream event by event.
 type eventReader struct {
 	lines *bufio.Reader
-	raw   []byte
+	// raw is the event that is being read, and held is how many bytes holder counts for it.
+	raw    []byte
+	held   int
+	holder *memory.Holder
 	// lastID is the id that the next one must follow; empty if any may.
 	lastID string
 	// needsID is set if the next event must have an id, and joined if the events follow those of another target.
@@ -53,8 +61,33 @@
 func (f readFunc) Read(p []byte) (int, error) { return f(p) }
 
 // newEventReader returns a reader of the events that follow the one with an id; empty for a stream from its beginning.
-func newEventReader(read func(p []byte) (int, error), lastID string, joined bool) *eventReader {
-	return &eventReader{lines: bufio.NewReaderSize(readFunc(read), eventBufferBytes), lastID: lastID, needsID: lastID != "", joined: joined}
+func newEventReader(read func(p []byte) (int, error), holder *memory.Holder, lastID string, joined bool) *eventReader {
+	return &eventReader{lines: bufio.NewReaderSize(readFunc(read), eventBufferBytes), holder: holder, lastID: lastID, needsID: lastID != "", joined: joined}
+}
+
+// take returns an event whose bytes stay valid: a copy of a small one, and the only copy of a large one.
+func (e *eventReader) take(ev event) event {
+	if e.held == 0 {
+		ev.raw = slices.Clone(ev.raw)
+		return ev
+	}
+	ev.held = e.held
+	e.raw, e.held = nil, 0
+	return ev
+}
+
+// count counts the memory of the event that is being read, unless it is small.
+func (e *eventReader) count() error {
+	size := cap(e.raw)
+	if size <= memory.SmallBytes || size == e.held {
+		return nil
+	}
+	added := size - e.held
+	e.held = size
+	if e.holder.Add(added) != nil {
+		return usedUpError()
+	}
+	return nil
 }
 
 // next returns the next complete event. Its bytes are valid until the next call. The error is io.EOF after the last
@@ -104,6 +137,9 @@
 	for lineStart := start; ; {
 		part, err := e.lines.ReadSlice('\n')
 		e.raw = append(e.raw, part...)
+		if err := e.count(); err != nil {
+			return b, err
+		}
 		switch {
 		case len(e.raw) > maxEventBytes:
 			return b, &AttemptError{Kind: Invalid, Sent: true, Err: errEventTooLarge}
--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -5,8 +5,10 @@
 	"errors"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
+	"cranberryrail/core/memory"
 	"cranberryrail/core/origin"
 	"cranberryrail/core/poison"
 	"cranberryrail/core/roster"
@@ -35,6 +37,9 @@
 	abandoned, ended chan struct{}
 	finished         bool
 	cancel           context.CancelFunc
+	// memory counts what the attempt holds of its response. writing is set while a part of it is written to the caller.
+	memory  *memory.Holder
+	writing atomic.Int32
 	// events is the number of forwarded events.
 	events int
 	// progressAt is when the attempt began, or when its last event was forwarded.
@@ -101,19 +106,18 @@
 	response.SetReadTimeout(x.limit - time.Since(began))
 	response.Read = limitBody(response.Read, x.maxBytes)
 	if !response.hasEvents() {
-		body, err := readBody(response)
+		body, err := a.readBody()
 		a.deliver(step{response: response, body: body, bodyErr: err})
 		return
 	}
 	if !a.deliver(step{response: response}) {
 		return
 	}
-	events := newEventReader(response.Read, a.dispatch.LastEventID, a.joined)
+	events := newEventReader(response.Read, a.memory, a.dispatch.LastEventID, a.joined)
 	for err == nil {
 		var e event
 		e, err = events.next()
-		e.raw = append([]byte(nil), e.raw...)
-		s := step{event: e, err: err}
+		s := step{event: events.take(e), err: err}
 		if !a.deliver(s) || err == nil && !a.awaitRecord(ctx, x.hold, s) {
 			return
 		}
@@ -143,9 +147,12 @@
 	return a.deliver(first)
 }
 
-// deliver delivers a step, and reports whether it was received.
+// deliver delivers a step, and reports whether it was received. What failed because the attempt was ended to release memory has this as its cause.
 func (a *attempt) deliver(s step) bool {
 	s.attempt = a
+	if a.memory.Ended() {
+		s.err, s.bodyErr = memoryError(s.err), memoryError(s.bodyErr)
+	}
 	select {
 	case a.steps <- s:
 		return true
@@ -154,6 +161,50 @@
 	}
 }
 
+// memoryError returns the failure of an attempt that was ended to release memory, unless its response was complete before.
+func memoryError(err error) error {
+	if err == nil || isEOF(err) {
+		return err
+	}
+	return usedUpError()
+}
+
+func usedUpError() *AttemptError {
+	return &AttemptError{Kind: Invalid, Sent: true, Err: memory.ErrUsedUp}
+}
+
+// States of an attempt, of which parts of the response are written to the caller.
+const (
+	notWriting int32 = iota
+	writing
+	writeAborted
+)
+
+// releaseMemory ends the exchange, and a write that waits for the caller.
+func (a *attempt) releaseMemory(abortWrite func()) {
+	a.cancel()
+	if a.writing.CompareAndSwap(writing, writeAborted) {
+		abortWrite()
+	}
+}
+
+// write writes a part of the response of an attempt to the caller. After an error that is Cancelled, nothing more can be written.
+func (r *relayedRequest) write(a *attempt, p []byte) *AttemptError {
+	a.writing.Store(writing)
+	if a.memory.Ended() {
+		a.writing.Store(notWriting)
+		return usedUpError()
+	}
+	err := r.sink.Write(p)
+	switch {
+	case !a.writing.CompareAndSwap(writing, notWriting):
+		return &AttemptError{Kind: Cancelled, Sent: true, Err: memory.ErrUsedUp}
+	case err != nil:
+		return &AttemptError{Kind: Cancelled, Sent: true, Err: err}
+	}
+	return nil
+}
+
 // end ends the exchange. One whose last step was received ends by itself, and its connection can be used again.
 func (a *attempt) end() {
 	if !a.finished {
@@ -165,6 +216,7 @@
 		a.response.Close()
 	}
 	a.cancel()
+	a.memory.Release()
 }
 
 var errSuperseded = errors.New("another attempt has begun to answer")
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -15,6 +15,7 @@
 
 	"cranberryrail/core/budget"
 	"cranberryrail/core/codes"
+	"cranberryrail/core/memory"
 	"cranberryrail/core/origin"
 	"cranberryrail/core/poison"
 	"cranberryrail/core/roster"
@@ -66,6 +67,8 @@
 	// MaxResponseBytes limits the body of a response, or the events of a stream together. A target that sends more is
 	// assumed to send without end. Optional; 0 means DefaultMaxResponseBytes.
 	MaxResponseBytes int64
+	// Memory limits what the answers in flight hold together: events and bodies that are not complete or not yet forwarded. Optional; nil means no limit.
+	Memory *memory.Pool
 	// Zone is the availability zone of this instance.
 	Zone string
 	// Now returns the current time.
@@ -82,6 +85,9 @@
 	if s.MaxResponseBytes == 0 {
 		s.MaxResponseBytes = DefaultMaxResponseBytes
 	}
+	if s.Memory == nil {
+		s.Memory = &memory.Pool{}
+	}
 	if s.ReserveResumed == nil {
 		s.ReserveResumed = s.Reserve
 	}
@@ -152,8 +158,9 @@
 	lastEventID string
 	joinable    bool
 	// fallback is an error response of a target, which the caller receives if no other attempt
-	// succeeds.
+	// succeeds. kept counts its memory.
 	fallback *bufferedResponse
+	kept     *memory.Holder
 }
 
 // bufferedResponse is a complete response.
@@ -167,7 +174,11 @@
 // caller must be aborted, so that the response does not appear complete. Otherwise, if Refused is
 // set, the caller must be sent that refusal.
 func (s *Server) Serve(ctx context.Context, req *Request, sink Sink) Result {
-	r := &relayedRequest{Server: s, Result: Result{Request: req}, req: req, sink: sink, steps: make(chan step)}
+	r := &relayedRequest{Server: s, Result: Result{Request: req}, req: req, sink: sink, steps: make(chan step), kept: s.Memory.NewHolder(nil)}
+	defer r.kept.Release()
+	if r.sink.Abort == nil {
+		r.sink.Abort = func() {}
+	}
 	if refused := r.admit(); refused != nil {
 		return r.refuse(refused)
 	}
@@ -423,7 +434,7 @@
 // pickRefusal returns the refusal if no target could be chosen, nil if the fallback was sent instead.
 func (r *relayedRequest) pickRefusal(err error) *codes.Error {
 	if r.fallback != nil && !r.headSent {
-		r.sendBuffered(r.fallback)
+		r.sendFallback()
 		return nil
 	}
 	refused := *codes.From(err, codes.NotRun)
@@ -441,10 +452,13 @@
 // interruptionRefusal returns the refusal of a request that timed out or whose caller disconnected,
 // nil if the fallback was sent instead.
 func (r *relayedRequest) interruptionRefusal(ctx context.Context, failed *AttemptError) *codes.Error {
+	if failed.Kind == Cancelled && errors.Is(failed.Err, memory.ErrUsedUp) {
+		return &codes.Error{Code: codes.AnswerCut, Run: r.execution(), Detail: "the caller did not read its response while memory was short", Err: failed}
+	}
 	// The context may end in between; its cause is set if its error is.
 	if ctx.Err() == nil && failed.Kind != Cancelled || errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		if r.fallback != nil && !r.headSent {
-			r.sendBuffered(r.fallback)
+			r.sendFallback()
 			return nil
 		}
 		return r.timeoutRefusal()
@@ -514,7 +528,7 @@
 // giveUp returns the refusal after the last attempt, nil if the fallback was sent instead.
 func (r *relayedRequest) giveUp(failed *AttemptError) *codes.Error {
 	if r.fallback != nil && !r.headSent {
-		r.sendBuffered(r.fallback)
+		r.sendFallback()
 		return nil
 	}
 	if !r.mayHaveRun {
@@ -544,15 +558,28 @@
 	r.TimeToFirstByte = r.Now().Sub(r.req.Arrived)
 }
 
-// sendBuffered sends a complete response to the caller.
-func (r *relayedRequest) sendBuffered(response *bufferedResponse) {
+// sendBuffered sends the complete response of an attempt to the caller. The error means that the attempt was ended to release memory.
+func (r *relayedRequest) sendBuffered(a *attempt, response *bufferedResponse) *AttemptError {
 	r.beginAnswer(response.status)
 	r.sink.Head(response.status, response.header, int64(len(response.body)))
-	if len(response.body) > 0 {
-		if err := r.sink.Write(response.body); err != nil {
-			r.CallerGone = true
-			r.endedBy(ByCaller)
-		}
+	if len(response.body) == 0 {
+		return nil
+	}
+	failed := r.write(a, response.body)
+	if failed != nil && !errors.Is(failed, memory.ErrUsedUp) {
+		r.CallerGone, failed = true, nil
+		r.endedBy(ByCaller)
+	}
+	return failed
+}
+
+// sendFallback sends the error response that was kept to the caller.
+func (r *relayedRequest) sendFallback() {
+	r.beginAnswer(r.fallback.status)
+	r.sink.Head(r.fallback.status, r.fallback.header, int64(len(r.fallback.body)))
+	if len(r.fallback.body) > 0 && r.sink.Write(r.fallback.body) != nil {
+		r.CallerGone = true
+		r.endedBy(ByCaller)
 	}
 }
 
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -232,6 +232,8 @@
 	Head func(status int, header http.Header, length int64)
 	// Write sends a part of the body. It is sent without buffering if the length is unknown.
 	Write func(p []byte) error
+	// Abort ends a Write that waits for the caller. Nothing can be written after it. Optional.
+	Abort func()
 }
 
 // Result is the outcome of a request.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -359,6 +359,7 @@
 			}
 			return controller.Flush()
 		},
+		Abort: func() { _ = controller.SetWriteDeadline(time.Unix(1, 0)) }, // supported by HTTP/1.1 servers
 	}
 }
 
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -28,6 +28,7 @@
 	"cranberryrail/core/events"
 	"cranberryrail/core/flow"
 	"cranberryrail/core/logs"
+	"cranberryrail/core/memory"
 	"cranberryrail/core/origin"
 	"cranberryrail/core/poison"
 	"cranberryrail/core/rate"
@@ -170,6 +171,10 @@
 // bodyMemoryShare is the fraction of the memory that the bodies of requests in flight may use.
 const bodyMemoryShare = 0.25
 
+// answerMemoryShare is the fraction of the memory that the answers in flight may use together. With the bodies of requests, it leaves half of the heap
+// to the configuration, the tables and the connections.
+const answerMemoryShare = 0.125
+
 // Default creates the components of the instance.
 func (r *Router) Default() {
 	r.Incarnation = uuid.NewString()
@@ -201,7 +206,8 @@
 		Origins: r.origins, NeedsDetour: r.detours.Needed, DispatchBy: r.dispatchBy, Crashes: r.crashes, HasCrashed: r.hasCrashed, Abandoned: r.abandoned,
 		Table: r.table.Current, Reserve: r.budgets.Reserve, ReserveResumed: r.budgets.ReserveResumed, ReserveWait: r.budgetSync.ReserveWait,
 		Settle: r.budgets.Settle, Pick: r.routeClient.Pick, Done: r.routeClient.Done,
-		Retries: r.retries, Dispatch: r.dispatch, OnSilent: r.targetSilent, OnPanic: r.logPanic, OnAttemptFailed: r.attemptFailed, Spans: &spans.Tracker{}, MaxResponseBytes: s.Target.MaxResponseBytes(), Zone: s.Instance.Zone, Random: rand.IntN,
+		Retries: r.retries, Dispatch: r.dispatch, OnSilent: r.targetSilent, OnPanic: r.logPanic, OnAttemptFailed: r.attemptFailed, MaxResponseBytes: s.Target.MaxResponseBytes(),
+		Spans: &spans.Tracker{}, Memory: &memory.Pool{Bytes: s.Memory.Bytes(answerMemoryShare)}, Zone: s.Instance.Zone, Random: rand.IntN,
 	}
 	r.relay.Default()
 	r.link = &flow.Meter{BytesPerSecond: s.Link.BytesPerSecond()}
