fix: the head of a response of a target has at most 256 lines

Callers would have lost their requests with the process: 64 KiB of short, distinct headers take about a megabyte once they are parsed, and a target that stops within such a head makes an instance hold it until the time limit of the request.

The head was limited by its bytes only. io/conns now counts its lines too, with those of the interim responses; what has been read when the next read begins belongs to the head, so that lines of a body never count. The limit is far above what servers send.

Before, TestHeadOfManyLinesIsRejected failed: "4096 headers: wait: ... i/o timeout"; heads of 253 lines are accepted as before.

--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -18,15 +19,18 @@
 // maxHeadBytes limits the status line and the headers of a response, with the interim responses before it.
 const maxHeadBytes = 64 << 10
 
-var errHeadTooLarge = fmt.Errorf("the head of the response has more than %d bytes", maxHeadBytes)
+// maxHeadLines limits the lines of the same. A header that was parsed takes many times the memory of a short line. The lines in the read buffer may be more.
+const maxHeadLines = 256
+
+var errHeadTooLarge = fmt.Errorf("the head of the response has more than %d bytes or %d lines", maxHeadBytes, maxHeadLines)
 
 // headLimiter reads from a connection. While a head is read, it limits how much is read.
 type headLimiter struct {
 	net.Conn
 
 	limited bool
-	// left is how many bytes may still be read, if limited is set.
-	left int
+	// left is how many bytes may still be read, if limited is set, and lines how many lines were read.
+	left, lines int
 }
 
 // Read implements io.Reader.
@@ -34,16 +38,20 @@
 	if !l.limited {
 		return l.Conn.Read(p)
 	}
+	if l.lines > maxHeadLines {
+		l.left = 0 // What was read so far belongs to the head.
+	}
 	if l.left <= 0 {
 		return 0, errHeadTooLarge
 	}
 	n, err := l.Conn.Read(p[:min(len(p), l.left)])
 	l.left -= n
+	l.lines += bytes.Count(p[:n], []byte("\n"))
 	return n, err
 }
 
 // limit limits the reads that follow until unlimit is called.
-func (l *headLimiter) limit() { l.limited, l.left = true, maxHeadBytes }
+func (l *headLimiter) limit() { l.limited, l.left, l.lines = true, maxHeadBytes, 0 }
 
 func (l *headLimiter) unlimit() { l.limited = false }
 
--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -460,6 +460,31 @@
 	}
 }
 
+// TestHeadOfManyLinesIsRejected guards against targets that stop within a head of many short headers, which take a megabyte of memory each while their
+// requests wait.
+func TestHeadOfManyLinesIsRejected(t *testing.T) {
+	const lines = 256
+	for _, line := range []string{"A%d:\r\n", "A: %d\r\n"} {
+		for headers, sound := range map[int]bool{lines - 3: true, 4096: false} {
+			s := newTarget(t)
+			results := startExchange(t, newClient(), s.request("1"))
+			p := s.accept(t)
+			p.readRequest(t)
+			head := "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n"
+			for i := range headers {
+				head += fmt.Sprintf(line, i)
+			}
+			if sound {
+				head += "\r\n"
+			}
+			_, _ = io.WriteString(p, head) // the connection may be closed meanwhile
+			r := <-results
+			var e *conns.Error
+			assert.Assert(t, sound && r.err == nil || errors.As(r.err, &e) && e.Invalid && !e.Timeout, "%d headers: %v", headers, r.err)
+		}
+	}
+}
+
 // TestNewAddressHasNewConnections guards against requests at the earlier address of a target whose entry was changed while its process goes on.
 func TestNewAddressHasNewConnections(t *testing.T) {
 	before, now, c := newTarget(t), newTarget(t), newClient()
