fix: requests in flight keep no old configuration in memory

An instance could end for lack of memory beside a series of changes of the configuration, and with it all requests that it served without an answer (LOST).

Each request kept the table that had admitted it until its end, with all routes and keys, so that as many versions stayed in memory as streams had been admitted by.

TestRequestsKeepNoOldConfiguration failed before: the old table and its routes were still reachable during the exchange.

A request now copies its route, its organisation and the tokens of an event of the services that its route leads to, which is all that it reads later; it is still billed by the configuration that admitted it.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -120,10 +120,11 @@
 	Result
 	req  *Request
 	sink Sink
-	// table is the configuration that the request was admitted by.
-	table       *table.Table
+	// route, org and eventTokens, which holds the tokens of an event by service, are of the configuration that admitted the request. They are copies, so
+	// that a request keeps no old configuration in memory.
 	route       *table.Route
 	org         *table.Organisation
+	eventTokens map[string]int
 	reservation budget.Reservation
 	// deadline is the time by which the caller must have its final response, or the beginning of an answer, which may go on until end.
 	deadline, end time.Time
@@ -226,14 +227,20 @@
 	if t == nil {
 		return codes.Refuse(codes.NotReady, retryAfterNotReady, "no configuration has been read yet")
 	}
-	r.Version, r.table = t.Version, t
-	r.route = t.Route(r.req.Host, r.req.Path)
+	r.Version = t.Version
+	r.route = clone(t.Route(r.req.Host, r.req.Path))
 	if r.route == nil {
 		return codes.Refuse(codes.UnknownRoute, 0, "no route matches host %q and the path of the request", r.req.Host)
 	}
 	r.Route = r.route.Name
 	if r.req.Key != "" {
-		r.org = t.Organisation(r.req.Key)
+		r.org = clone(t.Organisation(r.req.Key))
+	}
+	if r.req.Prompt != nil {
+		r.eventTokens = make(map[string]int, len(r.route.Shares))
+		for _, s := range r.route.Shares {
+			r.eventTokens[s.Service] = t.Service(s.Service).EventTokens
+		}
 	}
 	if r.org == nil && len(t.Organisations) > 0 && !r.route.Anonymous {
 		return codes.Refuse(codes.BadKey, 0, "the request has no API key of a configured organisation; send one as bearer token")
@@ -253,6 +260,15 @@
 	return nil
 }
 
+// clone returns a copy of what a configuration holds, or nil if it holds nothing.
+func clone[T any](p *T) *T {
+	if p == nil {
+		return nil
+	}
+	c := *p
+	return &c
+}
+
 // originRetryAfter is when a stream may be resumed whose origin could not be read: some calls of the log later.
 const originRetryAfter = 250 * time.Millisecond
 
@@ -378,7 +394,7 @@
 // request, and the output by the number of forwarded events.
 func (r *relayedRequest) settle() {
 	if r.mayHaveRun && r.req.Prompt != nil {
-		output := int64(r.Events) * int64(r.table.Service(r.Service).EventTokens)
+		output := int64(r.Events) * int64(r.eventTokens[r.Service])
 		r.Spent = r.req.Prompt.Tokens + min(output, r.req.Prompt.MaxOutput)
 	}
 	r.Settle(r.reservation, r.Spent)
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -5,11 +5,13 @@
 	"errors"
 	"io"
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
+	"weak"
 
 	"gotest.tools/v3/assert"
 
@@ -183,3 +185,17 @@
 		})
 	}
 }
+
+// TestRequestsKeepNoOldConfiguration guards against a process that ends for lack of memory since each answer in flight keeps the configuration that admitted it.
+func TestRequestsKeepNoOldConfiguration(t *testing.T) {
+	var f *fixture
+	f = newFixture(func(context.Context, relay.Dispatch) (*relay.Response, error) {
+		config := weak.Make(f.Table())
+		routes := weak.Make(&f.Table().Routes[0])
+		f.Table = func() *table.Table { return nil }
+		runtime.GC()
+		assert.Check(t, config.Value() == nil && routes.Value() == nil, "the configuration is still in memory")
+		return nil, &relay.AttemptError{Kind: relay.Broken, Sent: true, Err: errors.New("reset")}
+	})
+	f.serve(t.Context())
+}
