--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -113,6 +113,52 @@
 	return err == nil && empty
 }
 
+// control calls f with the file descriptor of the connection, if it has one.
+func (cn *conn) control(f func(fd int)) {
+	if sc, ok := cn.Conn.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			_ = raw.Control(func(fd uintptr) { f(int(fd)) }) // fails only on a closed connection
+		}
+	}
+}
+
+// setUserTimeout sets TCP_USER_TIMEOUT; 0 is the default of the system.
+func (cn *conn) setUserTimeout(d time.Duration) {
+	cn.control(func(fd int) {
+		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d/time.Millisecond)) // the connection was opened with this option
+	})
+}
+
+// isReceived reports whether the other machine has acknowledged all that was written. A closed connection counts as acknowledged.
+func (cn *conn) isReceived() bool {
+	left := 0
+	cn.control(func(fd int) {
+		if n, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ); err == nil {
+			left = n
+		}
+	})
+	return left == 0
+}
+
+// awaitReceived waits until all that was written is acknowledged, or closing is closed, and reports whether it is. A lost target is then noticed within
+// tcpUserTimeout again.
+func (cn *conn) awaitReceived(closing <-chan struct{}) bool {
+	ticker := time.NewTicker(ackPollInterval)
+	defer ticker.Stop()
+	for closed := false; !cn.isReceived(); {
+		if closed {
+			return false
+		}
+		select {
+		case <-closing:
+			closed = true
+		case <-ticker.C:
+		}
+	}
+	cn.setUserTimeout(tcpUserTimeout)
+	return true
+}
+
 // TCP keep-alive probes detect an unresponsive peer while a response is pending.
 const (
 	keepAliveIdle     = 2 * time.Second
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -38,8 +38,11 @@
 	// maxForeignBody is the largest body of such a response that is drained, in bytes.
 	maxForeignBody = 64 << 10
 	// tcpUserTimeout is how long sent bytes, or keep-alive probes, may stay unacknowledged before the connection fails. Linux applies it to
-	// probes whatever their count, so that it is no shorter than all of them; a sound target may be silent for a second.
+	// probes whatever their count, so that it is no shorter than all of them; a sound target may be silent for a second. It applies to bytes too for which
+	// the target has no room, although its machine replies, so that it is off while a long request is sent.
 	tcpUserTimeout = keepAliveIdle + keepAliveCount*keepAliveInterval
+	// ackPollInterval is the time between two checks whether a long request was received: a fraction of tcpUserTimeout.
+	ackPollInterval = tcpUserTimeout / 40
 )
 
 // Phase is the phase in which an exchange failed.
@@ -317,10 +320,12 @@
 // writeAsync writes a long request while the response is read, since a target may respond before it
 // has read the whole request.
 func (resp *Response) writeAsync(message []byte) {
-	resp.writeDone = make(chan error, 1)
+	resp.writeDone, resp.received, resp.closing = make(chan error, 1), make(chan bool, 1), make(chan struct{})
+	resp.conn.setUserTimeout(0)
 	resp.client.writers.Go(func() error {
 		_, err := resp.conn.Write(message)
 		resp.writeDone <- err
+		resp.received <- err == nil && resp.conn.awaitReceived(resp.closing)
 		return nil
 	})
 }
--- a/io/conns/response.go
+++ b/io/conns/response.go
@@ -24,6 +24,9 @@
 	conn      *conn
 	body      io.ReadCloser
 	writeDone chan error
+	// received receives, after writeDone, whether the target's machine has received the whole request. It does so at once when closing is closed.
+	received chan bool
+	closing  chan struct{}
 	// stopWatch detaches the connection from the request context; it returns false if the context has ended.
 	stopWatch func() bool
 	// complete is set once the body has been read to the end that its framing defines.
@@ -173,6 +176,9 @@
 // reusable, the request was sent in full and the response was read completely before the context ended;
 // otherwise it is closed.
 func (resp *Response) Close() {
+	if resp.closing != nil {
+		close(resp.closing)
+	}
 	watching := resp.stopWatch()
 	cn := resp.conn
 	if !watching || !resp.complete || !resp.reusable || !resp.requestSent() || cn.reader.Buffered() > 0 {
@@ -201,14 +207,14 @@
 	return err
 }
 
-// requestSent reports whether the request was sent in full.
+// requestSent reports whether the request was sent in full and received. It is called after closing is closed.
 func (resp *Response) requestSent() bool {
 	if resp.writeDone == nil {
 		return true
 	}
 	select {
 	case err := <-resp.writeDone:
-		return err == nil
+		return err == nil && <-resp.received
 	default:
 		return false
 	}
