test: a second exchange of a test begins once the first one has ended

TestRequestReachesTheExpectedStartOnly hung in some runs. The next exchange could then open another connection, while the test read from the first one. The result is now delivered after Close. What the tests check is as before.

--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -104,7 +104,7 @@
 	err  error
 }
 
-// startExchange runs an exchange in its own goroutine.
+// startExchange runs an exchange in its own goroutine. Its result is delivered once it has ended.
 func startExchange(t *testing.T, c *conns.Client, r *conns.Request) <-chan result {
 	t.Helper()
 	results := make(chan result, 1)
@@ -115,8 +115,8 @@
 			results <- result{err: err}
 			return nil
 		}
-		defer resp.Close()
 		body, err := io.ReadAll(resp)
+		resp.Close() // The connection is in the pool before the test begins another exchange.
 		results <- result{string(body), err}
 		return nil
 	})
