fix: targets that crash together do not cut a fleet off from the others

Two targets that can't be connected to make an instance count as cut off; the check of another one came 300 ms later, each instance counted as cut off by then, and they refused each other's requests. Now each target that is found unreachable for the first time triggers the check of one that is not, so that a service with a sound target counts as reachable again after a few dials; each one is tried once, as before a real cut costs one dial for each target. TestCrashesOfTargetsAreNoCut tried two of six targets before and tries all.

--- a/core/detour/detour.go
+++ b/core/detour/detour.go
@@ -106,21 +106,17 @@
 	return ended
 }
 
-// Unreachable records that no connection to a target of a service could be opened. It reports whether another target should be tried now, to find
-// out whether the whole service is unreachable.
+// Unreachable records that no connection to a target of a service could be opened. It reports whether another target should be tried now: each one is tried
+// once, since one that is reachable ends the cut.
 func (t *Tracker) Unreachable(name, target string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.service(name)
 	_, known := s.unreachable[target]
 	s.unreachable[target] = struct{}{}
-	if s.cut {
-		return false
-	}
-	if len(s.unreachable) >= min(minUnreachable, max(s.targets, 1)) {
+	if !s.cut && len(s.unreachable) >= min(minUnreachable, max(s.targets, 1)) {
 		s.cut = true
 		t.OnCut(name, true)
-		return false
 	}
 	return !known
 }
--- a/io/router/detour_test.go
+++ b/io/router/detour_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,6 +44,26 @@
 	return r
 }
 
+// TestCrashesOfTargetsAreNoCut guards against requests that are refused, because some targets of a service crash at the same time and each instance counts as cut off
+// from the others too, until the next check.
+func TestCrashesOfTargetsAreNoCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, tried := newPathWatcher(t, "claims", "claims"), map[string]bool{}
+		for _, target := range r.list.Targets() {
+			target.Addr = target.ID
+			r.list.Put(roster.Entry{Target: target, StartedAtMS: 1, Sequence: 1})
+		}
+		r.conns.Dial = func(_ context.Context, _, addr string) (net.Conn, error) {
+			tried[addr] = true
+			return nil, syscall.ECONNREFUSED
+		}
+		r.pathSuspect("claims")
+		time.Sleep(pathCheckInterval / 10)
+		synctest.Wait()
+		assert.DeepEqual(t, tried, map[string]bool{"0 0": true, "0 1": true, "0 2": true, "1 0": true, "1 1": true, "1 2": true})
+	})
+}
+
 // TestCutIsFoundByTwoChecks guards against requests that wait for targets, because the second check of a service went to the target that the first one could
 // not connect to, so that the instance did not know that it is cut off.
 func TestCutIsFoundByTwoChecks(t *testing.T) {
