fix: long heads of responses count as memory of answers in flight

Callers would have lost their requests with the process: targets that stop within a long head make an instance hold it, as the line that grows and as text, until the time limits of the requests, and nothing limited the heads together. The share of the answers counted events and bodies only, since the head is read before the answer begins.

Each dispatch now carries what counts its memory, and io/conns counts three times the bytes of a head beyond 4 KiB; the head stays counted until its attempt ends. Usual heads are not counted. A holder that ends while its head is read fails as an invalid answer with this cause.

Before, TestHeadIsCounted failed: "16384 bytes: wait: ... i/o timeout".

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -82,6 +82,7 @@
 	}
 	ctx, a.cancel = context.WithCancel(ctx)
 	a.memory = r.Memory.NewHolder(func() { a.releaseMemory(r.sink.Abort) })
+	a.dispatch.Memory = a.memory
 	limit := r.end.Sub(r.Now()) + replyMargin // The context of the request ends the exchange before.
 	x := exchange{send: send, limit: limit, maxBytes: r.MaxResponseBytes, hold: a.hold, onPanic: r.OnPanic}
 	r.group.Go(func() error {
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cranberryrail/core/codes"
+	"cranberryrail/core/memory"
 	"cranberryrail/core/poison"
 	"cranberryrail/core/roster"
 )
@@ -100,6 +101,8 @@
 	// Repeated is set if the request has been sent to the target before. It must then use a new connection, since the target may repeat its earlier response
 	// on one that it has used.
 	Repeated bool
+	// Memory counts what is held of the response; nil if it is not counted.
+	Memory *memory.Holder
 	// NonIdempotent is set if the request must not be retried. It should then use a connection that is known
 	// to work.
 	NonIdempotent bool
--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"cranberryrail/core/memory"
 )
 
 // readBufferBytes is the size of a connection's read buffer.
@@ -22,6 +24,9 @@
 // maxHeadLines limits the lines of the same. A header that was parsed takes many times the memory of a short line. The lines in the read buffer may be more.
 const maxHeadLines = 256
 
+// headCopies is how often the text of a head is in memory: as the line that is read, which grows by doubling, and as the header.
+const headCopies = 3
+
 var errHeadTooLarge = fmt.Errorf("the head of the response has more than %d bytes or %d lines", maxHeadBytes, maxHeadLines)
 
 // headLimiter reads from a connection. While a head is read, it limits how much is read.
@@ -31,6 +36,8 @@
 	limited bool
 	// left is how many bytes may still be read, if limited is set, and lines how many lines were read.
 	left, lines int
+	// holder counts the memory of the head; nil if nothing does.
+	holder *memory.Holder
 }
 
 // Read implements io.Reader.
@@ -47,13 +54,20 @@
 	n, err := l.Conn.Read(p[:min(len(p), l.left)])
 	l.left -= n
 	l.lines += bytes.Count(p[:n], []byte("\n"))
+	if l.holder != nil && maxHeadBytes-l.left > memory.SmallBytes {
+		if ended := l.holder.Add(headCopies * n); ended != nil {
+			return 0, ended
+		}
+	}
 	return n, err
 }
 
 // limit limits the reads that follow until unlimit is called.
-func (l *headLimiter) limit() { l.limited, l.left, l.lines = true, maxHeadBytes, 0 }
+func (l *headLimiter) limit(holder *memory.Holder) {
+	l.limited, l.left, l.lines, l.holder = true, maxHeadBytes, 0, holder
+}
 
-func (l *headLimiter) unlimit() { l.limited = false }
+func (l *headLimiter) unlimit() { l.limited, l.holder = false, nil }
 
 // exhausted reports whether the last limit was reached.
 func (l *headLimiter) exhausted() bool { return l.left <= 0 }
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"cranberryrail/core/memory"
 )
 
 // Defaults of Client.
@@ -94,6 +96,8 @@
 	NewConnection bool
 	// HeaderTimeout is the timeout for the response headers.
 	HeaderTimeout time.Duration
+	// Memory counts the head of the response, unless it is small; nil if it is not counted.
+	Memory *memory.Holder
 	// Verify restricts the request to a connection that is verified by it; nil for any.
 	Verify *Verification
 	// OnDialed is called if a new connection was opened for the request; optional.
--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
+	"cranberryrail/core/memory"
 	"cranberryrail/io/conns"
 )
 
@@ -485,6 +486,27 @@
 	}
 }
 
+// TestHeadIsCounted guards against targets that stop within long heads, which use up the memory beside answers that are counted.
+func TestHeadIsCounted(t *testing.T) {
+	pool := &memory.Pool{Bytes: 32 << 10}
+	for bytes, sound := range map[int]bool{memory.SmallBytes / 2: true, 2 * memory.SmallBytes: true, 16 << 10: false} {
+		s := newTarget(t)
+		r := s.request("1")
+		r.Memory = pool.NewHolder(func() {})
+		results := startExchange(t, newClient(), r)
+		p := s.accept(t)
+		p.readRequest(t)
+		_, _ = io.WriteString(p, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\nA: "+strings.Repeat("x", bytes))
+		if sound {
+			p.send(t, "\r\n\r\n")
+		}
+		err := (<-results).err
+		assert.Assert(t, sound && err == nil || errors.Is(err, memory.ErrUsedUp), "%d bytes: %v", bytes, err)
+		assert.Equal(t, r.Memory.Ended(), !sound)
+		r.Memory.Release()
+	}
+}
+
 // TestNewAddressHasNewConnections guards against requests at the earlier address of a target whose entry was changed while its process goes on.
 func TestNewAddressHasNewConnections(t *testing.T) {
 	before, now, c := newTarget(t), newTarget(t), newClient()
--- a/io/conns/response.go
+++ b/io/conns/response.go
@@ -11,6 +11,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"cranberryrail/core/memory"
 )
 
 // Response is a response whose status line and headers have been read.
@@ -45,7 +47,7 @@
 // a late second response to an earlier request, which is discarded.
 func (resp *Response) readHead(r *Request) *Error {
 	for skipped := range maxForeignResponses + 1 {
-		head, err := resp.conn.readFinalHead(r.Method) //nolint:bodyclose // the body ends with its connection
+		head, err := resp.conn.readFinalHead(r.Method, r.Memory) //nolint:bodyclose // the body ends with its connection
 		if err != nil {
 			if skipped > 0 {
 				err = fmt.Errorf("%w (skipped: %d): %w", errForeignResponse, skipped, err)
@@ -78,8 +80,8 @@
 }
 
 // readFinalHead reads the headers of the next response, skipping interim (1xx) ones.
-func (cn *conn) readFinalHead(method string) (*http.Response, error) {
-	cn.input.limit()
+func (cn *conn) readFinalHead(method string, holder *memory.Holder) (*http.Response, error) {
+	cn.input.limit(holder)
 	defer cn.input.unlimit()
 	for {
 		head, err := cn.readResponse(method)
--- a/io/conns/verify.go
+++ b/io/conns/verify.go
@@ -95,7 +95,7 @@
 	if _, err := cn.Write(encodeRequest(&Request{Method: http.MethodGet, URI: r.Verify.URI, Host: r.Addr})); err != nil {
 		return err
 	}
-	head, err := cn.readFinalHead(http.MethodGet)
+	head, err := cn.readFinalHead(http.MethodGet, nil)
 	if err != nil {
 		return err
 	}
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -30,7 +30,7 @@
 		Header: r.Platform.BuildHeader(d), Body: d.Body, NonIdempotent: d.NonIdempotent, NewConnection: d.Repeated, HeaderTimeout: d.HeaderTimeout,
 		Verify:   r.verification(d, sentAt),
 		OnDialed: func() { r.recordPath(d.Target, nil) },
-		ID:       d.ID, Identify: r.Platform.IdentifyResponse,
+		ID:       d.ID, Identify: r.Platform.IdentifyResponse, Memory: d.Memory,
 	})
 	if err != nil {
 		failed := attemptError(err)
