fix: heads of responses of engines and services are limited to 16 KiB

Callers would have lost their requests with the process: with up to 256 calls in flight to one target, heads of 64 KiB of short headers, which take about a megabyte each once they are parsed (see the limit of lines in io/conns), make some 250 MB for one faulty target. net/http has no limit of lines, so that only fewer bytes bound the own interface. 16 KiB is what common servers and proxies accept at most.

Evidence: with the bound of TestEndlessResponses stated for each form, the test failed at 64 KiB in the four forms of heads: "65536 bytes were read, the bound is 24576". The bounds of the other forms are stricter than before too. LOST: a process that ends by itself ends the requests of all its callers.

--- a/io/target/endless_test.go
+++ b/io/target/endless_test.go
@@ -51,22 +51,26 @@
 	const (
 		kib     = 1 << 10
 		chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-		// maxRead is the sum of the limits: a head, a line of a stream or the body of a short reply, and buffers of the connection.
-		maxRead = 64*kib + 64*kib + 32*kib
+		// maxHead is the limit of a head, and buffers of the connection.
+		maxHead = 16*kib + 8*kib
 		// maxReply is the limit for the replies of services.
 		maxReply = 256 * kib
 	)
-	for name, form := range map[string]struct{ prefix, pattern string }{
-		"status line":     {"HTTP/1.1 200 ", "O"},
-		"header":          {"HTTP/1.1 200 OK\r\nX: ", "x"},
-		"headers":         {"HTTP/1.1 200 OK\r\n", "X: x\r\n"},
-		"interim":         {"", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
-		"chunk size":      {chunked, "0"},
-		"chunk extension": {chunked + "1;", "x"},
-		"extensions":      {chunked, "1;" + strings.Repeat("x", 100) + "\r\nx\r\n"},
-		"trailer":         {chunked + "0\r\nX: ", "x"},
-		"line":            {chunked + "fffffff\r\n", "data: x"},
-		"refusal":         {"HTTP/1.1 503 Service Unavailable\r\n\r\n", "x"},
+	for name, form := range map[string]struct {
+		prefix, pattern string
+		// body is the limit of what follows a head: the overhead of chunks that net/http allows, a line of a stream, or the body of a short reply.
+		body int64
+	}{
+		"status line":     {"HTTP/1.1 200 ", "O", 0},
+		"header":          {"HTTP/1.1 200 OK\r\nX: ", "x", 0},
+		"headers":         {"HTTP/1.1 200 OK\r\n", "X: x\r\n", 0},
+		"interim":         {"", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", 0},
+		"chunk size":      {chunked, "0", 8 * kib},
+		"chunk extension": {chunked + "1;", "x", 8 * kib},
+		"extensions":      {chunked, "1;" + strings.Repeat("x", 100) + "\r\nx\r\n", 32 * kib},
+		"trailer":         {chunked + "0\r\nX: ", "x", 8 * kib},
+		"line":            {chunked + "fffffff\r\n", "data: x", 64 * kib},
+		"refusal":         {"HTTP/1.1 503 Service Unavailable\r\n\r\n", "x", 16 * kib},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var read atomic.Int64
@@ -85,8 +89,8 @@
 				err := call()
 				var failed *target.Error
 				assert.Assert(t, errors.As(err, &failed) && failed.Kind != target.Silent, "%s: %v", operation, err)
-				bound := int64(maxRead)
-				if operation == "service" {
+				bound := maxHead + form.body
+				if operation == "service" && form.body > 0 {
 					bound += maxReply
 				}
 				assert.Assert(t, read.Load() <= bound, "%s: %d bytes were read, the bound is %d", operation, read.Load(), bound)
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -41,8 +41,9 @@
 	keepAliveIdle     = 2 * time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 3
-	// maxHeadBytes limits the status line and the headers of a response, with the interim responses before it. net/http allows 10 MB.
-	maxHeadBytes = 64 << 10
+	// maxHeadBytes limits the status line and the headers of a response, with the interim responses before it, as common servers do. Parsed headers
+	// take up to 16 times their bytes. net/http allows 10 MB.
+	maxHeadBytes = 16 << 10
 	// maxShortReplyBytes is the maximum size of a load report or error body.
 	maxShortReplyBytes = 16 << 10
 )
