fix: after a stall of this process its backlog is read before targets count as silent

After an instance had stood still for two seconds, sound targets counted as silent, their requests were sent a second time, and callers of others were refused for want of a target.

TestStalledProcessReadsBeforeItRepeats failed before with two attempts.

The timer is put off by as long as the process stood still, which the backlog grows with, and by no more than the bound for the head.

--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -239,8 +239,8 @@
 			return s // It was due together with the timer, after the caller had been slow.
 		default:
 		}
-		if r.Now().Sub(r.silenceDue) > stallTolerance {
-			r.expect(stallTolerance) // This process stood still. What the targets have sent meanwhile is read first.
+		if late := r.Now().Sub(r.silenceDue); late > stallTolerance {
+			r.expect(min(late, r.silenceBound())) // This process stood still. What the targets have sent meanwhile is read first.
 			continue
 		}
 		r.handleSilence(ctx)
--- a/core/relay/successor_test.go
+++ b/core/relay/successor_test.go
@@ -129,3 +129,23 @@
 		assert.Assert(t, !result.Truncated, "%v, %s", result.Refused, result.RetryDenied)
 	})
 }
+
+// TestStalledProcessReadsBeforeItRepeats guards against second runs, and sound targets counted as silent, after this process stood still for a second.
+func TestStalledProcessReadsBeforeItRepeats(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		backlog := func(ctx context.Context, d relay.Dispatch) (*relay.Response, error) {
+			time.Sleep(3*objective + time.Second/4)
+			return soundStream(ctx, d)
+		}
+		_, result := serveUntil(t.Context(), t, 3, table.Streaming, 0, []script.Dispatch{backlog, soundStream}, func(f *fixture) {
+			f.Now = func() time.Time {
+				if now := time.Now(); now.Sub(began) < objective {
+					return now
+				}
+				return time.Now().Add(time.Second)
+			}
+		})
+		assert.Equal(t, result.Attempts, 1)
+	})
+}
