--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -70,6 +70,9 @@
 		a.hold = make(chan *origin.Recording, 1)
 	}
 	a.dispatch.Detour = detour
+	if detour {
+		a.target.Software = request.Software // Another instance chooses among the targets of this version, if there is one.
+	}
 	r.Attempts++
 	a.number = r.Attempts
 	r.Target = a.target
--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -309,7 +309,7 @@
 		return DeniedTime
 	case !r.retryTaken && !r.Retries.AllowsRetry(r.Service):
 		return DeniedWindow
-	case r.streamKey != "" && r.Events == 0 && r.newest().target.ID == "":
+	case r.streamKey != "" && r.Events == 0 && r.newest().target.ID == "" && r.newest().target.Software == "":
 		return DeniedTarget // The software version that may begin the stream is not known.
 	default:
 		return ""
--- a/core/relay/successor_test.go
+++ b/core/relay/successor_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,6 +19,8 @@
 	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
 	"cranberryrail/core/table"
+	"cranberryrail/fake/builds"
+	"cranberryrail/fake/memlog"
 	"cranberryrail/fake/script"
 )
 
@@ -149,3 +152,27 @@
 		assert.Equal(t, result.Attempts, 1)
 	})
 }
+
+// TestSilentHelperEndsNoStream guards against a request for a resumable stream, sent by way of another instance, that waits for it until its time limit
+// although every target has the same software version.
+func TestSilentHelperEndsNoStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		origins, stop := builds.StartTracker(t.Context(), (&memlog.Server{}).Log(), true)
+		defer func() { assert.NilError(t, stop()) }()
+		origins.SetTargets([]roster.Target{{Service: "draft", Software: "v1"}})
+		synctest.Wait()
+		var asked atomic.Int64
+		helpers := []script.Dispatch{script.Stream{Head: time.Hour}.Dispatch, func(ctx context.Context, d relay.Dispatch) (*relay.Response, error) {
+			return script.Stream{Parts: []script.Part{script.Until(0, 4), script.End}}.Forwarded(ctx, d, roster.Target{ID: "1", Software: "v1"})
+		}}
+		_, result := serveUntil(t.Context(), t, 3, table.Streaming, 0, nil, func(f *fixture) {
+			f.Origins, f.NeedsDetour = origins, func(string, int) bool { return true }
+			f.DispatchBy = func(ctx context.Context, d relay.Dispatch, choice route.Request) (*relay.Response, error) {
+				assert.Check(t, choice.Software == "v1")
+				return helpers[asked.Add(1)-1](ctx, d)
+			}
+		})
+		assert.Assert(t, result.Refused == nil && result.Events == 4 && result.Attempts == 2, "%v, %s", result.Refused, result.RetryDenied)
+		assert.Equal(t, result.Software, "v1")
+	})
+}
