fix: answers of engines and services that are held until their end share a limit

Callers of the own interface would have lost their requests with the process: the text of an answer that is no stream is collected, and an engine may send 64 KiB as the text of each token, 512 MB for the 8192 tokens that a request may ask for. Replies of services of up to 4 MiB are read whole, for 256 calls in flight at each target. Nothing limited them together.

The client of targets and the server for callers now share a pool of 256 MiB, in which the largest holder ends when they exceed it: a text as target_failed that ran, a call as one of unknown outcome, each with this cause. Up to 4 KiB is not counted. A reply counts until it is read; what waits for a slow caller is bounded by the time limit of writes. The process has no setting of its memory, so that the limit is constant.

--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -98,6 +98,17 @@
 	p.holders[h] = struct{}{}
 }
 
+// AddRead adds n bytes that were read or received after a number of others, unless all are few.
+func (h *Holder) AddRead(n, others int) error {
+	switch {
+	case others+n <= SmallBytes:
+		return nil
+	case others <= SmallBytes:
+		n += others
+	}
+	return h.Add(n)
+}
+
 // Ended reports whether the holder was ended.
 func (h *Holder) Ended() bool { return h.ended.Load() }
 
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -15,6 +15,7 @@
 	"cranberryrail/core/codes"
 	"cranberryrail/core/conf"
 	"cranberryrail/core/ledger"
+	"cranberryrail/core/memory"
 	"cranberryrail/core/once"
 	"cranberryrail/core/pause"
 	"cranberryrail/core/poison"
@@ -61,6 +62,8 @@
 	Route *route.Client
 	// Generate serves model requests.
 	Generate *serve.Server
+	// Memory limits the text of the answers in flight that are not streams; optional.
+	Memory *memory.Pool
 	// CallService makes one call to a plain service.
 	CallService func(ctx context.Context, t roster.Target, c Call) (Reply, error)
 	// Crashes decides whether a call may be sent, depending on the targets that similar calls have crashed; optional.
@@ -94,6 +97,9 @@
 
 // Default sets unset fields to their defaults.
 func (s *Server) Default() {
+	if s.Memory == nil {
+		s.Memory = &memory.Pool{}
+	}
 	if s.OnServed == nil {
 		s.OnServed = func(Outcome) {}
 	}
--- a/io/front/generate.go
+++ b/io/front/generate.go
@@ -12,6 +12,7 @@
 	"cranberryrail/core/codes"
 	"cranberryrail/core/conf"
 	"cranberryrail/core/ledger"
+	"cranberryrail/core/memory"
 	"cranberryrail/core/route"
 	"cranberryrail/core/serve"
 )
@@ -79,10 +80,15 @@
 		replica.Release(reservation.ID)
 		return codes.Refuse(codes.AnswerCut, 0, "the caller disconnected or sent the request again before it was dispatched; the request was not run")
 	}
+	resp.memory = s.Memory.NewHolder(cancel)
+	defer resp.memory.Release()
 	usage, err := s.Generate.Generate(ctx, newEngineRequest(resp.req, reservation, t), resp.emit)
 	replica.Settle(reservation.ID, usage.Tokens())
 	resp.billed = usage.Tokens()
-	if err != nil {
+	switch {
+	case err != nil && resp.memory.Ended():
+		return &codes.Error{Code: codes.TargetFailed, Run: codes.Ran, Detail: "the answer is too long for the memory of this instance", Err: memory.ErrUsedUp}
+	case err != nil:
 		return codes.From(err, codes.Unknown)
 	}
 	return resp.finish(usage)
@@ -134,6 +140,8 @@
 	w          http.ResponseWriter
 	controller *http.ResponseController
 	text       strings.Builder
+	// memory counts the text.
+	memory     *memory.Holder
 	headerSent bool
 	tokens     int
 	// billed is the number of tokens billed.
@@ -152,6 +160,9 @@
 		resp.firstTokenAt = resp.lastTokenAt
 	}
 	if !resp.req.stream {
+		if err := resp.memory.AddRead(len(f.Text), resp.text.Len()); err != nil {
+			return err
+		}
 		resp.text.WriteString(f.Text)
 		return nil
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -21,6 +21,7 @@
 	"cranberryrail/core/conf"
 	"cranberryrail/core/events"
 	"cranberryrail/core/ledger"
+	"cranberryrail/core/memory"
 	"cranberryrail/core/once"
 	"cranberryrail/core/poison"
 	"cranberryrail/core/rate"
@@ -65,6 +66,7 @@
 	plat            *plat.Client
 	platformLog     tail.Log
 	target          *target.Client
+	answers         *memory.Pool
 	crashes         *poison.Tracker
 	crashFeed       *tail.Feed
 	abandoned       *poison.Watcher
@@ -124,9 +126,14 @@
 	n.makeOper()
 }
 
+// answerMemoryBytes limits the answers in flight that are held until they are complete: 64 replies of services of the largest size.
+const answerMemoryBytes = 256 << 20
+
 func (n *Node) makeTarget() {
 	s := n.Settings.Target
+	n.answers = &memory.Pool{Bytes: answerMemoryBytes}
 	n.target = &target.Client{
+		Memory:       n.answers,
 		FrameTimeout: s.FrameTimeoutMS.Duration(), FirstFrameTimeout: s.FirstFrameTimeoutMS.Duration(),
 		DialTimeout: s.DialTimeoutMS.Duration(), CallTimeout: s.CallTimeoutMS.Duration(),
 	}
@@ -235,7 +242,7 @@
 			t, ok := n.config.load().byKeyHash[sha256]
 			return t, ok
 		},
-		OnServed: n.onServed, Ledger: n.LedgerOf, Once: n.OnceOf, Route: n.Route, CallService: newServiceCaller(n.target),
+		Memory: n.answers, OnServed: n.onServed, Ledger: n.LedgerOf, Once: n.OnceOf, Route: n.Route, CallService: newServiceCaller(n.target),
 		Crashes: n.crashes, HasCrashed: n.hasCrashed, Abandoned: n.abandoned,
 		Generate: &serve.Server{
 			Pick: n.Route.Pick, Done: n.Route.Done, Retry: n.Route.TryRetry, Open: newStreamOpener(n.target, n.onStreamOpened), Cancel: n.cancelAttempt,
--- a/io/target/endless_test.go
+++ b/io/target/endless_test.go
@@ -7,11 +7,13 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"cranberryrail/core/memory"
 	"cranberryrail/io/target"
 )
 
@@ -98,3 +100,33 @@
 		})
 	}
 }
+
+// TestStalledRepliesShareMemory guards against services that stop within large replies, which use up the memory of the process.
+func TestStalledRepliesShareMemory(t *testing.T) {
+	const calls, limit, size = 16, 4 << 20, 1_000_000
+	addr := startRaw(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", "2000000")
+		_, _ = w.Write(make([]byte, size)) // fails once the client has closed the connection
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	})
+	c := &target.Client{Memory: &memory.Pool{Bytes: limit}}
+	c.Default()
+	ctx, cancel := context.WithCancel(t.Context())
+	errs := make(chan error, calls)
+	var group sync.WaitGroup
+	for range calls {
+		group.Go(func() {
+			_, err := c.CallService(ctx, addr, "submit", "k", nil, nil)
+			errs <- err
+		})
+	}
+	for range calls - limit/size {
+		err := <-errs
+		assert.ErrorIs(t, err, memory.ErrUsedUp)
+		assert.Assert(t, assertKind(t, err, target.Failed).Sent)
+	}
+	cancel()
+	group.Wait()
+	assert.NilError(t, c.Memory.NewHolder(nil).Add(limit)) // nothing is counted any more
+}
--- a/io/target/service.go
+++ b/io/target/service.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"net/url"
 	"sync/atomic"
+
+	"cranberryrail/core/memory"
 )
 
 // Headers of the calls to plain services.
@@ -58,7 +60,9 @@
 		return nil, transportError(ctx, addr, nc.seal() > 0, fmt.Errorf("call %s: %w", operation, err))
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return c.readReply(ctx, addr, operation, resp)
+	holder := c.Memory.NewHolder(cancel)
+	defer holder.Release()
+	return c.readReply(ctx, addr, operation, resp, holder)
 }
 
 func newServiceRequest(
@@ -97,7 +101,7 @@
 
 // readReply reads the complete response. A response whose end cannot be distinguished from a broken connection counts
 // as truncated.
-func (c *Client) readReply(ctx context.Context, addr, operation string, resp *http.Response) (*Reply, error) {
+func (c *Client) readReply(ctx context.Context, addr, operation string, resp *http.Response, holder *memory.Holder) (*Reply, error) {
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(NotRunHeader) != "" {
 		err := fmt.Errorf("call %s: the service reported that it did not run the call: %s", operation, resp.Header.Get(NotRunHeader))
 		return nil, &Error{Kind: Leaving, Addr: addr, Sent: true, NotRun: true, Err: err}
@@ -110,7 +114,10 @@
 		err := fmt.Errorf("call %s: the response has neither a content length nor a chunked encoding", operation)
 		return nil, &Error{Kind: Truncated, Addr: addr, Sent: true, Err: err}
 	}
-	data, err := readAll(resp.Body, c.MaxReplyBytes)
+	data, err := readAll(&countedReader{Reader: resp.Body, holder: holder}, c.MaxReplyBytes)
+	if err != nil && holder.Ended() {
+		return nil, &Error{Kind: Failed, Addr: addr, Sent: true, Err: fmt.Errorf("call %s: read the response: %w", operation, memory.ErrUsedUp)}
+	}
 	if err != nil {
 		e := transportError(ctx, addr, true, fmt.Errorf("call %s: read the response: %w", operation, err))
 		if errors.Is(err, io.ErrUnexpectedEOF) {
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -16,6 +16,7 @@
 
 	lru "github.com/hashicorp/golang-lru/v2"
 
+	"cranberryrail/core/memory"
 	"cranberryrail/core/roster"
 )
 
@@ -60,6 +61,8 @@
 	CallTimeout time.Duration
 	// MaxReplyBytes is the maximum size of the reply of a plain service.
 	MaxReplyBytes int64
+	// Memory limits the replies of plain services that are being read; optional.
+	Memory *memory.Pool
 	// Dial establishes a connection.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 
@@ -79,6 +82,9 @@
 	if c.MaxReplyBytes == 0 {
 		c.MaxReplyBytes = defaultMaxReplyBytes
 	}
+	if c.Memory == nil {
+		c.Memory = &memory.Pool{}
+	}
 	if c.Dial == nil {
 		c.Dial = (&net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
@@ -218,6 +224,24 @@
 	return data, nil
 }
 
+// countedReader counts what is read as the memory of a holder.
+type countedReader struct {
+	io.Reader
+
+	holder *memory.Holder
+	bytes  int
+}
+
+// Read implements io.Reader.
+func (r *countedReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if ended := r.holder.AddRead(n, r.bytes); ended != nil {
+		return n, ended
+	}
+	r.bytes += n
+	return n, err
+}
+
 var errTooLarge = errors.New("the response exceeds the size limit")
 
 // readAll reads to the end and returns an error if there are more than limit bytes.
