test: an aborted write to a caller that does not read ends

The limit that answers in flight share ends the largest holder also while its caller does not read; the relay's test uses a test double of the listener. This one holds the listener to it over a connection: the write ends with its deadline, and the response does not look complete.

--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"strings"
 	"testing"
@@ -243,3 +244,33 @@
 	assert.NilError(t, first.Wait())
 	post(http.StatusOK)
 }
+
+// TestAbortEndsAWriteToASlowCaller guards against a response that stays in memory until its caller reads it, and against one that looks complete then.
+func TestAbortEndsAWriteToASlowCaller(t *testing.T) {
+	ended := make(chan error, 1)
+	s := startServer(t, func(s *entry.Server) {
+		s.Serve = func(_ context.Context, _ *relay.Request, sink relay.Sink) relay.Result {
+			sink.Head(http.StatusOK, nil, -1)
+			defer time.AfterFunc(50*time.Millisecond, sink.Abort).Stop()
+			var err error
+			for err == nil {
+				err = sink.Write(make([]byte, 1<<20))
+			}
+			ended <- err
+			return relay.Result{Truncated: true}
+		}
+	})
+	c, err := net.Dial("tcp", s.Addr())
+	assert.NilError(t, err)
+	defer c.Close()
+	assert.NilError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	_, err = fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	assert.NilError(t, err)
+	assert.ErrorIs(t, <-ended, os.ErrDeadlineExceeded)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err == nil {
+		defer resp.Body.Close()
+		_, err = io.Copy(io.Discard, resp.Body)
+	}
+	assert.Assert(t, err != nil, "the response looks complete")
+}
