fix: the body of a request is sent from where it is held, without a copy

Callers would have lost their requests with the process: the bodies of requests in flight share a quarter of the memory, but each attempt copied its body behind the head and kept the copy until it was sent. A target that does not read, and a second attempt beside a silent one, make two or three times the share, beside the share of answers that is new.

Long requests are now written as two buffers with one call.

--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -301,10 +301,10 @@
 // roundTrip writes the request and reads the response headers.
 func (resp *Response) roundTrip(ctx context.Context, r *Request) *Error {
 	cn := resp.conn
-	message := encodeRequest(r)
+	head := encodeHead(r)
 	_ = cn.SetDeadline(time.Now().Add(r.HeaderTimeout)) // fails only on a closed connection, where the write fails too
-	if len(message) <= maxInlineWrite {
-		n, err := cn.Write(message)
+	if len(head)+len(r.Body) <= maxInlineWrite {
+		n, err := cn.Write(append(head, r.Body...))
 		if err != nil {
 			phase := Sending
 			if n == 0 && ctx.Err() == nil && !isTimeout(err) {
@@ -313,7 +313,7 @@
 			return &Error{Phase: phase, Timeout: isTimeout(err), Err: err}
 		}
 	} else {
-		resp.writeAsync(message)
+		resp.writeAsync(net.Buffers{head, r.Body})
 	}
 	if err := resp.readHead(r); err != nil {
 		return err
@@ -323,28 +323,27 @@
 
 // writeAsync writes a long request while the response is read, since a target may respond before it
 // has read the whole request.
-func (resp *Response) writeAsync(message []byte) {
+func (resp *Response) writeAsync(message net.Buffers) {
 	resp.writeDone, resp.received, resp.closing = make(chan error, 1), make(chan bool, 1), make(chan struct{})
 	resp.conn.setUserTimeout(0)
 	resp.client.writers.Go(func() error {
-		_, err := resp.conn.Write(message)
+		_, err := message.WriteTo(resp.conn.Conn)
 		resp.writeDone <- err
 		resp.received <- err == nil && resp.conn.awaitReceived(resp.closing)
 		return nil
 	})
 }
 
-// encodeRequest returns the request in wire format.
-func encodeRequest(r *Request) []byte {
+// encodeHead returns the head of a request in wire format, with room for a short body.
+func encodeHead(r *Request) []byte {
 	var b bytes.Buffer
-	b.Grow(1024 + len(r.Body))
+	b.Grow(1024 + min(len(r.Body), maxInlineWrite))
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
 	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.Body))
 	}
 	_ = r.Header.Write(&b) // writes to a buffer don't fail
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
 
--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -507,6 +508,23 @@
 	}
 }
 
+// TestLongBodyIsNotCopied guards against a body that is in memory twice, of which the limit for the bodies of requests counts one.
+func TestLongBodyIsNotCopied(t *testing.T) {
+	s := newTarget(t)
+	r := s.request("1")
+	r.Body = make([]byte, 32<<20)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	results := startExchange(t, newClient(), r)
+	p := s.accept(t)
+	p.readRequest(t)
+	runtime.ReadMemStats(&after)
+	p.send(t, responseTo("1", "one"))
+	assertBody(t, results, "one")
+	allocated := after.TotalAlloc - before.TotalAlloc
+	assert.Assert(t, allocated < uint64(len(r.Body))/2, "%d bytes were allocated", allocated)
+}
+
 // TestNewAddressHasNewConnections guards against requests at the earlier address of a target whose entry was changed while its process goes on.
 func TestNewAddressHasNewConnections(t *testing.T) {
 	before, now, c := newTarget(t), newTarget(t), newClient()
--- a/io/conns/verify.go
+++ b/io/conns/verify.go
@@ -92,7 +92,7 @@
 	if err := cn.SetDeadline(time.Now().Add(r.HeaderTimeout / verificationDivisor)); err != nil {
 		return err
 	}
-	if _, err := cn.Write(encodeRequest(&Request{Method: http.MethodGet, URI: r.Verify.URI, Host: r.Addr})); err != nil {
+	if _, err := cn.Write(encodeHead(&Request{Method: http.MethodGet, URI: r.Verify.URI, Host: r.Addr})); err != nil {
 		return err
 	}
 	head, err := cn.readFinalHead(http.MethodGet, nil)
