fix: a refused connection shows a crash, not a lost path

While targets crash under a part of a prompt, callers got 503 (3001, neither this instance nor one that it can ask reaches a target) although others were sound. A machine that refuses a connection is reached; now only two targets that do not reply, or the refusal of all that are listed, count as a cut, and each further one is tried at once. TestCrashesAreNoCut fails before (the tracker knew no refusals).

--- a/core/detour/detour.go
+++ b/core/detour/detour.go
@@ -47,8 +47,8 @@
 type service struct {
 	// targets is the number of targets of the service.
 	targets int
-	// unreachable holds the targets that could not be connected to since the last one that could.
-	unreachable map[string]struct{}
+	// unreachable holds the targets that could not be connected to since the last one that could, and whether their machines refused the connection.
+	unreachable map[string]bool
 	cut         bool
 }
 
@@ -86,7 +86,7 @@
 func (t *Tracker) service(name string) *service {
 	s := t.services[name]
 	if s == nil {
-		s = &service{unreachable: map[string]struct{}{}}
+		s = &service{unreachable: map[string]bool{}}
 		t.services[name] = s
 	}
 	return s
@@ -108,19 +108,37 @@
 
 // Unreachable records that no connection to a target of a service could be opened. It reports whether another target should be tried now: each one is tried
 // once, since one that is reachable ends the cut.
-func (t *Tracker) Unreachable(name, target string) bool {
+func (t *Tracker) Unreachable(name, target string) bool { return t.record(name, target, false) }
+
+// Refused is Unreachable for a target whose machine refused the connection. The path to it is not lost; the instance counts as cut off only if all targets refuse, since
+// several may have crashed together.
+func (t *Tracker) Refused(name, target string) bool { return t.record(name, target, true) }
+
+func (t *Tracker) record(name, target string, refused bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.service(name)
 	_, known := s.unreachable[target]
-	s.unreachable[target] = struct{}{}
-	if !s.cut && len(s.unreachable) >= min(minUnreachable, max(s.targets, 1)) {
+	s.unreachable[target] = refused
+	if !s.cut && s.isCut() {
 		s.cut = true
 		t.OnCut(name, true)
 	}
 	return !known
 }
 
+// isCut reports whether enough targets could not be connected to.
+func (s *service) isCut() bool {
+	lost := 0
+	for _, refused := range s.unreachable {
+		if !refused {
+			lost++
+		}
+	}
+	all := max(s.targets, 1)
+	return lost >= min(minUnreachable, all) || len(s.unreachable) >= all
+}
+
 // IsUnreachable reports whether a target of a service could not be connected to since the last one that could.
 func (t *Tracker) IsUnreachable(name, target string) bool {
 	t.mu.Lock()
--- a/core/detour/detour_test.go
+++ b/core/detour/detour_test.go
@@ -52,6 +52,21 @@
 	})
 }
 
+// TestCrashesAreNoCut guards against requests that are refused although there are sound targets, because several crash together and each instance counts as cut off.
+func TestCrashesAreNoCut(t *testing.T) {
+	f := newFixture("a")
+	f.Refused("claims", "t0")
+	f.Refused("claims", "t1")
+	assert.Assert(t, !f.Cut("claims"), "the third one may be sound")
+	f.Refused("claims", "t2")
+	assert.Assert(t, f.Cut("claims") && f.Connected("claims"))
+	f.Refused("claims", "t0")
+	f.Unreachable("claims", "t1")
+	assert.Assert(t, !f.Cut("claims"))
+	f.Unreachable("claims", "t0")
+	assert.Assert(t, f.Cut("claims"), "two are lost")
+}
+
 // TestHelper guards against instances that are asked again although they can't help.
 func TestHelper(t *testing.T) {
 	f := newFixture("a", "b", "c")
--- a/io/router/detour.go
+++ b/io/router/detour.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -64,7 +65,11 @@
 		}
 		return
 	}
-	if r.detours.Unreachable(t.Service, t.Incarnation) {
+	record := r.detours.Unreachable
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		record = r.detours.Refused
+	}
+	if record(t.Service, t.Incarnation) {
 		r.pathSuspect(t.Service)
 	}
 }
