fix: callers that close only their sending direction get a refusal

A caller that had ended its sending direction after a whole request, and waited for its answer, got a closed connection without an answer or a refusal (LOST).

net/http cancels a request when it reads the end of what the caller sends, which is the same for a caller that has left. The request is abandoned in both cases, since targets should not work for callers that have left, but its connection was then closed without a word.

Open: a stream that has begun when its caller ends the sending direction is still cut.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -171,9 +171,9 @@
 	body   []byte
 }
 
-// Serve relays one request. If Truncated or CallerGone is set in the result, the connection to the
-// caller must be aborted, so that the response does not appear complete. Otherwise, if Refused is
-// set, the caller must be sent that refusal.
+// Serve relays one request. If Refused is set in the result and Truncated is not, the caller must be sent that refusal: one that has disconnected may have
+// closed only its sending direction. Otherwise, if Truncated or CallerGone is set, the connection to the caller must be aborted, so that the response does
+// not appear complete.
 func (s *Server) Serve(ctx context.Context, req *Request, sink Sink) Result {
 	r := &relayedRequest{Server: s, Result: Result{Request: req}, req: req, sink: sink, steps: make(chan step), kept: s.Memory.NewHolder(nil)}
 	defer r.kept.Release()
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -255,7 +255,7 @@
 	// received.
 	Attempts, SentFailures int
 	// Status is the status sent to the caller; 0 if the response was cut off. If the caller disconnected before the
-	// head was sent, it is the status of the refusal that was not sent.
+	// head was sent, it is the status of the refusal, which may not arrive.
 	Status int
 	// TimeToFirstByte is the time to the first byte of the response.
 	TimeToFirstByte time.Duration
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -187,10 +187,10 @@
 	result := s.Serve(r.Context(), req, s.newSink(w, r.Method, x))
 	s.reportEnd(x, s.attribute(r.Context(), result))
 	switch {
+	case result.Refused != nil && !result.Truncated:
+		s.writeRefusal(w, req, result.Refused) // A caller that has closed only its sending direction still waits for it.
 	case result.Truncated || result.CallerGone:
 		panic(http.ErrAbortHandler) // recoverPanic closes the connection, so that the response does not look complete
-	case result.Refused != nil:
-		s.writeRefusal(w, req, result.Refused)
 	}
 }
 
