--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -14,6 +14,7 @@
 	"cranberryrail/core/poison"
 	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
+	"cranberryrail/core/table"
 )
 
 // Limits of one attempt.
@@ -193,8 +194,20 @@
 }
 
 // silenceBound returns the time without a byte of the response after which a target counts as silent.
-func (r *relayedRequest) silenceBound() time.Duration {
-	return max(headerTimeoutFactor*r.route.LatencyObjective, minHeaderTimeout)
+func (r *relayedRequest) silenceBound() time.Duration { return silenceBound(r.route) }
+
+func silenceBound(on *table.Route) time.Duration {
+	return max(headerTimeoutFactor*on.LatencyObjective, minHeaderTimeout)
+}
+
+// SilenceBound returns the time without a byte of the response after which the target of a request counts as silent; 0 if there is no route for it.
+func (s *Server) SilenceBound(host, path string) time.Duration {
+	if t := s.Table(); t != nil {
+		if found := t.Route(host, path); found != nil {
+			return silenceBound(found)
+		}
+	}
+	return 0
 }
 
 // handle handles what the target of an attempt has sent. It reports whether the response is complete.
--- a/io/router/detour.go
+++ b/io/router/detour.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -311,7 +312,7 @@
 		if err != nil {
 			return refusedEnd(codes.From(err, codes.NotRun))
 		}
-		end, outcome := r.exchangeFor(ctx, f, choice.Target, deadline, w)
+		end, outcome := r.exchangeFor(ctx, f, choice, deadline, w)
 		r.routeClient.Done(choice.DispatchID, outcome)
 		if end.Failure != string(relay.Unreachable) {
 			end.TargetID, end.Incarnation = choice.Target.ID, choice.Target.Incarnation
@@ -327,28 +328,28 @@
 
 // exchangeFor sends a request of another instance to a target and passes the response on. It returns the outcome for the instance, and that for the
 // health of the target. A panic fails the exchange: nothing else recovers it.
-func (r *Router) exchangeFor(ctx context.Context, f peer.Forward, t roster.Target, deadline time.Time, w peer.ForwardWriter) (end peer.ForwardEnd, outcome route.Outcome) {
+func (r *Router) exchangeFor(ctx context.Context, f peer.Forward, choice route.Choice, deadline time.Time, w peer.ForwardWriter) (end peer.ForwardEnd, outcome route.Outcome) {
 	defer func() {
 		if reason := recover(); reason != nil {
 			r.logPanic(reason)
 			end, outcome = peer.ForwardEnd{Failure: string(relay.Invalid), Sent: true, Detail: "the exchange panicked"}, route.Failed
 		}
 	}()
-	left := time.Until(deadline)
-	d := relay.Dispatch{
-		Request: &relay.Request{ID: f.RequestID, Method: f.Method, Host: f.Host, URI: f.URI, Header: f.Header, Body: f.Body},
-		Target:  t, Organisation: f.Organisation, Priority: f.Priority, Remaining: left, HeaderTimeout: min(left, f.HeaderTimeout),
-		LastEventID: f.LastEventID, NonIdempotent: f.NonIdempotent, Repeated: slices.Contains(f.Avoid, t.ID),
-		Resumable: f.Software != "" || f.HasPrompt && !f.NonIdempotent, // The other instance may not state it.
-	}
-	if f.HasPrompt {
-		d.Prompt = &relay.Prompt{}
-	}
-	header := http.Header{}
+	t, left := choice.Target, time.Until(deadline)
+	d := forwardedDispatch(f, t, left)
+	bound := r.silenceBound(f)
+	silence := time.AfterFunc(bound, func() {
+		if !f.NonIdempotent {
+			r.targetSilent(d, choice.DispatchID)
+		}
+	})
+	defer silence.Stop()
+	header, progressAt := http.Header{}, time.Now()
 	response, err := r.dispatchTo(ctx, d, func(raw http.Header) { header = raw.Clone() })
 	if err != nil {
-		return r.failedEnd(ctx, t, deadline, err)
+		return r.failedEnd(ctx, t, deadline, progressAt.Add(bound), err)
 	}
+	silence.Stop()
 	defer response.Close()
 	response.SetReadTimeout(max(left, f.HeaderTimeout))
 	head := peer.ForwardHead{TargetID: t.ID, Incarnation: t.Incarnation, Software: t.Software, Status: response.Status, Header: header, Unframed: response.Unframed}
@@ -356,6 +357,7 @@
 		return cancelledEnd(err)
 	}
 	for buffer := make([]byte, readBufferBytes); ; {
+		progressAt = time.Now()
 		n, err := response.Read(buffer)
 		if n > 0 {
 			r.link.Add(n)
@@ -367,11 +369,35 @@
 		case err == io.EOF: //nolint:errorlint // Read returns io.EOF itself
 			return peer.ForwardEnd{Sent: true}, outcomeOf(response)
 		case err != nil:
-			return r.failedEnd(ctx, t, deadline, err)
+			return r.failedEnd(ctx, t, deadline, progressAt.Add(bound), err)
 		}
 	}
 }
 
+// forwardedDispatch returns the dispatch of a request of another instance to a target.
+func forwardedDispatch(f peer.Forward, t roster.Target, left time.Duration) relay.Dispatch {
+	d := relay.Dispatch{
+		Request: &relay.Request{ID: f.RequestID, Method: f.Method, Host: f.Host, URI: f.URI, Header: f.Header, Body: f.Body},
+		Target:  t, Organisation: f.Organisation, Priority: f.Priority, Remaining: left, HeaderTimeout: min(left, f.HeaderTimeout),
+		LastEventID: f.LastEventID, NonIdempotent: f.NonIdempotent, Repeated: slices.Contains(f.Avoid, t.ID),
+		Resumable: f.Software != "" || f.HasPrompt && !f.NonIdempotent, // The other instance may not state it.
+	}
+	if f.HasPrompt {
+		d.Prompt = &relay.Prompt{}
+	}
+	return d
+}
+
+// silenceBound returns the time without a byte after which the target of a request of another instance counts as silent. Without a route for the
+// request here, that is its time limit.
+func (r *Router) silenceBound(f peer.Forward) time.Duration {
+	path, _, _ := strings.Cut(f.URI, "?")
+	if bound := r.relay.SilenceBound(f.Host, path); bound > 0 {
+		return bound
+	}
+	return f.Remaining
+}
+
 // readBufferBytes is the size of the buffer of a forwarded response: some events.
 const readBufferBytes = 8 << 10
 
@@ -379,16 +405,20 @@
 	return peer.ForwardEnd{Failure: string(relay.Cancelled), Sent: true, Detail: err.Error()}, route.Cancelled
 }
 
-// failedEnd returns the outcome of a failed attempt.
-func (r *Router) failedEnd(ctx context.Context, t roster.Target, deadline time.Time, err error) (peer.ForwardEnd, route.Outcome) {
+// failedEnd returns the outcome of a failed attempt, at a target that counts as silent if nothing has come by the time silentAt.
+func (r *Router) failedEnd(ctx context.Context, t roster.Target, deadline, silentAt time.Time, err error) (peer.ForwardEnd, route.Outcome) {
 	f := &relay.AttemptError{Kind: relay.Broken, Sent: true, Err: err}
 	errors.As(err, &f)
 	end := peer.ForwardEnd{Failure: string(f.Kind), Sent: f.Sent, Detail: f.Error()}
+	now := time.Now()
+	isOver := ctx.Err() != nil || !now.Before(deadline)
 	switch {
-	case ctx.Err() != nil || !time.Now().Before(deadline):
+	case isOver && (!f.Sent || now.Before(silentAt)):
 		return end, route.Cancelled
-	case f.Kind == relay.Silent:
+	case f.Kind == relay.Silent || isOver && !now.Before(deadline.Add(-forwardMargin)): // The other instance may have ended it at its deadline.
 		return end, route.Silent
+	case isOver:
+		return end, route.Failed
 	}
 	end.Crashed = f.Sent && (f.Kind == relay.Broken || f.Kind == relay.Invalid) && r.hasCrashed(ctx, t)
 	return end, route.Failed
--- a/io/router/detour_test.go
+++ b/io/router/detour_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -13,8 +15,12 @@
 	"gotest.tools/v3/assert"
 
 	"cranberryrail/core/detour"
+	"cranberryrail/core/relay"
 	"cranberryrail/core/roster"
+	"cranberryrail/core/route"
+	"cranberryrail/core/table"
 	"cranberryrail/io/conns"
+	"cranberryrail/io/peer"
 )
 
 // newPathWatcher returns an instance with three targets for each service, to which no connection can be opened, and that checks paths.
@@ -93,3 +99,37 @@
 		assert.DeepEqual(t, r.detours.CutServices(), services)
 	})
 }
+
+// TestHangingTargetIsLeftOutForOthers guards against requests of other instances that are sent to a target that hangs, one after the other, because each of them is
+// ended by the instance that sent it.
+func TestHangingTargetIsLeftOutForOthers(t *testing.T) {
+	const service, limit = "s", route.BaseEjectionTime / 2
+	for name, once := range map[string]bool{"may be repeated": false, "must not be repeated": true} {
+		t.Run(name, func(t *testing.T) {
+			r, _ := start(t, settings, "")
+			r.running.Store(true)
+			r.Platform.BuildHeader = func(relay.Dispatch) http.Header { return http.Header{} }
+			r.conns.Dial = func(context.Context, string, string) (net.Conn, error) {
+				own, other := net.Pipe()
+				context.AfterFunc(t.Context(), func() { _ = other.Close() })
+				var group errgroup.Group
+				group.Go(func() error {
+					_, _ = io.Copy(io.Discard, other) // until the other end is closed
+					return nil
+				})
+				return own, nil
+			}
+			r.table.Apply(table.Config{Version: 1, Routes: []table.Route{{Host: "h", Prefix: "/", LatencyObjective: 100 * time.Millisecond, Shares: []table.Share{{Service: service, Weight: 1}}}}})
+			r.routeClient.SetTargets([]roster.Target{{ID: "0", Service: service, Incarnation: "0@1", State: roster.Live}, {ID: "1", Service: service, Incarnation: "1@1", State: roster.Live}}, 0)
+			ctx, cancel := context.WithTimeout(t.Context(), limit) // The instance that sent the request ends it.
+			defer cancel()
+			end := r.serveForward(ctx, peer.Forward{Service: service, Host: "h", URI: "/x?y", Method: http.MethodPost, NonIdempotent: once, Remaining: limit, HeaderTimeout: limit}, peer.ForwardWriter{})
+			for range 16 {
+				choice, err := r.routeClient.Pick(route.Request{Service: service})
+				assert.NilError(t, err)
+				assert.Assert(t, choice.Target.ID != end.TargetID)
+				r.routeClient.Done(choice.DispatchID, route.Cancelled)
+			}
+		})
+	}
+}
