--- a/core/detour/detour.go
+++ b/core/detour/detour.go
@@ -18,7 +18,7 @@
 	// MaxHelpers is the number of instances that one request asks. Those that can't help refuse within a few ms.
 	MaxHelpers = 3
 	// CutPause is how long an instance is not asked about a service that it does not reach either, BusyPause how long it is not asked after
-	// it refused because of its load, and LostPause after it did not reply.
+	// it refused because of its load, and LostPause after it did not reply. One that may still reply is asked last for LostPause.
 	CutPause  = time.Second
 	BusyPause = 100 * time.Millisecond
 	LostPause = 2 * time.Second
@@ -55,7 +55,8 @@
 // helperKey identifies another instance with respect to a service; the service is empty for all of them.
 type helperKey struct{ addr, service string }
 
-type helper struct{ pausedUntil, goodUntil time.Time }
+// helper is what is known of another instance. It is asked before silentUntil only if there is no other one: a target behind it may have been silent.
+type helper struct{ pausedUntil, silentUntil, goodUntil time.Time }
 
 // String returns the name of the tracker for logs.
 func (t *Tracker) String() string { return "tracker of the paths to services" }
@@ -178,35 +179,54 @@
 
 // Helper returns an instance to ask about a service, other than those that were asked, and whether there is one.
 func (t *Tracker) Helper(name string, asked []string) (string, bool) {
-	now := t.Now()
 	peers := t.Peers()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var good, others []string
+	good, others := t.candidates(peers, name, asked)
+	if len(good) == 0 || len(others) > 0 && t.Random(explore) == 0 {
+		good = others
+	}
+	if len(good) == 0 {
+		return "", false
+	}
+	return good[t.Random(len(good))], true
+}
+
+// candidates returns the instances that have helped lately, and other ones that may help.
+func (t *Tracker) candidates(peers []string, name string, asked []string) (good, others []string) {
+	now := t.Now()
+	var silent []string
 	for _, addr := range peers {
 		h, all := t.helpers[helperKey{addr, name}], t.helpers[helperKey{addr, ""}]
 		switch {
 		case slices.Contains(asked, addr) || h != nil && now.Before(h.pausedUntil) || all != nil && now.Before(all.pausedUntil):
+		case h != nil && now.Before(h.silentUntil):
+			silent = append(silent, addr)
 		case h != nil && now.Before(h.goodUntil):
 			good = append(good, addr)
 		default:
 			others = append(others, addr)
 		}
 	}
-	if len(good) == 0 || len(others) > 0 && t.Random(explore) == 0 {
-		good = others
-	}
-	if len(good) == 0 {
-		return "", false
+	if len(good) == 0 && len(others) == 0 {
+		return nil, silent
 	}
-	return good[t.Random(len(good))], true
+	return good, others
 }
 
 // Helped records that an instance reached a target of a service.
 func (t *Tracker) Helped(addr, name string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.helper(helperKey{addr, name}).goodUntil = t.Now().Add(goodTime)
+	h := t.helper(helperKey{addr, name})
+	h.goodUntil, h.silentUntil = t.Now().Add(goodTime), time.Time{}
+}
+
+// Silent records that an instance, or the target behind it, has sent nothing for long.
+func (t *Tracker) Silent(addr, name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.helper(helperKey{addr, name}).silentUntil = t.Now().Add(LostPause)
 }
 
 // Pause excludes an instance for a time, for one service, or for all if the name is empty.
--- a/core/detour/detour_test.go
+++ b/core/detour/detour_test.go
@@ -91,3 +91,17 @@
 	addr, ok := f.Helper("claims", nil)
 	assert.Assert(t, ok && addr == "b", "an instance that helped is preferred")
 }
+
+// TestSilentHelpersAreAskedLast guards against requests that are refused because a target was silent behind each instance that could help.
+func TestSilentHelpersAreAskedLast(t *testing.T) {
+	f := newFixture("a", "b")
+	f.Silent("a", "claims")
+	addr, ok := f.Helper("claims", nil)
+	assert.Assert(t, ok && addr == "b")
+	f.Silent("b", "claims")
+	_, ok = f.Helper("claims", []string{"a"})
+	assert.Assert(t, ok)
+	f.Pause("a", "", detour.LostPause)
+	_, ok = f.Helper("claims", []string{"b"})
+	assert.Assert(t, !ok, "an instance that did not reply is not asked")
+}
--- a/io/router/detour.go
+++ b/io/router/detour.go
@@ -184,7 +184,7 @@
 		sentAt := time.Now()
 		silent := time.AfterFunc(d.SilenceBound, func() {
 			if !d.NonIdempotent {
-				r.detours.Pause(addr, choice.Service, detour.LostPause) // The next attempt goes by way of another one.
+				r.detours.Silent(addr, choice.Service) // The next attempt goes by way of another one.
 			}
 		})
 		reply, head, end, err := r.forward(ctx, addr, f)
