fix: an entry with a start in the future hides its target no longer

A target got no resumable streams, and after three failures no requests, until it started again, if one entry of the list stated a start in the future: each later entry of the target has an earlier start and counted as a delayed write. Answers in flight there go on.

TestStartInTheFutureHidesNoTarget failed before: the incarnation was that of the future start.

--- a/core/roster/list.go
+++ b/core/roster/list.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"fmt"
 	"slices"
 	"strconv"
 	"strings"
@@ -15,6 +16,11 @@
 // list it again. Writes are delayed by seconds.
 const removedRetention = time.Hour
 
+// maxClockError is how far ahead of this machine's clock no clock of a target is.
+const maxClockError = 24 * time.Hour
+
+var errStart = fmt.Errorf("the start time is more than %v ahead", maxClockError)
+
 // Entry is the description that a target publishes of itself in the platform's list.
 type Entry struct {
 	Target
@@ -92,14 +98,16 @@
 	}
 }
 
-// Put applies a valid entry and reports whether the targets changed.
+// Put applies a decoded entry and reports whether the targets changed.
 func (l *TargetList) Put(e Entry) bool {
+	if time.UnixMilli(e.StartedAtMS).After(l.Now().Add(maxClockError)) {
+		return l.PutInvalid(e.ID, errStart) // It would hide all entries that the target writes later.
+	}
 	known := l.entries[e.ID]
 	if known == nil {
 		known = &record{Entry: e}
 		l.entries[e.ID] = known
-	} else if isOlder(e, known.Entry) || known.removed && !isOlder(known.Entry, e) {
-		// A delayed write, or a removed entry in a restored log, does not describe the present state.
+	} else if known.outdates(e) {
 		return false
 	}
 	before := *known
@@ -115,6 +123,11 @@
 	return !before.present || restarted || before.leaving != known.leaving || !sameTarget(before.Entry, e)
 }
 
+// outdates reports whether an entry does not describe the present state: it is a delayed write, or a removed entry in a restored log.
+func (r *record) outdates(e Entry) bool {
+	return isOlder(e, r.Entry) || r.removed && !isOlder(r.Entry, e)
+}
+
 // isOlder reports whether entry a was written before entry b.
 func isOlder(a, b Entry) bool {
 	return a.StartedAtMS < b.StartedAtMS || a.StartedAtMS == b.StartedAtMS && a.Sequence < b.Sequence
--- a/core/roster/list_test.go
+++ b/core/roster/list_test.go
@@ -162,3 +162,12 @@
 		assert.Equal(t, l.Put(entryOf("a", 1, 1, roster.Live)), !known, "an older entry counts only where the removed one is forgotten")
 	}
 }
+
+// TestStartInTheFutureHidesNoTarget guards against a target that gets no requests until it starts again, because one entry stated a start in the future.
+func TestStartInTheFutureHidesNoTarget(t *testing.T) {
+	l, c := newList()
+	l.Put(entryOf("a", 1, 1, roster.Live))
+	l.Put(entryOf("a", c.now.Add(48*time.Hour).UnixMilli(), 1, roster.Live))
+	l.Put(entryOf("a", 1, 2, roster.Live))
+	assert.DeepEqual(t, l.Targets()[0].Incarnation, roster.Incarnation("a", 1))
+}
