--- a/core/relay/memory_test.go
+++ b/core/relay/memory_test.go
@@ -1,7 +1,6 @@
 package relay_test
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -20,23 +19,6 @@
 	"cranberryrail/fake/script"
 )
 
-// stalled returns a target that sends a text and then nothing.
-func stalled(status int, stream bool, text string) script.Dispatch {
-	return func(ctx context.Context, _ relay.Dispatch) (*relay.Response, error) {
-		left := strings.NewReader(text)
-		return &relay.Response{
-			Status: status, ResponseHead: relay.ResponseHead{HasSignature: true, IsEventStream: stream}, Close: func() {}, SetReadTimeout: func(time.Duration) {},
-			Read: func(p []byte) (int, error) {
-				if left.Len() == 0 {
-					<-ctx.Done()
-					return 0, &relay.AttemptError{Kind: relay.Broken, Sent: true, Err: ctx.Err()}
-				}
-				return left.Read(p)
-			},
-		}, nil
-	}
-}
-
 // TestLargestAnswerMakesRoom guards against the end of an answer because those of other callers use up the memory, and against the end of a request whose
 // target sent too much although another one answers.
 func TestLargestAnswerMakesRoom(t *testing.T) {
@@ -48,9 +30,9 @@
 		large script.Dispatch
 		other script.Dispatch
 	}{
-		"event":   {table.Streaming, stalled(200, true, event), soundStream},
-		"body":    {table.Idempotent, stalled(200, false, body), script.Plain(200, sound, 0, 0)},
-		"refusal": {table.Idempotent, stalled(500, false, body), script.Plain(200, sound, 0, 0)},
+		"event":   {table.Streaming, script.Stalled(200, true, event), soundStream},
+		"body":    {table.Idempotent, script.Stalled(200, false, body), script.Plain(200, sound, 0, 0)},
+		"refusal": {table.Idempotent, script.Stalled(500, false, body), script.Plain(200, sound, 0, 0)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -86,7 +68,7 @@
 func TestUnreadAnswerMakesRoom(t *testing.T) {
 	const callers, limit = 16, 1 << 20
 	large := "data: " + strings.Repeat("x", limit/6) + "\n\n"
-	for name, target := range map[string]script.Dispatch{"event": stalled(200, true, large), "long body": stalled(200, false, strings.Repeat("x", 256<<10))} {
+	for name, target := range map[string]script.Dispatch{"event": script.Stalled(200, true, large), "long body": script.Stalled(200, false, strings.Repeat("x", 256<<10))} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				pool := &memory.Pool{Bytes: limit}
--- a/fake/script/script.go
+++ b/fake/script/script.go
@@ -151,6 +151,23 @@
 	}
 }
 
+// Stalled returns a target with a response, a stream or none, that sends a text and then nothing.
+func Stalled(status int, stream bool, text string) Dispatch {
+	return func(ctx context.Context, _ relay.Dispatch) (*relay.Response, error) {
+		left := strings.NewReader(text)
+		return &relay.Response{
+			Status: status, ResponseHead: relay.ResponseHead{HasSignature: true, IsEventStream: stream}, Close: func() {}, SetReadTimeout: func(time.Duration) {},
+			Read: func(p []byte) (int, error) {
+				if left.Len() > 0 {
+					return left.Read(p)
+				}
+				<-ctx.Done()
+				return 0, &relay.AttemptError{Kind: relay.Broken, Sent: true, Err: ctx.Err()}
+			},
+		}, nil
+	}
+}
+
 // Read returns a function that reads a text in pieces of n bytes, and then returns an error.
 func Read(text string, n int, end error) func(p []byte) (int, error) {
 	left := strings.NewReader(text)
--- a/io/node/faults_test.go
+++ b/io/node/faults_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -23,7 +22,6 @@
 	"cranberryrail/fake/plain"
 	"cranberryrail/fake/platf"
 	"cranberryrail/io/opts"
-	"cranberryrail/io/target"
 )
 
 // shortTimeouts sets timeouts that keep the tests of failures short.
@@ -253,35 +251,10 @@
 	assertSpent(t, f, f.Members[0], "acme/main", 5)
 }
 
-// startLongEngine starts an instance and an engine that answers a prompt "short" with two tokens, and others with long ones after which it is silent.
+// startLongEngine starts an instance and an engine with long answers.
 func startLongEngine(t *testing.T) *fleet.Fleet {
 	t.Helper()
-	long := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		var call target.Call
-		if r.URL.Path != "/v1/generate" || json.NewDecoder(r.Body).Decode(&call) != nil {
-			_, _ = io.WriteString(w, "{}")
-			return
-		}
-		frame := target.Frame{RequestID: call.RequestID, Attempt: call.Attempt, Position: call.ResumeFrom, Text: strings.Repeat("x", 60<<10)}
-		count := 20
-		if call.Prompt == "short" {
-			frame.Text, count = "x", 2
-		}
-		write := func() {
-			data, _ := json.Marshal(frame)
-			_, _ = fmt.Fprintf(w, "data: %s\n\n", data)
-			_ = http.NewResponseController(w).Flush()
-		}
-		for ; frame.Position < count; frame.Position++ {
-			write()
-		}
-		if call.Prompt != "short" {
-			<-r.Context().Done()
-			return
-		}
-		frame.Text, frame.Final, frame.FinishReason, frame.CompletionTokens = "", true, "stop", frame.Position
-		write()
-	}))
+	long := httptest.NewServer(http.HandlerFunc(engine.ServeLong))
 	t.Cleanup(long.Close)
 	f := start(t, &fleet.Fleet{Instances: 1})
 	provisionAll(t, f, 1_000_000)
@@ -299,18 +272,18 @@
 	complete := func(ctx context.Context, prompt string) result {
 		return send(ctx, f.Members[0], "/v1/completions", fleet.Key("acme"), promptBody(prompt, 100, false))
 	}
-	eventually(t, f, func() bool { return complete(t.Context(), "short").status == http.StatusOK })
+	eventually(t, f, func() bool { return complete(t.Context(), engine.ShortPrompt).status == http.StatusOK })
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan result, callers)
 	var group sync.WaitGroup
 	for i := range callers {
 		group.Go(func() { ended <- complete(ctx, fmt.Sprint(i)) })
 	}
-	for range callers - limit/(20*60<<10) {
+	for range callers - limit/engine.LongBytes {
 		assertRefused(t, (<-ended).reply, 3003, "ran")
 	}
 	for range 3 {
-		r := complete(t.Context(), "short")
+		r := complete(t.Context(), engine.ShortPrompt)
 		assert.Equal(t, r.status, http.StatusOK, r.body)
 	}
 	cancel()
--- a/io/target/endless_test.go
+++ b/io/target/endless_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"cranberryrail/core/memory"
+	"cranberryrail/fake/plain"
 	"cranberryrail/io/target"
 )
 
@@ -30,24 +30,6 @@
 	return n, err
 }
 
-// startEndless starts a server that answers each request with a prefix and then a pattern without end.
-func startEndless(t *testing.T, prefix, pattern string) string {
-	t.Helper()
-	block := []byte(strings.Repeat(pattern, 1+4096/len(pattern)))
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			t.Error(err)
-			return
-		}
-		defer func() { _ = conn.Close() }()
-		for _, err = conn.Write([]byte(prefix)); err == nil; _, err = conn.Write(block) {
-		}
-	}))
-	t.Cleanup(server.Close)
-	return strings.TrimPrefix(server.URL, "http://")
-}
-
 // TestEndlessResponses guards against a target that sends without end, in a head or a body, and fills the memory of the process.
 func TestEndlessResponses(t *testing.T) {
 	const (
@@ -81,7 +63,7 @@
 				return readCounter{conn, &read}, err
 			}}
 			c.Default()
-			addr := startEndless(t, form.prefix, form.pattern)
+			addr := startRaw(t, plain.Endless(form.prefix, form.pattern))
 			for operation, call := range map[string]func() error{
 				"generate": func() error { _, err := collect(c, addr, newCall()); return err },
 				"load":     func() error { _, err := c.Load(context.Background(), addr); return err },
