fix: of equally large answers the one that has stood still for longest makes room

Callers would see their whole answers end one after the other. The pool ended the answer that grew whenever it was as large as the largest others, and bodies grow in steps of powers of two, so that ties are the rule: 64 bodies of 256 KiB that their callers do not read, or that their targets do not end, fill the memory of a small instance, and each sound body of over 128 KiB that comes after them ended, also those that must not be repeated, until the time limit of the others. Of equal holders the one now ends that has not changed for longest: it waits for a slow caller or target, while a sound answer holds its bytes for milliseconds.

TestStaleHolderMakesRoom before: "at once" failed with "error is not nil: the answers in flight exceed the memory for them, and this one holds the most", "in steps" ended the holders 0 and 2 in place of 0 and 1.

--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -21,6 +21,7 @@
 
 	mu      sync.Mutex
 	used    int64
+	changes int64
 	holders map[*Holder]struct{}
 }
 
@@ -39,7 +40,9 @@
 	pool  *Pool
 	onEnd func()
 	bytes int64
-	ended atomic.Bool
+	// changed is the number of the change of the pool that set bytes.
+	changed int64
+	ended   atomic.Bool
 }
 
 // NewHolder returns a holder of no bytes. If it is ended, onEnd is called, which must release what it holds and must not call the pool. A holder
@@ -74,20 +77,26 @@
 	return nil
 }
 
-// largest returns the largest holder that may be ended, which is h if it is as large as others.
+// largest returns the largest holder that may be ended. Of equal ones it is the one that has not changed for longest, whose caller or target is slow.
 func (p *Pool) largest(h *Holder) *Holder {
 	for other := range p.holders {
-		if other.onEnd != nil && (h.onEnd == nil || other.bytes > h.bytes) {
+		if other.onEnd != nil && (h.onEnd == nil || other.isBefore(h)) {
 			h = other
 		}
 	}
 	return h
 }
 
+// isBefore reports whether h ends before another holder.
+func (h *Holder) isBefore(other *Holder) bool {
+	return h.bytes > other.bytes || h.bytes == other.bytes && h.changed < other.changed
+}
+
 // set sets the bytes of a holder.
 func (p *Pool) set(h *Holder, bytes int64) {
 	p.used += bytes - h.bytes
-	h.bytes = bytes
+	p.changes++
+	h.bytes, h.changed = bytes, p.changes
 	if bytes <= 0 {
 		delete(p.holders, h)
 		return
--- a/core/memory/memory_test.go
+++ b/core/memory/memory_test.go
@@ -38,3 +38,25 @@
 	hold("fourth", 3*limit/4)
 	assert.Equal(t, len(ended), 2)
 }
+
+// TestStaleHolderMakesRoom guards against the end of each new answer while as large ones fill the memory that their callers do not read or their targets do not end.
+func TestStaleHolderMakesRoom(t *testing.T) {
+	const size = 16 << 10
+	for name, grow := range map[string][]int{"at once": {size}, "in steps": {size / 4, size / 4, size / 2}} {
+		t.Run(name, func(t *testing.T) {
+			p := &memory.Pool{Bytes: 4 * size}
+			var ended []int
+			hold := func(i int) (err error) {
+				h := p.NewHolder(func() { ended = append(ended, i) })
+				for _, n := range grow {
+					err = h.Add(n)
+				}
+				return err
+			}
+			for i := range 6 {
+				assert.NilError(t, hold(i))
+			}
+			assert.DeepEqual(t, ended, []int{0, 1})
+		})
+	}
+}
