fix: bodies of requests of other instances share the memory of those of callers

What callers would see: an instance runs out of memory and all its requests end. Instances that are cut off from a service send their requests by way of the others, each up to its own limit of a quarter of the memory. An instance that helps counted these requests (at most 128) but not their bodies of up to 8 MB each, so that some cut-off instances with long bodies exceed the memory of the one that helps. The bodies now count with those of its own callers; one too many is refused with the code that the other instance knows as busy, and goes to a third one.

TestBodiesOfOtherInstancesShareTheMemory before: with room for two, for three and for none, 8 of 8 nested requests were taken ("8 (taken int) != 2", "!= 3", "!= 0").

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -288,6 +288,19 @@
 	return req, nil
 }
 
+// ReserveBody counts a body of a request of another instance with the buffered ones, and reports whether there is memory for it. ReleaseBody must be called
+// if so.
+func (s *Server) ReserveBody(bytes int) bool {
+	if s.bufferedBytes.Add(int64(bytes)) > s.MaxBufferedBytes && bytes > 0 {
+		s.ReleaseBody(bytes)
+		return false
+	}
+	return true
+}
+
+// ReleaseBody ends what ReserveBody counted.
+func (s *Server) ReleaseBody(bytes int) { s.bufferedBytes.Add(-int64(bytes)) }
+
 // refuseBodyMemory refuses a request whose body does not fit into the memory for bodies.
 func (s *Server) refuseBodyMemory() *codes.Error {
 	return codes.Refuse(codes.TooManyInFlight, retryBodyMemory, "the buffered bodies of requests in flight use %d bytes, which leaves too little memory for this one; retry later", s.bufferedBytes.Load())
--- a/io/router/detour.go
+++ b/io/router/detour.go
@@ -289,7 +289,7 @@
 	}
 }
 
-// serveForward sends a request of another instance to a target. It holds to what the target asks of this instance.
+// serveForward sends a request of another instance to a target. It holds to what the target asks of this instance. Its body shares the memory of those of callers.
 func (r *Router) serveForward(ctx context.Context, f peer.Forward, w peer.ForwardWriter) peer.ForwardEnd {
 	if !r.running.Load() {
 		return refusedEnd(codes.Refuse(codes.Stopping, 0, "the instance is stopping"))
@@ -299,6 +299,10 @@
 		return refusedEnd(codes.Refuse(codes.TooManyInFlight, detour.BusyPause, "%d requests of other instances are in flight", maxForwarded))
 	}
 	defer r.forwarded.Add(-1)
+	if !r.entry.ReserveBody(len(f.Body)) {
+		return refusedEnd(codes.Refuse(codes.TooManyInFlight, detour.BusyPause, "the bodies of requests in flight use the memory for them"))
+	}
+	defer r.entry.ReleaseBody(len(f.Body))
 	deadline := time.Now().Add(f.Remaining)
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(max(f.HeaderTimeout-f.Remaining, 0))) // The instance that sent the request ends it before.
 	defer cancel()
--- a/io/router/serve_test.go
+++ b/io/router/serve_test.go
@@ -36,6 +36,47 @@
 	assert.Equal(t, r.forwarded.Load(), int64(0))
 }
 
+// TestBodiesOfOtherInstancesShareTheMemory guards against a process that runs out of memory, because many instances that are cut off send it long requests at once.
+func TestBodiesOfOtherInstancesShareTheMemory(t *testing.T) {
+	const limit = 1 << 20
+	for name, c := range map[string]struct {
+		bytes, expected int
+	}{
+		"room for two":    {limit / 2, 2},
+		"room for three":  {limit / 3, 3},
+		"no room for one": {limit + 1, 0},
+		"no body":         {0, 8},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, _ := start(t, settings, "")
+			r.running.Store(true)
+			r.entry.MaxBufferedBytes = limit
+			taken, refused := 0, 0
+			forward := func(left int) {
+				if left <= 0 {
+					return
+				}
+				end := r.serveForward(t.Context(), peer.Forward{Service: "s", Remaining: time.Second, Body: make([]byte, c.bytes)}, peer.ForwardWriter{})
+				if end.Code == codes.TooManyInFlight.Number && !end.Sent {
+					refused++
+				}
+			}
+			r.Platform.BuildHeader = func(relay.Dispatch) http.Header {
+				taken++
+				forward(8 - taken - refused) // while this one is in flight
+				panic("ends the exchange")
+			}
+			r.routeClient.SetTargets([]roster.Target{{ID: "t", Service: "s", Incarnation: "t@1", State: roster.Live}}, 0)
+			forward(8)
+			assert.Equal(t, taken, c.expected)
+			assert.Equal(t, refused, min(1, 8-c.expected))
+			r.entry.MaxBufferedBytes = int64(c.bytes) // nothing is counted any more
+			forward(1)
+			assert.Assert(t, taken > c.expected)
+		})
+	}
+}
+
 // TestFailedRequestIsNoSuccessfulAttempt guards against a request of which all attempts failed and that counts as an attempt that succeeded too.
 func TestFailedRequestIsNoSuccessfulAttempt(t *testing.T) {
 	r, _ := start(t, settings, "")
