fix: the kinds of requests whose time is known are limited

What callers would see: an instance of the own interface runs out of memory and their requests end. Callers state the operation of a service in the path, up to the length of a head, and core/spans kept the time of each under its name for two to four minutes, so that ever new operations use memory without limit. At most 4096 kinds are known in each window now, by the first 64 bytes of their names; those beyond count as one kind, so that a stop still refuses what may last too long.

--- a/core/spans/spans.go
+++ b/core/spans/spans.go
@@ -2,6 +2,7 @@
 package spans
 
 import (
+	"strings"
 	"sync"
 	"time"
 )
@@ -9,6 +10,15 @@
 // window is how long a span counts after its end, at least; at most it is twice as long. It holds some dozens of the longest requests that routes allow by default.
 const window = 2 * time.Minute
 
+// Limits of the kinds that are known, since callers may state them: several times the routes of a large installation, and the length of their names.
+const (
+	maxKinds     = 4096
+	maxKindBytes = 64
+)
+
+// otherKinds is the kind of those beyond maxKinds.
+const otherKinds = ""
+
 // Tracker knows the longest span of each kind: of those that ended lately, and of those in progress. Its zero value is ready to use, and a nil
 // Tracker knows none. It is safe for concurrent use.
 type Tracker struct {
@@ -34,7 +44,7 @@
 	if t == nil {
 		return nil
 	}
-	s := &Span{tracker: t, kind: kind, began: at}
+	s := &Span{tracker: t, kind: strings.Clone(shorten(kind)), began: at}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.inProgress == nil {
@@ -54,10 +64,17 @@
 	defer t.mu.Unlock()
 	delete(t.inProgress, s)
 	t.rotate(at)
-	t.current[s.kind] = max(t.current[s.kind], at.Sub(s.began))
+	kind := s.kind
+	if _, known := t.current[kind]; !known && len(t.current) >= maxKinds {
+		kind = otherKinds
+	}
+	t.current[kind] = max(t.current[kind], at.Sub(s.began))
 }
 
-// Longest returns the longest span of a kind at a time; 0 if none is known.
+// shorten returns the part of a kind that distinguishes it.
+func shorten(kind string) string { return kind[:min(len(kind), maxKindBytes)] }
+
+// Longest returns the longest span of a kind at a time; 0 if none is known. Kinds beyond maxKinds count as one.
 func (t *Tracker) Longest(kind string, at time.Time) time.Duration {
 	if t == nil {
 		return 0
@@ -65,7 +82,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.rotate(at)
-	longest := max(t.current[kind], t.previous[kind])
+	kind = shorten(kind)
+	longest := max(longestOf(t.current, kind), longestOf(t.previous, kind))
 	for s := range t.inProgress {
 		if s.kind == kind {
 			longest = max(longest, at.Sub(s.began))
@@ -74,6 +92,14 @@
 	return longest
 }
 
+// longestOf returns the longest span of a kind in a window.
+func longestOf(window map[string]time.Duration, kind string) time.Duration {
+	if longest, known := window[kind]; known {
+		return longest
+	}
+	return window[otherKinds]
+}
+
 // rotate begins a new window if the current one is over.
 func (t *Tracker) rotate(at time.Time) {
 	switch age := at.Sub(t.windowBegan); {
--- a/core/spans/spans_test.go
+++ b/core/spans/spans_test.go
@@ -1,6 +1,9 @@
 package spans_test
 
 import (
+	"fmt"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -34,3 +37,26 @@
 	none.Begin("stream", began).End(began)
 	assert.Equal(t, none.Longest("stream", began), time.Duration(0))
 }
+
+// TestKindsUseLimitedMemory guards against a process that runs out of memory, because callers state ever new operations and all of them are remembered.
+func TestKindsUseLimitedMemory(t *testing.T) {
+	const kinds, limit = 20_000, 4 << 20
+	began := time.Unix(1_000, 0)
+	var tracker spans.Tracker
+	memory := func() int64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return int64(m.HeapAlloc) //nolint:gosec // far below the maximum
+	}
+	tracker.Begin("call", began).End(began.Add(time.Second))
+	before := memory()
+	for i := range kinds {
+		tracker.Begin(fmt.Sprint(i, strings.Repeat("x", 1000)), began).End(began.Add(2 * time.Second))
+	}
+	used := memory() - before
+	assert.Assert(t, used < limit, "%d bytes", used)
+	at := began.Add(3 * time.Second)
+	assert.Equal(t, tracker.Longest("call", at), time.Second)
+	assert.Equal(t, tracker.Longest(fmt.Sprint(kinds-1, strings.Repeat("x", 1000)), at), 2*time.Second) // not taken for a short one
+}
