fix: an answer that is ended while its caller does not read is logged as such

Operators would see a cut answer without a cause: when memory is short and the caller of the largest answer does not read, the write is aborted, but no line 5029 and no count of cranberryrail_answers_ended_early_total follows, since nothing recorded who ended it. It is this process.

TestUnreadAnswerMakesRoom before, with the check of the field: 18 requests 'ended by ""'.

--- a/core/relay/ending.go
+++ b/core/relay/ending.go
@@ -11,7 +11,8 @@
 	ByDeadline Ender = "deadline"
 	// ByTarget means that the last attempt failed and none followed it.
 	ByTarget Ender = "target"
-	// ByProcess means that this instance ended it: it stopped, a handler panicked, or the origin of a stream was not recorded.
+	// ByProcess means that this instance ended it: it stopped, a handler panicked, memory was short while the caller did not read, or the origin of a stream was
+	// not recorded.
 	ByProcess Ender = "process"
 )
 
--- a/core/relay/memory_test.go
+++ b/core/relay/memory_test.go
@@ -64,7 +64,7 @@
 	}
 }
 
-// TestUnreadAnswerMakesRoom guards against large answers that stay in memory because their callers don't read them.
+// TestUnreadAnswerMakesRoom guards against large answers that stay in memory because their callers don't read them, and against their end without a line in the log.
 func TestUnreadAnswerMakesRoom(t *testing.T) {
 	const callers, limit = 16, 1 << 20
 	large := "data: " + strings.Repeat("x", limit/6) + "\n\n"
@@ -93,6 +93,7 @@
 						})
 						if result.Refused != nil && errors.Is(result.Refused.Err, memory.ErrUsedUp) {
 							ended.Add(1)
+							assert.Check(t, result.EndedBy == relay.ByProcess, "ended by %q", result.EndedBy)
 						}
 					})
 				}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -469,6 +469,7 @@
 // nil if the fallback was sent instead.
 func (r *relayedRequest) interruptionRefusal(ctx context.Context, failed *AttemptError) *codes.Error {
 	if failed.Kind == Cancelled && errors.Is(failed.Err, memory.ErrUsedUp) {
+		r.endedBy(ByProcess)
 		return &codes.Error{Code: codes.AnswerCut, Run: r.execution(), Detail: "the caller did not read its response while memory was short", Err: failed}
 	}
 	// The context may end in between; its cause is set if its error is.
