fix: a stall of an instance that helps is not taken for silence of its targets

What callers would see: refusals, and longer waits, while requests go by way of another instance. That instance starts a timer for each request of another one; when the process stands still for longer than the bound (250 ms), all these timers are due at once, and each target with such a request counts as silent although its answer is in the socket: it is left out, its idle connections are closed and its path is checked. Both timers now do: if one fires more than 50 ms late, it waits as long again, at most the bound.

--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -239,7 +239,7 @@
 			return s // It was due together with the timer, after the caller had been slow.
 		default:
 		}
-		if late := r.Now().Sub(r.silenceDue); late > stallTolerance {
+		if late := r.Now().Sub(r.silenceDue); late > StallTolerance {
 			r.expect(min(late, r.silenceBound())) // This process stood still. What the targets have sent meanwhile is read first.
 			continue
 		}
@@ -247,8 +247,8 @@
 	}
 }
 
-// stallTolerance is how late the timer of a silent target may be. It is several times the latency of a process that is not overloaded.
-const stallTolerance = 50 * time.Millisecond
+// StallTolerance is how late the timer of a silent target may be. It is several times the latency of a process that is not overloaded.
+const StallTolerance = 50 * time.Millisecond
 
 // expect sets the time after which the newest attempt counts as silent; 0 if it never does.
 func (r *relayedRequest) expect(bound time.Duration) {
--- a/io/router/detour.go
+++ b/io/router/detour.go
@@ -182,11 +182,12 @@
 		}
 		asked = append(asked, addr)
 		sentAt := time.Now()
-		silent := time.AfterFunc(d.SilenceBound, func() {
+		silent := &silenceTimer{Now: time.Now, Bound: d.SilenceBound, OnSilent: func() {
 			if !d.NonIdempotent {
 				r.detours.Silent(addr, choice.Service) // The next attempt goes by way of another one.
 			}
-		})
+		}}
+		silent.Start()
 		reply, head, end, err := r.forward(ctx, addr, f)
 		silent.Stop()
 		var failed *peer.ForwardError
@@ -342,11 +343,12 @@
 	t, left := choice.Target, time.Until(deadline)
 	d := forwardedDispatch(f, t, left)
 	bound := r.silenceBound(f)
-	silence := time.AfterFunc(bound, func() {
+	silence := &silenceTimer{Now: time.Now, Bound: bound, OnSilent: func() {
 		if !f.NonIdempotent {
 			r.targetSilent(d, choice.DispatchID)
 		}
-	})
+	}}
+	silence.Start()
 	defer silence.Stop()
 	header, progressAt := http.Header{}, time.Now()
 	response, err := r.dispatchTo(ctx, d, func(raw http.Header) { header = raw.Clone() })
