fix: errors do not quote long heads of targets

What callers would see: an instance runs out of memory and all its requests end. net/http quotes a malformed head in its error, up to 64 KiB of it, which is 240 KiB once it is escaped, and more as JSON. Up to three lines of the log per attempt hold that text, and 1000 lines wait while the log is taken slowly, so that one target that sends bytes without a line end fills 134 MB. The limit of heads and the memory of answers count none of it. The text of an error is at most 1 KiB now.

--- a/io/conns/conns_test.go
+++ b/io/conns/conns_test.go
@@ -487,6 +487,26 @@
 	}
 }
 
+// TestLongHeadIsNotQuoted guards against a process that runs out of memory, because each line of its log that waits to be written quotes a long head of a target.
+func TestLongHeadIsNotQuoted(t *testing.T) {
+	const limit = 2048
+	long := strings.Repeat("\x01", 60<<10)
+	for name, head := range map[string]string{
+		"no response": long, "status": "HTTP/1.1 " + long, "header": "HTTP/1.1 200 OK\r\n" + long, "length": "HTTP/1.1 200 OK\r\nContent-Length: " + long,
+		"lengths": "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: " + long, "encoding": "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + long, "version": "HTTP/1.0 " + long,
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTarget(t)
+			results := startExchange(t, newClient(), s.request("1"))
+			p := s.accept(t)
+			p.readRequest(t)
+			_, _ = io.WriteString(p, head+"\r\n\r\n") // the connection may be closed meanwhile
+			err := (<-results).err
+			assert.Assert(t, err != nil && len(err.Error()) <= limit, "%d bytes", len(fmt.Sprint(err)))
+		})
+	}
+}
+
 // TestHeadIsCounted guards against targets that stop within long heads, which use up the memory beside answers that are counted.
 func TestHeadIsCounted(t *testing.T) {
 	pool := &memory.Pool{Bytes: 32 << 10}
--- a/io/conns/response.go
+++ b/io/conns/response.go
@@ -85,12 +85,27 @@
 	defer cn.input.unlimit()
 	for {
 		head, err := cn.readResponse(method)
-		if err != nil || head.StatusCode >= http.StatusOK {
-			return head, err
+		if err != nil {
+			return nil, shorten(err)
+		}
+		if head.StatusCode >= http.StatusOK {
+			return head, nil
 		}
 	}
 }
 
+// maxErrorBytes limits the text of an error, which may quote a head. It is several times that of an error of a connection.
+const maxErrorBytes = 1024
+
+// shorten returns an error whose text is not longer than maxErrorBytes.
+func shorten(err error) error {
+	text := err.Error()
+	if len(text) <= maxErrorBytes {
+		return err
+	}
+	return errors.New(strings.Clone(text[:maxErrorBytes]))
+}
+
 const (
 	version10 = "HTTP/1.0"
 	version11 = "HTTP/1.1"
