test: a long body was received before its answer ends

Close returns a connection to the pool only if the goroutine that wrote the request has reported by then; on a busy machine it may not have run since its last system call, although the target has read all, and the connection is closed, which the test did not allow for. The target now answers once the time limit of the connection is restored, which follows that report. The check is as strict: it fails without setUserTimeout(0) (connection reset) and without the restored limit (time-out of the test), and the connection must be open at the end.

--- a/io/conns/unread_test.go
+++ b/io/conns/unread_test.go
@@ -57,15 +57,16 @@
 			p.send(t, head)
 			time.Sleep(8 * shortTimeout)
 			assert.Equal(t, p.readRequest(t), "a")
+			for userTimeout(t, opened, 0) != timeout {
+				time.Sleep(time.Millisecond) // until the time limit of the test
+			}
 			if head == "" {
 				p.send(t, responseTo("a", "xx"))
 			} else {
 				p.send(t, "x")
 			}
 			assertBody(t, got, "xx")
-			for userTimeout(t, opened, 0) != timeout {
-				time.Sleep(time.Millisecond) // until the time limit of the test
-			}
+			assert.Equal(t, userTimeout(t, opened, 0), timeout) // The connection is in the pool.
 		})
 	}
 }
