fix: a killed instance of a fleet in one process sends no more answers

Three answers of 48 tokens came from an instance 43 to 57 ms after the demo had killed it; nobody is billed for them, and the summary waits until somebody is. Cause: since the servers write the last responses for up to 100 ms when their context ends. Kill ended only that context, so a "crash" went on to serve while its writer of the log was already gone. A real crash sends nothing. The product is not affected: only tests, soaks and the demo kill an instance within a process. Why it works: Kill closes the connections of the callers first, and returns only then.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -361,9 +361,12 @@
 	return g.Wait()
 }
 
-// Kill stops the instance immediately, like a crash of its process: it finishes no request, records nothing and
+// Kill stops the instance immediately, like a crash of its process: it sends nothing more to callers, finishes no request and
 // returns no allowance. It may be called at most once; tests and the demo use it.
-func (n *Node) Kill() { close(n.killed) }
+func (n *Node) Kill() {
+	n.Front.Close() // before the components end, since a server writes its last responses when its context ends
+	close(n.killed)
+}
 
 // fixedComponents is the number of components that run besides the replicas of ledger and once.
 const fixedComponents = 10
