--- a/fake/fleet/fleet.go
+++ b/fake/fleet/fleet.go
@@ -119,6 +119,14 @@
 
 // Start starts the platform, the targets and the instances, and waits until all instances are ready.
 func (f *Fleet) Start(ctx context.Context) error {
+	if err := f.Launch(ctx); err != nil {
+		return err
+	}
+	return f.AwaitReady(ctx)
+}
+
+// Launch starts the platform, the targets and the instances. All of them stop when ctx ends, the instances as planned.
+func (f *Fleet) Launch(ctx context.Context) error {
 	f.ctx, f.cancel = context.WithCancel(ctx)
 	f.group, f.ctx = errgroup.WithContext(f.ctx)
 	f.Platform.Default()
@@ -137,7 +145,7 @@
 			return err
 		}
 	}
-	return f.AwaitReady(ctx)
+	return nil
 }
 
 // startEngine starts an engine and adds it to the platform's list.
@@ -260,48 +268,72 @@
 
 // AwaitReady waits until all running instances are ready.
 func (f *Fleet) AwaitReady(ctx context.Context) error {
-	return f.Await(ctx, func() bool {
-		for _, m := range f.Members {
-			if !m.Stopped() && !m.Ready() {
-				return false
+	return f.AwaitNothing(ctx, func() string {
+		for _, m := range f.Running() {
+			if !m.Ready() {
+				return m.Settings.Instance.ID + " is not ready"
 			}
 		}
-		return true
+		return ""
 	})
 }
 
 // AwaitConnected waits until all running instances are ready and connected to each other and to the log.
 func (f *Fleet) AwaitConnected(ctx context.Context) error {
-	return f.Await(ctx, func() bool {
-		running := 0
-		for _, m := range f.Members {
-			if !m.Stopped() {
-				running++
-			}
-		}
-		for _, m := range f.Members {
-			if !m.Stopped() && (!m.Ready() || !m.LogReached() || m.PeersReached() < running-1) {
-				return false
+	return f.AwaitNothing(ctx, func() string {
+		running := f.Running()
+		for _, m := range running {
+			switch id, others := m.Settings.Instance.ID, len(running)-1; {
+			case !m.Ready():
+				return id + " is not ready"
+			case !m.LogReached():
+				return id + " does not reach the log"
+			case m.PeersReached() < others:
+				return fmt.Sprintf("%s reaches %d of %d other instances", id, m.PeersReached(), others)
 			}
 		}
-		return true
+		return ""
 	})
 }
 
+// Running returns the instances that have not stopped.
+func (f *Fleet) Running() []*Member {
+	var running []*Member
+	for _, m := range f.Members {
+		if !m.Stopped() {
+			running = append(running, m)
+		}
+	}
+	return running
+}
+
 // Await polls until the condition is true, ctx ends or the fleet is stopped.
 func (f *Fleet) Await(ctx context.Context, condition func() bool) error {
+	return f.AwaitNothing(ctx, func() string {
+		if condition() {
+			return ""
+		}
+		return "its condition is not reached"
+	})
+}
+
+// AwaitNothing polls until missing returns an empty text, ctx ends or the fleet is stopped. The text is what is still waited for; it is part of the error.
+func (f *Fleet) AwaitNothing(ctx context.Context, missing func() string) error {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
-	for !condition() {
+	for {
+		last := missing()
+		if last == "" {
+			return nil
+		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("wait for the fleet: %w", ctx.Err())
+			return fmt.Errorf("wait for the fleet: %s: %w", last, ctx.Err())
 		case <-f.ctx.Done():
-			return errors.New("wait for the fleet: fleet was stopped")
+			return fmt.Errorf("wait for the fleet: %s: fleet was stopped", last)
 		case <-ticker.C:
 		}
 	}
-	return nil
 }
 
 // Stopped reports whether the instance has stopped.
@@ -352,13 +384,13 @@
 	if err := outcome.Err(); err != nil {
 		return err
 	}
-	return f.Await(ctx, func() bool {
-		for _, m := range f.Members {
-			if !m.Stopped() && m.Conf.Version() < outcome.Version {
-				return false
+	return f.AwaitNothing(ctx, func() string {
+		for _, m := range f.Running() {
+			if m.Conf.Version() < outcome.Version {
+				return fmt.Sprintf("%s has version %d of the configuration, published is %d", m.Settings.Instance.ID, m.Conf.Version(), outcome.Version)
 			}
 		}
-		return true
+		return ""
 	})
 }
 
