--- a/cmd/demo.go
+++ b/cmd/demo.go
@@ -11,7 +11,8 @@
 	"cranberryrail/fake/platf"
 )
 
-const demoTimeout = 2 * time.Minute
+// demoTimeout bounds the demo, so that it ends within a minute also when a step can't be reached.
+const demoTimeout = 50 * time.Second
 
 func (a *App) demo() command {
 	sub := newSubcommand("demo", "run a demonstration fleet on fake targets inside this process", "demo")
