refactor: the load around a kill and the wait for bills are parts of the fleet

What callers see does not change. The callers that retry beside a kill, the check that an answer is whole and the wait for its bill were written once in a test and once in the demo; they are now in the package that runs the fleet, and both use them, so that the demo and the test hold the same promise.

--- a/fake/demo/demo.go
+++ b/fake/demo/demo.go
@@ -320,35 +320,16 @@
 // just before its end may have no bill; its tokens stay in what that instance held.
 func (d *Demo) printSummary(ctx context.Context) error {
 	accounts := map[string]fleet.Account{}
-	via := d.fleet.Running()[0]
-	err := d.fleet.AwaitNothing(ctx, func() string {
-		for _, org := range []string{travel, fitness} {
-			account, err := via.Account(budgetOf(org))
-			if err != nil {
-				return err.Error()
-			}
-			accounts[org] = account
-			if due := d.due(account, org); len(due) > 0 {
-				return fmt.Sprintf("%d answers to %s have no bill yet, the first is %s", len(due), org, due[0].Request)
-			}
+	for _, org := range []string{travel, fitness} {
+		account, err := d.fleet.AwaitBills(ctx, budgetOf(org), d.countsOf(org).answers)
+		if err != nil {
+			return err
 		}
-		return ""
-	})
-	if err != nil {
-		return err
+		accounts[org] = account
 	}
 	return d.printTable(accounts)
 }
 
-// due returns the answers of running instances that are not billed yet.
-func (d *Demo) due(account fleet.Account, org string) []fleet.Answer {
-	running := map[string]bool{}
-	for _, m := range d.fleet.Running() {
-		running[m.Incarnation] = true
-	}
-	return slices.DeleteFunc(account.Unbilled(d.countsOf(org).answers), func(a fleet.Answer) bool { return !running[a.Instance] })
-}
-
 // printTable prints the balances and checks them.
 func (d *Demo) printTable(accounts map[string]fleet.Account) error {
 	w := tabwriter.NewWriter(d.Out, 0, 0, 2, ' ', tabwriter.AlignRight)
