fix: the demo sends requests until it has killed an instance

What a new user may see on a machine that stands still for a moment: exit 1 after 25 s, "instance-2 has no request in flight". Not seen in a run; read in the code. Cause: the demo sent 30 requests, which take some 0.2 s, and killed the instance once it saw one in flight; if all had ended before it looked, it waited in vain. Now requests are sent until the instance has ended.

--- a/fake/demo/demo.go
+++ b/fake/demo/demo.go
@@ -212,8 +212,14 @@
 // killInstance kills an instance under load; its callers retry at the others with the same request IDs.
 func (d *Demo) killInstance(ctx context.Context) error {
 	var g errgroup.Group
-	g.Go(func() error { return d.burst(ctx, 30, travel) })
 	victim := d.fleet.Members[2]
+	g.Go(func() error {
+		err := d.burst(ctx, 30, travel)
+		for err == nil && !victim.Stopped() { // until the machine has found time to see a request in flight
+			err = d.burst(ctx, 10, travel)
+		}
+		return err
+	})
 	err := d.fleet.AwaitNothing(ctx, func() string {
 		if victim.Front.InFlight() > 0 {
 			return ""
