--- a/fake/readme/readme.go
+++ b/fake/readme/readme.go
@@ -5,11 +5,13 @@
 	"bytes"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -53,20 +55,25 @@
 	return p.copyExamples()
 }
 
+// Ports below those that systems usually pick for connections, so that none is taken between the search and its use.
+const (
+	firstPort = 20_000
+	portSpan  = 12_000
+)
+
 // findPorts finds a free port for each of the stated ones. They are all in use while it searches, so that they differ.
 func (p *Page) findPorts(ctx context.Context, stated []string) error {
 	p.free = map[string]string{}
-	for _, port := range stated {
-		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	for len(p.free) < len(stated) && ctx.Err() == nil {
+		port := strconv.Itoa(firstPort + rand.IntN(portSpan))
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", net.JoinHostPort("127.0.0.1", port))
 		if err != nil {
-			return err
+			continue // in use
 		}
 		defer func() { _ = l.Close() }()
-		if _, p.free[port], err = net.SplitHostPort(l.Addr().String()); err != nil {
-			return err
-		}
+		p.free[stated[len(p.free)]] = port
 	}
-	return nil
+	return ctx.Err()
 }
 
 func (p *Page) copyExamples() error {
