fix: an answer whose memory is taken back before its write loses no event (LOST)

What callers would see: a stream that ends in order but lacks one of its events, or a connection that is closed without an answer or a refusal. An attempt that is ended to release memory after its step was received, and before that is written, fails without a byte of it being sent. That happens above all while another attempt of the request is ended first, which waits for its exchange. But its event had been recorded as the last one forwarded before, so that the next target resumed after it; and the head of a body was begun before, so that no other target was tried and no refusal could be sent. Now an event counts as forwarded once its write was tried, and a head is not begun for an attempt that has ended.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -383,7 +383,7 @@
 
 // relayLongBody forwards a response that is too long to be buffered.
 func (r *relayedRequest) relayLongBody(a *attempt, prefix []byte) *AttemptError {
-	if failed := r.sendHead(a.response); failed != nil {
+	if failed := r.sendHead(a); failed != nil {
 		return failed
 	}
 	if failed := r.write(a, prefix); failed != nil {
@@ -409,17 +409,20 @@
 }
 
 // sendHead forwards the head of a response of unknown length, unless it was sent before. The answer may then go on until its end. The error means
-// that the deadline has passed.
-func (r *relayedRequest) sendHead(a *Response) *AttemptError {
+// that the deadline has passed, or that the attempt was ended to release memory.
+func (r *relayedRequest) sendHead(a *attempt) *AttemptError {
 	if r.headSent {
 		return nil
 	}
+	if a.memory.Ended() {
+		return usedUpError()
+	}
 	if !r.expiry.Stop() {
 		return &AttemptError{Kind: Silent, Sent: true, Err: context.DeadlineExceeded}
 	}
 	r.expiry.Reset(time.Until(r.end))
-	r.beginAnswer(a.Status)
-	r.sink.Head(a.Status, a.Header, -1)
+	r.beginAnswer(a.response.Status)
+	r.sink.Head(a.response.Status, a.response.Header, -1)
 	return nil
 }
 
@@ -431,7 +434,7 @@
 		return &AttemptError{Kind: Broken, Sent: true, Err: errNoEvent}
 	}
 	r.accept(ctx, a)
-	if failed := r.sendHead(a.response); failed != nil {
+	if failed := r.sendHead(a); failed != nil {
 		return failed
 	}
 	if len(rest) > 0 {
@@ -446,16 +449,20 @@
 		return nil
 	}
 	r.accept(ctx, a)
-	if failed := r.sendHead(a.response); failed != nil {
+	if failed := r.sendHead(a); failed != nil {
 		return failed
 	}
+	failed := r.write(a, e.raw)
+	if failed != nil && failed.Kind != Cancelled {
+		return failed // Nothing of the event was written, so that another target must send it.
+	}
 	r.lastEventID, r.joinable = e.id, e.hasID && e.id != ""
 	r.Events++
 	a.events++
 	if a.events == answerEvents {
 		a.pass.AnswerBegan()
 	}
-	if failed := r.write(a, e.raw); failed != nil {
+	if failed != nil {
 		return failed
 	}
 	if e.held > 0 {
--- a/core/relay/memory_test.go
+++ b/core/relay/memory_test.go
@@ -1,9 +1,12 @@
 package relay_test
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -107,3 +110,53 @@
 		})
 	}
 }
+
+// TestAnswerEndedBeforeItsWriteIsReplaced guards against an answer without one of its events, or a connection that is closed without an answer, because the memory for an
+// answer was taken back when it was about to be forwarded.
+func TestAnswerEndedBeforeItsWriteIsReplaced(t *testing.T) {
+	const limit, size, last = 1 << 20, 16 << 10, 4
+	text := func(from, to int) (events string) {
+		for i := from; i <= to; i++ {
+			events += fmt.Sprintf("id: %d\ndata: %s\n\n", i, strings.Repeat("x", size))
+		}
+		return events
+	}
+	for name, c := range map[string]struct {
+		kind table.Kind
+		// before is the number of events before the target is silent.
+		before int
+	}{"first event": {table.Streaming, 0}, "later event": {table.Streaming, 2}, "body": {table.Idempotent, 0}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				pool := &memory.Pool{Bytes: limit}
+				exhaust := func() {
+					others := pool.NewHolder(nil) // ends the attempt that is about to be forwarded
+					assert.Check(t, others.Add(limit) == nil)
+					others.Release()
+				}
+				silent := func(ctx context.Context, d relay.Dispatch) (*relay.Response, error) {
+					context.AfterFunc(ctx, exhaust)
+					if c.before == 0 {
+						<-ctx.Done()
+						time.Sleep(time.Millisecond) // until exhaust has run
+						return nil, ctx.Err()
+					}
+					response, err := script.Stalled(200, true, text(1, c.before))(ctx, d)
+					response.Close = func() { time.Sleep(time.Millisecond) }
+					return response, err
+				}
+				answer := func(_ context.Context, d relay.Dispatch) (*relay.Response, error) {
+					after, _ := strconv.Atoi(d.LastEventID) // 0 without one
+					return &relay.Response{
+						Status: 200, ResponseHead: relay.ResponseHead{HasSignature: true, IsEventStream: c.kind == table.Streaming}, Close: func() {},
+						SetReadTimeout: func(time.Duration) {}, Read: strings.NewReader(text(after+1, last)).Read,
+					}, nil
+				}
+				body, result := serveUntil(t.Context(), t, 3, c.kind, 0, []script.Dispatch{silent, answer, answer}, func(f *fixture) { f.Memory = pool })
+				assert.Assert(t, result.Refused == nil && !result.Truncated, "%v", result.Refused)
+				assert.Assert(t, body == text(1, last), "%d bytes", len(body))
+				assert.Equal(t, result.Attempts, 3)
+			})
+		})
+	}
+}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -577,6 +577,9 @@
 
 // sendBuffered sends the complete response of an attempt to the caller. The error means that the attempt was ended to release memory.
 func (r *relayedRequest) sendBuffered(a *attempt, response *bufferedResponse) *AttemptError {
+	if a.memory.Ended() {
+		return usedUpError()
+	}
 	r.beginAnswer(response.status)
 	r.sink.Head(response.status, response.header, int64(len(response.body)))
 	if len(response.body) == 0 {
