fix: what a restored log may lack is counted again when the configuration arrives

A record of an earlier era counts as granted, besides what it states, what may have been drawn after the copy: half of what was paid. A process that starts reads the budgets beside the configuration. If it read them first, the amount was not known yet, and the limit in the record stood for it, which is that of before a top-up, while drawers knew of the top-up. Nothing counted again when the amount came. The record as read is now kept beside what counts as granted, and the second follows from the first once the amount is known, whichever comes first.

TestConfigAfterRestoredBudget, part "budget first", failed: 50,000 tokens written off where 500,000 are due.

--- a/core/budget/book.go
+++ b/core/budget/book.go
@@ -57,11 +57,11 @@
 	// configuredAt is when the budget was first configured.
 	paid                 int64
 	paidAt, configuredAt time.Time
-	// grants is what the log records, and hasRecord whether it has a record. recordEra is the era that the record was
-	// written in, and era the one that it was read in.
-	grants         Grants
-	hasRecord      bool
-	recordEra, era int64
+	// recorded is what the newest record states, and hasRecord whether there is one. grants adds what an earlier era may have drawn after it. recordEra is the
+	// era that the record was written in, and era the one that it was read in.
+	recorded, grants Grants
+	hasRecord        bool
+	recordEra, era   int64
 	// unknown is set while the newest record can't be decoded.
 	unknown bool
 	// restorable is set if the log may be restored from a copy. marks are then the sums of draws that were
@@ -201,10 +201,14 @@
 	for _, o := range organisations {
 		a := b.account(o.Name)
 		if o.Prepaid != a.paid {
-			if a.configuredAt.IsZero() {
+			first := a.configuredAt.IsZero()
+			if first {
 				a.configuredAt = b.Now()
 			}
 			a.paid, a.paidAt = o.Prepaid, b.Now()
+			if first && a.hasRecord && !a.unknown {
+				a.writeOff() // The record was read before the configuration; drawers knew what was paid.
+			}
 			b.recordAvailable(a)
 			b.serveWaiters(a)
 		}
--- a/core/budget/era.go
+++ b/core/budget/era.go
@@ -105,12 +105,8 @@
 		a.marks = nil
 	}
 	a.recordEra, a.era, a.restorable = g.Era, era, restorable
-	if lost := min(era-g.Era, maxLostEras) * a.paidRisk(g.RiskLimit); lost > 0 {
-		g.Granted += lost
-		g.WrittenOff += lost
-		g.Kept = g.Drawn
-	}
-	a.grants, a.hasRecord, a.unknown = g, true, false
+	a.recorded, a.hasRecord, a.unknown = g, true, false
+	a.writeOff()
 	if restorable {
 		a.mark(drawMark{b.Now(), g.Drawn}, b.CopyAge/marksPerCopyAge)
 	}
@@ -118,6 +114,17 @@
 	b.notifyIfDue(organisation, a)
 }
 
+// writeOff sets what counts as granted: what the record states, and what was drawn at most in the eras after it.
+func (a *account) writeOff() {
+	g := a.recorded
+	if lost := min(a.era-g.Era, maxLostEras) * a.paidRisk(g.RiskLimit); lost > 0 {
+		g.Granted += lost
+		g.WrittenOff += lost
+		g.Kept = g.Drawn
+	}
+	a.grants = g
+}
+
 // mark adds a mark of the draws. The last mark is replaced until it is an interval after the one before it, so that few marks are kept
 // and the newest draws have one even if no record is read after them.
 func (a *account) mark(m drawMark, interval time.Duration) {
--- a/core/budget/era_test.go
+++ b/core/budget/era_test.go
@@ -138,3 +138,34 @@
 	_, err = reserve(t, m, paid)
 	assert.NilError(t, err)
 }
+
+// TestConfigAfterRestoredBudget guards against tokens that are granted twice by a process that reads a restored budget before the configuration: what may have been
+// drawn after the copy depends on what was paid.
+func TestConfigAfterRestoredBudget(t *testing.T) {
+	for name, early := range map[string]bool{"configuration first": true, "budget first": false} {
+		t.Run(name, func(t *testing.T) {
+			f, m := newFleet(t)
+			assert.NilError(t, m.syncer.Sync(t.Context()))
+			f.paid *= 10
+			f.pay(m)
+			older := f.log.Copy()
+			f.now = f.now.Add(budget.DefaultCopyAge)
+			r, err := reserve(t, m, f.paid*4/10)
+			assert.NilError(t, err)
+			m.book.Settle(r, r.Tokens)
+			f.log.Restore(older)
+			next := f.launch("i-1")
+			if early {
+				f.pay(next)
+			}
+			assert.NilError(t, next.syncer.Sync(t.Context()))
+			f.pay(next)
+			f.now = f.now.Add(budget.DefaultCopyAge)
+			assert.NilError(t, next.syncer.Sync(t.Context()))
+			b := next.book.Balance("travel")
+			assert.Equal(t, b.WrittenOff, f.paid/2)
+			_, err = reserve(t, next, f.paid*7/10)
+			assert.ErrorContains(t, err, "budget_")
+		})
+	}
+}
--- a/core/budget/property_test.go
+++ b/core/budget/property_test.go
@@ -55,6 +55,13 @@
 }
 
 func (f *fleet) start(instance string) *member {
+	m := f.launch(instance)
+	f.pay(m)
+	return m
+}
+
+// launch starts a process that has not read the configuration yet.
+func (f *fleet) launch(instance string) *member {
 	f.starts++
 	if f.maxWait == 0 {
 		f.maxWait = time.Nanosecond
@@ -67,7 +74,6 @@
 	}
 	m.syncer.Default()
 	m.syncer.PollInterval = time.Nanosecond // each sync reads the log
-	f.pay(m)
 	return m
 }
 
