refactor: the states of a write to a caller are named by strings

They were numbers from iota, which the house style does not use. No change of behaviour; core/relay passes with the race detector.

--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -37,9 +37,9 @@
 	abandoned, ended chan struct{}
 	finished         bool
 	cancel           context.CancelFunc
-	// memory counts what the attempt holds of its response. writing is set while a part of it is written to the caller.
+	// memory counts what the attempt holds of its response. writing holds the writeState.
 	memory  *memory.Holder
-	writing atomic.Int32
+	writing atomic.Value
 	// events is the number of forwarded events.
 	events int
 	// progressAt is when the attempt began, or when its last event was forwarded.
@@ -173,11 +173,14 @@
 	return &AttemptError{Kind: Invalid, Sent: true, Err: memory.ErrUsedUp}
 }
 
-// States of an attempt, of which parts of the response are written to the caller.
+// writeState is whether a part of the response of an attempt is being written to the caller.
+type writeState string
+
+// States.
 const (
-	notWriting int32 = iota
-	writing
-	writeAborted
+	notWriting   writeState = "not_writing"
+	writing      writeState = "writing"
+	writeAborted writeState = "aborted"
 )
 
 // releaseMemory ends the exchange, and a write that waits for the caller.
