--- a/io/target/endless_test.go
+++ b/io/target/endless_test.go
@@ -17,19 +17,6 @@
 	"cranberryrail/io/target"
 )
 
-// readCounter counts the bytes that are read from a connection.
-type readCounter struct {
-	net.Conn
-
-	bytes *atomic.Int64
-}
-
-func (c readCounter) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // TestEndlessResponses guards against a target that sends without end, in a head or a body, and fills the memory of the process.
 func TestEndlessResponses(t *testing.T) {
 	const (
@@ -60,7 +47,7 @@
 			var read atomic.Int64
 			c := &target.Client{MaxReplyBytes: maxReply, Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
 				conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
-				return readCounter{conn, &read}, err
+				return plain.CountedConn{Conn: conn, Bytes: &read}, err
 			}}
 			c.Default()
 			addr := startRaw(t, plain.Endless(form.prefix, form.pattern))
