fix: no answer follows a write that was aborted before it began

What callers would see: a closed connection where a refusal or the answer of another target was due (LOST). An attempt that is ended to release memory just as its write begins aborted the caller's connection, and counted as one whose write was not tried, so that the request went on with a connection that can't be written to. It counts as aborted now.

--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -195,7 +195,9 @@
 func (r *relayedRequest) write(a *attempt, p []byte) *AttemptError {
 	a.writing.Store(writing)
 	if a.memory.Ended() {
-		a.writing.Store(notWriting)
+		if !a.writing.CompareAndSwap(writing, notWriting) {
+			return &AttemptError{Kind: Cancelled, Sent: true, Err: memory.ErrUsedUp}
+		}
 		return usedUpError()
 	}
 	err := r.sink.Write(p)
