test: TestUnreadAnswerMakesRoom no longer depends on the order of goroutines

The test, not the product, was at fault.

It is replaced by a stricter one: callers arrive one after the other until a write is aborted, which shows how many answers have room and is exactly one aborted write and one ended request; the others then arrive together. All writes that had begun are then aborted, since the oldest of equally large answers end first, and exactly as many requests end as have no room. Before, six fewer were accepted.

--- a/core/relay/memory_test.go
+++ b/core/relay/memory_test.go
@@ -67,50 +67,69 @@
 	}
 }
 
-// TestUnreadAnswerMakesRoom guards against large answers that stay in memory because their callers don't read them, and against their end without a line in the log.
+// TestUnreadAnswerMakesRoom guards against large answers that stay in memory because their callers don't read them, and against their end without a line in the log. The first
+// callers arrive one after the other until a write is aborted, which shows how many answers have room, and the others together.
 func TestUnreadAnswerMakesRoom(t *testing.T) {
 	const callers, limit = 16, 1 << 20
 	large, wants := "data: "+strings.Repeat("x", limit/6)+"\n\n", map[bool]relay.Ender{true: relay.ByProcess, false: relay.ByTarget} // by whether the write was aborted
 	for name, target := range map[string]script.Dispatch{"event": script.Stalled(200, true, large), "long body": script.Stalled(200, false, strings.Repeat("x", 256<<10))} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				pool := &memory.Pool{Bytes: limit}
-				leave := make(chan struct{})
-				var group sync.WaitGroup
-				var aborted, ended atomic.Int64
-				for range callers {
-					group.Go(func() {
-						f := newFixture(target)
-						f.Memory = pool
-						abort, isAborted := make(chan struct{}), false
-						result := f.Serve(t.Context(), &relay.Request{ID: "1", Host: "h", Path: "/x", Key: "key", Arrived: time.Now()}, relay.Sink{
-							Head: func(int, http.Header, int64) {}, Abort: func() { isAborted = true; close(abort) },
-							Write: func([]byte) error {
-								select {
-								case <-abort:
-									aborted.Add(1)
-								case <-leave:
-								}
-								return io.ErrClosedPipe
-							},
-						})
-						if result.Refused != nil && errors.Is(result.Refused.Err, memory.ErrUsedUp) {
-							ended.Add(1)
-							assert.Check(t, result.EndedBy == wants[isAborted], "ended by %q", result.EndedBy)
-						}
-					})
+				u := &unreadAnswers{pool: &memory.Pool{Bytes: limit}, target: target, leave: make(chan struct{})}
+				began := 0
+				for ; u.aborted.Load() == 0 && began < callers; began++ {
+					u.group.Go(func() { u.serve(t, wants) })
+					synctest.Wait()
+				}
+				room := began - 1
+				assert.Check(t, room > 1 && u.aborted.Load() == 1 && u.ended.Load() == 1, "%d answers, %d writes and %d requests were ended", began, u.aborted.Load(), u.ended.Load())
+				for range callers - began {
+					u.group.Go(func() { u.serve(t, wants) })
 				}
 				synctest.Wait()
-				assert.Check(t, aborted.Load() > 0 && ended.Load() >= callers-6, "%d writes and %d requests were ended", aborted.Load(), ended.Load())
-				close(leave)
-				group.Wait()
-				assert.NilError(t, pool.NewHolder(nil).Add(limit))
-				assert.Assert(t, !pool.HasRoom())
+				assert.Check(t, int(u.aborted.Load()) > room, "%d writes were aborted, the first %d unread ones end first", u.aborted.Load(), began)
+				assert.Check(t, int(u.ended.Load()) == callers-room, "%d requests were ended, %d have room", u.ended.Load(), room)
+				close(u.leave)
+				u.group.Wait()
+				assert.NilError(t, u.pool.NewHolder(nil).Add(limit))
+				assert.Assert(t, !u.pool.HasRoom())
 			})
 		})
 	}
 }
 
+// unreadAnswers are requests whose callers don't read.
+type unreadAnswers struct {
+	pool   *memory.Pool
+	target script.Dispatch
+	// leave is closed when the callers disconnect.
+	leave          chan struct{}
+	group          sync.WaitGroup
+	aborted, ended atomic.Int64
+}
+
+// serve relays one request, and checks who ended it, by whether a write was aborted.
+func (u *unreadAnswers) serve(t *testing.T, wants map[bool]relay.Ender) {
+	f := newFixture(u.target)
+	f.Memory = u.pool
+	abort, isAborted := make(chan struct{}), false
+	result := f.Serve(t.Context(), &relay.Request{ID: "1", Host: "h", Path: "/x", Key: "key", Arrived: time.Now()}, relay.Sink{
+		Head: func(int, http.Header, int64) {}, Abort: func() { isAborted = true; close(abort) },
+		Write: func([]byte) error {
+			select {
+			case <-abort:
+				u.aborted.Add(1)
+			case <-u.leave:
+			}
+			return io.ErrClosedPipe
+		},
+	})
+	if result.Refused != nil && errors.Is(result.Refused.Err, memory.ErrUsedUp) {
+		u.ended.Add(1)
+		assert.Check(t, result.EndedBy == wants[isAborted], "ended by %q", result.EndedBy)
+	}
+}
+
 // TestAnswerEndedBeforeItsWriteIsReplaced guards against an answer without one of its events, or a connection that is closed without an answer, because the memory for an
 // answer was taken back when it was about to be forwarded.
 func TestAnswerEndedBeforeItsWriteIsReplaced(t *testing.T) {
