fix: a body of up to 256 KiB takes as much memory as that

What callers saw: sound bodies ended as failures while there was room for them (LOST). The buffer of a body grew by append, which adds a quarter at a time, so that a body of 256 KiB took and counted 360 KiB of the memory for answers. A small instance had room for 45 of them, not for the 64 that the limit is meant for.

The buffer doubles exactly now, up to 256 KiB. TestBodyTakesItsSize failed before: 0 of 262143 bytes with 256 KiB of memory; the capacity was 368,640 bytes.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -364,7 +364,7 @@
 	body, held := make([]byte, 0, 2048), 0
 	for len(body) < maxBufferedBody {
 		if len(body) == cap(body) {
-			body = append(body, make([]byte, len(body))...)[:len(body)]
+			body = append(make([]byte, 0, 2*len(body)), body...)
 		}
 		if size := cap(body); size > memory.SmallBytes && size != held {
 			if a.memory.Add(size-held) != nil {
--- a/core/relay/memory_test.go
+++ b/core/relay/memory_test.go
@@ -179,3 +179,20 @@
 		})
 	}
 }
+
+// TestBodyTakesItsSize guards against a body that takes half as much memory again as it may have, so that fewer sound ones have room.
+func TestBodyTakesItsSize(t *testing.T) {
+	const limit = 256 << 10
+	text := strings.Repeat("x", limit-1)
+	body, result := serveUntil(t.Context(), t, 1, table.Idempotent, 0, []script.Dispatch{complete(text)}, func(f *fixture) { f.Memory = &memory.Pool{Bytes: limit} })
+	assert.Assert(t, result.Refused == nil && body == text, "%d of %d bytes: %v", len(body), len(text), result.Refused)
+}
+
+// complete returns a target with a whole body that is no stream.
+func complete(text string) script.Dispatch {
+	return func(context.Context, relay.Dispatch) (*relay.Response, error) {
+		return &relay.Response{
+			Status: 200, ResponseHead: relay.ResponseHead{HasSignature: true}, Close: func() {}, SetReadTimeout: func(time.Duration) {}, Read: strings.NewReader(text).Read,
+		}, nil
+	}
+}
