fix: answers that have stood still end for memory before sound ones

The cause: the pool ended the largest holder, whoever it was, and a sound body that grows to 256 KiB is larger than stalled ones of 32 KiB. It needs some 500 of these at one small instance.

A holder that has made no progress for 5 s, several times the second or so for which sound targets may be silent, ends before those that go on. Among those that stand still, and among those that go on, the largest ends first as before; nothing ends while there is room. Progress is a change of what is held, 4 KiB that come within a buffer, so that a target that sends a byte at a time stands still, or the next 32 KiB that are passed to the caller: long writes go in parts of that size, which tells a slow caller from one that does not read. All holders are looked at only if the memory is used up, as before.

Stalled answers of less than 5 s still count as sound.

--- a/core/memory/memory_test.go
+++ b/core/memory/memory_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -60,3 +62,57 @@
 		})
 	}
 }
+
+// TestStalledHoldersEndFirst guards against the end of sound bodies as the largest holders while the memory is full of smaller ones whose targets or callers have stopped.
+func TestStalledHoldersEndFirst(t *testing.T) {
+	const limit, stalled, size, sound, whole = 16 << 20, 512, 32 << 10, 10, 256 << 10
+	for name, c := range map[string]struct {
+		wait   time.Duration
+		during func(h *memory.Holder)
+		whole  bool
+	}{
+		"stopped":             {memory.StallTime, func(*memory.Holder) {}, true},
+		"a byte at a time":    {memory.StallTime, func(h *memory.Holder) { h.Progress(1) }, true},
+		"silent for a second": {time.Second, func(*memory.Holder) {}, false},
+		"goes on":             {memory.StallTime, func(h *memory.Holder) { h.Progress(memory.SmallBytes) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := &memory.Pool{Bytes: limit}
+				ended := 0
+				others := make([]*memory.Holder, 0, stalled)
+				for range stalled {
+					h := p.NewHolder(func() { ended++ })
+					assert.NilError(t, h.Add(size))
+					others = append(others, h)
+				}
+				time.Sleep(c.wait / 2)
+				for _, h := range others {
+					c.during(h)
+				}
+				time.Sleep(c.wait / 2)
+				assert.Equal(t, grow(p, sound, whole) == sound, c.whole)
+				assert.Assert(t, !c.whole || ended == sound*whole/size, "%d ended", ended)
+			})
+		})
+	}
+}
+
+// grow doubles holders in turns from 2 KiB to a size, and returns how many of them did not end.
+func grow(p *memory.Pool, n, size int) (whole int) {
+	holders := make([]*memory.Holder, n)
+	for i := range holders {
+		holders[i] = p.NewHolder(func() {})
+	}
+	for held, next := 0, 2<<10; next <= size; held, next = next, 2*next {
+		for _, h := range holders {
+			_ = h.Add(next - held) // counted below
+		}
+	}
+	for _, h := range holders {
+		if !h.Ended() {
+			whole++
+		}
+	}
+	return whole
+}
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -373,6 +373,7 @@
 			held = size
 		}
 		n, err := a.response.Read(body[len(body):cap(body)])
+		a.memory.Progress(n)
 		body = body[:len(body)+n]
 		if err != nil {
 			return body, err
--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -76,10 +76,14 @@
 	return ev
 }
 
-// count counts the memory of the event that is being read, unless it is small.
-func (e *eventReader) count() error {
+// count counts the memory of the event that is being read, of which n bytes have just come, unless it is small.
+func (e *eventReader) count(n int) error {
 	size := cap(e.raw)
-	if size <= memory.SmallBytes || size == e.held {
+	switch {
+	case size <= memory.SmallBytes:
+		return nil
+	case size == e.held:
+		e.holder.Progress(n)
 		return nil
 	}
 	added := size - e.held
@@ -137,7 +141,7 @@
 	for lineStart := start; ; {
 		part, err := e.lines.ReadSlice('\n')
 		e.raw = append(e.raw, part...)
-		if err := e.count(); err != nil {
+		if err := e.count(len(part)); err != nil {
 			return b, err
 		}
 		switch {
--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -200,7 +200,7 @@
 		}
 		return usedUpError()
 	}
-	err := r.sink.Write(p)
+	err := r.writeParts(a, p)
 	switch {
 	case !a.writing.CompareAndSwap(writing, notWriting):
 		return &AttemptError{Kind: Cancelled, Sent: true, Err: memory.ErrUsedUp}
@@ -210,6 +210,20 @@
 	return nil
 }
 
+// writeParts writes in parts of longBodyBytes, so that a caller that reads slowly is told from one that does not.
+func (r *relayedRequest) writeParts(a *attempt, p []byte) error {
+	for {
+		part := p[:min(len(p), longBodyBytes)]
+		a.memory.Progress(len(part))
+		if err := r.sink.Write(part); err != nil {
+			return err
+		}
+		if p = p[len(part):]; len(p) == 0 {
+			return nil
+		}
+	}
+}
+
 // end ends the exchange. One whose last step was received ends by itself, and its connection can be used again.
 func (a *attempt) end() {
 	if !a.finished {
