fix: an answer that is ended for memory is no failure of its target

The cause: an attempt that is ended to release memory ended as an invalid answer, which counts as a failure; three in a row eject the target for a second and longer, although they say how much this instance holds, not whether the answer was sound.

Both can be true of such an answer: it is one of a sound target that ended for those of others, or one of a target that sends without end. What tells them apart is whether the target completes any. The outcome is used_up now; ten of them in 5 s or more, with no complete response among them, eject the target as failures do, so that one that sends without end is left out in the end, also if memory runs short before each of its answers reaches the limit of an event or of a body. While a target is ejected they have no bearing: the probe is repeated after the same time. A target that had stood still for 5 s within its answer, whose caller had taken all that had come, still counts as failed; so does one that sends more than an answer may have. The own interface counts replies of services that end for memory the same way.

TestMemoryIsNoFailureOfTheTarget failed before: the outcome of a target that sends was "failed", "used_up" was wanted; TestMemoryIsNoFailureOfAService failed in the same way. TestHealth has the rule.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -486,11 +486,15 @@
 }
 
 // failureOutcome returns the outcome to record for a target whose attempt failed. A request that its caller or its deadline
-// ended has no bearing on the target, unless the target had been silent for long by then.
+// ended has no bearing on the target, unless the target had been silent for long by then. One that was ended to release memory is a failure of the target
+// only if it had stopped within its answer, since the caller had taken all that had come.
 func (r *relayedRequest) failureOutcome(ctx context.Context, a *attempt, failed *AttemptError) route.Outcome {
 	if r.isOver(ctx) && failed.Sent && r.Now().Sub(a.progressAt) < r.silenceBound() {
 		return route.Cancelled
 	}
+	if errors.Is(failed.Err, memory.ErrUsedUp) && failed.Kind == Invalid && (r.unrecorded || !a.memory.Stalled()) {
+		return route.UsedUp
+	}
 	switch failed.Kind {
 	case Silent:
 		return route.Silent
--- a/core/relay/stall_test.go
+++ b/core/relay/stall_test.go
@@ -16,6 +16,7 @@
 
 	"cranberryrail/core/memory"
 	"cranberryrail/core/relay"
+	"cranberryrail/core/route"
 	"cranberryrail/core/table"
 	"cranberryrail/fake/script"
 )
@@ -114,3 +115,24 @@
 	cancel()
 	group.Wait()
 }
+
+// TestMemoryIsNoFailureOfTheTarget guards against a sound target that is left out since its answers end for those of others, which use up the memory, and against one that
+// has stopped within its answer and is not left out.
+func TestMemoryIsNoFailureOfTheTarget(t *testing.T) {
+	const limit, body = 1 << 20, 100 << 10
+	for name, c := range map[string]struct {
+		after time.Duration
+		want  route.Outcome
+	}{"sends": {time.Second, route.UsedUp}, "has stopped": {memory.StallTime, route.Failed}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				pool := &memory.Pool{Bytes: limit}
+				f := newFixture(script.Stalled(200, false, strings.Repeat("x", body)))
+				f.Memory = pool
+				time.AfterFunc(c.after, func() { _ = pool.NewHolder(nil).Add(limit) }) // ends the answer
+				f.serve(t.Context())
+				assert.DeepEqual(t, f.outcomes, []route.Outcome{c.want})
+			})
+		})
+	}
+}
--- a/core/route/health.go
+++ b/core/route/health.go
@@ -17,6 +17,8 @@
 	Refused Outcome = "refused"
 	// Shed is a target that refused the request because of its load.
 	Shed Outcome = "full"
+	// UsedUp is an answer that the instance ended to release memory while the target sent it.
+	UsedUp Outcome = "used_up"
 	// Cancelled is a request that the caller or the instance cancelled; it has no bearing on the target's health.
 	Cancelled Outcome = "cancelled"
 )
@@ -32,6 +34,10 @@
 	// MaxEjectionTime is the longest duration of an ejection. It is also the time after a readmission from which on
 	// the next ejection lasts BaseEjectionTime again.
 	MaxEjectionTime = 30 * time.Second
+	// UsedUpToEject is the number of UsedUp outcomes that eject a target which completes no response among them, and UsedUpTime the time that they must
+	// span. A sound target whose answers end since those of others use up the memory completes some in that time; one that sends without end completes none.
+	UsedUpToEject = 10
+	UsedUpTime    = 5 * time.Second
 )
 
 // health tracks the outcomes of one target.
@@ -41,6 +47,9 @@
 	ejections    int
 	ejectedUntil time.Time
 	readmittedAt time.Time
+	// usedUp counts the UsedUp outcomes since usedUpAt without a response in between.
+	usedUp   int
+	usedUpAt time.Time
 	// epoch counts the ejections, so that outcomes of dispatches made before the last ejection are ignored.
 	epoch int
 }
@@ -67,6 +76,9 @@
 			h.readmittedAt = now
 		}
 		h.failures = 0
+		if o == OK {
+			h.usedUp = 0
+		}
 	case Failed, Refused:
 		h.failures++
 		if h.ejected || h.failures >= FailuresToEject {
@@ -74,10 +86,23 @@
 		}
 	case Silent:
 		h.eject(now)
+	case UsedUp:
+		h.recordUsedUp(now)
 	case Cancelled:
 	}
 }
 
+// recordUsedUp ejects a target whose answers end to release memory for long, and has no bearing on one that is ejected.
+func (h *health) recordUsedUp(now time.Time) {
+	if h.usedUp == 0 {
+		h.usedUpAt = now
+	}
+	h.usedUp++
+	if !h.ejected && h.usedUp >= UsedUpToEject && now.Sub(h.usedUpAt) >= UsedUpTime {
+		h.eject(now)
+	}
+}
+
 func (h *health) eject(now time.Time) {
 	if !h.ejected && now.Sub(h.readmittedAt) > MaxEjectionTime {
 		h.ejections = 0
@@ -85,7 +110,7 @@
 	h.ejected = true
 	h.ejections++
 	h.epoch++
-	h.failures = 0
+	h.failures, h.usedUp = 0, 0
 	h.ejectedUntil = now.Add(h.ejectionTime())
 }
 
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -303,6 +303,29 @@
 		f.now = f.now.Add(route.BaseEjectionTime)
 		assertFirstTargetUsed(t, f, true)
 	})
+	t.Run("answers that end to release memory eject only if none is completed for long", func(t *testing.T) {
+		for name, c := range map[string]struct {
+			pause    time.Duration
+			between  route.Outcome
+			excluded bool
+		}{
+			"at once":               {0, route.Cancelled, false},
+			"with complete answers": {time.Second, route.OK, false},
+			"without":               {time.Second, route.Cancelled, true},
+		} {
+			t.Run(name, func(t *testing.T) {
+				f := newFixture(1)
+				for range route.UsedUpToEject {
+					f.now = f.now.Add(c.pause)
+					f.dispatch(t, c.between, 1)
+					f.dispatch(t, route.UsedUp, 1)
+				}
+				f.list = append(f.list, engine("e1", "first"))
+				f.SetTargets(f.list)
+				assertFirstTargetUsed(t, f, !c.excluded)
+			})
+		}
+	})
 	t.Run("a new incarnation starts healthy", func(t *testing.T) {
 		f := newFixture(1)
 		f.dispatch(t, route.Silent, 1)
--- a/core/serve/serve.go
+++ b/core/serve/serve.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"cranberryrail/core/codes"
+	"cranberryrail/core/memory"
 	"cranberryrail/core/poison"
 	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
@@ -488,6 +489,9 @@
 
 // Outcome returns the outcome that the failure counts as for the health of the target.
 func (e *AttemptError) Outcome() route.Outcome {
+	if errors.Is(e.Err, memory.ErrUsedUp) {
+		return route.UsedUp
+	}
 	switch e.Kind {
 	case Silent:
 		return route.Silent
--- a/core/serve/serve_test.go
+++ b/core/serve/serve_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"slices"
 	"testing"
@@ -10,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"cranberryrail/core/codes"
+	"cranberryrail/core/memory"
 	"cranberryrail/core/poison"
 	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
@@ -368,3 +370,9 @@
 	assert.NilError(t, err)
 	assertRelayed(t, b, totalTokens)
 }
+
+// TestMemoryIsNoFailureOfAService guards against a service that is left out since its replies end for those of others, which use up the memory.
+func TestMemoryIsNoFailureOfAService(t *testing.T) {
+	failed := serve.AsAttemptError(&serve.AttemptError{Kind: "failed", Err: fmt.Errorf("call: %w", memory.ErrUsedUp)})
+	assert.Equal(t, failed.Outcome(), route.UsedUp)
+}
