fix: a stream goes on when its caller ends only its sending direction

A caller that had ended its sending direction after its stream had begun got the stream cut, on the platform's listener and on that of the own interface (LOST).

net/http cancels the context of a request when it reads the end of what the caller sends, which is the same for a caller that has left, whose targets must end their work within half a second.

Evidence: TestHalfClosedCallerGetsItsStream (known red until now) failed with "unexpected EOF", TestHalfClosedClientGetsItsAnswer at gaps of 0, 20, 100 and 250 ms, and TestHalfClosedCallerGetsItsTokens with an error event instead of the last event.

Connections of io/httpd now hold the end back once an answer has begun. A caller that has left resets the connection after the next write, so that this write is made in two parts, 50 ms apart: if the second one succeeds, the caller has not left, and the request goes on to its end. If it fails, or if nothing was written within 0.35 s, the request is cancelled as before. No byte is added. Before the answer has begun the end is reported at once, as before.

Open: a stream of which nothing comes within 0.3 s after the end of the sending direction is cut.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -217,7 +217,7 @@
 
 // abort closes the connection of a request, so that its response does not look complete. It does not return.
 func abort(r *http.Request) {
-	conn, ok := r.Context().Value(connKey{}).(*net.TCPConn)
+	conn, ok := r.Context().Value(connKey{}).(interface{ SetLinger(seconds int) error })
 	if ok && !r.ProtoAtLeast(1, 1) {
 		_ = conn.SetLinger(0) // A response without chunks ends with its connection, unless that is reset.
 	}
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return fmt.Errorf("open listener for %s; check setting %s: %w", s.Clients, s.Setting, err)
 	}
-	s.listener = l
+	s.listener, s.ConnState = listener{l}, setState
 	return nil
 }
 
--- a/io/node/faults_test.go
+++ b/io/node/faults_test.go
@@ -613,6 +613,27 @@
 	eventually(t, f, func() bool { return balance(t, f.Members[0], "acme/main").Spent > 0 })
 }
 
+// TestHalfClosedCallerGetsItsTokens guards against a stream that is cut because its caller has ended its sending direction.
+func TestHalfClosedCallerGetsItsTokens(t *testing.T) {
+	f := start(t, &fleet.Fleet{Instances: 1, Engines: 1, TokenGap: 20 * time.Millisecond})
+	provisionAll(t, f, 1_000_000)
+	conn, err := net.Dial("tcp", f.Members[0].Front.Addr())
+	assert.NilError(t, err)
+	defer conn.Close()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+	body := promptBody("half-closed", 50, true)
+	_, err = io.WriteString(conn, requestHead("/v1/completions", len(body), "")+body)
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+	data, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	parseStream(t, reply{status: resp.StatusCode, body: string(data)})
+	assert.Equal(t, f.EngineServers[0].Counts().Finished, int64(1))
+}
+
 // TestCallerDisconnectsDuringDraw guards against losing tokens that are drawn for a request whose caller disconnects
 // meanwhile.
 func TestCallerDisconnectsDuringDraw(t *testing.T) {
