fix: a target is listed again after an entry of a later start that is not its own

Its report states another start, so that connections of such streams are not used, and no entry that the target writes later counts, until the instance starts anew or an hour after a removal.

Cause: of two starts of an id the later one counts, for ever, since writes of a start that has ended may come late.

Evidence: TestTargetOutlivesALaterStart, in two of five cases: start 5 is still listed after 50 entries of start 1 in a minute, and no start at all if the later one is removed. The three other cases, of late writes, of two starts that both write, and of a log that is restored again and again, passed before and still do.

An earlier start now counts again if at least five entries of it with rising sequences came over 15 s, none more than 5 s after the one before, and none of the listed start meanwhile. That is safe: a start that runs writes each 1.2 s, so that one of its entries comes in any 15 s in which the log is written; late writes of a start that has ended come within seconds, and were made before the end; a restored log repeats sequences. Were it wrong all the same, requests still name the target that they expect, resumable streams use only connections on which the listed start has shown itself, and what a start has announced of its leaving is kept for it. The present start is listed again with its next entry.

Open: up to the end of the 15 s the target gets no resumable streams, and an entry that is written again every few seconds still hides it.

--- a/core/roster/list.go
+++ b/core/roster/list.go
@@ -19,6 +19,15 @@
 // maxClockError is how far ahead of this machine's clock no clock of a target is.
 const maxClockError = 24 * time.Hour
 
+// A start that is earlier than the listed one is the present one if the target has gone on to write entries of it for ownStartTime, at least ownStartWrites of
+// them and none more than ownStartGap after the one before, and none of the listed start has come meanwhile: another writer stated that one, or the clock of
+// the target was set back. Writes of a start that has ended are late by seconds. A target writes each second or so, and is removed after a silence of 3.6 s.
+const (
+	ownStartTime   = 15 * time.Second
+	ownStartWrites = 5
+	ownStartGap    = 5 * time.Second
+)
+
 var errStart = fmt.Errorf("the start time is more than %v ahead", maxClockError)
 
 // Entry is the description that a target publishes of itself in the platform's list.
@@ -69,6 +78,19 @@
 	removedAt time.Time
 	// removalPending reports whether the entry was removed around an outage and may be renewed.
 	removalPending bool
+	// earlier is an earlier start than the listed one.
+	earlier earlierStart
+}
+
+// earlierStart is a start of a target that is earlier than the listed one, and what was written of it since the last entry of the listed one.
+type earlierStart struct {
+	// startedAtMS and sequence are those of its newest entry.
+	startedAtMS, sequence int64
+	// writes is the number of entries, from since to last.
+	writes      int
+	since, last time.Time
+	// leaving is set if the target was leaving when the listed start replaced this one.
+	leaving bool
 }
 
 // String returns the name of the list for log lines.
@@ -107,13 +129,12 @@
 	if known == nil {
 		known = &record{Entry: e}
 		l.entries[e.ID] = known
-	} else if known.outdates(e) {
+	} else if known.outdates(e) && !known.returnsTo(e, l.Now()) {
 		return false
 	}
 	before := *known
-	restarted := e.StartedAtMS > known.StartedAtMS
-	known.Entry, known.present, known.removed, known.removalPending = e, true, false, false
-	known.leaving = e.State == Leaving || known.leaving && !restarted
+	restarted := e.StartedAtMS != known.StartedAtMS
+	known.apply(e)
 	switch {
 	case known.leaving && (!before.leaving || restarted):
 		l.OnChange(e.ID, Drained, nil)
@@ -123,11 +144,46 @@
 	return !before.present || restarted || before.leaving != known.leaving || !sameTarget(before.Entry, e)
 }
 
+// apply makes an entry the present one.
+func (r *record) apply(e Entry) {
+	wasLeaving := r.leaving
+	if e.StartedAtMS != r.StartedAtMS {
+		wasLeaving = r.earlier.leaving && r.earlier.startedAtMS == e.StartedAtMS
+		r.earlier = earlierStart{startedAtMS: r.StartedAtMS, sequence: r.Sequence, leaving: r.leaving}
+	}
+	r.earlier.writes = 0
+	r.Entry, r.present, r.removed, r.removalPending = e, true, false, false
+	r.leaving = e.State == Leaving || wasLeaving
+}
+
 // outdates reports whether an entry does not describe the present state: it is a delayed write, or a removed entry in a restored log.
 func (r *record) outdates(e Entry) bool {
 	return isOlder(e, r.Entry) || r.removed && !isOlder(r.Entry, e)
 }
 
+// returnsTo counts an outdated entry if it is of an earlier start, and reports whether that one is the present start.
+func (r *record) returnsTo(e Entry, now time.Time) bool {
+	if e.StartedAtMS >= r.StartedAtMS {
+		return false
+	}
+	c := &r.earlier
+	if now.Sub(c.last) > ownStartGap {
+		c.writes = 0
+	}
+	if e.StartedAtMS != c.startedAtMS && c.writes == 0 {
+		*c = earlierStart{startedAtMS: e.StartedAtMS, sequence: e.Sequence - 1}
+	}
+	if e.StartedAtMS != c.startedAtMS || e.Sequence <= c.sequence {
+		return false
+	}
+	if c.writes == 0 {
+		c.since = now
+	}
+	c.sequence, c.last = e.Sequence, now
+	c.writes++
+	return c.writes >= ownStartWrites && now.Sub(c.since) >= ownStartTime
+}
+
 // isOlder reports whether entry a was written before entry b.
 func isOlder(a, b Entry) bool {
 	return a.StartedAtMS < b.StartedAtMS || a.StartedAtMS == b.StartedAtMS && a.Sequence < b.Sequence
--- a/core/roster/list_test.go
+++ b/core/roster/list_test.go
@@ -171,3 +171,36 @@
 	l.Put(entryOf("a", 1, 2, roster.Live))
 	assert.DeepEqual(t, l.Targets()[0].Incarnation, roster.Incarnation("a", 1))
 }
+
+// TestTargetOutlivesALaterStart guards against a target that is not listed as it is, for good, because one entry under its id stated a later start than its own.
+func TestTargetOutlivesALaterStart(t *testing.T) {
+	const heartbeat = 1200 * time.Millisecond
+	for name, c := range map[string]struct {
+		// write writes entries after the nth heartbeat since start 5 was listed, and start is listed a minute later.
+		write func(l *roster.TargetList, n int64)
+		start int64
+	}{
+		"the target goes on":              {func(l *roster.TargetList, n int64) { l.Put(entryOf("a", 1, 1+n, roster.Live)) }, 1},
+		"the later start is removed":      {func(l *roster.TargetList, n int64) { l.Remove("a"); l.Put(entryOf("a", 1, 1+n, roster.Live)) }, 1},
+		"late writes of the start before": {func(l *roster.TargetList, n int64) { l.Put(entryOf("a", 1, 1+min(n, 8)+n/50, roster.Live)) }, 5},
+		"the later start writes": {func(l *roster.TargetList, n int64) {
+			l.Put(entryOf("a", 1, 1+n, roster.Live))
+			l.Put(entryOf("a", 5, n/8, roster.Live))
+		}, 5},
+		"the log is restored again and again": {func(l *roster.TargetList, n int64) { l.Put(entryOf("a", 1, 1+n%3, roster.Live)) }, 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, clock := newList()
+			l.Put(entryOf("a", 1, 1, roster.Live))
+			l.MarkLeaving("a", roster.Incarnation("a", 1))
+			l.Put(entryOf("a", 5, 0, roster.Live))
+			for n := int64(1); n <= 50; n++ {
+				clock.advance(heartbeat)
+				c.write(l, n)
+			}
+			assert.Equal(t, len(l.Targets()), 1)
+			assert.Equal(t, l.Targets()[0].Incarnation, roster.Incarnation("a", c.start))
+			assert.Equal(t, l.Targets()[0].State == roster.Leaving, c.start == 1, "the start that announced that it is leaving")
+		})
+	}
+}
