fix: a budget without a record has lost no more than its log was restored

A process that finds no record of a budget in an era other than 0, and remembers none, took it for one that had lost its record in three restores. So did all others, so that none ever wrote a record. That nothing had been drawn before the fleet started was known to processes of the new fleet only, and in the era of their first read only.

An era is the number of restores, and whoever draws from a budget without a record counts the limit for each restore before. So such a budget has lost at most one limit for each era since one before which nothing had been drawn. Processes of a new fleet keep that era, and write it to keyed.first in each era of the log; others read it before they draw. Without the record the first era is 0; while it can't be read all counts as lost, as before. An instance of a new fleet that finds budgets in the log does not take it for new any more.

--- a/core/budget/book.go
+++ b/core/budget/book.go
@@ -62,6 +62,8 @@
 	recorded, grants Grants
 	hasRecord        bool
 	recordEra, era   int64
+	// assumed is set if there is no record, nor a memory of one, and recorded is what may have been drawn at most.
+	assumed bool
 	// unknown is set while the newest record can't be decoded.
 	unknown bool
 	// restorable is set if the log may be restored from a copy. marks are then the sums of draws that were
@@ -205,8 +207,9 @@
 			if first {
 				a.configuredAt = b.Now()
 			}
+			raised := o.Prepaid > a.paid
 			a.paid, a.paidAt = o.Prepaid, b.Now()
-			if first && a.hasRecord && !a.unknown {
+			if (first || a.assumed && raised) && a.hasRecord && !a.unknown {
 				a.writeOff() // The record was read before the configuration; drawers knew what was paid.
 			}
 			b.recordAvailable(a)
--- a/core/budget/era.go
+++ b/core/budget/era.go
@@ -97,7 +97,11 @@
 func (b *Book) RecordGrants(organisation string, g Grants, era int64, restorable bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	a := b.account(organisation)
+	b.setGrants(b.account(organisation), g, era, restorable)
+}
+
+// setGrants is RecordGrants for an account.
+func (b *Book) setGrants(a *account, g Grants, era int64, restorable bool) {
 	if a.era == era && g.Era < a.recordEra {
 		return // an append of an earlier era that committed late
 	}
@@ -105,13 +109,13 @@
 		a.marks = nil
 	}
 	a.recordEra, a.era, a.restorable = g.Era, era, restorable
-	a.recorded, a.hasRecord, a.unknown = g, true, false
+	a.recorded, a.hasRecord, a.unknown, a.assumed = g, true, false, false
 	a.writeOff()
 	if restorable {
 		a.mark(drawMark{b.Now(), g.Drawn}, b.CopyAge/marksPerCopyAge)
 	}
 	b.recordAvailable(a)
-	b.notifyIfDue(organisation, a)
+	b.notifyIfDue(a.organisation, a)
 }
 
 // writeOff sets what counts as granted: what the record states, and what was drawn at most in the eras after it.
@@ -205,23 +209,27 @@
 	return g
 }
 
-// missingGrants returns what counts as recorded about a budget that has no record in an era of the log, given since when
-// the log was read in this era, and whether that is so. If a record may have been lost in a restored log, it is what the
-// book knows from an earlier era. Without that, nothing can be drawn, since the log may have been restored repeatedly.
-func (b *Book) missingGrants(organisation string, era int64, since time.Time) (Grants, bool) {
+// recordMissing sets what counts as recorded about a budget that has no record in the present era of the log, given the first
+// era in which tokens may have been drawn, and since when the log was read in this era. If a record may have been lost in a
+// restored log, it is what the book knows from an earlier era. Without that, a record may have been lost in each era since the
+// first one; assumed reports that this is so.
+func (b *Book) recordMissing(organisation string, era, first int64, since time.Time, restorable bool) (assumed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(organisation)
+	var g Grants
 	switch {
-	case a.hasRecord && a.era == era:
-		return Grants{}, false
-	case a.hasRecord:
-		g := a.grants
+	case a.hasRecord && a.era == era && (!a.assumed || first <= a.recordEra):
+		return a.assumed
+	case a.hasRecord && !a.assumed:
+		g = a.grants
 		g.Era = a.era
-		return g, true
 	case era == 0 || a.configuredAt.Sub(since) >= b.CopyAge: // the organisation is younger than any copy
-		return Grants{Era: era}, true
+		g.Era = era
 	default:
-		return Grants{Era: era - maxLostEras}, true
+		g.Era, assumed = max(era-maxLostEras, first), true
 	}
+	b.setGrants(a, g, era, restorable)
+	a.assumed = assumed
+	return assumed
 }
--- a/core/budget/partition.go
+++ b/core/budget/partition.go
@@ -129,7 +129,7 @@
 		p.loadedAt = p.syncer.Book.Now()
 	}
 	if p.syncer.FirstStart && !p.firstLoaded {
-		p.beginNewFleet()
+		p.beginNewFleet(s.Records)
 	}
 	p.firstLoaded = true
 	p.end, p.loaded = s.End, true
@@ -148,18 +148,26 @@
 	}
 }
 
-// beginNewFleet records that the state was first read when the fleet starts for the first time.
-func (p *partition) beginNewFleet() {
+// beginNewFleet records that the state, with the given records, was first read when the fleet starts for the first time.
+func (p *partition) beginNewFleet(records []logs.Record) {
 	sy := p.syncer
 	if !sy.Log.HasEras() {
 		return
 	}
 	p.drawsFrom = sy.Book.Now().Add(newFleetDrawDelay)
-	if sy.Book.Uptime()-sy.Started <= newFleetLoadTime {
+	drawn := slices.ContainsFunc(records, func(r logs.Record) bool { return !strings.HasPrefix(r.Key, instancePrefix) })
+	if sy.Book.Uptime()-sy.Started <= newFleetLoadTime && !drawn {
 		p.newFleetEra = p.era
 	}
 }
 
+// knownNewFleetEra returns the era that the state was first read in if that was before any instance of a new fleet could draw.
+func (p *partition) knownNewFleetEra() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.newFleetEra
+}
+
 // dropPending counts the pending batch as unsettled: its draws are not spent, and its returns are not reverted.
 func (p *partition) dropPending() {
 	p.syncer.OnUnsettled(p.pending.sequence, p.pending.tokens())
@@ -261,23 +269,21 @@
 		}
 		return e, nil
 	}
-	p.recordGrants(organisation, Grants{era, e.Granted, e.Drawn, e.Kept, e.RiskLimit, e.WrittenOff})
-	return e, nil
-}
-
-func (p *partition) recordGrants(organisation string, g Grants) {
+	g := Grants{era, e.Granted, e.Drawn, e.Kept, e.RiskLimit, e.WrittenOff}
 	p.syncer.Book.RecordGrants(organisation, g, p.era, p.syncer.Log.HasEras())
+	return e, nil
 }
 
 // recordMissing handles organisations without a record in the log.
 func (p *partition) recordMissing(organisations []string) {
 	sy := p.syncer
+	first := sy.firstEra.earliest()
+	if p.newFleetEra != noEra {
+		first = max(first, p.newFleetEra)
+	}
 	for _, name := range organisations {
-		if g, missing := sy.Book.missingGrants(name, p.era, p.loadedAt); missing {
-			if p.newFleetEra == p.era {
-				g = Grants{Era: p.era}
-			}
-			p.recordGrants(name, g)
+		if sy.Book.recordMissing(name, p.era, first, p.loadedAt, sy.Log.HasEras()) {
+			sy.firstEra.need()
 		}
 	}
 }
@@ -392,6 +398,9 @@
 	if err := p.register(ctx); err != nil {
 		return err
 	}
+	if err := p.syncer.firstEra.loadOnce(ctx); err != nil {
+		return err
+	}
 	for conflicts := 1; ; conflicts++ {
 		b := p.prepare(organisations)
 		if b == nil || ctx.Err() != nil {
--- a/core/budget/property_test.go
+++ b/core/budget/property_test.go
@@ -70,7 +70,7 @@
 	m.syncer = &budget.Syncer{
 		Log: f.log.Log(), Topic: "keyed.budgets", Shards: 1, Instance: instance, Incarnation: fmt.Sprintf("%s#%d", instance, f.starts), Book: m.book,
 		PromiseTopic: "keyed.promises", PromiseParts: 1, Boot: fmt.Sprintf("boot-%d", f.boots), Started: f.uptime(),
-		FirstStart: f.now.Equal(startTime),
+		FirstEraTopic: "keyed.first", FirstStart: f.now.Equal(startTime),
 	}
 	m.syncer.Default()
 	m.syncer.PollInterval = time.Nanosecond // each sync reads the log
@@ -139,12 +139,11 @@
 		f.now = f.now.Add(time.Second)
 		_ = m.syncer.Sync(context.Background()) // calls fail at random
 	case "kill":
-		for _, r := range m.reservations {
-			f.reserved -= r.Tokens
-			f.spent += r.Tokens
+		f.kill(i)
+	case "kill_all":
+		for i := range f.members {
+			f.kill(i)
 		}
-		f.now = f.now.Add(time.Duration(rapid.IntRange(0, 30).Draw(f.t, "away")) * 100 * time.Millisecond)
-		f.members[i] = f.start(fmt.Sprintf("i-%d", i))
 	case "lend":
 		f.lend(m)
 	case "pass":
@@ -161,6 +160,16 @@
 	}
 }
 
+// kill kills a process and starts its successor after some time.
+func (f *fleet) kill(i int) {
+	for _, r := range f.members[i].reservations {
+		f.reserved -= r.Tokens
+		f.spent += r.Tokens
+	}
+	f.now = f.now.Add(time.Duration(rapid.IntRange(0, 30).Draw(f.t, "away")) * 100 * time.Millisecond)
+	f.members[i] = f.start(fmt.Sprintf("i-%d", i))
+}
+
 // stepLog performs one random operation of the log.
 func (f *fleet) stepLog(step string) {
 	switch step {
@@ -254,10 +263,10 @@
 // restored from copies, several times in a row, with appends of earlier eras under way, and with the processes killed that
 // made the draws that a copy lacks.
 func TestSpendingNeverExceedsBudgetInRestoredLog(t *testing.T) {
-	steps := append(slices.Clone(steps), "use", "use", "use", "use", "copy", "copy", "restore")
+	steps := append(slices.Clone(steps), "use", "use", "use", "use", "copy", "copy", "restore", "kill_all")
 	rapid.Check(t, func(t *rapid.T) {
 		rapid.SyncTest(t, func(r *rapid.T) {
-			f := &fleet{t: r, log: &memlog.Server{Era: rapid.Int64Range(1, 3).Draw(r, "era")}, paid: paid, now: startTime, maxWait: 2 * time.Millisecond}
+			f := &fleet{t: r, log: &memlog.Server{Era: rapid.Int64Range(1, 6).Draw(r, "era")}, paid: paid, now: startTime, maxWait: 2 * time.Millisecond}
 			f.log.SetFault(f.fault)
 			f.noFaults = rapid.Bool().Draw(r, "calm")
 			for i := range 3 {
--- a/core/budget/syncer.go
+++ b/core/budget/syncer.go
@@ -66,6 +66,8 @@
 	// PromiseTopic is the keyed topic of promises, and PromiseParts the number of its partitions.
 	PromiseTopic string
 	PromiseParts int
+	// FirstEraTopic is the keyed topic that holds the era of the log in which the fleet started for the first time; optional.
+	FirstEraTopic string
 	// Boot is the id of the current boot of the machine; without it no promises are made.
 	Boot string
 	// FirstStart is set if the fleet starts for the first time, so that the log has no records of it.
@@ -96,11 +98,15 @@
 	// OnPromiseOutage and OnPromiseRecovery are the same for the topic of promises; optional.
 	OnPromiseOutage   func(err error)
 	OnPromiseRecovery func(duration time.Duration)
+	// OnFirstEraOutage and OnFirstEraRecovery are the same for the topic of the first era; optional.
+	OnFirstEraOutage   func(err error)
+	OnFirstEraRecovery func(duration time.Duration)
 	// OnInherited is called with the tokens that an earlier process of this instance had promised,
 	// and whether they were taken over; optional.
 	OnInherited func(tokens map[string]int64, taken bool)
 
 	promises      *promiseWriter
+	firstEra      *firstEra
 	partitions    []*partition
 	organisations atomic.Pointer[[]string]
 	// rank ranks the instances for each budget; nil while they are not counted.
@@ -142,10 +148,16 @@
 	if sy.OnPromiseRecovery == nil {
 		sy.OnPromiseRecovery = func(time.Duration) {}
 	}
+	if sy.OnFirstEraOutage == nil {
+		sy.OnFirstEraOutage = func(error) {}
+	}
+	if sy.OnFirstEraRecovery == nil {
+		sy.OnFirstEraRecovery = func(time.Duration) {}
+	}
 	if sy.OnInherited == nil {
 		sy.OnInherited = func(map[string]int64, bool) {}
 	}
-	sy.promises = newPromiseWriter(sy)
+	sy.promises, sy.firstEra = newPromiseWriter(sy), newFirstEra(sy)
 	sy.Book.OnPromiseBlocking = sy.promises.scheduleRenewal
 	sy.Shards = max(sy.Shards, 1)
 	for i := range sy.Shards {
@@ -244,6 +256,9 @@
 func (sy *Syncer) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return sy.promises.run(ctx) })
+	if sy.FirstEraTopic != "" {
+		g.Go(func() error { return sy.firstEra.run(ctx) })
+	}
 	for _, p := range sy.partitions {
 		g.Go(func() error { return sy.runPartition(ctx, p) })
 	}
@@ -308,7 +323,7 @@
 	for _, p := range sy.partitions {
 		failed = errors.Join(failed, sy.syncPartition(ctx, p))
 	}
-	return failed
+	return errors.Join(failed, sy.firstEra.sync(ctx))
 }
 
 // waitUntilDue waits until a sync of the partition is due.
