fix: what was written off after a restore comes back once all instances have stated their draws

A restored record lacks the draws since the copy, and half of the budget counts as granted instead. Nothing took that back, although all instances knew what they had drawn.

Each instance now records in keyed.witnesses the last state of the era that ended. Tokens are spent only after the reply to their draw, and a draw names the end of the partition that its writer had read, so that the state with the highest end lacks no draw that counts, once all that may have drawn have recorded theirs. They are the instances registered in the restored log: of a budget whose record says so (strict), only instances draw whose registration every copy contains. The record of an era keeps what was written off in it and what the restored log stated, until that is settled. It comes back once, as the settled record has no such numbers.

--- a/core/budget/book.go
+++ b/core/budget/book.go
@@ -62,6 +62,9 @@
 	recorded, grants Grants
 	hasRecord        bool
 	recordEra, era   int64
+	// proven is what was granted at most before provenEra began, and settled is set if grants is less than recorded states because of that.
+	proven, provenEra int64
+	settled           bool
 	// assumed is set if there is no record, nor a memory of one, and recorded is what may have been drawn at most.
 	assumed bool
 	// unknown is set while the newest record can't be decoded.
@@ -138,6 +141,9 @@
 	// loaded is set once the state of the log was read.
 	loaded   bool
 	stopping bool
+	// witnessing is set if instances record what they know of an era that ended. established and allEstablished are set if each copy of the log
+	// contains the registration of this instance, and of all.
+	witnessing, established, allEstablished bool
 	// promises are the promises that a record in the log may hold.
 	promises []*Promise
 }
@@ -190,7 +196,7 @@
 	organisation = budgetName(organisation)
 	a := b.accounts[organisation]
 	if a == nil {
-		a = &account{organisation: organisation, paid: table.Unlimited}
+		a = &account{organisation: organisation, paid: table.Unlimited, provenEra: noEra}
 		b.accounts[organisation] = a
 	}
 	return a
@@ -438,7 +444,7 @@
 
 // notifyIfDue calls OnAdjustmentDue if the holding should change.
 func (b *Book) notifyIfDue(organisation string, a *account) {
-	if b.adjustment(a) != 0 {
+	if b.adjustment(a) != 0 || b.recordDue(a) {
 		b.OnAdjustmentDue(organisation, false)
 	}
 }
@@ -490,11 +496,19 @@
 	return false
 }
 
-// AdjustmentDue reports whether the holding of an organisation should change.
+// AdjustmentDue reports whether the holding of an organisation should change, or its record.
 func (b *Book) AdjustmentDue(organisation string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.adjustment(b.account(organisation)) != 0
+	a := b.account(organisation)
+	return b.adjustment(a) != 0 || b.recordDue(a)
+}
+
+// RecordDue reports whether the record of an organisation should be written without a change of the holding.
+func (b *Book) RecordDue(organisation string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.recordDue(b.account(organisation))
 }
 
 // CommitAdjustment completes an adjustment that was recorded in the log.
--- a/core/budget/era.go
+++ b/core/budget/era.go
@@ -34,8 +34,11 @@
 	// Drawn is the sum of all draws, without returns. Kept is a sum of draws that each copy from which the log may be
 	// restored contains, and RiskLimit the maximum by which Drawn exceeds it. They are 0 in a log without eras.
 	Drawn, Kept, RiskLimit int64
-	// WrittenOff is the part of Granted that counts as granted because the log was restored.
-	WrittenOff int64
+	// WrittenOff is the part of Granted that counts as granted because the log was restored. Lost is the part of it that does so since the era of the
+	// record began, until it is known what was drawn before, and Base what the restored log stated as granted.
+	WrittenOff, Lost, Base int64
+	// Strict is set if tokens are drawn after this record only by instances whose registration each copy from which the log may be restored contains.
+	Strict bool
 }
 
 // drawMark is the sum of draws that was recorded in the log at a time.
@@ -118,14 +121,25 @@
 	b.notifyIfDue(a.organisation, a)
 }
 
-// writeOff sets what counts as granted: what the record states, and what was drawn at most in the eras after it.
+// writeOff sets what counts as granted: what the record states, and what was drawn at most in the eras after it, less what is proven not to have been.
 func (a *account) writeOff() {
 	g := a.recorded
-	if lost := min(a.era-g.Era, maxLostEras) * a.paidRisk(g.RiskLimit); lost > 0 {
+	if eras := min(a.era-g.Era, maxLostEras); eras > 0 {
+		lost := eras * a.paidRisk(g.RiskLimit)
+		g.Lost, g.Base = 0, 0
+		if eras == 1 {
+			g.Lost, g.Base = lost, g.Granted
+		}
 		g.Granted += lost
 		g.WrittenOff += lost
 		g.Kept = g.Drawn
 	}
+	a.settled = false
+	if back := min(g.Lost, g.WrittenOff) - max(0, a.proven-g.Base); a.provenEra == a.era && back > 0 {
+		g.Granted -= back
+		g.WrittenOff -= back
+		g.Lost, g.Base, a.settled = 0, 0, true
+	}
 	a.grants = g
 }
 
@@ -191,6 +205,9 @@
 	if !a.restorable {
 		return grantable
 	}
+	if b.witnessing && a.grants.Strict && !b.established {
+		return 0 // a restored log may not show that this instance could draw
+	}
 	return max(0, min(grantable, b.kept(a)+b.riskLimit(a)-a.grants.Drawn))
 }
 
@@ -206,6 +223,11 @@
 		g.Drawn += max(tokens, 0)
 		g.Kept, g.RiskLimit = b.kept(a), b.riskLimit(a)
 	}
+	if !b.witnessing {
+		g.Lost, g.Base, g.Strict = 0, 0, false
+	} else if a.restorable && b.makesStrict(a) {
+		g.Strict = true
+	}
 	return g
 }
 
@@ -223,7 +245,7 @@
 		return a.assumed
 	case a.hasRecord && !a.assumed:
 		g = a.grants
-		g.Era = a.era
+		g.Era, g.Strict = a.era, false // others may have no memory of it
 	case era == 0 || a.configuredAt.Sub(since) >= b.CopyAge: // the organisation is younger than any copy
 		g.Era = era
 	default:
--- a/core/budget/partition.go
+++ b/core/budget/partition.go
@@ -32,8 +32,15 @@
 	Kept       int64 `json:"kept,omitempty"`
 	RiskLimit  int64 `json:"risk_limit,omitempty"`
 	WrittenOff int64 `json:"written_off,omitempty"`
-	// Peer is the address at which an instance lends tokens; only in records that register instances.
-	Peer string `json:"peer,omitempty"`
+	// Lost, Base and Strict are those of Grants.
+	Lost   int64 `json:"lost,omitempty"`
+	Base   int64 `json:"base,omitempty"`
+	Strict bool  `json:"strict,omitempty"`
+	// Peer is the address at which an instance lends tokens, and Since and Established are those of its registration; only in records that register
+	// instances.
+	Peer        string `json:"peer,omitempty"`
+	Since       int64  `json:"since,omitempty"`
+	Established bool   `json:"established,omitempty"`
 }
 
 // adjustment is a draw, or a return if tokens is negative.
@@ -78,10 +85,17 @@
 	// instances maps the ids of all instances ever registered to their addresses for loans, and joinedAt is when
 	// the last one was seen to register.
 	instances map[string]string
-	// registered is set once this instance is registered, and joined if other instances had registered before it.
-	registered, joined bool
-	joinedAt           time.Time
-	pending            *batch
+	// registered maps the ids of all instances ever registered to their registrations. registeredAt is when that of this instance was read first, and
+	// established is set once each copy contains it.
+	registered   map[string]registration
+	registeredAt time.Time
+	established  bool
+	// last is the last state of an earlier era.
+	last *lastState
+	// wasRegistered is set once this instance is registered, and joined if other instances had registered before it.
+	wasRegistered, joined bool
+	joinedAt              time.Time
+	pending               *batch
 	// sequence numbers the batches of this instance.
 	sequence int64
 	// conflicts is the number of appends in a row that lost against another instance while no request
@@ -93,7 +107,7 @@
 func newPartition(sy *Syncer, index int) *partition {
 	return &partition{
 		syncer: sy, index: index, wake: make(chan struct{}, 1), due: make(chan struct{}, 1), retry: make(chan struct{}, 1),
-		newFleetEra: noEra, instances: map[string]string{},
+		newFleetEra: noEra, instances: map[string]string{}, registered: map[string]registration{},
 	}
 }
 
@@ -133,6 +147,7 @@
 	}
 	p.firstLoaded = true
 	p.end, p.loaded = s.End, true
+	_, _ = p.establish()
 	p.serveWaiters(s.Records)
 }
 
@@ -180,8 +195,14 @@
 	if p.pending != nil {
 		p.dropPending()
 	}
+	if p.loaded {
+		p.last = &lastState{p.era, partitionWitness{End: p.end, Granted: p.syncer.Book.strictGrants(p.syncer.organisationsOf(p.index), p.era)}}
+	}
 	p.loaded, p.end, p.readAt = false, 0, time.Time{}
-	p.instances = map[string]string{}
+	p.instances, p.registered = map[string]string{}, map[string]registration{}
+	if !p.established {
+		p.registeredAt = time.Time{} // an append of the earlier era may commit late
+	}
 }
 
 // checkEra returns logs.ErrNewEra, and drops the state, if the log was restored since the state was read. A reply counts
@@ -254,7 +275,7 @@
 	err := json.Unmarshal(r.Value, &e)
 	switch {
 	case err != nil:
-	case !isTokens(e.Granted, e.Drawn, e.Kept, e.RiskLimit, e.WrittenOff):
+	case !isTokens(e.Granted, e.Drawn, e.Kept, e.RiskLimit, e.WrittenOff, e.Lost, e.Base):
 		err = errTokens
 	case era < 0 || era > p.era:
 		err = errEra
@@ -267,9 +288,13 @@
 		if address, known := p.instances[name]; !known || address != e.Peer {
 			p.instances[name], p.joinedAt = e.Peer, p.syncer.Book.Now()
 		}
+		p.registered[name] = registration{e.Since, e.Established}
 		return e, nil
 	}
-	g := Grants{era, e.Granted, e.Drawn, e.Kept, e.RiskLimit, e.WrittenOff}
+	g := Grants{
+		Era: era, Granted: e.Granted, Drawn: e.Drawn, Kept: e.Kept, RiskLimit: e.RiskLimit, WrittenOff: e.WrittenOff,
+		Lost: e.Lost, Base: e.Base, Strict: e.Strict,
+	}
 	p.syncer.Book.RecordGrants(organisation, g, p.era, p.syncer.Log.HasEras())
 	return e, nil
 }
@@ -309,7 +334,9 @@
 		} else {
 			p.syncer.Book.AbortAdjustment(adj.organisation, adj.tokens)
 		}
-		p.syncer.OnAdjusted(adj.organisation, adj.tokens, committed)
+		if adj.tokens != 0 {
+			p.syncer.OnAdjusted(adj.organisation, adj.tokens, committed)
+		}
 	}
 }
 
@@ -327,7 +354,7 @@
 	b := &batch{offset: p.end, sequence: p.sequence + 1}
 	for _, name := range organisations {
 		tokens := p.syncer.Book.BeginAdjustment(name)
-		if tokens == 0 {
+		if tokens == 0 && !p.syncer.Book.RecordDue(name) {
 			continue
 		}
 		b.adjustments = append(b.adjustments, adjustment{name, tokens})
@@ -347,6 +374,7 @@
 	e := grantRecord{
 		Granted: g.Granted, By: p.syncer.Incarnation, Sequence: b.sequence,
 		Drawn: g.Drawn, Kept: g.Kept, RiskLimit: g.RiskLimit, WrittenOff: g.WrittenOff,
+		Lost: g.Lost, Base: g.Base, Strict: g.Strict,
 	}
 	value, err := json.Marshal(e)
 	if err != nil {
@@ -447,13 +475,14 @@
 	p.mu.Lock()
 	sy.updateInstances(p)
 	addr, registered := p.instances[sy.Instance]
-	p.joined = p.joined || !registered && !p.registered && !sy.FirstStart && len(p.instances) > 0
-	p.registered = p.registered || registered
+	p.joined = p.joined || !registered && !p.wasRegistered && !sy.FirstStart && len(p.instances) > 0
+	p.wasRegistered = p.wasRegistered || registered
+	own, recorded := p.establish()
 	p.mu.Unlock()
-	if p.index != 0 || registered && addr == sy.PeerAddr {
+	if p.index != 0 || registered && addr == sy.PeerAddr && recorded {
 		return nil
 	}
-	value, err := json.Marshal(grantRecord{By: sy.Incarnation, Peer: sy.PeerAddr})
+	value, err := json.Marshal(grantRecord{By: sy.Incarnation, Peer: sy.PeerAddr, Since: own.since, Established: own.established})
 	if err != nil {
 		return fmt.Errorf("encode registration: %w", err)
 	}
--- a/core/budget/property_test.go
+++ b/core/budget/property_test.go
@@ -42,6 +42,8 @@
 	// may spend. Reservations of a killed process count as spent, since its targets continue to run.
 	spent, reserved, paid int64
 	noFaults              bool
+	// earlier is set if processes that start are of an earlier build.
+	earlier bool
 	// maxWait is how long a request waits for tokens, in real time.
 	maxWait time.Duration
 	// copies are copies of the log with the times that they were made at.
@@ -70,7 +72,10 @@
 	m.syncer = &budget.Syncer{
 		Log: f.log.Log(), Topic: "keyed.budgets", Shards: 1, Instance: instance, Incarnation: fmt.Sprintf("%s#%d", instance, f.starts), Book: m.book,
 		PromiseTopic: "keyed.promises", PromiseParts: 1, Boot: fmt.Sprintf("boot-%d", f.boots), Started: f.uptime(),
-		FirstEraTopic: "keyed.first", FirstStart: f.now.Equal(startTime),
+		FirstEraTopic: "keyed.first", WitnessTopic: "keyed.witnesses", FirstStart: f.now.Equal(startTime),
+	}
+	if f.earlier {
+		m.syncer.FirstEraTopic, m.syncer.WitnessTopic = "", ""
 	}
 	m.syncer.Default()
 	m.syncer.PollInterval = time.Nanosecond // each sync reads the log
--- a/core/budget/syncer.go
+++ b/core/budget/syncer.go
@@ -68,6 +68,8 @@
 	PromiseParts int
 	// FirstEraTopic is the keyed topic that holds the era of the log in which the fleet started for the first time; optional.
 	FirstEraTopic string
+	// WitnessTopic is the keyed topic in which instances record what they knew of an era of the log that ended; optional.
+	WitnessTopic string
 	// Boot is the id of the current boot of the machine; without it no promises are made.
 	Boot string
 	// FirstStart is set if the fleet starts for the first time, so that the log has no records of it.
@@ -101,12 +103,16 @@
 	// OnFirstEraOutage and OnFirstEraRecovery are the same for the topic of the first era; optional.
 	OnFirstEraOutage   func(err error)
 	OnFirstEraRecovery func(duration time.Duration)
+	// OnWitnessOutage and OnWitnessRecovery are the same for the topic of witnesses; optional.
+	OnWitnessOutage   func(err error)
+	OnWitnessRecovery func(duration time.Duration)
 	// OnInherited is called with the tokens that an earlier process of this instance had promised,
 	// and whether they were taken over; optional.
 	OnInherited func(tokens map[string]int64, taken bool)
 
 	promises      *promiseWriter
 	firstEra      *firstEra
+	witnesses     *witnesses
 	partitions    []*partition
 	organisations atomic.Pointer[[]string]
 	// rank ranks the instances for each budget; nil while they are not counted.
@@ -142,22 +148,21 @@
 	if sy.OnInstances == nil {
 		sy.OnInstances = func([]string, bool) {}
 	}
-	if sy.OnPromiseOutage == nil {
-		sy.OnPromiseOutage = func(error) {}
-	}
-	if sy.OnPromiseRecovery == nil {
-		sy.OnPromiseRecovery = func(time.Duration) {}
-	}
-	if sy.OnFirstEraOutage == nil {
-		sy.OnFirstEraOutage = func(error) {}
+	for _, f := range []*func(error){&sy.OnPromiseOutage, &sy.OnFirstEraOutage, &sy.OnWitnessOutage} {
+		if *f == nil {
+			*f = func(error) {}
+		}
 	}
-	if sy.OnFirstEraRecovery == nil {
-		sy.OnFirstEraRecovery = func(time.Duration) {}
+	for _, f := range []*func(time.Duration){&sy.OnPromiseRecovery, &sy.OnFirstEraRecovery, &sy.OnWitnessRecovery} {
+		if *f == nil {
+			*f = func(time.Duration) {}
+		}
 	}
 	if sy.OnInherited == nil {
 		sy.OnInherited = func(map[string]int64, bool) {}
 	}
-	sy.promises, sy.firstEra = newPromiseWriter(sy), newFirstEra(sy)
+	sy.promises, sy.firstEra, sy.witnesses = newPromiseWriter(sy), newFirstEra(sy), newWitnesses(sy)
+	sy.Book.witnessing = sy.WitnessTopic != ""
 	sy.Book.OnPromiseBlocking = sy.promises.scheduleRenewal
 	sy.Shards = max(sy.Shards, 1)
 	for i := range sy.Shards {
@@ -259,6 +264,9 @@
 	if sy.FirstEraTopic != "" {
 		g.Go(func() error { return sy.firstEra.run(ctx) })
 	}
+	if sy.WitnessTopic != "" {
+		g.Go(func() error { return sy.witnesses.run(ctx) })
+	}
 	for _, p := range sy.partitions {
 		g.Go(func() error { return sy.runPartition(ctx, p) })
 	}
@@ -323,7 +331,7 @@
 	for _, p := range sy.partitions {
 		failed = errors.Join(failed, sy.syncPartition(ctx, p))
 	}
-	return errors.Join(failed, sy.firstEra.sync(ctx))
+	return errors.Join(failed, sy.firstEra.sync(ctx), sy.witnesses.sync(ctx))
 }
 
 // waitUntilDue waits until a sync of the partition is due.
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -53,7 +53,7 @@
 	// by its id, BudgetTopic the prepaid budgets, PromiseTopic the tokens that instances hold
 	// of them and have promised not to spend yet, CrashTopic the requests that crash targets, RateTopic the rate limits of targets, StreamTopic the software
 	// versions that began streams, and VersionTopic those of services.
-	ConfigTopic, ConfigKey, TargetTopic, BudgetTopic, PromiseTopic, FirstEraTopic, CrashTopic, RateTopic, StreamTopic, VersionTopic string
+	ConfigTopic, ConfigKey, TargetTopic, BudgetTopic, PromiseTopic, FirstEraTopic, WitnessTopic, CrashTopic, RateTopic, StreamTopic, VersionTopic string
 	// ReadyPath is the path of the platform's readiness check.
 	ReadyPath string
 	// ParseConfig and ParseTarget decode records of the topics.
@@ -243,6 +243,7 @@
 		PeerAddr: r.Settings.Peer.Listen, PromiseTopic: r.Platform.PromiseTopic, PromiseParts: s.Shards, Boot: boot, Started: uptime.Now(), FirstStart: s.Fleet == opts.NewFleet,
 		OnPromiseOutage: r.topicUnreachable(r.Platform.PromiseTopic), OnPromiseRecovery: r.topicRecovered(r.Platform.PromiseTopic), OnInherited: r.promisesInherited,
 		FirstEraTopic: r.Platform.FirstEraTopic, OnFirstEraOutage: r.topicUnreachable(r.Platform.FirstEraTopic), OnFirstEraRecovery: r.topicRecovered(r.Platform.FirstEraTopic),
+		WitnessTopic: r.Platform.WitnessTopic, OnWitnessOutage: r.topicUnreachable(r.Platform.WitnessTopic), OnWitnessRecovery: r.topicRecovered(r.Platform.WitnessTopic),
 		OnInstances: r.instancesChanged, OnAdjusted: r.holdingChanged, OnUnsettled: r.batchUnsettled, OnInvalidRecord: r.recordUnreadable(r.Platform.BudgetTopic),
 		OnOutage: func(part int, err error) { r.topicUnreachable(fmt.Sprintf("%s/%d", r.Platform.BudgetTopic, part))(err) },
 		OnRecovery: func(part int, outage time.Duration) {
