fix: request bodies of the own interface share a limit of memory

What callers saw: nothing by itself; a process that runs out of memory ends the requests of all its callers (LOST). The cause: each body had a limit, but all together only that times caller.max_in_flight, 1 GiB with the default settings and 64 GiB with the largest body, while the answers of the same process had 256 MiB.

The bodies of the requests in flight are counted as they are read and share a quarter of the new setting memory.limit_mb, until their requests end. One that exceeds it is refused with 3002 and a retry time, and the server does not wait for the rest of it. The answers have another quarter. The default of 1024 MB leaves them the 256 MiB they had.

TestBodiesShareMemory failed before, with the limit off: none of ten bodies of 900 KiB was refused with 8 MiB for them; the first reply was the timeout of a body after 10 s. What is counted is the body as it was sent; it is decoded into about as much again.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -64,6 +64,8 @@
 	Generate *serve.Server
 	// Memory limits the text of the answers in flight that are not streams; optional.
 	Memory *memory.Pool
+	// MaxBodyMemory limits what the bodies of the requests in flight use together, in bytes; optional, 0 means no limit.
+	MaxBodyMemory int64
 	// CallService makes one call to a plain service.
 	CallService func(ctx context.Context, t roster.Target, c Call) (Reply, error)
 	// Crashes decides whether a call may be sent, depending on the targets that similar calls have crashed; optional.
@@ -84,7 +86,9 @@
 	server   httpd.Server
 	active   activeSet
 	inFlight atomic.Int64
-	stopping atomic.Bool
+	// bodyBytes is the size of the bodies of the requests in flight.
+	bodyBytes atomic.Int64
+	stopping  atomic.Bool
 	// stopAt is when a stop ends, and noticeEnds when its notice does, in Unix nanoseconds; 0 if none has begun. noticeOver is set once its notice is over.
 	stopAt, noticeEnds atomic.Int64
 	noticeOver         atomic.Bool
@@ -198,6 +202,9 @@
 			writeError(w, r.Header.Get(headerRequestID), codes.Refuse(codes.NotReady, retryNotReady, "send the request to another instance, or retry it here"))
 			return
 		}
+		body := &countedBody{ReadCloser: r.Body, server: s}
+		defer body.release()
+		r.Body = body
 		next(w, r)
 	}
 }
--- a/io/front/parse.go
+++ b/io/front/parse.go
@@ -71,6 +71,32 @@
 	digest       uint64
 }
 
+// retryBodyMemory is the Retry-After while the bodies of other requests use the memory for them.
+const retryBodyMemory = 200 * time.Millisecond
+
+var errBodyMemory = errors.New("the memory for bodies is used up")
+
+// countedBody adds what is read of a body to the bodies of the requests in flight. Reading fails with errBodyMemory once they exceed their limit.
+type countedBody struct {
+	io.ReadCloser
+
+	server *Server
+	bytes  int64
+}
+
+// Read implements io.Reader.
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.bytes += int64(n)
+	if limit := b.server.MaxBodyMemory; b.server.bodyBytes.Add(int64(n)) > limit && limit > 0 {
+		return n, errBodyMemory
+	}
+	return n, err
+}
+
+// release ends what was counted.
+func (b *countedBody) release() { b.server.bodyBytes.Add(-b.bytes) }
+
 // readBody reads the whole body within the limits of size and time.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *codes.Error) {
 	controller := http.NewResponseController(w)
@@ -80,6 +106,9 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, codes.Refuse(codes.BodyTooLarge, 0, "the request body exceeds the limit of %d bytes; send a smaller body", s.Settings.BodyBytes)
+	case errors.Is(err, errBodyMemory):
+		_ = controller.SetReadDeadline(time.Now()) // The server does not wait for the rest before it writes the refusal.
+		return nil, codes.Refuse(codes.Overloaded, retryBodyMemory, "the bodies of the requests in flight use the memory for them; retry the request")
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, codes.Refuse(codes.BodyTimeout, time.Second, "the request body was not received completely within %s; retry the request", s.Settings.BodyTimeoutMS.Duration())
 	case err != nil:
--- a/io/node/faults_test.go
+++ b/io/node/faults_test.go
@@ -43,7 +43,12 @@
 
 // send is like post, but returns errors, for use in goroutines and for connections that may break.
 func send(ctx context.Context, m *fleet.Member, path, key, body string, header ...string) result {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.Front.Addr()+path, strings.NewReader(body))
+	return sendBody(ctx, m, path, key, strings.NewReader(body), header...)
+}
+
+// sendBody is send with a body that is read as it is sent.
+func sendBody(ctx context.Context, m *fleet.Member, path, key string, body io.Reader, header ...string) result {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.Front.Addr()+path, body)
 	if err != nil {
 		return result{err: err}
 	}
@@ -290,6 +295,29 @@
 	group.Wait()
 }
 
+// TestBodiesShareMemory guards against bodies of requests that use up the memory of the instance together while their callers send the rest.
+func TestBodiesShareMemory(t *testing.T) {
+	const callers, size = 10, 900 << 10
+	f := start(t, &fleet.Fleet{Instances: 1, Engines: 1, ConfigureInstance: func(_ int, s *opts.Settings) { s.Memory.LimitMB = 32 }}) // room for nine bodies
+	provisionAll(t, f, 1_000_000)
+	ctx, cancel := context.WithCancel(t.Context())
+	refused := make(chan result, callers)
+	var group sync.WaitGroup
+	for range callers {
+		group.Go(func() {
+			rest, end := io.Pipe()
+			defer context.AfterFunc(ctx, func() { _ = end.Close() })()
+			refused <- sendBody(ctx, f.Members[0], "/v1/completions", fleet.Key("acme"), io.MultiReader(strings.NewReader(strings.Repeat(" ", size)), rest))
+		})
+	}
+	assertRefused(t, (<-refused).reply, 3002, "not_run")
+	cancel()
+	group.Wait()
+	eventually(t, f, func() bool {
+		return send(t.Context(), f.Members[0], "/v1/completions", fleet.Key("acme"), strings.Repeat(" ", size)+promptBody("p", 4, false)).status == http.StatusOK
+	})
+}
+
 // TestLeavingTarget guards against sending requests to a target that is leaving. Instances learn of it from each other
 // and send it none until a new incarnation appears; streams in progress complete.
 func TestLeavingTarget(t *testing.T) {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -126,12 +126,16 @@
 	n.makeOper()
 }
 
-// answerMemoryBytes limits the answers in flight that are held until they are complete: 64 replies of services of the largest size.
-const answerMemoryBytes = 256 << 20
+// Fractions of the memory for the bodies of requests in flight, and for answers that are held until they are complete. Both are decoded into as much
+// again.
+const (
+	bodyMemoryShare   = 0.25
+	answerMemoryShare = 0.25
+)
 
 func (n *Node) makeTarget() {
 	s := n.Settings.Target
-	n.answers = &memory.Pool{Bytes: answerMemoryBytes}
+	n.answers = &memory.Pool{Bytes: n.Settings.Memory.Bytes(answerMemoryShare)}
 	n.target = &target.Client{
 		Memory:       n.answers,
 		FrameTimeout: s.FrameTimeoutMS.Duration(), FirstFrameTimeout: s.FirstFrameTimeoutMS.Duration(),
@@ -242,7 +246,7 @@
 			t, ok := n.config.load().byKeyHash[sha256]
 			return t, ok
 		},
-		Memory: n.answers, OnServed: n.onServed, Ledger: n.LedgerOf, Once: n.OnceOf, Route: n.Route, CallService: newServiceCaller(n.target),
+		Memory: n.answers, MaxBodyMemory: n.Settings.Memory.Bytes(bodyMemoryShare), OnServed: n.onServed, Ledger: n.LedgerOf, Once: n.OnceOf, Route: n.Route, CallService: newServiceCaller(n.target),
 		Crashes: n.crashes, HasCrashed: n.hasCrashed, Abandoned: n.abandoned,
 		Generate: &serve.Server{
 			Pick: n.Route.Pick, Done: n.Route.Done, Retry: n.Route.TryRetry, Open: newStreamOpener(n.target, n.onStreamOpened), Cancel: n.cancelAttempt,
--- a/io/opts/opts.go
+++ b/io/opts/opts.go
@@ -28,6 +28,7 @@
 	Ledger   Ledger   `toml:"ledger"`
 	Once     Once     `toml:"once"`
 	Target   Target   `toml:"target"`
+	Memory   Memory   `toml:"memory"`
 	Stop     Stop     `toml:"stop"`
 	Log      Log      `toml:"log"`
 }
@@ -97,6 +98,14 @@
 	MaxInFlightPerTarget int          `toml:"max_in_flight_each" unit:"requests" default:"256" allowed:"1..100000" doc:"Most requests in flight from this instance to one target."`
 }
 
+// Memory limits the memory of the process.
+type Memory struct {
+	LimitMB float64 `toml:"limit_mb" unit:"MB" default:"1024" allowed:"32..1048576" doc:"Memory that the process may use. A quarter is for the bodies of requests in flight, and one for answers until they are complete."`
+}
+
+// Bytes returns a fraction of the memory limit in bytes.
+func (m Memory) Bytes(fraction float64) int64 { return int64(m.LimitMB * fraction * megabyte) }
+
 // Stop configures the graceful shutdown.
 type Stop struct {
 	TimeoutMS Milliseconds `toml:"timeout_ms" unit:"ms" default:"30000" allowed:"1..3600000" doc:"Longest time for a graceful shutdown."`
