fix: waiting lines of the log have a limit in bytes

What callers saw: nothing by itself; a process that runs out of memory ends the requests of all its callers (LOST). The cause: while the output of the log is blocked or slow, up to 1,000 lines wait, of any length, and lines hold the id that a caller states for its request, up to the limit of its head of 32 KiB, in up to four lines of a request. That is some 30 MB of the 128 MB of a small instance. It is bounded, but not by what the setting says.

The writer has a buffer of its own now, with the same setting: log.lines lines of 1 KiB each, or fewer long ones. A line that exceeds the limit is kept alone. Ids of requests are cut at 128 bytes in lines, as those of resumed streams were at 64, so that a long id does not displace the lines of others.

TestLongLinesUseLimitedMemory failed before: 101 lines of 102,400 bytes were kept. TestLongIDsAreNotLogged failed before: four lines of 30,933 to 31,235 bytes.

--- a/io/logio/logio_test.go
+++ b/io/logio/logio_test.go
@@ -65,3 +65,22 @@
 	assert.Assert(t, !strings.Contains(p.text(), "below"))
 	assert.Assert(t, len(lost) > 0)
 }
+
+// TestLongLinesUseLimitedMemory guards against the memory of a thousand long lines, which callers can cause, while the output is blocked.
+func TestLongLinesUseLimitedMemory(t *testing.T) {
+	const lines, size = 100, 100 << 10
+	p := &blockingWriter{unblock: make(chan struct{})}
+	w := &logio.Writer{Out: p, Capacity: lines, Level: "info"}
+	w.Default()
+	log, text := w.Log(), strings.Repeat("x", size)
+	for range lines {
+		log.Info().Msg(text)
+	}
+	log.Info().Msg("the last line")
+	close(p.unblock)
+	w.Close()
+	written := strings.Count(p.text(), "\n")
+	assert.Assert(t, written <= 2, "%d lines of %d bytes were kept", written, size) // one that is being written, and the last one
+	assert.Equal(t, int64(written)+w.Dropped(), int64(lines+1))
+	assert.Assert(t, strings.Contains(p.text(), "the last line"))
+}
--- a/io/opts/router.go
+++ b/io/opts/router.go
@@ -131,7 +131,7 @@
 // RouterLog configures the log of the process.
 type RouterLog struct {
 	Level Level `toml:"level" default:"info" allowed:"debug|info|warn|error" doc:"Least level that is logged, on standard output."`
-	Lines int   `toml:"lines" unit:"lines" default:"1000" allowed:"10..1000000" doc:"Lines that wait to be written; further ones are dropped and counted."`
+	Lines int   `toml:"lines" unit:"lines" default:"1000" allowed:"10..1000000" doc:"Lines of up to 1 KiB that wait to be written, or fewer long ones; the oldest are dropped for further ones and counted."`
 }
 
 // LoadRouter reads and parses the settings file of a router at path.
--- a/io/router/crash.go
+++ b/io/router/crash.go
@@ -89,7 +89,7 @@
 
 // targetCrashed logs a target that crashed during an attempt.
 func (r *Router) targetCrashed(d relay.Dispatch, f *relay.AttemptError) {
-	line := events.Log(r.Log, events.TargetCrashed).Str("target", d.Target.ID).Str("request", d.ID).Int("events", f.Events).
+	line := events.Log(r.Log, events.TargetCrashed).Str("target", d.Target.ID).Str("request", loggedID(d.ID)).Int("events", f.Events).
 		Str("trait", string(f.Trait)).Int("series", f.Series).Bool("probe", f.Probe)
 	if parts := d.Prompt.SharedParts(); len(parts) > 0 {
 		line.Strs("parts", parts)
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -168,7 +168,7 @@
 // attemptFailed logs and counts a failed attempt.
 func (r *Router) attemptFailed(d relay.Dispatch, f *relay.AttemptError) {
 	r.Meter.Attempt(string(f.Kind))
-	event := events.Log(r.Log, events.AttemptFailed).Str("request", d.ID).Str("target", d.Target.ID).Str("kind", string(f.Kind)).
+	event := events.Log(r.Log, events.AttemptFailed).Str("request", loggedID(d.ID)).Str("target", d.Target.ID).Str("kind", string(f.Kind)).
 		Bool("sent", f.Sent).Bool("repeatable", !d.NonIdempotent).Dur("left", d.Remaining).Int("events", f.Events)
 	if parts := d.Prompt.SharedParts(); f.Sent && len(parts) > 0 {
 		event.Strs("parts", parts)
@@ -179,8 +179,11 @@
 	}
 }
 
-// maxLoggedID limits how much of an id is logged that a caller may choose at any length.
-const maxLoggedID = 64
+// maxLoggedID limits how much of an id is logged, in bytes, that a caller may choose at any length. Ids in common formats have a third of it.
+const maxLoggedID = 128
+
+// loggedID returns the beginning of an id.
+func loggedID(id string) string { return id[:min(len(id), maxLoggedID)] }
 
 // addStream adds what was billed and how a stream went to the event of a finished request.
 func (r *Router) addStream(event *zerolog.Event, class meter.Class, result relay.Result) {
@@ -195,7 +198,7 @@
 		event.Str("software", result.Software)
 	}
 	if result.Request != nil && result.Request.LastEventID != "" {
-		event.Str("resumes", result.Request.Resumes[:min(len(result.Request.Resumes), maxLoggedID)])
+		event.Str("resumes", loggedID(result.Request.Resumes))
 	}
 	if result.RetryDenied != "" {
 		event.Str("retry_denied", string(result.RetryDenied))
@@ -214,7 +217,7 @@
 
 // logEarlyEnd logs and counts a request that ended without a whole answer after its head was sent or a target may have run it.
 func (r *Router) logEarlyEnd(result relay.Result, took time.Duration) {
-	event := events.Log(r.Log, events.AnswerEnded).Str("request", result.Request.ID).Str("target", result.Target.ID).Str("by", string(result.EndedBy))
+	event := events.Log(r.Log, events.AnswerEnded).Str("request", loggedID(result.Request.ID)).Str("target", result.Target.ID).Str("by", string(result.EndedBy))
 	kind := relay.Kind("")
 	if failed := result.LastFailure; failed != nil {
 		event.Str("failure", string(failed.Kind)).AnErr("cause", failed.Err)
@@ -241,7 +244,7 @@
 	code := codes.Code{}
 	event := events.Log(r.Log, events.RequestEnded)
 	if result.Request != nil {
-		event.Str("request", result.Request.ID)
+		event.Str("request", loggedID(result.Request.ID))
 	}
 	if result.Organisation != "" {
 		class = meter.ClassOf(result.Priority)
--- a/io/router/serve_test.go
+++ b/io/router/serve_test.go
@@ -123,3 +123,20 @@
 	r.Meter.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/", http.NoBody))
 	assert.Assert(t, strings.Contains(w.Body.String(), `cranberryrail_answers_ended_early_total{by="target",kind="broken"} 1`+"\n"), w.Body.String())
 }
+
+// TestLongIDsAreNotLogged guards against lines of any length, of which few have room, since callers choose the ids of their requests.
+func TestLongIDsAreNotLogged(t *testing.T) {
+	const longest = 1 << 10
+	lines := &strings.Builder{}
+	r, _ := start(t, settings, "")
+	r.Log = zerolog.New(lines)
+	long := strings.Repeat("x", 30<<10)
+	req, failed := &relay.Request{ID: long, LastEventID: "1", Resumes: long}, &relay.AttemptError{Kind: relay.Broken, Crashed: true, Err: io.ErrUnexpectedEOF}
+	r.attemptFailed(relay.Dispatch{Request: req}, failed)
+	r.requestEnded(relay.Result{Request: req, Events: 1, EndedBy: relay.ByTarget, LastFailure: failed, Refused: codes.From(io.ErrNoProgress, codes.Ran)}, 0)
+	ended := strings.Split(strings.TrimSpace(lines.String()), "\n")
+	assert.Assert(t, len(ended) >= 4, lines.Len())
+	for _, line := range ended {
+		assert.Check(t, len(line) <= longest, "%d bytes: %.200s", len(line), line)
+	}
+}
