test: nothing comes back of a budget whose newest known record is not strict

The new part of TestNothingComesBackWithoutProof plays the one order of events that needs it: an instance of the production build makes a record that is not strict, its successor can read but not write, and an instance that has just joined draws and is gone when the log is restored.

--- a/core/budget/witness_test.go
+++ b/core/budget/witness_test.go
@@ -115,6 +115,30 @@
 		})
 		f.assertWrittenOff(t, paid/2)
 	})
+	t.Run("not strict", func(t *testing.T) {
+		f := restored(t, func(f *fleet) {
+			f.earlier = true
+			f.members[2] = f.start("i-2")
+			assert.NilError(t, f.members[2].syncer.Sync(t.Context()))
+			_, err := reserve(t, f.members[2], paid/50)
+			assert.NilError(t, err)
+			f.earlier = false
+			f.members[2] = f.start("i-2")
+			f.log.SetFault(func(call string) memlog.Fault {
+				if call == "append" {
+					return memlog.Refuse
+				}
+				return memlog.None
+			})
+			assert.ErrorContains(t, f.members[2].syncer.Sync(t.Context()), "injected fault")
+			f.log.SetFault(nil)
+			joined := f.start("i-9")
+			assert.NilError(t, joined.syncer.Sync(t.Context()))
+			_, err = reserve(t, joined, paid/10)
+			assert.NilError(t, err)
+		})
+		f.assertWrittenOff(t, paid/2)
+	})
 	t.Run("odd witness", func(t *testing.T) {
 		f := restored(t, func(f *fleet) { f.members = f.members[:2] })
 		for _, value := range []string{"\xff", `{}`, `{"era":2}`, `{"era":2,"partitions":{"0":{"end":99,"granted":{"travel":-1}}}}`, `{"era":1,"partitions":{"0":{}}}`} {
