fix: a budget whose record can't be decoded stays unknown when the log lacks the record

What callers would see: tokens of a budget are granted again (BUDGET).

A process that starts and can't decode the newest record of a budget does not know what was granted, and draws nothing until it reads a valid record. When the log was restored to a copy without the record, the process took the budget for one that it remembers, with nothing granted, and drew all but what may have been lost in this one restore. It is now unknown until a valid record is read, as it is without a restore.

TestUnreadableRecordIsNoMemory failed: a token was granted where the request must be refused with ledger_stale.

--- a/core/budget/era.go
+++ b/core/budget/era.go
@@ -241,6 +241,8 @@
 	a := b.account(organisation)
 	var g Grants
 	switch {
+	case a.unknown: // until a valid record is read
+		return false
 	case a.hasRecord && a.era == era && (!a.assumed || first <= a.recordEra):
 		return a.assumed
 	case a.hasRecord && !a.assumed:
--- a/core/budget/firstera_test.go
+++ b/core/budget/firstera_test.go
@@ -154,3 +154,20 @@
 	assert.NilError(t, m.syncer.Sync(t.Context()))
 	assert.Equal(t, m.book.Balance("travel").WrittenOff, f.paid)
 }
+
+// TestUnreadableRecordIsNoMemory guards against tokens that are granted again after a restore by a process that could not decode the record which the log
+// lacks now: it does not know what was granted.
+func TestUnreadableRecordIsNoMemory(t *testing.T) {
+	f := newFleetOf(t, 1)
+	f.sync(t)
+	older := f.log.Copy()
+	f.log.Put("keyed.budgets", 0, "era/1/travel", []byte("\xff"))
+	f.members = []*member{f.launch("i-0")}
+	f.pay(f.members[0])
+	f.sync(t)
+	f.now = f.now.Add(4 * time.Second)
+	f.restoreFrom(t, older)
+	_, err := reserve(t, f.members[0], 1)
+	assert.ErrorContains(t, err, "ledger_stale")
+	assert.Equal(t, f.members[0].book.Balance("travel").Free, int64(0))
+}
