--- a/core/budget/witness_test.go
+++ b/core/budget/witness_test.go
@@ -119,6 +119,7 @@
 		f := restored(t, func(f *fleet) {
 			f.earlier = true
 			f.members[2] = f.start("i-2")
+			assert.NilError(t, f.members[2].syncer.Sync(t.Context()))
 			_, err := reserve(t, f.members[2], paid/50)
 			assert.NilError(t, err)
 			f.earlier = false
@@ -131,7 +132,9 @@
 			})
 			assert.ErrorContains(t, f.members[2].syncer.Sync(t.Context()), "injected fault")
 			f.log.SetFault(nil)
-			_, err = reserve(t, f.start("i-9"), paid/10)
+			joined := f.start("i-9")
+			assert.NilError(t, joined.syncer.Sync(t.Context()))
+			_, err = reserve(t, joined, paid/10)
 			assert.NilError(t, err)
 		})
 		f.assertWrittenOff(t, paid/2)
