fix: an instance that does not know the fleet takes no whole brittle target (LIMIT)

What callers saw: failed requests, because brittle targets fell over while instances started or joined. An instance that does not know the others took all slots of a target as its share, and one that joined took its share before the others had read its registration.

Cause: an empty fleet counted as one instance, and a new one got its share at once.

An instance counts as one of 300 until it knows the fleet. One that joined shares, for 30 s as with rate limits, only the half of what a target turns away in a second that the others leave unused, so that the sum stays below the slots and what the target turns away. An instance that restarts is in the list that it reads first, and knows the fleet from then on instead of a second or two later. Times that were drawn for an unknown fleet are shortened once it is known.

In flight at a target with 16 slots that turns 5 away (21 are the most): four that start 72, now 0 until they know each other and 18 then; one that joins another 27, now 19.

--- a/core/budget/partition.go
+++ b/core/budget/partition.go
@@ -131,6 +131,7 @@
 	if p.syncer.FirstStart && !p.firstLoaded {
 		p.beginNewFleet()
 	}
+	p.announceEarlierFleet()
 	p.firstLoaded = true
 	p.end, p.loaded = s.End, true
 	p.serveWaiters(s.Records)
--- a/core/rate/rate.go
+++ b/core/rate/rate.go
@@ -40,9 +40,9 @@
 	// checkAfter is the time without an allowed request after which the target is preferred over others, so that a response shows
 	// whether its limit still applies.
 	checkAfter = 2 * time.Second
-	// settleTime is the time for which an instance that joined the fleet sends no requests to targets with a limit: until all
+	// SettleTime is the time for which an instance that joined the fleet sends no requests to targets with a limit: until all
 	// others know of it and have recomputed the holders.
-	settleTime = 30 * time.Second
+	SettleTime = 30 * time.Second
 	// retention is how long a limit is remembered after its target was last listed.
 	retention = 10 * time.Minute
 	// publishedChange is the smallest relative change of a limit that is published.
--- a/core/rate/tracker.go
+++ b/core/rate/tracker.go
@@ -32,7 +32,7 @@
 	mu     sync.Mutex
 	limits map[uint64]*limit
 	fleet  []instance
-	// settledAt is when settleTime ends for an instance that joined the fleet; zero for others.
+	// settledAt is when SettleTime ends for an instance that joined the fleet; zero for others.
 	settledAt time.Time
 }
 
@@ -66,7 +66,7 @@
 	defer t.mu.Unlock()
 	now := t.Now()
 	if joined && t.settledAt.IsZero() {
-		t.settledAt = now.Add(settleTime)
+		t.settledAt = now.Add(SettleTime)
 	}
 	t.fleet = make([]instance, 0, len(ids))
 	for _, id := range ids {
--- a/core/route/actor.go
+++ b/core/route/actor.go
@@ -52,10 +52,11 @@
 		ID, Incarnation string
 		PerSecond       float64
 	}
-	// FleetMsg states the ids of this and of all instances.
+	// FleetMsg states the ids of this and of all instances, and whether the others may not know of this one yet.
 	FleetMsg struct {
-		Own string
-		IDs []string
+		Own    string
+		IDs    []string
+		Joined bool
 	}
 	// LeavingMsg marks incarnations as leaving.
 	LeavingMsg struct{ Incarnations []string }
@@ -152,7 +153,7 @@
 	case *BrittleMsg:
 		a.Balancer.SetBrittle(m.ID, m.Incarnation, m.PerSecond)
 	case *FleetMsg:
-		a.Balancer.SetFleet(m.Own, m.IDs)
+		a.Balancer.SetFleet(m.Own, m.IDs, m.Joined)
 	}
 }
 
@@ -225,8 +226,10 @@
 	c.Root.Send(c.PID, &BrittleMsg{id, incarnation, perSecond})
 }
 
-// SetFleet sets the ids of all instances, which share what brittle targets take, and that of this one.
-func (c *Client) SetFleet(own string, ids []string) { c.Root.Send(c.PID, &FleetMsg{own, ids}) }
+// SetFleet sets the ids of all instances, which share what brittle targets take, and that of this one, and whether the others may not know of it yet.
+func (c *Client) SetFleet(own string, ids []string, joined bool) {
+	c.Root.Send(c.PID, &FleetMsg{own, ids, joined})
+}
 
 // Readmit ends the ejections of all targets of a service.
 func (c *Client) Readmit(service string) { c.Root.Send(c.PID, &ReadmitMsg{service}) }
--- a/core/route/brittle.go
+++ b/core/route/brittle.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"cranberryrail/core/rate"
 	"cranberryrail/core/rendez"
 )
 
@@ -20,6 +21,10 @@
 	maxBrittlePause = 10 * time.Second
 	// brittleExtraShare is the share of what a brittle target turns away in a second by which all instances together may exceed what it runs.
 	brittleExtraShare = 0.5
+	// brittleReserveShare is the share of what a brittle target turns away in a second that is left to instances that the others may not know of.
+	brittleReserveShare = 1 - brittleExtraShare
+	// unknownFleet is the number of instances that one assumes until it knows them: that of the largest deployment.
+	unknownFleet = 300
 )
 
 // brittleness is what a target announces of itself. Exceeding it makes the target fall over.
@@ -68,14 +73,18 @@
 }
 
 // brittleShare returns how many requests this instance may have in flight at a brittle target. The shares of all instances add up to what the target
-// runs at the same time and, unless it rejected a request, a part of what it turns away in a second, since slow exchanges leave slots unused.
+// runs at the same time and, unless it rejected a request, a part of what it turns away in a second, since slow exchanges leave slots unused. Instances that
+// the others may not know of share only the reserve, as the others share all of the slots.
 func (b *Balancer) brittleShare(c *target, now time.Time) int {
-	total := b.capacity(c)
+	total, extra := b.capacity(c), brittleExtraShare
 	if c.load.capacity == 0 && c.Slots > 0 {
 		total = c.Slots
 	}
+	if len(b.fleet) == 0 || now.Before(b.settledAt) {
+		total, extra = 0, brittleReserveShare
+	}
 	if !now.Before(c.brittle.strictUntil) {
-		total += int(brittleExtraShare * c.brittle.perSecond)
+		total += int(extra * c.brittle.perSecond)
 	}
 	// The sum of (total+rank)/fleet, rounded down, over all ranks below fleet is total.
 	return (total + b.rank(c)) / b.fleetSize()
@@ -115,25 +124,55 @@
 }
 
 // fleetSize returns the number of instances that share brittle targets.
-func (b *Balancer) fleetSize() int { return max(len(b.fleet), 1) }
+func (b *Balancer) fleetSize() int {
+	if len(b.fleet) == 0 {
+		return unknownFleet
+	}
+	return len(b.fleet)
+}
 
-// SetFleet sets the ids of all instances, which share what brittle targets take, and that of this one.
-func (b *Balancer) SetFleet(own string, ids []string) {
+// SetFleet sets the ids of all instances, which share what brittle targets take, and that of this one. If joined is set, the other instances may not know of
+// this one yet.
+func (b *Balancer) SetFleet(own string, ids []string, joined bool) {
+	now, wasUnknown := b.Now(), len(b.fleet) == 0
+	if joined && b.settledAt.IsZero() {
+		b.settledAt = now.Add(rate.SettleTime)
+	}
 	b.own, b.fleet = xxhash.Sum64String(own), make([]uint64, 0, len(ids))
 	for _, id := range ids {
 		b.fleet = append(b.fleet, xxhash.Sum64String(id))
 	}
 	for _, c := range b.targets {
 		c.ranked = false
+		if wasUnknown && b.isBrittle(c) {
+			b.shortenPauses(c, now)
+		}
 	}
 }
 
-// rank returns the rank of this instance among all for a target. All instances that know the same fleet agree on the ranks.
+// shortenPauses replaces the times of a brittle target that are those of a fleet of unknownFleet instances.
+func (b *Balancer) shortenPauses(c *target, now time.Time) {
+	earlier := func(t *time.Time, limit time.Time) {
+		if limit.Before(*t) {
+			*t = limit
+		}
+	}
+	earlier(&c.brittle.probeAt, now.Add(brittleTime+b.brittlePause(c)))
+	earlier(&c.brittle.strictUntil, now.Add(strictPauses*b.brittlePause(c)))
+	earlier(&c.brittle.pausedUntil, now.Add(b.brittlePause(c)))
+}
+
+// rank returns the rank of this instance among all for a target. All instances that know the same fleet agree on the ranks. It is random while the fleet is
+// not known.
 func (b *Balancer) rank(c *target) int {
 	if c.ranked {
 		return c.rank
 	}
 	c.rank, c.ranked = 0, true
+	if len(b.fleet) == 0 {
+		c.rank = b.rand.IntN(unknownFleet)
+		return c.rank
+	}
 	own := rendez.Score(c.hash, b.own)
 	for _, h := range b.fleet {
 		if rendez.Score(c.hash, h) < own {
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -139,6 +139,8 @@
 	// own and fleet are the hashes of the ids of this and of all instances that share brittle targets.
 	own   uint64
 	fleet []uint64
+	// settledAt is when all others know of this instance if it joined the fleet; zero if it did not.
+	settledAt time.Time
 }
 
 type target struct {
--- a/fake/frail/frail.go
+++ b/fake/frail/frail.go
@@ -42,8 +42,8 @@
 	Load float64
 	// Time is the length of the simulation, of which the first WarmUp does not count.
 	WarmUp, Time time.Duration
-	// LearnAfter is how long the change of the number of instances takes to reach an instance.
-	LearnAfter time.Duration
+	// LearnAfter is how long the change of the number of instances takes to reach an instance, and UnknownFor how long no instance knows the others at first.
+	LearnAfter, UnknownFor time.Duration
 	// Production is how many of the instances follow the rules of the version in production, which count instances and double a share of an idle target.
 	Production int
 	// Stops and Joins are the number of instances that are killed and that start a third and two thirds into the counted time.
@@ -106,9 +106,9 @@
 }
 
 // setFleet states the number of instances.
-func (m *member) setFleet(n int) {
+func (m *member) setFleet(n int, joined bool) {
 	m.fleet, m.balancer.Instances = n, n
-	m.balancer.SetFleet(m.id, instances(n))
+	m.balancer.SetFleet(m.id, instances(n), joined)
 }
 
 // Do runs the simulation.
@@ -119,7 +119,7 @@
 		r.targets = append(r.targets, &target{run: r, id: fmt.Sprintf("t%d", i)})
 	}
 	for range r.Instances {
-		r.join(r.Instances)
+		r.join(r.Instances, false)
 	}
 	r.end = r.clock.Now().Add(r.WarmUp + r.Time)
 	r.clock.After(r.WarmUp, func() { r.counts = true })
@@ -131,12 +131,16 @@
 	return r.result
 }
 
-func (r *Run) join(fleet int) {
-	m := &member{balancer: route.Balancer{Now: r.clock.Now, Policy: route.LeastEstimated, Seed: r.rand.Uint64()}}
+func (r *Run) join(fleet int, joined bool) {
+	m := &member{fleet: 1, balancer: route.Balancer{Now: r.clock.Now, Policy: route.LeastEstimated, Seed: r.rand.Uint64()}}
 	m.id = fmt.Sprintf("i%d", len(r.members))
 	m.balancer.Default()
 	m.old, m.states = len(r.members) < r.Production, make([]oldState, r.Targets)
-	m.setFleet(fleet)
+	if r.UnknownFor == 0 || joined {
+		m.setFleet(fleet, joined)
+	} else {
+		r.clock.After(r.UnknownFor, func() { m.setFleet(fleet, false) })
+	}
 	list := make([]roster.Target, 0, r.Targets)
 	for _, t := range r.targets {
 		list = append(list, roster.Target{ID: t.id, Incarnation: t.id, Service: Service, Kind: roster.PlainService, State: roster.Live, Slots: r.Slots})
@@ -159,16 +163,19 @@
 
 // resize kills instances, or starts some. The others learn of those that start only after a while, and never of those that are gone.
 func (r *Run) resize(by int) {
+	if by == 0 {
+		return
+	}
 	for i := range -by {
 		r.members[i].ended = true
 	}
 	fleet := len(r.members) + max(by, 0)
 	for range by {
-		r.join(fleet)
+		r.join(fleet, true)
 	}
 	r.clock.After(r.LearnAfter, func() {
 		for _, m := range r.members {
-			m.setFleet(fleet)
+			m.setFleet(fleet, false)
 		}
 	})
 }
--- a/fake/frail/frail_test.go
+++ b/fake/frail/frail_test.go
@@ -33,7 +33,7 @@
 	}
 }
 
-// TestFewSlotsForManyInstances guards against falls where nothing may wait, most instances have no share, and instances start and are killed.
+// TestFewSlotsForManyInstances guards against falls where nothing may wait, most instances have no share or do not know the others, and instances start and are killed.
 func TestFewSlotsForManyInstances(t *testing.T) {
 	for _, r := range []frail.Run{
 		{Instances: 2, Targets: 4, Slots: 16},
@@ -42,12 +42,15 @@
 		{Instances: 100, Targets: 3, Slots: 8},
 		{Instances: 4, Targets: 4, Slots: 4, Queue: 2, Stops: 2, Joins: 2, LearnAfter: 2 * time.Second},
 		{Instances: 10, Targets: 3, Slots: 8, Queue: 2, Stops: 3, Joins: 3, LearnAfter: 2 * time.Second},
+		{Instances: 1, Targets: 4, Slots: 16, Joins: 1, LearnAfter: 6 * time.Second},
+		{Instances: 4, Targets: 4, Slots: 16, UnknownFor: time.Minute},
+		{Instances: 10, Targets: 3, Slots: 8, UnknownFor: 10 * time.Second},
 		{Instances: 4, Targets: 4, Slots: 4, Queue: 2, Production: 2},
 		{Instances: 4, Targets: 4, Slots: 16, Queue: 2, Production: 2},
 	} {
 		for _, load := range []float64{0.5, overload} {
 			r.Load = load
-			t.Run(fmt.Sprintf("%v, queue %d, %d old, %d joins, load %v", &r, r.Queue, r.Production, r.Joins, load), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%v, queue %d, %d old, %d joins, unknown for %s, load %v", &r, r.Queue, r.Production, r.Joins, r.UnknownFor, load), func(t *testing.T) {
 				t.Parallel()
 				sum := runs(r)
 				t.Logf("%+v", sum)
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -256,7 +256,7 @@
 // instancesChanged updates what depends on the instances that share the targets.
 func (r *Router) instancesChanged(ids []string, joined bool) {
 	r.rates.SetInstances(ids, joined)
-	r.routeClient.SetFleet(r.Settings.Instance.ID, ids)
+	r.routeClient.SetFleet(r.Settings.Instance.ID, ids, joined)
 }
 
 // Listen opens all listeners.
