test: brittle targets are simulated at half load too

TestFewSlotsForManyInstances changed the load of a simulation that its parallel subtests share, so that both played 1.5 times what the targets run. Each has a copy now.

--- a/fake/frail/frail_test.go
+++ b/fake/frail/frail_test.go
@@ -49,6 +49,7 @@
 		{Instances: 4, Targets: 4, Slots: 16, Queue: 2, Production: 2},
 	} {
 		for _, load := range []float64{0.5, overload} {
+			r := r // Both loads run at the same time.
 			r.Load = load
 			t.Run(fmt.Sprintf("%v, queue %d, %d old, %d joins, unknown for %s, load %v", &r, r.Queue, r.Production, r.Joins, r.UnknownFor, load), func(t *testing.T) {
 				t.Parallel()
