--- a/core/budget/partition.go
+++ b/core/budget/partition.go
@@ -145,6 +145,7 @@
 	if p.syncer.FirstStart && !p.firstLoaded {
 		p.beginNewFleet(s.Records)
 	}
+	p.announceEarlierFleet()
 	p.firstLoaded = true
 	p.end, p.loaded = s.End, true
 	_, _ = p.establish()
