fix: calls that are received from other instances share a limit of memory

What callers saw: nothing by itself; a process that runs out of memory ends the requests of all its callers (LOST). The cause: the body of a request that another instance sends by way of this one was counted once the call had been read to its end. Until then each connection could hold up to 64 MiB, and the number of connections has no limit.

All share a quarter of memory.limit_mb, as much as the bodies themselves may have, so that each body that has room there can be received.

What an instance reads of the replies of others is still not counted.

--- a/io/node/peers.go
+++ b/io/node/peers.go
@@ -13,6 +13,7 @@
 
 	"cranberryrail/core/events"
 	"cranberryrail/core/ledger"
+	"cranberryrail/core/memory"
 	"cranberryrail/core/pause"
 	"cranberryrail/core/roster"
 	"cranberryrail/core/tail"
@@ -44,6 +45,7 @@
 		Listen: s.Listen, LocalView: n.localView, Log: direct, State: n.streamState, Lend: n.lend, Report: n.localReport,
 		OtherViews: func(limit int) []roster.PeerView { return n.view.Views(limit, time.Now()) },
 		OnView:     n.onPeerView,
+		Memory:     &memory.Pool{Bytes: n.Settings.Memory.Bytes(bodyMemoryShare)},
 	}
 	n.peerServer.Default()
 	n.gossip = &peer.Gossip{
--- a/io/peer/forward.go
+++ b/io/peer/forward.go
@@ -216,6 +216,7 @@
 	}
 	s.forwarding.Add(1)
 	defer s.forwarding.Add(-1)
+	releaseRead(stream.Context())
 	end := s.Server.Forward(stream.Context(), decodeForward(in), ForwardWriter{stream})
 	return stream.Send(&peerpb.ForwardReply{Part: &peerpb.ForwardReply_End{End: &peerpb.ForwardEnd{
 		Failure: end.Failure, Detail: strings.ToValidUTF8(end.Detail, "\uFFFD"), Sent: end.Sent, Crashed: end.Crashed, TargetId: end.TargetID, Incarnation: end.Incarnation,
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"cranberryrail/core/memory"
 	"cranberryrail/core/roster"
 	"cranberryrail/core/tail"
 	"cranberryrail/io/peer/peerpb"
@@ -49,6 +50,9 @@
 	Forward func(ctx context.Context, f Forward, w ForwardWriter) ForwardEnd
 	// Report returns a report of this instance in JSON.
 	Report func(kind string) ([]byte, error)
+	// Memory limits what is held of calls that are being received. Beyond it a connection is closed that has stood still, or the one of the longest call;
+	// optional, nil means no limit.
+	Memory *memory.Pool
 
 	listener   net.Listener
 	forwarding atomic.Int64
@@ -62,6 +66,9 @@
 	if s.LocalView == nil {
 		s.LocalView = func() roster.PeerView { return roster.PeerView{} }
 	}
+	if s.Memory == nil {
+		s.Memory = &memory.Pool{}
+	}
 	if s.Log.Append == nil {
 		s.Log.Append = func(context.Context, string, []byte) (int64, error) { return 0, errNotServed }
 	}
@@ -115,7 +122,7 @@
 		return fmt.Errorf("register the handlers for other instances: %w", err)
 	}
 	options := drpcserver.Options{Manager: managerOptions(ServerIdleTimeout)}
-	if err := drpcserver.NewWithOptions(mux, options).Serve(ctx, s.listener); err != nil {
+	if err := drpcserver.NewWithOptions(mux, options).Serve(ctx, countedListener{s.listener, s.Memory}); err != nil {
 		return fmt.Errorf("serve other instances on %s: %w", s.Addr(), err)
 	}
 	return nil
@@ -138,6 +145,7 @@
 
 // Append appends to the platform's log.
 func (s *rpcHandler) Append(ctx context.Context, in *peerpb.AppendRequest) (*peerpb.AppendReply, error) {
+	releaseRead(ctx)
 	offset, err := s.Log.Append(ctx, in.GetStream(), in.GetData())
 	if err != nil {
 		return nil, refusedError(err)
--- a/io/router/loans.go
+++ b/io/router/loans.go
@@ -8,6 +8,7 @@
 
 	"cranberryrail/core/budget"
 	"cranberryrail/core/events"
+	"cranberryrail/core/memory"
 	"cranberryrail/io/peer"
 )
 
@@ -23,7 +24,8 @@
 	}
 	r.peerClient = &peer.Client{Timeout: loanTimeout}
 	r.peerClient.Default()
-	r.peerServer = &peer.Server{Listen: r.Settings.Peer.Listen, Lend: r.lend, AcceptRepayment: r.budgets.AcceptRepayment, Report: r.report}
+	r.peerServer = &peer.Server{Listen: r.Settings.Peer.Listen, Lend: r.lend, AcceptRepayment: r.budgets.AcceptRepayment, Report: r.report,
+		Memory: &memory.Pool{Bytes: r.Settings.Memory.Bytes(bodyMemoryShare)}}
 	r.peerServer.Default()
 	r.borrower = &budget.Borrower{Book: r.budgets, Lenders: r.budgetSync.Lenders, Ask: r.askForLoan, Repay: r.repay, OnTransferLost: r.transferLost, OnEnd: r.borrowingEnded}
 	r.borrower.Default()
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -168,7 +168,8 @@
 // String returns the name of the instance for logs.
 func (r *Router) String() string { return "instance " + r.Settings.Instance.ID }
 
-// bodyMemoryShare is the fraction of the memory that the bodies of requests in flight may use.
+// bodyMemoryShare is the fraction of the memory that the bodies of requests in flight may use, and again the calls of other instances that are being received,
+// since each may hold such a body.
 const bodyMemoryShare = 0.25
 
 // answerMemoryShare is the fraction of the memory that the answers in flight may use together. With the bodies of requests, it leaves half of the heap
