fix: a refusal before the end of a body is sent in bounded time

What callers saw: no answer at all, if they do not send the rest of a body that the instance refuses before its end (memory for bodies, a full link, a stop): net/http reads up to 256 KiB of the rest before it replies, and nothing limited that time, as the deadline for the body was not set yet or had been taken off.

The time for a body, 15 s from the arrival of its request, now holds for its rest too. A caller that sends it in that time gets the refusal as before.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -179,6 +179,8 @@
 	}
 	if refused != nil {
 		result := relay.Result{Request: req, Refused: refused, Status: refused.Code.Status}
+		// net/http reads the rest of a body before it replies.
+		_ = http.NewResponseController(w).SetReadDeadline(x.started.Add(bodyTimeout)) // supported by HTTP/1.1 servers
 		s.writeRefusal(w, req, refused)
 		s.reportEnd(x, result)
 		return
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -245,6 +245,34 @@
 	post(http.StatusOK)
 }
 
+// TestRefusalDoesNotAwaitTheBody guards against connections and handlers that stay for good, and a refusal that is never sent, since the caller does not send the rest of a body
+// that is not read to its end.
+func TestRefusalDoesNotAwaitTheBody(t *testing.T) {
+	t.Parallel()
+	const longest = 18 * time.Second // three more than a body may take
+	s := startServer(t, func(s *entry.Server) { s.MaxBodyBytes, s.MaxBufferedBytes = 5000, 1000 })
+	var group errgroup.Group
+	for _, head := range []string{"Content-Length: 2000", "Transfer-Encoding: chunked"} {
+		group.Go(func() error {
+			c, err := net.Dial("tcp", s.Addr())
+			if err != nil {
+				return err
+			}
+			defer func() { _ = c.Close() }()
+			if _, err := fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: a\r\n%s\r\n\r\n5dc\r\n%s\r\n", head, strings.Repeat("x", 1500)); err != nil {
+				return err
+			}
+			if err := c.SetDeadline(time.Now().Add(longest)); err != nil {
+				return err
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			assert.Check(t, err == nil && resp.StatusCode == http.StatusTooManyRequests && resp.Body.Close() == nil, "%s: %v", head, err)
+			return nil
+		})
+	}
+	assert.NilError(t, group.Wait())
+}
+
 // TestAbortEndsAWriteToASlowCaller guards against a response that stays in memory until its caller reads it, and against one that looks complete then.
 func TestAbortEndsAWriteToASlowCaller(t *testing.T) {
 	ended := make(chan error, 1)
