test: the tests of unread answers share their callers

TestSoundBodiesBesideStalledAnswers used a second copy of the caller that does not read. Its checks are the same, and who ended an answer is checked too.

--- a/core/relay/memory_test.go
+++ b/core/relay/memory_test.go
@@ -71,20 +71,20 @@
 // callers arrive one after the other until a write is aborted, which shows how many answers have room, and the others together.
 func TestUnreadAnswerMakesRoom(t *testing.T) {
 	const callers, limit = 16, 1 << 20
-	large, wants := "data: "+strings.Repeat("x", limit/6)+"\n\n", map[bool]relay.Ender{true: relay.ByProcess, false: relay.ByTarget} // by whether the write was aborted
+	large := "data: " + strings.Repeat("x", limit/6) + "\n\n"
 	for name, target := range map[string]script.Dispatch{"event": script.Stalled(200, true, large), "long body": script.Stalled(200, false, strings.Repeat("x", 256<<10))} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				u := &unreadAnswers{pool: &memory.Pool{Bytes: limit}, target: target, leave: make(chan struct{})}
 				began := 0
 				for ; u.aborted.Load() == 0 && began < callers; began++ {
-					u.group.Go(func() { u.serve(t, wants) })
+					u.group.Go(func() { u.serve(t) })
 					synctest.Wait()
 				}
 				room := began - 1
 				assert.Check(t, room > 1 && u.aborted.Load() == 1 && u.ended.Load() == 1, "%d answers, %d writes and %d requests were ended", began, u.aborted.Load(), u.ended.Load())
 				for range callers - began {
-					u.group.Go(func() { u.serve(t, wants) })
+					u.group.Go(func() { u.serve(t) })
 				}
 				synctest.Wait()
 				assert.Check(t, int(u.aborted.Load()) > room, "%d writes were aborted, the first %d unread ones end first", u.aborted.Load(), began)
@@ -109,7 +109,8 @@
 }
 
 // serve relays one request, and checks who ended it, by whether a write was aborted.
-func (u *unreadAnswers) serve(t *testing.T, wants map[bool]relay.Ender) {
+func (u *unreadAnswers) serve(t *testing.T) {
+	wants := map[bool]relay.Ender{true: relay.ByProcess, false: relay.ByTarget}
 	f := newFixture(u.target)
 	f.Memory = u.pool
 	abort, isAborted := make(chan struct{}), false
--- a/core/relay/stall_test.go
+++ b/core/relay/stall_test.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"errors"
-	"io"
-	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,28 +29,26 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				pool := &memory.Pool{Bytes: limit}
-				leave := make(chan struct{})
-				var group, bodies sync.WaitGroup
-				var ended atomic.Int64
+				u := &unreadAnswers{pool: &memory.Pool{Bytes: limit}, target: target, leave: make(chan struct{})}
+				var bodies sync.WaitGroup
 				for range others {
-					group.Go(func() { serveUnread(t.Context(), target, pool, leave, func() { ended.Add(1) }) })
+					u.group.Go(func() { u.serve(t) })
 				}
 				time.Sleep(memory.StallTime)
-				assert.Check(t, ended.Load() == 0, "%d ended although there is room", ended.Load())
+				assert.Check(t, u.ended.Load() == 0, "%d ended although there is room", u.ended.Load())
 				for _, takes := range []time.Duration{700 * time.Millisecond, 0} { // for a part, so that a body takes longer than StallTime
 					for range sound {
 						bodies.Go(func() {
-							body, result := serveUntil(t.Context(), t, 1, table.Idempotent, takes, []script.Dispatch{complete(whole)}, func(f *fixture) { f.Memory = pool })
+							body, result := serveUntil(t.Context(), t, 1, table.Idempotent, takes, []script.Dispatch{complete(whole)}, func(f *fixture) { f.Memory = u.pool })
 							assert.Check(t, result.Refused == nil && body == whole, "%d of %d bytes: %v", len(body), len(whole), result.Refused)
 						})
 					}
 					time.Sleep(memory.StallTime + 100*time.Millisecond)
 				}
 				bodies.Wait()
-				assert.Assert(t, ended.Load() > 0)
-				close(leave)
-				group.Wait()
+				assert.Assert(t, u.ended.Load() > 0)
+				close(u.leave)
+				u.group.Wait()
 			})
 		})
 	}
@@ -82,40 +76,6 @@
 	}
 }
 
-// serveUnread relays a request whose caller reads nothing until leave is closed. It calls onEnd if the attempt was ended to release memory.
-func serveUnread(ctx context.Context, target script.Dispatch, pool *memory.Pool, leave chan struct{}, onEnd func()) {
-	f := newFixture(target)
-	f.Memory = pool
-	abort := make(chan struct{})
-	f.OnAttemptFailed = func(_ relay.Dispatch, failed *relay.AttemptError) {
-		if errors.Is(failed, memory.ErrUsedUp) {
-			onEnd()
-		}
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	var group sync.WaitGroup
-	group.Go(func() {
-		select {
-		case <-leave:
-			cancel()
-		case <-ctx.Done():
-		}
-	})
-	f.Serve(ctx, &relay.Request{ID: "1", Host: "h", Path: "/x", Key: "key", Arrived: time.Now(), Timeout: time.Hour}, relay.Sink{
-		Head: func(int, http.Header, int64) {}, Abort: func() { close(abort) },
-		Write: func([]byte) error {
-			select {
-			case <-abort:
-			case <-leave:
-			}
-			return io.ErrClosedPipe
-		},
-	})
-	cancel()
-	group.Wait()
-}
-
 // TestMemoryIsNoFailureOfTheTarget guards against a sound target that is left out since its answers end for those of others, which use up the memory, and against one that
 // has stopped within its answer and is not left out.
 func TestMemoryIsNoFailureOfTheTarget(t *testing.T) {
