fix: a kill of all instances strands at most half of what they hold

Every kill of a fleet of nine to some twenty instances stranded nearly all that it held of that organisation's budget.

Cause: an instance promises what it holds beyond its usage. With more than eight instances the usage that is left unpromised covered 2.8 s and more at once, which under a flood is all of a holding, and no limit related it to the holding in any fleet.

Fix: the unpromised usage grows with the instances for each holder, one second for each eight, up to the duration of a promise and the time between two as before, and is at most half of a holding. The rest is taken over by the successors. In an outage of the log the promised half can be spent 2.5 s later at most. What is promised is spent only after a later record or the end of the promise, as before.

--- a/core/budget/promise.go
+++ b/core/budget/promise.go
@@ -18,9 +18,12 @@
 	minPromiseInterval         = 300 * time.Millisecond
 	promiseIntervalPerInstance = 15 * time.Millisecond
 	// unpromisedCover is the duration of usual usage that an instance of a small fleet leaves unpromised. A kill
-	// strands these tokens. In a larger fleet few instances serve a budget, and an outage of the log affects all of them
-	// at once, so that they leave the usage unpromised from when a promise is made until it no longer binds.
+	// strands these tokens. In a larger one it grows with the instances for each holder, since few instances serve a budget and an outage
+	// of the log affects all of them at once, up to the time from when a promise is made until it no longer binds.
 	unpromisedCover = time.Second
+	// unpromisedDivisor limits the usage that is left unpromised to a fraction of a holding, as a divisor, so that kills in
+	// series strand at most this fraction of what is held each time, however much an organisation sends.
+	unpromisedDivisor = 2
 	// unpromisedRequests is the number of requests of mean size that are left unpromised at least. In a large
 	// fleet, whose holdings cover few requests, nothing is promised, and no request waits for promised tokens.
 	unpromisedRequests = 2
@@ -70,9 +73,10 @@
 	if interval := promiseInterval(b.instanceCount); interval > promiseDuration {
 		return 0 // a kill would strand most tokens all the same
 	} else if b.instanceCount > MaxHolders {
-		cover = interval + promiseDuration
+		cover = min(interval+promiseDuration, unpromisedCover*time.Duration(b.instanceCount)/MaxHolders)
 	}
-	unpromised := max(a.demand(), int64(a.usage.rate(b.Now())*cover.Seconds()), int64(unpromisedRequests*a.requestSize))
+	usage := min(int64(a.usage.rate(b.Now())*cover.Seconds()), a.unreserved/unpromisedDivisor)
+	unpromised := max(a.demand(), usage, int64(unpromisedRequests*a.requestSize))
 	return max(0, min(a.unreserved-unpromised, b.target(a)))
 }
 
