test: TestReceivedCallsShareMemory waits until the server has read what was sent

It looked at each connection once, 100 ms after the calls were sent, which is too early on a busy machine.

--- a/io/peer/memory_test.go
+++ b/io/peer/memory_test.go
@@ -27,26 +27,28 @@
 		}
 	})
 	part := drpcwire.AppendFrame(nil, drpcwire.Frame{ID: drpcwire.ID{Stream: 1, Message: 1}, Kind: drpcwire.KindMessage, Data: make([]byte, 64<<10)})
-	var open atomic.Int64
 	conns := make([]net.Conn, 0, calls)
 	for range calls {
 		conn, err := net.Dial("tcp", n.Addr())
 		assert.NilError(t, err)
 		conns = append(conns, conn)
-		open.Add(1)
 		for range size / len(part) {
 			if _, err := conn.Write(part); err != nil {
 				break // closed to release memory
 			}
 		}
 	}
-	for _, conn := range conns {
-		_ = conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
-		if _, err := conn.Read(make([]byte, 1)); isClosed(err) {
-			open.Add(-1)
+	open := calls
+	for end := time.Now().Add(longWait); open > limit/size+1 && time.Now().Before(end); {
+		open = calls
+		for _, conn := range conns {
+			_ = conn.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
+			if _, err := conn.Read(make([]byte, 1)); isClosed(err) {
+				open--
+			}
 		}
 	}
-	assert.Check(t, open.Load() > 0 && open.Load() <= limit/size+1, "%d of %d calls of %d bytes are held with %d bytes for them", open.Load(), calls, size, limit)
+	assert.Check(t, open > 0 && open <= limit/size+1, "%d of %d calls of %d bytes are held with %d bytes for them", open, calls, size, limit)
 	for _, conn := range conns {
 		assert.NilError(t, conn.Close())
 	}
