--- a/fake/frail/frail_test.go
+++ b/fake/frail/frail_test.go
@@ -16,11 +16,11 @@
 	seeds    = 3
 )
 
-// mostUsed is the part of what the targets can run that is served at least, as TestBrittleTargetsAreUsed asks for.
+// mostUsed is the part of what the targets can run that is served at least.
 const mostUsed = 720.0 / 1200
 
 // TestBrittleTargetsRunWhatTheyCan guards against brittle targets that fall over, or that idle while requests are refused. The bounds are those of
-// TestBrittleTargetsStayUp and TestBrittleTargetsAreUsed, without the delays of a busy machine.
+// TestBrittleTargetsStayUp, and 720 of 1,200 requests that the targets can run, without the delays of a busy machine.
 func TestBrittleTargetsRunWhatTheyCan(t *testing.T) {
 	for _, instances := range []int{2, 4, 10} {
 		for _, shape := range []struct{ targets, slots int }{{4, 4}, {3, 8}, {4, 16}} {
