--- a/core/budget/witness.go
+++ b/core/budget/witness.go
@@ -173,7 +173,7 @@
 	return p.last, !p.loaded || p.era >= era
 }
 
-// prove reads the witnesses of an era, and tells the book what was granted before it as far as they prove that.
+// prove reads the witnesses of an era, and sets what was granted before it in the book, as far as they prove that.
 func (w *witnesses) prove(ctx context.Context, era int64) error {
 	sy := w.syncer
 	required, known := sy.partitions[0].registeredBefore(era)
--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -210,7 +210,7 @@
 	return nil
 }
 
-// writeParts writes in parts of longBodyBytes, so that a caller that reads slowly is told from one that does not.
+// writeParts writes in parts of longBodyBytes, so that a caller that reads slowly is distinguished from one that does not read.
 func (r *relayedRequest) writeParts(a *attempt, p []byte) error {
 	for {
 		part := p[:min(len(p), longBodyBytes)]
--- a/io/logio/logio.go
+++ b/io/logio/logio.go
@@ -68,7 +68,7 @@
 		_, _ = w.Out.Write(line)
 	}
 	if c, ok := w.Out.(io.Closer); ok {
-		return c.Close() //nolint:wrapcheck // nobody receives it
+		return c.Close()
 	}
 	return nil
 }
--- a/io/peer/listen.go
+++ b/io/peer/listen.go
@@ -21,7 +21,7 @@
 func (l countedListener) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
 	if err != nil {
-		return nil, err //nolint:wrapcheck // the server compares it
+		return nil, err
 	}
 	c := &countedConn{Conn: nc}
 	c.holder = l.memory.NewHolder(func() { _ = nc.Close() }) // nothing is handled of a message that is not complete
@@ -46,19 +46,19 @@
 		return 0, usedUp
 	}
 	c.read += n
-	return n, err //nolint:wrapcheck // io.EOF is compared
+	return n, err
 }
 
 // Write implements net.Conn.
 func (c *countedConn) Write(p []byte) (int, error) {
 	c.release()
-	return c.Conn.Write(p) //nolint:wrapcheck // as of the connection itself
+	return c.Conn.Write(p)
 }
 
 // Close implements net.Conn.
 func (c *countedConn) Close() error {
 	c.release()
-	return c.Conn.Close() //nolint:wrapcheck // as of the connection itself
+	return c.Conn.Close()
 }
 
 func (c *countedConn) release() {
