--- a/core/budget/book.go
+++ b/core/budget/book.go
@@ -130,8 +130,8 @@
 	// LogReachable reports whether the log partition of an organisation's budget is reachable. It
 	// must not block.
 	LogReachable func(organisation string) bool
-	// Strict lets records become strict. It must not be set while an instance may join the fleet whose build ignores that, since a restored log
-	// may show neither its registration nor its draws.
+	// Strict lets records become strict. It must not be set while an instance of build bcddc15 or an earlier one may join the fleet: such builds ignore
+	// strict records, and a restored log may show neither its registration nor its draws.
 	Strict bool
 	// Uptime is the monotonic clock of the machine, which all its processes share.
 	Uptime func() time.Duration
--- a/core/budget/witness_test.go
+++ b/core/budget/witness_test.go
@@ -182,6 +182,21 @@
 	assert.Assert(t, f.spent <= paid, "spent %d", f.spent)
 }
 
+// TestJoinedInstanceInOtherModeIsNotForgotten guards against tokens that are granted twice because an instance in the mode write_off, the default of an
+// earlier build that obeys strict records, joined a fleet in the mode settle, drew and ended, and a restored log lacks its registration and its draw.
+func TestJoinedInstanceInOtherModeIsNotForgotten(t *testing.T) {
+	f := newFleetOf(t, 1)
+	f.restoreAfter(t, paid/2000, func(f *fleet) {
+		joined := f.start("i-9")
+		joined.book.Strict = false
+		assert.NilError(t, joined.syncer.Sync(t.Context()))
+		_, err := reserve(t, joined, paid/10)
+		assert.ErrorContains(t, err, "budget_elsewhere")
+	})
+	f.serve(t, 400, paid/200)
+	assert.Assert(t, f.spent > paid*90/100 && f.spent <= paid, "spent %d", f.spent)
+}
+
 // TestJoinedInstanceDrawsLater guards against draws that a restored log does not show, by an instance whose registration it lacks as well.
 func TestJoinedInstanceDrawsLater(t *testing.T) {
 	f := newFleetOf(t, 1)
