fix: events that grow leave no arrays behind that count as memory

Cause: TestHeldAnswersShareMemory failed on a busy machine, since append replaces the array of a growing event several times, and what is allocated during a collection counts as in use until the next one. Only replaced arrays are used again, to which nothing else refers.

--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -28,6 +28,9 @@
 	used    int64
 	changes int64
 	holders map[*Holder]struct{}
+	// free holds arrays of buffers that are not used at present, by size class, and freeBytes is their size.
+	free      map[int][][]byte
+	freeBytes int64
 }
 
 // String returns the name of the pool for logs.
--- a/core/relay/events.go
+++ b/core/relay/events.go
@@ -140,7 +140,7 @@
 	start := len(e.raw)
 	for lineStart := start; ; {
 		part, err := e.lines.ReadSlice('\n')
-		e.raw = append(e.raw, part...)
+		e.raw = append(e.holder.Grow(e.raw, len(part)), part...)
 		if err := e.count(len(part)); err != nil {
 			return b, err
 		}
