feat: slow start of cold targets, evacuated zones and homes

Change: core/rate divides the limit of a cold target among holders, core/zones folds the orders, the choice of targets leaves out evacuated zones and those outside the homes, and load reports of four figures are read. All of it acts only where the configuration, the settings or an order ask for it.

--- a/core/events/table.go
+++ b/core/events/table.go
@@ -79,6 +79,8 @@
 	PathBack          = Event{5027, "path_back", Info, "This instance connects to targets of a service again."}
 	TargetBrittle     = Event{5028, "target_brittle", Info, "A target announces that it falls over when it has to turn away more requests a second than the field per_second states; all instances together send it no more than it can run."}
 	AnswerEnded       = Event{5029, "answer_ended_early", Warn, "A request ended without a whole answer after its head was sent or a target may have run it. The field by states who ended it: caller, deadline, target (with the kind of the failure) or process; left is the time to its time limit, since_head the time since its head, config the version of the configuration in force and config_age the time since that was applied."}
+	ZoneEvacuated     = Event{5030, "zone_evacuated", Info, "An order to evacuate a zone is in force at this instance; targets in the zone get no new request."}
+	ZoneRestored      = Event{5031, "zone_restored", Info, "The order to evacuate a zone was taken back; targets in the zone get requests again."}
 	ConfApplied       = Event{6001, "configuration_applied", Info, "A configuration change is in force at this instance."}
 	ConfRefused       = Event{6002, "configuration_refused", Info, "A configuration change was refused."}
 	OperatorRefused   = Event{6004, "operator_refused", Warn, "A request with a missing or wrong operator key was refused."}
@@ -105,7 +107,7 @@
 		DoubleCharge, TopUpAccepted, BudgetExhausted, HoldingChanged, HoldingUnsettled, PromiseTaken, PromiseLapsed, PromisesOff, TokensBorrowed, TransferLost,
 		ClaimWon, ClaimLost, ClaimVoided, OutcomeUnknown,
 		TargetLeaving, TargetSilent, StreamResumed,
-		StreamCut, FrameForeign, AttemptFailed, RequestEnded, TargetJoined, TargetRemoved, TargetInvalid, TargetPaused, HeaderIgnored, TargetCrashed, Quarantined, Released, ReportsDelayed, RateLimitNamed, RateLimitEnded, RatesDelayed, AbandonedCrashed, VersionsChanged, OriginsDelayed, PathLost, PathBack, TargetBrittle, AnswerEnded,
+		StreamCut, FrameForeign, AttemptFailed, RequestEnded, TargetJoined, TargetRemoved, TargetInvalid, TargetPaused, HeaderIgnored, TargetCrashed, Quarantined, Released, ReportsDelayed, RateLimitNamed, RateLimitEnded, RatesDelayed, AbandonedCrashed, VersionsChanged, OriginsDelayed, PathLost, PathBack, TargetBrittle, AnswerEnded, ZoneEvacuated, ZoneRestored,
 		ConfApplied, ConfRefused, OperatorRefused, ConfUnconfirmed, ConfConfirmed, ConfOutdated, OperatorFailed,
 		PeerUnreachable, PeerBack,
 		Overspend, Panic, FoldDiffers,
--- a/core/rate/rate.go
+++ b/core/rate/rate.go
@@ -90,7 +90,12 @@
 // newShare returns the share of instance own in a limit. The target is identified by the hash of its incarnation.
 func newShare(perSecond float64, target uint64, own string, fleet []instance) share {
 	perSecond = min(max(perSecond, minPerSecond), maxPerSecond)
-	burst := burstSeconds*perSecond + burstRequests
+	return shareOf(perSecond, burstSeconds*perSecond+burstRequests, target, own, fleet)
+}
+
+// shareOf returns the share of instance own in a rate with a burst, of a target that is identified by the hash of its incarnation.
+func shareOf(perSecond, burst float64, target uint64, own string, fleet []instance) share {
+	perSecond = min(max(perSecond, minPerSecond), maxPerSecond)
 	ranked := slices.SortedFunc(slices.Values(fleet), func(a, b instance) int {
 		return cmp.Or(cmp.Compare(rendez.Score(target, b.hash), rendez.Score(target, a.hash)), cmp.Compare(a.id, b.id))
 	})
--- a/core/rate/tracker.go
+++ b/core/rate/tracker.go
@@ -15,7 +15,7 @@
 )
 
 // Tracker decides when a request may be sent to a target that has named a limit. Exported fields are set before Default. It is
-// safe for concurrent use. A nil Tracker knows no limits.
+// safe for concurrent use. A nil Tracker knows no limits, and no cold targets.
 type Tracker struct {
 	// Instance is the id of this instance.
 	Instance string
@@ -31,7 +31,9 @@
 
 	mu     sync.Mutex
 	limits map[uint64]*limit
-	fleet  []instance
+	// cold holds the limits of cold targets.
+	cold  map[uint64]*coldLimit
+	fleet []instance
 	// settledAt is when SettleTime ends for an instance that joined the fleet; zero for others.
 	settledAt time.Time
 }
@@ -75,6 +77,7 @@
 	for target, l := range t.limits {
 		l.resize(newShare(l.perSecond, target, t.Instance, t.fleet), now)
 	}
+	t.resizeCold(now)
 }
 
 // Observe applies the limit that the response of a target names, nil if it names none, given when the request was sent.
@@ -139,15 +142,12 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l := t.limit(incarnation)
-	if l == nil {
-		return 0
-	}
 	now := t.Now()
-	if !l.share.holder {
-		return time.Duration(float64(time.Second) / max(l.perSecond, minPerSecond))
+	wait := t.waitCold(incarnation, now)
+	if l := t.limit(incarnation); l != nil {
+		wait = max(wait, t.wait(l, now))
 	}
-	return max(l.due().Sub(now), t.settledAt.Sub(now), 0)
+	return wait
 }
 
 // NeedsCheck reports whether an incarnation of a target should be preferred over others: it has received no request for checkAfter although one was
@@ -169,8 +169,12 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := t.Now()
 	if l := t.limit(incarnation); l != nil {
-		l.take(t.Now())
+		l.take(now)
+	}
+	if l := t.coldLimit(incarnation, now); l != nil {
+		l.take(now)
 	}
 }
 
--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -43,7 +43,7 @@
 		return nil, crashRefusal(err)
 	}
 	request := r.routeRequest()
-	detour := r.NeedsDetour(r.Service, r.Attempts-r.SentFailures)
+	detour := r.needsDetour(r.Attempts - r.SentFailures)
 	var choice route.Choice
 	if !detour {
 		if choice, err = r.Pick(request); err != nil {
@@ -53,6 +53,11 @@
 	return r.start(ctx, pass, choice, request, detour), nil
 }
 
+// needsDetour reports whether the next attempt goes by way of another instance, given the number of targets that were not reached.
+func (r *relayedRequest) needsDetour(unreached int) bool {
+	return r.mayDetour && r.NeedsDetour(r.Service, unreached)
+}
+
 // admitAttempt admits the next attempt unless similar requests have crashed targets.
 func (r *relayedRequest) admitAttempt(ctx context.Context) (*poison.Pass, error) {
 	if r.pass != nil && !r.LastFailure.Sent {
@@ -148,7 +153,7 @@
 func (r *relayedRequest) routeRequest() route.Request {
 	req := route.Request{
 		Organisation: r.Organisation, Service: r.Service, Zone: r.Zone, Priority: r.Priority, Avoid: r.tried,
-		Software: r.Software,
+		Software: r.Software, Homes: r.homes,
 	}
 	if r.streamKey != "" && r.Software == "" {
 		req.Software = r.Origins.Restriction(r.Service)
--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -366,7 +366,7 @@
 
 // pickSuccessor chooses the target of a successor, and takes a retry from the retry budget for it.
 func (r *relayedRequest) pickSuccessor(request route.Request) (choice route.Choice, detour bool, denied Denial) {
-	detour = r.NeedsDetour(r.Service, r.Attempts-r.SentFailures-len(r.inFlight))
+	detour = r.needsDetour(r.Attempts - r.SentFailures - len(r.inFlight))
 	if !detour {
 		var err error
 		if choice, err = r.Pick(request); err != nil {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -22,6 +22,7 @@
 	"cranberryrail/core/route"
 	"cranberryrail/core/spans"
 	"cranberryrail/core/table"
+	"cranberryrail/core/zones"
 )
 
 // Server relays requests. Exported fields are set before the first call. It is safe for concurrent
@@ -71,6 +72,8 @@
 	Memory *memory.Pool
 	// Zone is the availability zone of this instance.
 	Zone string
+	// Regions maps the availability zones to their regions; optional, for requests that may only be processed in some regions.
+	Regions zones.Regions
 	// Now returns the current time.
 	Now func() time.Time
 	// Random returns a number from 0 to n-1.
@@ -132,6 +135,9 @@
 	expiry *time.Timer
 	// traits are what the request may have in common with others.
 	traits poison.Traits
+	// homes are the regions in which the request may be processed, and mayDetour is set if that holds for each region, so that any instance may send it.
+	homes     zones.Homes
+	mayDetour bool
 	// tried holds the ids of the targets of failed attempts, and sentTo those of ended attempts that may have received the request.
 	tried, sentTo []string
 	// streamKey identifies a resumable stream, and recorded is set if the last attempt recorded its origin.
@@ -251,6 +257,8 @@
 	if t.Limits.BodyBytes > 0 && int64(len(r.req.Body)) > t.Limits.BodyBytes {
 		return codes.Refuse(codes.BodyTooLarge, 0, "request body has %d bytes, the limit is %d", len(r.req.Body), t.Limits.BodyBytes)
 	}
+	r.homes = zones.NewHomes(r.route.Homes, homesOf(r.org))
+	r.mayDetour = r.homes.AllowAll(r.Regions)
 	r.Priority = r.priority()
 	r.Service = r.pickService()
 	limit := timeLimit(r.req, r.route)
@@ -260,6 +268,14 @@
 	return nil
 }
 
+// homesOf returns the regions of an organisation; nil without one.
+func homesOf(o *table.Organisation) []string {
+	if o == nil {
+		return nil
+	}
+	return o.Homes
+}
+
 // clone returns a copy of what a configuration holds, or nil if it holds nothing.
 func clone[T any](p *T) *T {
 	if p == nil {
--- a/core/roster/list.go
+++ b/core/roster/list.go
@@ -38,6 +38,8 @@
 	StartedAtMS int64
 	// Sequence counts the writes of the entry since the target started.
 	Sequence int64
+	// Cold is how much longer the target is cold; nil if the entry does not state it.
+	Cold *time.Duration
 }
 
 // Change is the kind of a change of a target.
@@ -80,6 +82,8 @@
 	removalPending bool
 	// earlier is an earlier start than the listed one.
 	earlier earlierStart
+	// firstSeen is when the first entry of the start was read, and coldUntil when the target is warm; zero if it is.
+	firstSeen, coldUntil time.Time
 }
 
 // earlierStart is a start of a target that is earlier than the listed one, and what was written of it since the last entry of the listed one.
@@ -135,13 +139,28 @@
 	before := *known
 	restarted := e.StartedAtMS != known.StartedAtMS
 	known.apply(e)
+	known.applyCold(l.Now(), restarted)
 	switch {
 	case known.leaving && (!before.leaving || restarted):
 		l.OnChange(e.ID, Drained, nil)
 	case !before.present || restarted:
 		l.OnChange(e.ID, Joined, nil)
 	}
-	return !before.present || restarted || before.leaving != known.leaving || !sameTarget(before.Entry, e)
+	return !before.present || restarted || before.leaving != known.leaving || !sameTarget(before.Entry, e) || known.coldUntil.Sub(before.coldUntil).Abs() > coldPrecision
+}
+
+// coldPrecision is the change of the time at which a target is warm from which on it matters: entries are read with varying delays.
+const coldPrecision = 250 * time.Millisecond
+
+// applyCold applies what the present entry states of the time at which the target is warm. The entry may have been written earlier, so that the time is not too short.
+func (r *record) applyCold(now time.Time, restarted bool) {
+	if r.firstSeen.IsZero() || restarted {
+		r.firstSeen = now
+	}
+	r.coldUntil = time.Time{}
+	if r.Cold != nil && *r.Cold > 0 {
+		r.coldUntil = now.Add(*r.Cold)
+	}
 }
 
 // apply makes an entry the present one.
@@ -290,6 +309,7 @@
 		}
 		t := known.Target
 		t.Incarnation = known.incarnation()
+		t.FirstSeen, t.ColdUntil, t.ColdUnknown = known.firstSeen, known.coldUntil, known.Cold == nil
 		t.State = Live
 		if known.leaving {
 			t.State = Leaving
--- a/core/roster/types.go
+++ b/core/roster/types.go
@@ -3,6 +3,8 @@
 // depends on it.
 package roster
 
+import "time"
+
 // State defines whether an instance or target takes new work.
 type State string
 
@@ -59,6 +61,11 @@
 	Software string `json:"software,omitempty"`
 	// Slots is the number of requests that may run concurrently; 0 if the list does not state it.
 	Slots int `json:"slots,omitempty"`
+	// FirstSeen is when this instance first saw an entry of the incarnation, and ColdUntil when the target is warm as its entry states; zero if it states that it is warm.
+	// ColdUnknown is set if the entry does not state whether it is.
+	FirstSeen   time.Time `json:"-"`
+	ColdUntil   time.Time `json:"-"`
+	ColdUnknown bool      `json:"-"`
 }
 
 // Members is the platform's list of instances and targets, which lags by some seconds.
@@ -75,6 +82,8 @@
 	Running  int `json:"running"`
 	Waiting  int `json:"waiting"`
 	Capacity int `json:"capacity"`
+	// Pace is how long work takes at the machine of the target at present, as a multiple of the usual time; 0 if that is not stated.
+	Pace float64 `json:"pace,omitempty"`
 	// CachedPrefixes counts the prompt prefixes that the engine has cached.
 	CachedPrefixes int `json:"cached_prefixes"`
 	// RateLimit is the number of requests a second that the target takes from all instances together; nil without a limit.
--- a/core/route/actor.go
+++ b/core/route/actor.go
@@ -78,6 +78,12 @@
 	RetryMsg struct{ Organisation string }
 	// RetryReply reports whether the budget allows the retry.
 	RetryReply struct{ Allowed bool }
+	// EvacuatedMsg sets the zones whose targets get no new request.
+	EvacuatedMsg struct{ Zones []string }
+	// InFlightQuery requests the requests in flight in evacuated zones. The actor responds with *InFlightReply.
+	InFlightQuery struct{}
+	// InFlightReply holds the requests in flight in evacuated zones.
+	InFlightReply struct{ Zones map[string]int }
 	// AbandonMsg undoes a PickMsg or AcquireMsg whose sender timed out before the response.
 	AbandonMsg struct{ Msg any }
 )
@@ -136,6 +142,8 @@
 		c.Respond(&RetryReply{Allowed: a.Retries.Withdraw(m.Organisation)})
 	case *AbandonMsg:
 		a.abandon(m.Msg)
+	case *InFlightQuery:
+		c.Respond(&InFlightReply{a.Balancer.InFlightIn()})
 	default:
 		a.restrict(m)
 	}
@@ -154,6 +162,8 @@
 		a.Balancer.SetBrittle(m.ID, m.Incarnation, m.PerSecond)
 	case *FleetMsg:
 		a.Balancer.SetFleet(m.Own, m.IDs, m.Joined)
+	case *EvacuatedMsg:
+		a.Balancer.SetEvacuated(m.Zones)
 	}
 }
 
@@ -231,6 +241,18 @@
 	c.Root.Send(c.PID, &FleetMsg{own, ids, joined})
 }
 
+// SetEvacuated sets the zones whose targets get no new request.
+func (c *Client) SetEvacuated(zones []string) { c.Root.Send(c.PID, &EvacuatedMsg{zones}) }
+
+// InFlightIn returns the number of requests in flight at targets in each evacuated zone.
+func (c *Client) InFlightIn() (map[string]int, error) {
+	reply, err := c.request(&InFlightQuery{})
+	if err != nil {
+		return nil, err
+	}
+	return reply.(*InFlightReply).Zones, nil
+}
+
 // Readmit ends the ejections of all targets of a service.
 func (c *Client) Readmit(service string) { c.Root.Send(c.PID, &ReadmitMsg{service}) }
 
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -38,7 +38,7 @@
 	serving := b.serving(r)
 	if len(serving) == 0 {
 		return Choice{}, codes.Refuse(codes.NoTarget, NoTargetRetryAfter,
-			"no live target for model %q version %q service %q software %q; check the configuration and the list of targets", r.Model, r.Version, r.Service, r.Software)
+			"no live target for model %q version %q service %q software %q outside evacuated zones; check the configuration and the list of targets", r.Model, r.Version, r.Service, r.Software)
 	}
 	unpaused := filter(serving, func(c *target) bool { return !now.Before(c.pausedUntil) })
 	if len(unpaused) == 0 {
@@ -58,7 +58,7 @@
 		return Choice{}, codes.Refuse(codes.Overloaded, b.retryAfter(usable, r.Priority, now),
 			"all %d usable targets are at their limit for priority %d; retry later, or add targets or raise the priority in the configuration", len(usable), r.Priority)
 	}
-	chosen := b.chooseTarget(r, b.drawShare(r, b.preferUnchecked(admissible)), now)
+	chosen := b.chooseTarget(r, b.drawShare(r, b.preferWarm(b.preferUnchecked(admissible), now)), now)
 	b.lastDispatchID++
 	b.dispatches[b.lastDispatchID] = dispatch{target: chosen, incarnation: chosen.Incarnation, epoch: chosen.health.epoch, at: now}
 	b.Rates.Take(chosen.Incarnation)
@@ -78,7 +78,7 @@
 		return nil // a target may list a model without a name
 	}
 	return filter(indexed, func(c *target) bool {
-		if !serves(c, r) || b.isLeaving(c) || !isRequested(c, r.Only) {
+		if !serves(c, r) || b.isLeaving(c) || !isRequested(c, r.Only) || b.isEvacuated(c) || !b.isHome(c, r.Homes) {
 			return false
 		}
 		return len(r.Shares) == 0 || slices.ContainsFunc(r.Shares, func(s Share) bool { return s.matches(c, r.Model) })
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -18,6 +18,7 @@
 
 	"cranberryrail/core/rate"
 	"cranberryrail/core/roster"
+	"cranberryrail/core/zones"
 )
 
 // Policy selects how a target is chosen among the candidates.
@@ -95,6 +96,8 @@
 	Avoid []string
 	// Shares restrict and weight the targets; empty means all targets with equal weight.
 	Shares []Share
+	// Homes are the regions in which the request may be processed; nil for all.
+	Homes zones.Homes
 }
 
 // Choice is the target of one dispatch.
@@ -121,17 +124,21 @@
 	// MaxInFlightPerTarget is the maximum number of requests in flight from this instance to one target; 0 means no
 	// limit.
 	MaxInFlightPerTarget int
-	// Rates decides when a request may be sent to a target that has named a rate limit; optional.
+	// Regions maps availability zones to regions, for requests with homes.
+	Regions zones.Regions
+	// Rates decides when a request may be sent to a target that has named a rate limit, or is cold; optional.
 	Rates *rate.Tracker
 	// Seed seeds the random number generator.
 	Seed uint64
 	// Now returns the current time.
 	Now func() time.Time
 
-	rand            *rand.Rand
-	targets         []*target
-	byModel         map[string][]*target
-	byService       map[string][]*target
+	rand      *rand.Rand
+	targets   []*target
+	byModel   map[string][]*target
+	byService map[string][]*target
+	// evacuated holds the zones whose targets get no new request.
+	evacuated       map[string]struct{}
 	leaving         *simplelru.LRU[string, struct{}]
 	dispatches      map[int64]dispatch
 	lastDispatchID  int64
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -52,6 +52,8 @@
 	Affinity bool
 	// Resumable permits resuming streams at another target.
 	Resumable bool
+	// Homes are the regions in which requests may be processed; empty for all.
+	Homes []string
 }
 
 // Includes reports whether requests of the route may go to a service.
@@ -73,6 +75,9 @@
 	Slots int
 	// MaxConns is the maximum number of connections that one target accepts from all callers.
 	MaxConns int
+	// ColdStart is how long a target is cold after its start, and ColdPerSecond the number of requests a second that a cold one bears; 0 without a limit.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 }
 
 // Organisation is a customer with its keys and its budget.
@@ -83,6 +88,8 @@
 	Rank int
 	// Prepaid is the number of prepaid tokens; Unlimited without a budget.
 	Prepaid int64
+	// Homes are the regions in which requests may be processed; empty for all.
+	Homes []string
 }
 
 // Unlimited is the budget of an organisation without a limit.
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -191,6 +191,15 @@
 // RateLimits sets the number of targets that have named a limit on the rate of requests.
 func (m *Meter) RateLimits(n int) { m.gauge(rateLimits).Update(float64(n)) }
 
+// Evacuated sets the number of evacuated zones, and of requests in flight there.
+func (m *Meter) Evacuated(zones, inFlight int) {
+	m.gauge(evacuatedZones).Update(float64(zones))
+	m.gauge(evacuatedBusy).Update(float64(inFlight))
+}
+
+// ColdTargets sets the number of cold targets.
+func (m *Meter) ColdTargets(n int) { m.gauge(coldTargets).Update(float64(n)) }
+
 // Quarantines sets the number of traits of requests that are quarantined.
 func (m *Meter) Quarantines(n int) { m.gauge(quarantines).Update(float64(n)) }
 
--- a/io/meter/meter_test.go
+++ b/io/meter/meter_test.go
@@ -72,6 +72,8 @@
 	m.ConnectionOpened()
 	m.Quarantines(2)
 	m.RateLimits(4)
+	m.Evacuated(1, 5)
+	m.ColdTargets(6)
 	m.LinesDropped(3)
 	m.AnswerEnded("target", "broken")
 	m.AnswerEnded("caller", "")
@@ -87,7 +89,7 @@
 		`invariant_violations_total{invariant="fold_differs"} 1`,
 		"streams_resumed_total 1", "streams_cut_total 1", "log_reached 1", "config_version 12", "config_age_seconds 1.5", `ledger_offset{shard="0"} 17`,
 		`attempts_total{outcome="ok"} 1`, `request_seconds_bucket{class="high",le="0.05"} 1`, `store_calls_total{call="log-read",result="failed"} 1`,
-		`store_bytes_total{direction="sent"} 5`, `store_bytes_total{direction="received"} 7`, "connections_total 1", "quarantines 2", "rate_limits 4", "log_lines_dropped_total 3",
+		`store_bytes_total{direction="sent"} 5`, `store_bytes_total{direction="received"} 7`, "connections_total 1", "quarantines 2", "rate_limits 4", "evacuated_zones 1", "evacuated_in_flight 5", "cold_targets 6", "log_lines_dropped_total 3",
 		`answers_ended_early_total{by="target",kind="broken"} 1`, `answers_ended_early_total{by="caller",kind="none"} 1`)
 	assert.NilError(t, other.Close())
 	assertServed(t, scrape(t, other), "streams_cut_total 0")
--- a/io/meter/table.go
+++ b/io/meter/table.go
@@ -50,6 +50,9 @@
 	storeBytes      = Metric{"cranberryrail_store_bytes_total", Counter, []string{"direction"}, "Bytes of records written to and read from the platform's store."}
 	connections     = Metric{"cranberryrail_connections_total", Counter, nil, "Connections that were made to targets."}
 	rateLimits      = Metric{"cranberryrail_rate_limits", Gauge, nil, "Targets that have named a limit on the rate of requests."}
+	evacuatedZones  = Metric{"cranberryrail_evacuated_zones", Gauge, nil, "Zones to whose targets no new request is sent."}
+	evacuatedBusy   = Metric{"cranberryrail_evacuated_in_flight", Gauge, nil, "Requests of this instance that targets in evacuated zones still run."}
+	coldTargets     = Metric{"cranberryrail_cold_targets", Gauge, nil, "Targets that have just started or become cold again, to which the rate of requests is limited."}
 	quarantines     = Metric{"cranberryrail_quarantines", Gauge, nil, "Parts of prompts, and whole requests, that are not sent because targets crashed under them."}
 	answersEnded    = Metric{"cranberryrail_answers_ended_early_total", Counter, []string{"by", "kind"}, "Requests that ended without a whole answer after its head was sent or a target may have run them, by who ended them; the kind is that of the target's failure, or none."}
 	droppedLines    = Metric{"cranberryrail_log_lines_dropped_total", Counter, nil, "Lines of the log that were dropped, because they were not taken fast enough."}
@@ -60,7 +63,7 @@
 	return []Metric{
 		requests, billedTokens, firstToken, reservations, draws, logAppends, violations, streamsResumed, streamsCut, logReached,
 		configVersion, configAge, ledgerOffset,
-		attempts, requestDuration, storeCalls, storeBytes, connections, rateLimits, quarantines, answersEnded, droppedLines,
+		attempts, requestDuration, storeCalls, storeBytes, connections, rateLimits, evacuatedZones, evacuatedBusy, coldTargets, quarantines, answersEnded, droppedLines,
 	}
 }
 
--- a/io/opts/router.go
+++ b/io/opts/router.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cranberryrail/core/conf/field"
+	"cranberryrail/core/zones"
 )
 
 // Seconds is a duration in seconds.
@@ -17,19 +18,26 @@
 
 // Router holds the settings of an instance that routes requests on the users' platform.
 type Router struct {
-	Instance Instance      `toml:"instance"`
-	Caller   RouterCaller  `toml:"caller"`
-	Metrics  RouterMetrics `toml:"metrics"`
-	Peer     RouterPeer    `toml:"peer"`
-	Store    RouterStore   `toml:"store"`
-	Budget   RouterBudget  `toml:"budget"`
-	Target   RouterTarget  `toml:"target"`
-	Retry    RouterRetry   `toml:"retry"`
-	Stream   RouterStream  `toml:"stream"`
-	Memory   RouterMemory  `toml:"memory"`
-	Link     RouterLink    `toml:"link"`
-	Stop     RouterStop    `toml:"stop"`
-	Log      RouterLog     `toml:"log"`
+	Instance RouterInstance `toml:"instance"`
+	Caller   RouterCaller   `toml:"caller"`
+	Metrics  RouterMetrics  `toml:"metrics"`
+	Peer     RouterPeer     `toml:"peer"`
+	Store    RouterStore    `toml:"store"`
+	Budget   RouterBudget   `toml:"budget"`
+	Target   RouterTarget   `toml:"target"`
+	Retry    RouterRetry    `toml:"retry"`
+	Stream   RouterStream   `toml:"stream"`
+	Memory   RouterMemory   `toml:"memory"`
+	Link     RouterLink     `toml:"link"`
+	Stop     RouterStop     `toml:"stop"`
+	Log      RouterLog      `toml:"log"`
+}
+
+// RouterInstance identifies the instance.
+type RouterInstance struct {
+	ID      string `toml:"id" allowed:"[a-z0-9-]{1,64}" doc:"Id of the instance as the platform lists it."`
+	Zone    string `toml:"zone" allowed:"[a-z0-9-]{1,64}" doc:"Availability zone of the instance."`
+	Regions string `toml:"regions" allowed:"([a-z0-9-]+=[a-z0-9-]+(,[a-z0-9-]+=[a-z0-9-]+)*)?" doc:"Region of each availability zone, for routes and organisations whose requests may be processed in some regions only."`
 }
 
 // RouterCaller configures the listeners for callers and for the platform's readiness checks.
@@ -91,6 +99,9 @@
 
 	ResponseMB float64 `toml:"response_mb" unit:"MB" default:"64" allowed:"1..1048576" doc:"Largest body of a response, or largest stream; a target that sends more is taken to send without end, and its response is cut."`
 
+	ColdOver  float64 `toml:"cold_over" default:"1" allowed:"0..100" doc:"Multiple of the requests a second that a cold target bears up to which all instances together send it requests in any second."`
+	ColdSlack float64 `toml:"cold_slack" unit:"requests" default:"0" allowed:"0..1000" doc:"Requests in any second that all instances together may send a cold target beyond that."`
+
 	Bound float64 `toml:"bound" default:"3" allowed:"1..100" doc:"Multiple of the mean load up to which a target gets the requests whose prompts share a part that it has read."`
 }
 
@@ -180,13 +191,17 @@
 	return s, err
 }
 
-// faults returns the faults that involve several keys.
+// faults returns the faults that involve several keys, or parts of one.
 func (s *Router) faults() []field.Fault {
-	if s.Stop.NoticeS < s.Stop.GraceS {
-		return nil
+	var faults []field.Fault
+	if s.Stop.NoticeS >= s.Stop.GraceS {
+		faults = append(faults, field.Fault{
+			Path: "stop.notice_s", Problem: fmt.Sprintf("%v is not allowed", s.Stop.NoticeS),
+			Allowed: fmt.Sprintf("less than stop.grace_s, which is %v", s.Stop.GraceS),
+		})
+	}
+	if _, err := zones.ParseRegions(s.Instance.Regions); err != nil {
+		faults = append(faults, field.Fault{Path: "instance.regions", Problem: err.Error(), Allowed: "zone=region, separated by commas"})
 	}
-	return []field.Fault{{
-		Path: "stop.notice_s", Problem: fmt.Sprintf("%v is not allowed", s.Stop.NoticeS),
-		Allowed: fmt.Sprintf("less than stop.grace_s, which is %v", s.Stop.GraceS),
-	}}
+	return faults
 }
--- a/io/router/follow.go
+++ b/io/router/follow.go
@@ -23,9 +23,23 @@
 			}
 		}
 	}
+	restored := false
 	return &logs.Follower{
 		Log: r.Store, Topic: topic, Wait: r.Settings.Store.ConfigWaitMS.Duration(),
-		Reset: apply, Apply: apply, OnOutage: r.topicUnreachable(topic), OnRecovery: r.topicRecovered(topic),
+		OnRestored: func() { restored = true },
+		// Orders come before the configuration, with which the instance begins to serve.
+		Reset: func(records []logs.Record) {
+			r.orders.Reset(r.ordersIn(records, true), restored)
+			restored = false
+			r.applyOrders()
+			apply(records)
+		},
+		Apply: func(records []logs.Record) {
+			r.orders.Apply(r.ordersIn(records, false))
+			r.applyOrders()
+			apply(records)
+		},
+		OnOutage: r.topicUnreachable(topic), OnRecovery: r.topicRecovered(topic),
 	}
 }
 
@@ -148,6 +162,7 @@
 		routed := r.routedTargets(targets)
 		r.origins.SetTargets(routed)
 		r.setServices(routed)
+		r.applyCold(targets)
 		r.routeClient.SetTargets(targets, 0)
 	}
 }
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -37,6 +37,7 @@
 	"cranberryrail/core/route"
 	"cranberryrail/core/spans"
 	"cranberryrail/core/table"
+	"cranberryrail/core/zones"
 	"cranberryrail/io/conns"
 	"cranberryrail/io/entry"
 	"cranberryrail/io/httpd"
@@ -59,6 +60,8 @@
 	// ParseConfig and ParseTarget decode records of the topics.
 	ParseConfig func(value []byte) (table.Config, error)
 	ParseTarget func(id string, value []byte) (roster.Entry, error)
+	// ParseOrderKey returns the zone that the record with a key of ConfigTopic orders to evacuate, and whether it is such an order.
+	ParseOrderKey func(key string) (zone string, ok bool)
 	// ReportPath is the path of the report of a target. ParseReport returns the start time in Unix milliseconds that it states, and whether it states one.
 	ReportPath  string
 	ParseReport func(status int, body []byte) (startedAtMS int64, shown bool, err error)
@@ -116,6 +119,8 @@
 	rateTopic    *logs.Follower
 	rateReports  *logs.Outbox
 	origins      *origin.Tracker
+	orders       *zones.Orders
+	regions      zones.Regions
 	targetTopic  *logs.Follower
 	detours      *detour.Tracker
 	relay        *relay.Server
@@ -185,7 +190,8 @@
 	s := r.Settings
 	r.initRates()
 	a := &route.Actor{}
-	a.Balancer.Seed, a.Balancer.Bound, a.Balancer.Rates = rand.Uint64(), s.Target.Bound, r.rates
+	r.initZones()
+	a.Balancer.Seed, a.Balancer.Bound, a.Balancer.Rates, a.Balancer.Regions = rand.Uint64(), s.Target.Bound, r.rates, r.regions
 	r.routeClient = &route.Client{Root: r.system.Root, PID: r.system.Root.Spawn(a.Props())}
 	r.retries = &route.RetryWindow{Length: s.Retry.WindowS.Duration(), Ratio: s.Retry.Ratio, Slack: s.Retry.Slack}
 	r.retries.Default()
@@ -208,7 +214,7 @@
 		Table: r.table.Current, Reserve: r.budgets.Reserve, ReserveResumed: r.budgets.ReserveResumed, ReserveWait: r.budgetSync.ReserveWait,
 		Settle: r.budgets.Settle, Pick: r.routeClient.Pick, Done: r.routeClient.Done,
 		Retries: r.retries, Dispatch: r.dispatch, OnSilent: r.targetSilent, OnPanic: r.logPanic, OnAttemptFailed: r.attemptFailed, MaxResponseBytes: s.Target.MaxResponseBytes(),
-		Spans: &spans.Tracker{}, Memory: &memory.Pool{Bytes: s.Memory.Bytes(answerMemoryShare)}, Zone: s.Instance.Zone, Random: rand.IntN,
+		Spans: &spans.Tracker{}, Memory: &memory.Pool{Bytes: s.Memory.Bytes(answerMemoryShare)}, Zone: s.Instance.Zone, Regions: r.regions, Random: rand.IntN,
 	}
 	r.relay.Default()
 	r.link = &flow.Meter{BytesPerSecond: s.Link.BytesPerSecond()}
@@ -380,6 +386,7 @@
 		r.crashes.Expire()
 		r.Meter.Quarantines(len(r.crashes.Quarantines()))
 		r.expireRates()
+		r.countZones()
 		r.logReadiness()
 		r.logDropped()
 	}
--- a/io/router/state.go
+++ b/io/router/state.go
@@ -44,13 +44,15 @@
 	Versions []origin.State `json:"versions"`
 	// Unreachable are the services of which this instance reaches no target.
 	Unreachable []string `json:"unreachable"`
+	// Evacuated are the zones to whose targets no new request is sent.
+	Evacuated []EvacuatedZone `json:"evacuated"`
 }
 
 // State returns the current state of the instance.
 func (r *Router) State() State {
 	s := State{
 		Instance: r.Settings.Instance.ID, Incarnation: r.Incarnation, Zone: r.Settings.Instance.Zone, Ready: r.Ready(), Stopping: !r.running.Load(),
-		InFlight: r.entry.InFlight(), LostMS: map[string]int64{}, Budgets: r.budgetSync.Balances(), Quarantines: r.crashes.Quarantines(), RateLimits: r.rates.Limits(), Versions: r.origins.States(), Unreachable: r.detours.CutServices(),
+		InFlight: r.entry.InFlight(), LostMS: map[string]int64{}, Budgets: r.budgetSync.Balances(), Quarantines: r.crashes.Quarantines(), RateLimits: r.rates.Limits(), Versions: r.origins.States(), Unreachable: r.detours.CutServices(), Evacuated: r.evacuated(),
 	}
 	if t := r.table.Current(); t != nil {
 		s.ConfigVersion = t.Version
