--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -259,8 +259,11 @@
 	}
 	r.addStream(event, class, result)
 	if refused := result.Refused; refused != nil {
-		if refused.Code == codes.LogUnavailable || refused.Code == codes.LinkFull {
-			r.refusedAt.Store(time.Now().UnixNano())
+		switch refused.Code {
+		case codes.LogUnavailable:
+			r.gate.Refused()
+		case codes.LinkFull:
+			r.gate.Overloaded()
 		}
 		code = refused.Code
 		event.Int("code", code.Number).Str("run", string(refused.Run)).Dur("retry_after", refused.RetryAfter).Str("detail", refused.Detail).Err(refused.Err)
