feat: cover of late outages, links by rank, reports of shared machines

Cause: holdings shrink with what is left of a budget, so that the second loss of the store refuses requests with millions of tokens left; a full link refuses whoever comes; and reports of four figures, now read, made instances refuse at targets that queue. Change: budget.cover_outages holds for the longest outage lately, up to half of the rest; link.ranked refuses less important routes earlier; a report with a pace decides only between targets.

--- a/core/budget/book.go
+++ b/core/budget/book.go
@@ -133,6 +133,8 @@
 	// Strict lets records become strict. It must not be set while an instance of build bcddc15 or an earlier one may join the fleet: such builds ignore
 	// strict records, and a restored log may show neither its registration nor its draws.
 	Strict bool
+	// CoverOutages lets holdings cover outages as long as those before, however little of a budget is left.
+	CoverOutages bool
 	// Uptime is the monotonic clock of the machine, which all its processes share.
 	Uptime func() time.Duration
 
@@ -147,6 +149,9 @@
 	// witnessing is set if instances record what they know of an era that ended. established and allEstablished are set if each copy of the log
 	// contains the registration of this instance, and of all.
 	witnessing, established, allEstablished bool
+	// outage is the longest outage of the log lately, and outageAt when it ended.
+	outage   time.Duration
+	outageAt time.Time
 	// promises are the promises that a record in the log may hold.
 	promises []*Promise
 }
--- a/core/budget/policy.go
+++ b/core/budget/policy.go
@@ -89,8 +89,11 @@
 		return min(needed, b.maxDraw(ungranted)+a.unreserved)
 	}
 	share := (ungranted + a.unreserved) / b.holderCount()
-	if !a.low() && b.IsHolder(a.organisation) {
-		needed = max(needed, share/baseShareDivisor)
+	if b.IsHolder(a.organisation) {
+		needed = max(needed, b.outageCover(a.usage.rate(b.Now()), share))
+		if !a.low() {
+			needed = max(needed, share/baseShareDivisor)
+		}
 	}
 	return min(needed, maxShareFactor*share, b.maxDraw(ungranted)+a.unreserved)
 }
--- a/core/budget/syncer.go
+++ b/core/budget/syncer.go
@@ -390,7 +390,10 @@
 		sy.OnOutage(p.index, err)
 		sy.Book.ServeAllWaiters()
 	}
-	p.outage.record(err, onBegin, func(duration time.Duration) { sy.OnRecovery(p.index, duration) })
+	p.outage.record(err, onBegin, func(duration time.Duration) {
+		sy.Book.RecordOutage(duration)
+		sy.OnRecovery(p.index, duration)
+	})
 }
 
 // markLoaded marks the book as loaded once all partitions were read.
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -339,6 +339,16 @@
 	return 0
 }
 
+// Urgency returns how urgent the route of a request is, from 0 to 1, the most urgent; 0 if there is no route for it.
+func (s *Server) Urgency(req *Request) float64 {
+	if t := s.Table(); t != nil {
+		if found := t.Route(req.Host, req.Path); found != nil {
+			return 1 - float64(min(max(found.Rank, 0), routeRanks-1))/(routeRanks-1)
+		}
+	}
+	return 0
+}
+
 // timeLimit returns the time that the caller waits from the arrival of a request, or that the route allows.
 func timeLimit(req *Request, on *table.Route) time.Duration {
 	d := req.Timeout
--- a/core/route/load.go
+++ b/core/route/load.go
@@ -22,6 +22,8 @@
 	measuredAt time.Time
 	fullAt     time.Time
 	inFlight   int
+	// pace is the reported time that work takes at the target, as a multiple of the usual one; 0 if its reports do not state it.
+	pace float64
 	// changes are this instance's dispatches and completions since measuredAt; netChange is their sum.
 	changes   []change
 	netChange int
@@ -73,6 +75,7 @@
 	l.measuredAt = measuredAt
 	l.reported = min(max(r.Running, 0), maxReported) + min(max(r.Waiting, 0), maxReported)
 	l.capacity = min(max(r.Capacity, 0), maxReported)
+	l.pace = r.Pace
 	if measuredAt.After(l.fullAt) {
 		l.fullAt = time.Time{}
 	}
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -156,6 +156,11 @@
 	if b.isBrittle(c) {
 		return b.brittleHasRoom(c, now)
 	}
+	if c.load.pace > 0 {
+		// The load of a target on a shared machine changes many times a second, and the target queues what it can't run yet. A refusal because of a report
+		// that is out of date costs its caller more than the wait, so that the report only decides between targets.
+		return c.load.inFlight < b.admissionLimit(c, priority)
+	}
 	return b.estimate(c, now) < b.admissionLimit(c, priority)
 }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"cranberryrail/core/codes"
+	"cranberryrail/core/flow"
 	"cranberryrail/core/relay"
 	"cranberryrail/io/httpd"
 )
@@ -36,9 +37,6 @@
 	retryStopping = 50 * time.Millisecond
 	// retryBodyMemory is the Retry-After when buffered request bodies use all of their memory.
 	retryBodyMemory = 200 * time.Millisecond
-	// maxLinkDelay is the delay at the link from which on new requests are refused. It leaves room below the delays at
-	// which events of a stream count as late for what the requests in flight still send.
-	maxLinkDelay = 60 * time.Millisecond
 	// retryLink is the Retry-After of a request that the link can't carry. It is short, since another instance serves the
 	// retry.
 	retryLink = 50 * time.Millisecond
@@ -77,6 +75,8 @@
 	// LinkDelay returns how long data waits at the link of the machine, and OnTraffic is called with the bytes that are
 	// received from callers, or sent to them, and pass the link on their way to and from a target; optional.
 	LinkDelay func() time.Duration
+	// LinkLimit returns the delay from which on a request is refused; optional, flow.MaxDelay by default.
+	LinkLimit func(req *relay.Request) time.Duration
 	OnTraffic func(bytes int)
 	// OnPanic is called with the value of a panic that occurs while a request is served.
 	OnPanic func(reason any)
@@ -100,6 +100,9 @@
 	if s.LinkDelay == nil {
 		s.LinkDelay = func() time.Duration { return 0 }
 	}
+	if s.LinkLimit == nil {
+		s.LinkLimit = func(*relay.Request) time.Duration { return flow.MaxDelay }
+	}
 	if s.RefusesLong == nil {
 		s.RefusesLong = func() bool { return true }
 	}
@@ -265,7 +268,7 @@
 	if refused := s.refuseStopping(req, arrived); refused != nil {
 		return req, refused
 	}
-	if delay := s.LinkDelay(); delay > maxLinkDelay {
+	if delay := s.LinkDelay(); delay > s.LinkLimit(req) {
 		return req, codes.Refuse(codes.LinkFull, retryLink, "data waits %v at the link; retry the request, another instance takes it", delay)
 	}
 	s.OnTraffic(int(max(r.ContentLength, 0)) + overheadBytes)
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -220,7 +220,7 @@
 	r.gate = &ready.Gate{MaxHold: s.Link.MaxHoldS.Duration()}
 	r.link = &flow.Meter{BytesPerSecond: s.Link.BytesPerSecond()}
 	r.entry = &entry.Server{
-		LinkDelay: r.link.Delay, OnTraffic: r.link.Add,
+		LinkDelay: r.link.Delay, LinkLimit: r.linkLimit, OnTraffic: r.link.Add,
 		MaxBodyBytes: s.Caller.BodyBytes, MaxBufferedBytes: s.Memory.Bytes(bodyMemoryShare),
 		ParseRequest: r.Platform.ParseRequest, Serve: r.relay.Serve, MaxTime: r.relay.MaxTime, RefusesLong: r.refusesLong, UsualTime: r.relay.UsualTime, StopRetryAfter: r.stopRetryAfter,
 		SetRefusalHeaders: r.Platform.SetRefusalHeaders, OnEnd: r.requestEnded, OnPanic: r.logPanic,
@@ -236,12 +236,20 @@
 	r.metrics.ReadHeaderTimeout = headerTimeout
 }
 
+// linkLimit returns the delay at the link from which on a request is refused.
+func (r *Router) linkLimit(req *relay.Request) time.Duration {
+	if !r.Settings.Link.Ranked {
+		return flow.MaxDelay
+	}
+	return flow.Limit(r.relay.Urgency(req))
+}
+
 // headerTimeout bounds reading the headers of a readiness check or a request to the metrics listener.
 const headerTimeout = 5 * time.Second
 
 func (r *Router) initBudgets() {
 	s := r.Settings.Budget
-	r.budgets = &budget.Book{Cover: s.CoverMS.Duration(), MaxWait: s.WaitMS.Duration(), CopyAge: s.CopyAgeMS.Duration(), Strict: s.Restored == opts.Settle, Uptime: uptime.Now}
+	r.budgets = &budget.Book{Cover: s.CoverMS.Duration(), MaxWait: s.WaitMS.Duration(), CopyAge: s.CopyAgeMS.Duration(), Strict: s.Restored == opts.Settle, CoverOutages: s.Outages, Uptime: uptime.Now}
 	boot, err := uptime.BootID()
 	if err != nil {
 		events.Log(r.Log, events.PromisesOff).Err(err).Send()
