feat: the estimate of a full link follows the times that connections take

Change: with link.adaptive three slow connections to different targets within 0.3 s on a used link set the estimate, and what refused callers send counts.

--- a/io/opts/router.go
+++ b/io/opts/router.go
@@ -68,7 +68,7 @@
 type RouterBudget struct {
 	Shards  int          `toml:"shards" unit:"partitions" default:"6" allowed:"1..64" doc:"Number of partitions that budgets are spread over; the same at every instance."`
 	CoverMS Milliseconds `toml:"cover_ms" unit:"ms" default:"12000" allowed:"0..600000" doc:"Time of usual use for which tokens are held ready."`
-	Outages bool         `toml:"cover_outages" doc:"Whether tokens are held ready for an outage of the platform's store as long as the longest one lately, up to cover_ms, also once little of a budget is left."`
+	Outages Switch       `toml:"cover_outages" default:"off" allowed:"off|on" doc:"Whether tokens are held ready for an outage of the platform's store as long as the longest one lately, up to cover_ms, also once little of a budget is left."`
 	WaitMS  Milliseconds `toml:"wait_ms" unit:"ms" default:"200" allowed:"0..60000" doc:"Longest time that a request waits for tokens."`
 
 	CopyAgeMS Milliseconds `toml:"copy_age_ms" unit:"ms" default:"10000" allowed:"100..3600000" doc:"Greatest age of a copy from which the platform's store may be restored; in a store that announces this, no more than half of a budget is drawn in this time."`
@@ -76,6 +76,15 @@
 	Fleet     FleetState   `toml:"fleet" default:"running" allowed:"new|running" doc:"Whether the whole fleet starts for the first time, so that the store has no budgets yet."`
 }
 
+// Switch turns a part of the product on or off.
+type Switch string
+
+// States of a Switch.
+const (
+	Off Switch = "off"
+	On  Switch = "on"
+)
+
 // RestoreMode is what becomes of tokens that were written off because the store was restored.
 type RestoreMode string
 
@@ -135,8 +144,8 @@
 
 // RouterLink describes the network link of the machine.
 type RouterLink struct {
-	MBPS   float64 `toml:"mbps" unit:"Mbit/s" default:"0" allowed:"0..1000000" doc:"Rate of the link in each direction; requests that it can't carry are refused. 0 if it is unknown."`
-	Ranked bool    `toml:"ranked" doc:"Whether requests of less important routes are refused earlier than others when the link fills."`
+	MBPS     float64 `toml:"mbps" unit:"Mbit/s" default:"0" allowed:"0..1000000" doc:"Rate of the link in each direction; requests that it can't carry are refused. 0 if it is unknown."`
+	Adaptive Switch  `toml:"adaptive" default:"off" allowed:"off|on" doc:"Whether the delay at the link is also estimated by the times that connections to targets take and by what refused callers send, and requests of less important routes are refused earlier than others."`
 
 	MaxHoldS Seconds `toml:"max_hold_s" unit:"s" default:"3" allowed:"3..600" doc:"Longest time for which the instance is not ready after the link was full, when that recurs; the first time it is 3 s."`
 }
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -197,6 +197,10 @@
 	r.retries.Default()
 	r.retries.Set(s.Retry.Ratio, s.Retry.Slack) // Default replaces 0, which is a valid setting
 	r.conns = &conns.Client{Dial: r.DialTarget, OnDial: r.Meter.ConnectionOpened}
+	r.link = &flow.Meter{BytesPerSecond: s.Link.BytesPerSecond()}
+	if s.Link.Adaptive == opts.On {
+		r.conns.OnDialEnd = r.link.Connected
+	}
 	r.conns.Default()
 	r.list = &roster.TargetList{OnChange: r.targetChanged}
 	r.list.Default()
@@ -218,9 +222,8 @@
 	}
 	r.relay.Default()
 	r.gate = &ready.Gate{MaxHold: s.Link.MaxHoldS.Duration()}
-	r.link = &flow.Meter{BytesPerSecond: s.Link.BytesPerSecond()}
 	r.entry = &entry.Server{
-		LinkDelay: r.link.Delay, LinkLimit: r.linkLimit, OnTraffic: r.link.Add,
+		LinkDelay: r.link.Delay, LinkLimit: r.linkLimit, CountsRefused: s.Link.Adaptive == opts.On, OnTraffic: r.link.Add,
 		MaxBodyBytes: s.Caller.BodyBytes, MaxBufferedBytes: s.Memory.Bytes(bodyMemoryShare),
 		ParseRequest: r.Platform.ParseRequest, Serve: r.relay.Serve, MaxTime: r.relay.MaxTime, RefusesLong: r.refusesLong, UsualTime: r.relay.UsualTime, StopRetryAfter: r.stopRetryAfter,
 		SetRefusalHeaders: r.Platform.SetRefusalHeaders, OnEnd: r.requestEnded, OnPanic: r.logPanic,
@@ -238,7 +241,7 @@
 
 // linkLimit returns the delay at the link from which on a request is refused.
 func (r *Router) linkLimit(req *relay.Request) time.Duration {
-	if !r.Settings.Link.Ranked {
+	if r.Settings.Link.Adaptive != opts.On {
 		return flow.MaxDelay
 	}
 	return flow.Limit(r.relay.Urgency(req))
@@ -249,7 +252,7 @@
 
 func (r *Router) initBudgets() {
 	s := r.Settings.Budget
-	r.budgets = &budget.Book{Cover: s.CoverMS.Duration(), MaxWait: s.WaitMS.Duration(), CopyAge: s.CopyAgeMS.Duration(), Strict: s.Restored == opts.Settle, CoverOutages: s.Outages, Uptime: uptime.Now}
+	r.budgets = &budget.Book{Cover: s.CoverMS.Duration(), MaxWait: s.WaitMS.Duration(), CopyAge: s.CopyAgeMS.Duration(), Strict: s.Restored == opts.Settle, CoverOutages: s.Outages == opts.On, Uptime: uptime.Now}
 	boot, err := uptime.BootID()
 	if err != nil {
 		events.Log(r.Log, events.PromisesOff).Err(err).Send()
