feat: an instance that serves much of an organisation holds tokens for itself

Cause: on one deployment an organisation has 69 in 100 of the requests of a zone, and four of eighteen instances get 80 in 100 of them; an instance that is no holder asks holders for each request, which failed 2,131 times while its link was full. Change: from budget.heavy_per_s requests a second on, an instance draws ahead as a holder does and keeps what it drew; the holders stay those whom others ask.

--- a/core/budget/book.go
+++ b/core/budget/book.go
@@ -133,6 +133,9 @@
 	// Strict lets records become strict. It must not be set while an instance of build bcddc15 or an earlier one may join the fleet: such builds ignore
 	// strict records, and a restored log may show neither its registration nor its draws.
 	Strict bool
+	// HeavyPerSecond is the number of requests a second of an organisation from which on an instance draws tokens ahead of their use although it is not a holder
+	// of the budget; 0 if none does.
+	HeavyPerSecond float64
 	// CoverOutages lets holdings cover outages as long as those before, however little of a budget is left.
 	CoverOutages bool
 	// Uptime is the monotonic clock of the machine, which all its processes share.
@@ -302,7 +305,7 @@
 	refused := b.refusal(a, w)
 	// Holders do not lend what is left for resumed streams.
 	borrow = borrow && (!w.resumes || refused != nil || a.unreserved+a.grantable(false) >= w.tokens)
-	borrowing := borrow && (refused != nil || !b.IsHolder(organisation)) && b.tryBorrowing(a, a.demand()+w.tokens-b.spendable(a))
+	borrowing := borrow && (refused != nil || !b.drawsAhead(a)) && b.tryBorrowing(a, a.demand()+w.tokens-b.spendable(a))
 	if refused != nil && !borrowing {
 		a.usage.add(-w.tokens, b.Now()) // what is not served is no usage
 		return false, refused
--- a/core/budget/policy.go
+++ b/core/budget/policy.go
@@ -89,9 +89,9 @@
 		return min(needed, b.maxDraw(ungranted)+a.unreserved)
 	}
 	share := (ungranted + a.unreserved) / b.holderCount()
-	if b.IsHolder(a.organisation) {
+	if b.drawsAhead(a) {
 		needed = max(needed, b.outageCover(a.usage.rate(b.Now()), share))
-		if !a.low() {
+		if !a.low() && b.IsHolder(a.organisation) {
 			needed = max(needed, share/baseShareDivisor)
 		}
 	}
@@ -112,6 +112,15 @@
 // holderCount returns the number of holders of each budget.
 func (b *Book) holderCount() int64 { return max(1, min(b.instanceCount, MaxHolders)) }
 
+// drawsAhead reports whether this instance draws tokens of a budget ahead of their use: it is a holder, or many requests of the organisation reach it. Callers may be
+// spread so unevenly that one instance serves most of an organisation; it would ask holders for each request, and not reach them while its link is full.
+func (b *Book) drawsAhead(a *account) bool {
+	if b.IsHolder(a.organisation) {
+		return true
+	}
+	return b.HeavyPerSecond > 0 && b.instanceCount > 0 && a.usage.rate(b.Now()) >= b.HeavyPerSecond*max(a.requestSize, 1)
+}
+
 // returnable returns the tokens that this instance should return now: its excess, as far as it is
 // not promised.
 func (b *Book) returnable(a *account) int64 { return min(b.excess(a), b.spendable(a)) }
@@ -166,7 +175,7 @@
 	}
 	drawable := b.drawable(a, false)
 	draw := a.demand() - a.unreserved
-	if !b.IsHolder(a.organisation) {
+	if !b.drawsAhead(a) {
 		draw = b.unheldDraw(a, draw, drawable)
 	} else if target := b.target(a); float64(a.unreserved) < refillRatio*float64(target) {
 		if refill := min(target-a.unreserved, b.maxDraw(drawable)); refill >= a.quantum(target) {
--- a/core/budget/repay.go
+++ b/core/budget/repay.go
@@ -38,7 +38,7 @@
 	}
 	var taken []surplus
 	for organisation, a := range b.accounts {
-		if a.paid == table.Unlimited || len(a.waiters) > 0 || a.borrowing.active || b.IsHolder(organisation) {
+		if a.paid == table.Unlimited || len(a.waiters) > 0 || a.borrowing.active || b.drawsAhead(a) {
 			continue
 		}
 		tokens := b.spendable(a) - a.usage.reserveFor(b.Now(), a.requestSize)
--- a/io/opts/router.go
+++ b/io/opts/router.go
@@ -71,6 +71,8 @@
 	Outages Switch       `toml:"cover_outages" default:"off" allowed:"off|on" doc:"Whether tokens are held ready for an outage of the platform's store as long as the longest one lately, up to cover_ms, also once little of a budget is left."`
 	WaitMS  Milliseconds `toml:"wait_ms" unit:"ms" default:"200" allowed:"0..60000" doc:"Longest time that a request waits for tokens."`
 
+	HeavyPerS float64 `toml:"heavy_per_s" unit:"requests/s" default:"0" allowed:"0..100000" doc:"Requests a second of an organisation from which on an instance holds tokens for itself although it is not one of the holders of the budget; 0 for none."`
+
 	CopyAgeMS Milliseconds `toml:"copy_age_ms" unit:"ms" default:"10000" allowed:"100..3600000" doc:"Greatest age of a copy from which the platform's store may be restored; in a store that announces this, no more than half of a budget is drawn in this time."`
 	Restored  RestoreMode  `toml:"restored" default:"settle" allowed:"write_off|settle" doc:"What becomes of the part of a budget that counts as granted because the store was restored from a copy: it stays written off, or comes back once all instances have stated their draws. No instance of build bcddc15 or an earlier one may join a fleet with settle."`
 	Fleet     FleetState   `toml:"fleet" default:"running" allowed:"new|running" doc:"Whether the whole fleet starts for the first time, so that the store has no budgets yet."`
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -252,7 +252,7 @@
 
 func (r *Router) initBudgets() {
 	s := r.Settings.Budget
-	r.budgets = &budget.Book{Cover: s.CoverMS.Duration(), MaxWait: s.WaitMS.Duration(), CopyAge: s.CopyAgeMS.Duration(), Strict: s.Restored == opts.Settle, CoverOutages: s.Outages == opts.On, Uptime: uptime.Now}
+	r.budgets = &budget.Book{Cover: s.CoverMS.Duration(), MaxWait: s.WaitMS.Duration(), CopyAge: s.CopyAgeMS.Duration(), Strict: s.Restored == opts.Settle, CoverOutages: s.Outages == opts.On, HeavyPerSecond: s.HeavyPerS, Uptime: uptime.Now}
 	boot, err := uptime.BootID()
 	if err != nil {
 		events.Log(r.Log, events.PromisesOff).Err(err).Send()
