feat: findings about a configuration are logged when it comes into force

Cause: an instance applied a faulty configuration without a trace in the log. Change: event 6009 with at most 20 lines for each version. The configurations of TestIgnoredConfigIsLogged get a body limit, so that they have no findings; it still requires exactly one line. Measured: tests of io/router pass with the race detector.

--- a/core/events/table.go
+++ b/core/events/table.go
@@ -86,6 +86,7 @@
 	ConfConfirmed     = Event{6006, "configuration_confirmed", Info, "The configuration is again confirmed to be the newest."}
 	ConfOutdated      = Event{6007, "configuration_outdated", Warn, "A configuration was ignored, because its version is lower than that of the one in force. It is logged once until another one is read."}
 	OperatorFailed    = Event{6008, "operator_failed", Error, "A request of an operator failed for an internal reason, which the error states."}
+	ConfFinding       = Event{6009, "configuration_finding", Warn, "An entry of the configuration that came into force is wrong, contradictory or without effect. At most 20 lines are logged for each version; the field further of the last one is the number of findings that are not."}
 	PeerUnreachable   = Event{7001, "peer_unreachable", Warn, "Another instance is unreachable."}
 	PeerBack          = Event{7002, "peer_back", Info, "Another instance is reachable again."}
 	Overspend         = Event{9002, "overspend", Error, "An invariant of a budget was violated, for example more tokens were spent or held than were paid for; the error states which."}
@@ -106,7 +107,7 @@
 		ClaimWon, ClaimLost, ClaimVoided, OutcomeUnknown,
 		TargetLeaving, TargetSilent, StreamResumed,
 		StreamCut, FrameForeign, AttemptFailed, RequestEnded, TargetJoined, TargetRemoved, TargetInvalid, TargetPaused, HeaderIgnored, TargetCrashed, Quarantined, Released, ReportsDelayed, RateLimitNamed, RateLimitEnded, RatesDelayed, AbandonedCrashed, VersionsChanged, OriginsDelayed, PathLost, PathBack, TargetBrittle, AnswerEnded,
-		ConfApplied, ConfRefused, OperatorRefused, ConfUnconfirmed, ConfConfirmed, ConfOutdated, OperatorFailed,
+		ConfApplied, ConfRefused, OperatorRefused, ConfUnconfirmed, ConfConfirmed, ConfOutdated, OperatorFailed, ConfFinding,
 		PeerUnreachable, PeerBack,
 		Overspend, Panic, FoldDiffers,
 	}
--- a/io/router/follow.go
+++ b/io/router/follow.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"cranberryrail/core/audit"
 	"cranberryrail/core/events"
 	"cranberryrail/core/logs"
 	"cranberryrail/core/roster"
@@ -44,9 +45,31 @@
 		return
 	}
 	r.invalid.Valid(r.Platform.ConfigTopic, record.Key)
-	r.table.Apply(c)
+	if r.table.Apply(c) {
+		r.logFindings(c)
+	}
 }
 
+// maxFindings is the number of findings that are logged for one version of the configuration, which may have any number.
+const maxFindings = 20
+
+// logFindings logs the findings about a configuration that came into force, errors first.
+func (r *Router) logFindings(c table.Config) {
+	findings := audit.Check(c)
+	audit.Sort(findings)
+	for i, f := range findings[:min(len(findings), maxFindings)] {
+		line := events.Log(r.Log, events.ConfFinding).Int64("version", c.Version).Str("severity", string(f.Severity)).Str("key", f.Key).
+			Str("finding", f.Message[:min(len(f.Message), maxFindingBytes)]).Str("effect", f.Effect[:min(len(f.Effect), maxFindingBytes)])
+		if further := len(findings) - maxFindings; i == maxFindings-1 && further > 0 {
+			line.Int("further", further)
+		}
+		line.Send()
+	}
+}
+
+// maxFindingBytes limits what is quoted of a finding, since names of a configuration may have any length.
+const maxFindingBytes = 300
+
 // applyBudgets sets the budgets of a configuration before it comes into force. An organisation whose budget is not known is not limited.
 func (r *Router) applyBudgets(t *table.Table) { r.budgetSync.SetOrganisations(t.Organisations) }
 
--- a/io/router/follow_test.go
+++ b/io/router/follow_test.go
@@ -18,7 +18,10 @@
 func TestIgnoredConfigIsLogged(t *testing.T) {
 	lines := &strings.Builder{}
 	r, _ := start(t, settings, "")
-	r.Platform.ParseConfig = func(value []byte) (c table.Config, err error) { return c, json.Unmarshal(value, &c.Version) }
+	r.Platform.ParseConfig = func(value []byte) (c table.Config, err error) {
+		c.Limits.BodyBytes = 1 // the configuration has no findings, which would be logged too
+		return c, json.Unmarshal(value, &c.Version)
+	}
 	r.Log = zerolog.New(lines)
 	for _, step := range []struct{ value, event string }{
 		{"5", "configuration_applied"}, {"5", ""}, {"4", "configuration_outdated"}, {"4", ""}, {"{", "record_unreadable"}, {"{", ""}, {"3", "configuration_outdated"}, {"5", ""}, {"3", "configuration_outdated"},
@@ -56,3 +59,25 @@
 	}
 	assert.Equal(t, unlimited, 0)
 }
+
+// TestFindingsAreLogged guards against a faulty configuration that comes into force and leaves no trace in the log, and against one that fills it.
+func TestFindingsAreLogged(t *testing.T) {
+	lines := &strings.Builder{}
+	r, _ := start(t, settings, "")
+	r.Log = zerolog.New(lines)
+	for version, tc := range []struct{ organisations, lines int }{{0, 0}, {1, 1}, {maxFindings, maxFindings}, {maxFindings + 3, maxFindings}} {
+		r.Platform.ParseConfig = func([]byte) (table.Config, error) {
+			c := table.Config{Version: int64(version) + 1, Limits: table.Limits{BodyBytes: 1}}
+			for i := range tc.organisations {
+				c.Organisations = append(c.Organisations, table.Organisation{Name: strconv.Itoa(i) + strings.Repeat("x", 10_000), Prepaid: 1})
+			}
+			return c, nil
+		}
+		lines.Reset()
+		r.applyConfig(logs.Record{Key: "config", Value: []byte("x")})
+		assert.Equal(t, r.table.Current().Version, int64(version)+1)
+		assert.Equal(t, strings.Count(lines.String(), `"configuration_finding"`), tc.lines, lines)
+		assert.Equal(t, strings.Contains(lines.String(), `"further":3`), tc.organisations > maxFindings, lines)
+		assert.Assert(t, lines.Len() < 1000*(1+tc.lines), "%d bytes", lines.Len())
+	}
+}
