--- a/cmd/root.go
+++ b/cmd/root.go
@@ -23,7 +23,8 @@
 const (
 	exitOK     = 0
 	exitFailed = 1
-	exitUsage  = 2
+	// exitUsage is the status of an invalid command line, and of a check of what can't be read.
+	exitUsage = 2
 )
 
 // App is the command-line application. Exported fields are set before Main; an App runs once.
@@ -34,6 +35,8 @@
 	Stderr io.Writer
 	// Getenv returns the value of an environment variable.
 	Getenv func(key string) string
+	// IsTerminal reports whether a writer is a terminal, where output is coloured.
+	IsTerminal func(w io.Writer) bool
 }
 
 // command is a subcommand and the function that runs it.
@@ -104,6 +107,9 @@
 	if a.Getenv == nil {
 		a.Getenv = os.Getenv
 	}
+	if a.IsTerminal == nil {
+		a.IsTerminal = isTerminal
+	}
 }
 
 // Main runs one subcommand until it returns or the context ends, and returns the exit status.
@@ -115,7 +121,8 @@
 	}
 	_, _ = fmt.Fprintf(a.Stderr, "%s: %v\n", name, err)
 	var usage *UsageError
-	if errors.As(err, &usage) {
+	var unreadable *UnreadableError
+	if errors.As(err, &usage) || errors.As(err, &unreadable) {
 		return exitUsage
 	}
 	return exitFailed
