--- a/core/audit/compare.go
+++ b/core/audit/compare.go
@@ -50,7 +50,8 @@
 
 // attribute is one key of an entry. The effect may depend on the values before and after.
 type attribute[T any] struct {
-	key    string
+	key string
+	// value returns a comparable value.
 	value  func(e *T) any
 	effect func(before, after *T) string
 }
@@ -157,9 +158,8 @@
 			changes = append(changes, Change{Difference: Moved, Key: key, Name: id.name, Before: fmt.Sprint(was), After: fmt.Sprint(i), Effect: l.moved})
 		}
 		for _, a := range l.attributes {
-			from, to := describe(a.value(&before[was])), describe(a.value(&after[i]))
-			if from != to {
-				changes = append(changes, Change{Difference: Changed, Key: key + "." + a.key, Name: id.name, Before: from, After: to, Effect: a.effect(&before[was], &after[i])})
+			if from, to := a.value(&before[was]), a.value(&after[i]); from != to {
+				changes = append(changes, Change{Difference: Changed, Key: key + "." + a.key, Name: id.name, Before: describe(from), After: describe(to), Effect: a.effect(&before[was], &after[i])})
 			}
 		}
 	}
