--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -17,12 +17,6 @@
 	mu      sync.Mutex
 	waiting float64
 	updated time.Time
-	// use is the moving average of the bytes a second, as of measured.
-	use      float64
-	measured time.Time
-	// samples are the latest connection times, with the time since firstSample.
-	samples     []sample
-	firstSample time.Time
 }
 
 // String returns the name of the meter for logs.
@@ -32,8 +26,7 @@
 func (m *Meter) Add(bytes int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.drain()
-	m.measure(bytes, now)
+	m.drain()
 	m.waiting += float64(bytes)
 }
 
@@ -48,8 +41,8 @@
 	return time.Duration(m.waiting / m.BytesPerSecond * float64(time.Second))
 }
 
-// drain removes what was sent since the last update, and returns the current time.
-func (m *Meter) drain() time.Time {
+// drain removes what was sent since the last update.
+func (m *Meter) drain() {
 	now := time.Now()
 	if m.Now != nil {
 		now = m.Now()
@@ -58,5 +51,4 @@
 		m.waiting = max(0, m.waiting-passed.Seconds()*m.BytesPerSecond)
 		m.updated = now
 	}
-	return now
 }
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -122,8 +122,6 @@
 	Freshness time.Duration
 	// OnDial is called for each new connection; optional.
 	OnDial func()
-	// OnDialEnd is called with the time that opening a connection took, or until it was given up; optional.
-	OnDialEnd func(addr string, took time.Duration)
 
 	writers   errgroup.Group
 	mu        sync.Mutex
@@ -262,11 +260,7 @@
 func (c *Client) dial(ctx context.Context, r *Request) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.DialTimeout)
 	defer cancel()
-	began := time.Now()
 	nc, err := c.Dial(ctx, "tcp", r.Addr)
-	if c.OnDialEnd != nil {
-		c.OnDialEnd(r.Addr, time.Since(began))
-	}
 	if err != nil {
 		return nil, fmt.Errorf("dial target at %s: %w", r.Addr, err)
 	}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -40,8 +40,6 @@
 	// retryLink is the Retry-After of a request that the link can't carry. It is short, since another instance serves the
 	// retry.
 	retryLink = 50 * time.Millisecond
-	// refusedBodyBytes is the most of the body of a refused request that has passed the link when the refusal is sent: what fits into the buffers of a connection.
-	refusedBodyBytes = 32 << 10
 	// endTimeout is how long the handlers of closed connections may take to end, in a third of the time that is reserved for the exit of the process, and
 	// endChecks is how often it is checked meanwhile.
 	endTimeout = 100 * time.Millisecond
@@ -77,8 +75,6 @@
 	// LinkDelay returns how long data waits at the link of the machine, and OnTraffic is called with the bytes that are
 	// received from callers, or sent to them, and pass the link on their way to and from a target; optional.
 	LinkDelay func() time.Duration
-	// CountsRefused is set if OnTraffic is also called with what callers send of requests that are refused because of the link.
-	CountsRefused bool
 	// LinkLimit returns the delay from which on a request is refused; optional, flow.MaxDelay by default.
 	LinkLimit func(req *relay.Request) time.Duration
 	OnTraffic func(bytes int)
@@ -273,9 +269,6 @@
 		return req, refused
 	}
 	if delay := s.LinkDelay(); delay > s.LinkLimit(req) {
-		if s.CountsRefused {
-			s.OnTraffic(int(min(max(r.ContentLength, 0), refusedBodyBytes)) + overheadBytes)
-		}
 		return req, codes.Refuse(codes.LinkFull, retryLink, "data waits %v at the link; retry the request, another instance takes it", delay)
 	}
 	s.OnTraffic(int(max(r.ContentLength, 0)) + overheadBytes)
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -197,10 +197,6 @@
 	r.retries.Default()
 	r.retries.Set(s.Retry.Ratio, s.Retry.Slack) // Default replaces 0, which is a valid setting
 	r.conns = &conns.Client{Dial: r.DialTarget, OnDial: r.Meter.ConnectionOpened}
-	r.link = &flow.Meter{BytesPerSecond: s.Link.BytesPerSecond()}
-	if s.Link.Adaptive == opts.On {
-		r.conns.OnDialEnd = r.link.Connected
-	}
 	r.conns.Default()
 	r.list = &roster.TargetList{OnChange: r.targetChanged}
 	r.list.Default()
@@ -222,8 +218,9 @@
 	}
 	r.relay.Default()
 	r.gate = &ready.Gate{MaxHold: s.Link.MaxHoldS.Duration()}
+	r.link = &flow.Meter{BytesPerSecond: s.Link.BytesPerSecond()}
 	r.entry = &entry.Server{
-		LinkDelay: r.link.Delay, LinkLimit: r.linkLimit, CountsRefused: s.Link.Adaptive == opts.On, OnTraffic: r.link.Add,
+		LinkDelay: r.link.Delay, LinkLimit: r.linkLimit, OnTraffic: r.link.Add,
 		MaxBodyBytes: s.Caller.BodyBytes, MaxBufferedBytes: s.Memory.Bytes(bodyMemoryShare),
 		ParseRequest: r.Platform.ParseRequest, Serve: r.relay.Serve, MaxTime: r.relay.MaxTime, RefusesLong: r.refusesLong, UsualTime: r.relay.UsualTime, StopRetryAfter: r.stopRetryAfter,
 		SetRefusalHeaders: r.Platform.SetRefusalHeaders, OnEnd: r.requestEnded, OnPanic: r.logPanic,
@@ -241,7 +238,7 @@
 
 // linkLimit returns the delay at the link from which on a request is refused.
 func (r *Router) linkLimit(req *relay.Request) time.Duration {
-	if r.Settings.Link.Adaptive != opts.On {
+	if r.Settings.Link.Ranked != opts.On {
 		return flow.MaxDelay
 	}
 	return flow.Limit(r.relay.Urgency(req))
