--- a/io/opts/router.go
+++ b/io/opts/router.go
@@ -148,8 +148,6 @@
 type RouterLink struct {
 	MBPS   float64 `toml:"mbps" unit:"Mbit/s" default:"0" allowed:"0..1000000" doc:"Rate of the link in each direction; requests that it can't carry are refused. 0 if it is unknown."`
 	Ranked Switch  `toml:"ranked" default:"off" allowed:"off|on" doc:"Whether requests of less important routes are refused earlier than others when the link fills."`
-
-	MaxHoldS Seconds `toml:"max_hold_s" unit:"s" default:"3" allowed:"3..600" doc:"Longest time for which the instance is not ready after the link was full, when that recurs; the first time it is 3 s."`
 }
 
 // linkShare is the share of the link's rate that is left by the headers of its packets.
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -32,7 +32,6 @@
 	"cranberryrail/core/origin"
 	"cranberryrail/core/poison"
 	"cranberryrail/core/rate"
-	"cranberryrail/core/ready"
 	"cranberryrail/core/relay"
 	"cranberryrail/core/roster"
 	"cranberryrail/core/route"
@@ -127,7 +126,7 @@
 	relay        *relay.Server
 	link         *flow.Meter
 	entry        *entry.Server
-	readiness    *httpd.Server
+	ready        *httpd.Server
 	metrics      *httpd.Server
 
 	// configAppliedAt is when the configuration came into force, in Unix nanoseconds.
@@ -154,8 +153,9 @@
 	running, noticeOver, otherReady atomic.Bool
 	// noticeEnds is when the notice of the shutdown ends, in Unix nanoseconds; 0 before the shutdown.
 	noticeEnds atomic.Int64
-	// gate keeps the instance from being ready after it refused requests because the platform's log was unreachable or the link was full.
-	gate *ready.Gate
+	// refusedAt is when a request was last refused because the platform's log was unreachable or the link was full,
+	// in Unix nanoseconds.
+	refusedAt atomic.Int64
 	// headersIgnored holds the incarnations of targets with a malformed header that was logged.
 	headersIgnored *lru.Cache[string, struct{}]
 	// startsShown states by incarnation of a target whether its report shows its start.
@@ -217,7 +217,6 @@
 		Spans: &spans.Tracker{}, Memory: &memory.Pool{Bytes: s.Memory.Bytes(answerMemoryShare)}, Zone: s.Instance.Zone, Regions: r.regions, Random: rand.IntN,
 	}
 	r.relay.Default()
-	r.gate = &ready.Gate{MaxHold: s.Link.MaxHoldS.Duration()}
 	r.link = &flow.Meter{BytesPerSecond: s.Link.BytesPerSecond()}
 	r.entry = &entry.Server{
 		LinkDelay: r.link.Delay, LinkLimit: r.linkLimit, OnTraffic: r.link.Add,
@@ -225,9 +224,9 @@
 		ParseRequest: r.Platform.ParseRequest, Serve: r.relay.Serve, MaxTime: r.relay.MaxTime, RefusesLong: r.refusesLong, UsualTime: r.relay.UsualTime, StopRetryAfter: r.stopRetryAfter,
 		SetRefusalHeaders: r.Platform.SetRefusalHeaders, OnEnd: r.requestEnded, OnPanic: r.logPanic,
 	}
-	r.readiness = &httpd.Server{Clients: "the platform", Setting: "caller.ready"}
-	r.readiness.Handler = http.HandlerFunc(r.serveReady)
-	r.readiness.ReadHeaderTimeout = headerTimeout
+	r.ready = &httpd.Server{Clients: "the platform", Setting: "caller.ready"}
+	r.ready.Handler = http.HandlerFunc(r.serveReady)
+	r.ready.ReadHeaderTimeout = headerTimeout
 	r.metrics = &httpd.Server{Clients: "metrics", Setting: "metrics.listen"}
 	mux := http.NewServeMux()
 	mux.Handle("/", r.Meter.Handler())
@@ -281,7 +280,7 @@
 func (r *Router) Listen(ctx context.Context) error {
 	listens := []func() error{
 		func() error { return r.entry.Listen(ctx, r.Settings.Caller.Listen) },
-		func() error { return r.readiness.Listen(ctx, r.Settings.Caller.Ready) },
+		func() error { return r.ready.Listen(ctx, r.Settings.Caller.Ready) },
 	}
 	if r.Settings.Metrics.Listen != "" {
 		listens = append(listens, func() error { return r.metrics.Listen(ctx, r.Settings.Metrics.Listen) })
@@ -307,11 +306,16 @@
 // Addr returns the address of the listener for callers.
 func (r *Router) Addr() string { return r.entry.Addr() }
 
+// refusalHold is how long an instance reports not ready after it refused a request because it could not draw tokens or
+// its link was full. It spans several readiness checks of the platform.
+const refusalHold = 3 * time.Second
+
 // Ready reports whether the instance accepts requests: it has received the configuration, the
 // targets with their crashes, rate limits and software versions, and the budgets; it can draw tokens, has room on its link, and is not stopping.
 func (r *Router) Ready() bool {
+	recentlyRefused := time.Since(time.Unix(0, r.refusedAt.Load())) < refusalHold
 	return r.running.Load() && r.table.Current() != nil && r.targetsListed.Load() && r.crashesRead.Load() && r.ratesRead.Load() &&
-		r.origins.Loaded() && r.budgets.Loaded() && r.gate.Open()
+		r.origins.Loaded() && r.budgets.Loaded() && !recentlyRefused
 }
 
 // serveReady serves the platform's readiness check.
@@ -360,7 +364,7 @@
 // tasks returns the functions that run concurrently.
 func (r *Router) tasks() []func(ctx context.Context) error {
 	runs := []func(ctx context.Context) error{
-		r.entry.Run, r.readiness.Run, r.budgetSync.Run, r.followConfig().Run, r.targetTopic.Run, r.crashTopic.Run, r.crashReports.Run, r.abandoned.Run, r.rateTopic.Run, r.rateReports.Run, r.origins.Run, r.watchPaths,
+		r.entry.Run, r.ready.Run, r.budgetSync.Run, r.followConfig().Run, r.targetTopic.Run, r.crashTopic.Run, r.crashReports.Run, r.abandoned.Run, r.rateTopic.Run, r.rateReports.Run, r.origins.Run, r.watchPaths,
 		r.runPeriodic, r.watchReload,
 	}
 	if r.Settings.Metrics.Listen != "" {
@@ -409,16 +413,16 @@
 
 // logReadiness logs a change of readiness.
 func (r *Router) logReadiness() {
-	isReady := r.Ready()
-	if isReady == r.loggedReady.Load() || !r.running.Load() {
+	ready := r.Ready()
+	if ready == r.loggedReady.Load() || !r.running.Load() {
 		return
 	}
-	r.loggedReady.Store(isReady)
+	r.loggedReady.Store(ready)
 	event := events.NotReady
-	if isReady {
+	if ready {
 		event = events.Ready
 	}
-	events.Log(r.Log, event).Dur("held", r.gate.HeldFor()).Send()
+	events.Log(r.Log, event).Send()
 }
 
 // watchReload reloads the settings on each signal from ReloadSignals. The ratio and the slack of repeats and the cover of budgets take effect at once, the others
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -259,11 +259,8 @@
 	}
 	r.addStream(event, class, result)
 	if refused := result.Refused; refused != nil {
-		switch refused.Code {
-		case codes.LogUnavailable:
-			r.gate.Refused()
-		case codes.LinkFull:
-			r.gate.Overloaded()
+		if refused.Code == codes.LogUnavailable || refused.Code == codes.LinkFull {
+			r.refusedAt.Store(time.Now().UnixNano())
 		}
 		code = refused.Code
 		event.Int("code", code.Number).Str("run", string(refused.Run)).Dur("retry_after", refused.RetryAfter).Str("detail", refused.Detail).Err(refused.Err)
