fix: a status that means "not run" is not sent once another target may have run the request

Cause: a signed 408, 429 or 503 of one target was forwarded, or kept as the fallback and sent at the end, although another attempt of the same request was lost or in flight. The caller was told that its request did not run, and could repeat it. Change: such a response is believed only of its own target. It is not sent once an attempt at another one has failed that may have run the request, and awaits the attempts in flight; a fallback of this kind gives way to the error of a target that ran it.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -321,28 +321,71 @@
 	if err != nil && !isEOF(err) {
 		return false, r.recordFailure(err)
 	}
+	errored := &AttemptError{Kind: Errored, Sent: true, Err: errStatus}
 	if err == nil {
+		if claimsNotRun(a.response.Status) && (len(r.inFlight) > 1 || r.ranElsewhere) {
+			return false, errored
+		}
 		r.accept(ctx, a)
 		failed = r.relayLongBody(a, body)
 		return failed == nil, failed
 	}
-	response := &bufferedResponse{status: a.response.Status, header: a.response.Header, body: body}
-	if response.status >= http.StatusInternalServerError {
-		others := len(r.inFlight) > 1
+	response := r.choose(&bufferedResponse{status: a.response.Status, header: a.response.Header, body: body})
+	if response == nil {
+		return false, errored
+	}
+	r.accept(ctx, a)
+	if failed := r.sendBuffered(a, response); failed != nil {
+		return false, failed
+	}
+	return true, nil
+}
+
+// choose returns the response to send now that one has come: the same, or the one that was kept. It returns nil if a better one may come, or if none is true.
+func (r *relayedRequest) choose(response *bufferedResponse) *bufferedResponse {
+	others, refuses := len(r.inFlight) > 1, claimsNotRun(response.status)
+	if response.status >= http.StatusInternalServerError || refuses && others {
+		if r.fallback != nil && claimsNotRun(r.fallback.status) && !refuses {
+			r.dropFallback() // This target has run the request.
+		}
 		kept := r.fallback == nil && (others || r.mayReplace()) && r.keeps(response)
 		if kept {
 			r.fallback = response
 		}
 		if kept || others {
-			return false, &AttemptError{Kind: Errored, Sent: true, Err: errStatus}
+			return nil
 		}
 		response = cmp.Or(r.fallback, response)
 	}
-	r.accept(ctx, a)
-	if failed := r.sendBuffered(a, response); failed != nil {
-		return false, failed
+	if claimsNotRun(response.status) && r.ranElsewhere {
+		return nil
 	}
-	return true, nil
+	return response
+}
+
+// mayHaveRunBy reports whether the target of an attempt that failed may have run the request. A signed response with a status that implies that it did not is
+// believed, but only of this target.
+func (a *attempt) mayHaveRunBy(failed *AttemptError) bool {
+	switch failed.Kind {
+	case Shed, Misdirected:
+		return false
+	case Errored:
+		return a.response == nil || !claimsNotRun(a.response.Status)
+	default:
+		return failed.Sent
+	}
+}
+
+// hasFallback reports whether there is a response to send if no other attempt succeeds. One that implies that the request did not run is of no use once another
+// target may have run it: its caller would repeat the request.
+func (r *relayedRequest) hasFallback() bool {
+	return r.fallback != nil && !r.headSent && (!claimsNotRun(r.fallback.status) || !r.ranElsewhere)
+}
+
+// dropFallback removes the response that was kept.
+func (r *relayedRequest) dropFallback() {
+	r.fallback = nil
+	r.kept.Release()
 }
 
 // keeps reports whether there is memory to keep a response while another one is awaited, and counts it.
--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -465,6 +465,7 @@
 		r.SentFailures++
 		r.sentTo = append(r.sentTo, a.target.ID)
 		r.mayHaveRun = r.mayHaveRun || failed.Kind == Silent || failed.Kind == Cancelled
+		r.ranElsewhere = r.ranElsewhere || a.mayHaveRunBy(failed)
 	}
 	r.Done(a.choice.DispatchID, r.failureOutcome(ctx, a, failed))
 	failed.Events = a.events
--- /dev/null
+++ b/core/relay/refusal_test.go
@@ -0,0 +1,49 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cranberryrail/core/codes"
+	"cranberryrail/core/relay"
+	"cranberryrail/core/table"
+	"cranberryrail/fake/script"
+)
+
+// lost is a target whose answer is lost, although it may have run the request.
+func lost(context.Context, relay.Dispatch) (*relay.Response, error) {
+	return nil, &relay.AttemptError{Kind: relay.Broken, Sent: true, Err: errors.New("the connection was reset")}
+}
+
+// TestRefusalOfOneTargetIsNoneOfAnother guards against a caller that is told that its request did not run, by the status of one target, although another one
+// may have run it.
+func TestRefusalOfOneTargetIsNoneOfAnother(t *testing.T) {
+	late := script.Plain(http.StatusOK, "answer", 2*time.Second, 0)
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		refuses := script.Plain(status, "no", 0, 0)
+		for name, c := range map[string]struct {
+			targets []script.Dispatch
+			status  int
+		}{
+			"lost, then refused":       {[]script.Dispatch{lost, refuses, refuses}, http.StatusBadGateway},
+			"refused, then lost":       {[]script.Dispatch{script.Plain(http.StatusServiceUnavailable, "no", 0, 0), lost, lost}, http.StatusBadGateway},
+			"refused, then an error":   {[]script.Dispatch{script.Plain(http.StatusServiceUnavailable, "no", 0, 0), script.Plain(http.StatusInternalServerError, "error", 0, 0), refuses}, http.StatusInternalServerError},
+			"refused while one is run": {[]script.Dispatch{late, refuses, refuses}, http.StatusOK},
+			"refused only":             {[]script.Dispatch{refuses, refuses, refuses}, status},
+		} {
+			t.Run(http.StatusText(status)+", "+name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					_, result := serveBy(t, table.Idempotent, 0, c.targets...)
+					assert.Equal(t, result.Status, c.status)
+					assert.Assert(t, result.Refused == nil || result.Refused.Run == codes.Unknown)
+				})
+			})
+		}
+	}
+}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -153,6 +153,8 @@
 	retryTaken bool
 	// mayHaveRun is set if a target may have run the request.
 	mayHaveRun bool
+	// ranElsewhere is set once an attempt has failed whose target may have run the request.
+	ranElsewhere bool
 	// headSent is set once the head of a response was forwarded.
 	headSent bool
 	// lastEventID is the last id that was forwarded. joinable is set if it is that of the last event, so that the events of another target may follow.
@@ -449,7 +451,7 @@
 
 // pickRefusal returns the refusal if no target could be chosen, nil if the fallback was sent instead.
 func (r *relayedRequest) pickRefusal(err error) *codes.Error {
-	if r.fallback != nil && !r.headSent {
+	if r.hasFallback() {
 		r.sendFallback()
 		return nil
 	}
@@ -474,7 +476,7 @@
 	}
 	// The context may end in between; its cause is set if its error is.
 	if ctx.Err() == nil && failed.Kind != Cancelled || errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		if r.fallback != nil && !r.headSent {
+		if r.hasFallback() {
 			r.sendFallback()
 			return nil
 		}
@@ -544,7 +546,7 @@
 
 // giveUp returns the refusal after the last attempt, nil if the fallback was sent instead.
 func (r *relayedRequest) giveUp(failed *AttemptError) *codes.Error {
-	if r.fallback != nil && !r.headSent {
+	if r.hasFallback() {
 		r.sendFallback()
 		return nil
 	}
