fix: a panic in the call of another instance ends only the call

Cause: calls of other instances run in goroutines of drpc, which recover no panic, so that one call that panics, for example in Lend, Repay, Hello or Report, ended the process with all its connections. Change: peer.Server recovers the panic, reports it to OnPanic and fails the call without a code, since it may have had an effect.

--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"storj.io/drpc"
 	"storj.io/drpc/drpcerr"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -50,6 +51,8 @@
 	Forward func(ctx context.Context, f Forward, w ForwardWriter) ForwardEnd
 	// Report returns a report of this instance in JSON.
 	Report func(kind string) ([]byte, error)
+	// OnPanic is called with the value of a panic that occurs while a call is handled; optional.
+	OnPanic func(reason any)
 	// Memory limits what is held of calls that are being received. Beyond it a connection is closed that has stood still, or the one of the longest call;
 	// optional, nil means no limit.
 	Memory *memory.Pool
@@ -86,6 +89,9 @@
 	if s.OtherViews == nil {
 		s.OtherViews = func(int) []roster.PeerView { return nil }
 	}
+	if s.OnPanic == nil {
+		s.OnPanic = func(any) {}
+	}
 	if s.OnView == nil {
 		s.OnView = func(roster.PeerView) {}
 	}
@@ -122,12 +128,32 @@
 		return fmt.Errorf("register the handlers for other instances: %w", err)
 	}
 	options := drpcserver.Options{Manager: managerOptions(ServerIdleTimeout)}
-	if err := drpcserver.NewWithOptions(mux, options).Serve(ctx, countedListener{s.listener, s.Memory}); err != nil {
+	if err := drpcserver.NewWithOptions(guardedHandler{mux, s.OnPanic}, options).Serve(ctx, countedListener{s.listener, s.Memory}); err != nil {
 		return fmt.Errorf("serve other instances on %s: %w", s.Addr(), err)
 	}
 	return nil
 }
 
+// guardedHandler handles calls. A panic fails the call: it has a goroutine of the library, in which nothing else recovers it.
+type guardedHandler struct {
+	drpc.Handler
+
+	onPanic func(reason any)
+}
+
+var errCallPanic = errors.New("the call panicked")
+
+// HandleRPC implements drpc.Handler. The error of a panic has no code, since the call may have had an effect.
+func (h guardedHandler) HandleRPC(stream drpc.Stream, rpc string) (err error) {
+	defer func() {
+		if reason := recover(); reason != nil {
+			h.onPanic(reason)
+			err = errCallPanic
+		}
+	}()
+	return h.Handler.HandleRPC(stream, rpc)
+}
+
 // rpcHandler converts between messages and the arguments and results of the server's functions.
 type rpcHandler struct{ *Server }
 
--- a/io/router/loans.go
+++ b/io/router/loans.go
@@ -24,7 +24,7 @@
 	}
 	r.peerClient = &peer.Client{Timeout: loanTimeout}
 	r.peerClient.Default()
-	r.peerServer = &peer.Server{Listen: r.Settings.Peer.Listen, Lend: r.lend, AcceptRepayment: r.budgets.AcceptRepayment, Report: r.report,
+	r.peerServer = &peer.Server{Listen: r.Settings.Peer.Listen, Lend: r.lend, AcceptRepayment: r.budgets.AcceptRepayment, Report: r.report, OnPanic: r.logPanic,
 		Memory: &memory.Pool{Bytes: r.Settings.Memory.Bytes(bodyMemoryShare)}}
 	r.peerServer.Default()
 	r.borrower = &budget.Borrower{Book: r.budgets, Lenders: r.budgetSync.Lenders, Ask: r.askForLoan, Repay: r.repay, OnTransferLost: r.transferLost, OnEnd: r.borrowingEnded}
