fix: an odd reply of another instance is neither a response nor a statement

Cause: a reply to a forwarded request with no head, a status that net/http refuses with a panic, two heads, or an end without an outcome was taken for a response, a complete response or a request that was not sent; an end with the kind of a refusal counted as "not run". Change: such replies fail as broken, and the request may have run.

--- a/io/peer/forward.go
+++ b/io/peer/forward.go
@@ -100,7 +100,13 @@
 	pending []byte
 }
 
-var errForwardTimeout = errors.New("the instance sent nothing in time")
+var (
+	errForwardTimeout = errors.New("the instance sent nothing in time")
+	errForwardReply   = errors.New("the reply of the instance has no valid head, a second one, or an end that states no outcome")
+)
+
+// maxStatus is the highest status of three digits.
+const maxStatus = 999
 
 // Forward forwards a request by way of the instance at an address. The error is a *ForwardError. A request that must not be repeated uses a new
 // connection, which shows whether the instance is there before anything is sent. Reply.Close must be called.
@@ -146,10 +152,16 @@
 		return nil, nil, r.failure(err)
 	}
 	if end := part.GetEnd(); end != nil {
+		if !statesOutcome(end) {
+			return nil, nil, r.failure(errForwardReply)
+		}
 		r.ended = true
 		return nil, decodeEnd(end), nil
 	}
 	head := part.GetHead()
+	if status := head.GetStatus(); status < http.StatusOK || status > maxStatus {
+		return nil, nil, r.failure(errForwardReply)
+	}
 	return &ForwardHead{
 		TargetID: head.GetTargetId(), Incarnation: head.GetIncarnation(), Software: head.GetSoftware(), Status: int(head.GetStatus()),
 		Header: decodeHeader(head.GetHeaders()), Unframed: head.GetUnframed(),
@@ -163,7 +175,11 @@
 		if err != nil {
 			return 0, nil, r.failure(err)
 		}
-		if end := part.GetEnd(); end != nil {
+		end := part.GetEnd()
+		switch {
+		case part.GetHead() != nil, end != nil && !statesOutcome(end):
+			return 0, nil, r.failure(errForwardReply)
+		case end != nil:
 			r.ended = true
 			return 0, decodeEnd(end), io.EOF
 		}
@@ -174,6 +190,9 @@
 	return n, nil, nil
 }
 
+// statesOutcome reports whether an end states a failure or a complete response. One without either may be of another format.
+func statesOutcome(end *peerpb.ForwardEnd) bool { return end.GetFailure() != "" || end.GetSent() }
+
 // Close ends the reply. The instance abandons the request if it has not ended.
 func (r *Forwarded) Close() {
 	r.timer.Stop()
--- a/io/router/detour.go
+++ b/io/router/detour.go
@@ -200,7 +200,7 @@
 				r.detours.Pause(addr, "", detour.LostPause)
 			}
 			return nil, forwardError(err)
-		case end != nil && !end.Sent:
+		case end != nil && !end.Sent && end.Failure == string(relay.Unreachable):
 			refusal = r.notForwarded(addr, choice.Service, end, refusal)
 			continue
 		case end != nil:
@@ -278,14 +278,14 @@
 var errForwarded = errors.New("the request failed at the instance that sent it")
 
 // endError returns the failure that another instance reports. One that could not pass the response on reports that its exchange was cancelled, which
-// does not mean that the caller here has left.
+// does not mean that the caller here has left. Other kinds are not those of an exchange, and could be taken for the statement of a target.
 func endError(end *peer.ForwardEnd) *relay.AttemptError {
 	kind := relay.Kind(end.Failure)
-	if kind == relay.Cancelled {
+	if kind != relay.Silent && kind != relay.Invalid {
 		kind = relay.Broken
 	}
 	return &relay.AttemptError{
-		Kind: kind, Sent: end.Sent, Crashed: end.Crashed, Err: errors.Join(errForwarded, errors.New(end.Detail)),
+		Kind: kind, Sent: true, Crashed: end.Crashed, Err: errors.Join(errForwarded, errors.New(end.Detail)),
 		Target: roster.Target{ID: end.TargetID, Incarnation: end.Incarnation},
 	}
 }
--- a/io/router/serve_test.go
+++ b/io/router/serve_test.go
@@ -25,6 +25,15 @@
 	assert.Equal(t, endError(&peer.ForwardEnd{Failure: string(relay.Cancelled), Sent: true}).Kind, relay.Broken)
 }
 
+// TestOddEndOfHelperIsNoStatement guards against an end of another instance whose kind of failure is that of a refusal, or no kind, and that is taken for the
+// statement that the request did not run.
+func TestOddEndOfHelperIsNoStatement(t *testing.T) {
+	for _, failure := range []relay.Kind{"", "other", relay.Shed, relay.Misdirected, relay.Errored, relay.Unrecorded} {
+		failed := endError(&peer.ForwardEnd{Failure: string(failure)})
+		assert.Assert(t, failed.Kind == relay.Broken && failed.Sent, "%s: %v", failure, failed)
+	}
+}
+
 // TestPanicInAForwardedRequestEndsOnlyIt guards against a process that ends with all its connections, because a request that it sends for another instance panics.
 func TestPanicInAForwardedRequestEndsOnlyIt(t *testing.T) {
 	r, _ := start(t, settings, "")
