fix: the end of the reader of the log ends no instance

Cause: a write to a closed pipe as standard output raises SIGPIPE, which ends a Go process, so that an instance ended with all its requests when the program that reads its log did. Change: the subcommand route ignores SIGPIPE, and lines that the output does not accept count as dropped. Measured: TestClosedOutputEndsNoInstance failed before (signal: broken pipe after 0.4 s) and passes since; io/logio passes with the race detector.

--- a/cmd/route.go
+++ b/cmd/route.go
@@ -24,6 +24,7 @@
 	sub.String(&path, "c", "config", "Settings file in TOML.")
 	return command{sub, func(ctx context.Context) error {
 		reload := notifyReload()
+		signal.Ignore(syscall.SIGPIPE) // The end of the reader of the log would end the process: a write to standard output raises it.
 		if path == "" {
 			return &UsageError{Problem: "--config is missing; set it to the path of a settings file", Path: []string{sub.Name}}
 		}
--- a/cmd/route_test.go
+++ b/cmd/route_test.go
@@ -1,16 +1,19 @@
 package cmd_test
 
 import (
+	"bufio"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"os/exec"
 	"regexp"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -79,3 +82,29 @@
 	assert.NilError(t, p.Process.Signal(syscall.SIGHUP))
 	assert.NilError(t, p.Wait())
 }
+
+// TestClosedOutputEndsNoInstance guards against an instance that ends with all its requests because the reader of its log has ended: a write to a closed pipe as
+// standard output raises SIGPIPE.
+func TestClosedOutputEndsNoInstance(t *testing.T) {
+	text := regexp.MustCompile(`127\.0\.0\.1:\d+`).ReplaceAllString(renderRouterSettings(t), "127.0.0.1:0")
+	text = strings.Replace(text, `address = "127.0.0.1:0"`, `address = "127.0.0.1:1"`, 1)
+	r, w, err := os.Pipe()
+	assert.NilError(t, err)
+	p := exec.Command(os.Args[0], "route", "--config", writeFile(t, text))
+	p.Env, p.Stdout = append(os.Environ(), runAsProgramEnv+"=1"), w
+	assert.NilError(t, p.Start())
+	assert.NilError(t, w.Close())
+	_, err = bufio.NewReader(r).ReadString('\n')
+	assert.NilError(t, err)
+	assert.NilError(t, r.Close())
+	ended := make(chan error, 1)
+	var group errgroup.Group
+	group.Go(func() error { ended <- p.Wait(); return nil })
+	select {
+	case err := <-ended:
+		t.Errorf("the process ended: %v", err)
+	case <-time.After(2 * time.Second): // several lines are written meanwhile, since the store can't be reached
+		assert.NilError(t, p.Process.Kill())
+	}
+	assert.NilError(t, group.Wait())
+}
--- a/io/logio/logio.go
+++ b/io/logio/logio.go
@@ -58,14 +58,16 @@
 	}
 }
 
-// writeLines writes lines until the buffer is closed and empty. A line that the output does not accept can't be logged.
+// writeLines writes lines until the buffer is closed and empty. A line that the output does not accept counts as dropped.
 func (w *Writer) writeLines() error {
 	for {
 		line, ok := w.buffer.next()
 		if !ok {
 			break
 		}
-		_, _ = w.Out.Write(line)
+		if _, err := w.Out.Write(line); err != nil {
+			w.addDropped(1)
+		}
 	}
 	if c, ok := w.Out.(io.Closer); ok {
 		return c.Close()
