fix: an error of accept ends no process

Cause: net/http and drpc end a server when accept fails with an error that net does not count as temporary, and the error of a server ends the process. Linux returns there what befell one new connection (EPROTO, EHOSTUNREACH, EPERM) or short memory (ENOBUFS, ENOMEM). Change: the listeners for callers, readiness, metrics and other instances mark such errors as temporary, so that the server waits and accepts again.

--- a/io/httpd/conn.go
+++ b/io/httpd/conn.go
@@ -26,7 +26,7 @@
 	if tcp, ok := c.(*net.TCPConn); ok {
 		return &conn{TCPConn: tcp}, err
 	}
-	return c, err
+	return c, Retryable(err)
 }
 
 // conn is a connection to a client. net/http cancels a request when it reads that the client has ended its sending direction, which is the same for a client
--- a/io/peer/listen.go
+++ b/io/peer/listen.go
@@ -8,6 +8,7 @@
 	"storj.io/drpc/drpcctx"
 
 	"cranberryrail/core/memory"
+	"cranberryrail/io/httpd"
 )
 
 // countedListener counts what its connections have read of messages that are not complete.
@@ -21,7 +22,7 @@
 func (l countedListener) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
 	if err != nil {
-		return nil, err
+		return nil, httpd.Retryable(err)
 	}
 	c := &countedConn{Conn: nc}
 	c.holder = l.memory.NewHolder(func() { _ = nc.Close() }) // nothing is handled of a message that is not complete
