fix: a connection carries an id of a request once

Cause: a response belongs to a request if it names its id, but callers choose the ids, and two of them may choose the same. A late second response to the request of one caller on a pooled connection was then taken for that to the request of the other. Change: a connection remembers the hashes of the last 16 ids, and a request with one of them uses another connection. Measured: TestConnectionCarriesAnIDOnce failed before (the connection was used again); io/conns with the race detector and the tests of platform for repeated refusals and lost responses pass.

--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -6,10 +6,12 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 
 	"cranberryrail/core/memory"
@@ -90,6 +92,23 @@
 	verified bool
 	// responses is the number of responses that were read, without interim ones.
 	responses int
+	// ids holds the hashes of the ids of the last requests, at most maxIDs.
+	ids []uint64
+}
+
+// maxIDs is how many requests a connection remembers: several times maxForeignResponses, since a second response follows the first one closely.
+const maxIDs = 16
+
+// hasCarried reports whether one of the last requests on the connection had an id. Callers choose ids, so that a late second response to that request could not be
+// told from the response to another one with the same id.
+func (cn *conn) hasCarried(id string) bool { return slices.Contains(cn.ids, xxhash.Sum64String(id)) }
+
+// carry records the id of a request that is sent.
+func (cn *conn) carry(id string) {
+	if len(cn.ids) == maxIDs {
+		cn.ids = slices.Delete(cn.ids, 0, 1)
+	}
+	cn.ids = append(cn.ids, xxhash.Sum64String(id))
 }
 
 func newConn(nc net.Conn, poolKey, addr string, idleTimeout time.Duration) *conn {
--- a/io/conns/conns.go
+++ b/io/conns/conns.go
@@ -151,7 +151,8 @@
 	c.idleConns = map[string][]*conn{}
 }
 
-// acquireIdle returns an idle connection that can carry r, or nil if there is none. It closes those that can't.
+// acquireIdle returns an idle connection that can carry r, or nil if there is none. It closes those that can't. One that has carried a request with the same id
+// is closed too, which is rare: each request has its own.
 func (c *Client) acquireIdle(r *Request) *conn {
 	for {
 		cn := c.popIdle(r.PoolKey)
@@ -159,7 +160,7 @@
 			return nil
 		}
 		now := time.Now()
-		if now.Before(cn.expires) && cn.addr == r.Addr && (!r.NonIdempotent || now.Sub(cn.lastUsed) < c.Freshness) && cn.isReusable() {
+		if now.Before(cn.expires) && cn.addr == r.Addr && (!r.NonIdempotent || now.Sub(cn.lastUsed) < c.Freshness) && !cn.hasCarried(r.ID) && cn.isReusable() {
 			return cn
 		}
 		cn.close()
@@ -302,6 +303,7 @@
 func (resp *Response) roundTrip(ctx context.Context, r *Request) *Error {
 	cn := resp.conn
 	head := encodeHead(r)
+	cn.carry(r.ID)
 	_ = cn.SetDeadline(time.Now().Add(r.HeaderTimeout)) // fails only on a closed connection, where the write fails too
 	if len(head)+len(r.Body) <= maxInlineWrite {
 		n, err := cn.Write(append(head, r.Body...))
