fix: the body of a late response is not read as the response to HEAD

Cause: whether a response has a body depends on the method of its request. A late second response to GET before that to HEAD was read without its body, which was then parsed as the next response; one to HEAD before that to GET took the next response for its body. Change: a connection that carried HEAD is not used again, and an exchange with HEAD fails at a foreign response with a body. Measured: both cases of TestBodyOfAnotherResponseIsNoResponse failed before, in the first one the text of another response was returned; io/conns passes with the race detector.

--- a/io/conns/response.go
+++ b/io/conns/response.go
@@ -63,9 +63,10 @@
 			if head.Header.Get("Content-Encoding") != "" {
 				return &Error{Phase: Reading, Invalid: true, Err: errContentEncoding}
 			}
+			resp.reusable = resp.reusable && r.Method != http.MethodHead // A second response would show a body that does not follow.
 			return nil
 		}
-		if !discardBody(head) {
+		if r.Method == http.MethodHead && head.ContentLength != 0 || !discardBody(head) { // The body that another request brings is not read.
 			break
 		}
 	}
