fix: a request whose body does not arrive before a stop is refused

Cause: the body of a request is awaited for 15 s, and a stop that came meanwhile waited for it until the end of the grace and then closed the connection without an answer, although the request had not run. Change: a scheduled stop ends the time for bodies in io/entry, and the request is refused as by a stopping instance (fields bodies and bodiesMu, StopAt, beginBody, endBody, isStopped and the part of readRequest that reads the body). Measured: TestStopRefusesRequestsWithoutTheirBodies failed before (no answer within 5 s); io/entry passes with the race detector.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -90,6 +91,9 @@
 	closed        atomic.Bool
 	inFlight      atomic.Int64
 	bufferedBytes atomic.Int64
+	// bodiesMu protects bodies, which holds the requests whose bodies are being read, with the time by which each must have arrived.
+	bodiesMu sync.Mutex
+	bodies   map[*http.ResponseController]time.Time
 }
 
 // String returns the name of the server for logs.
@@ -138,8 +142,46 @@
 func (s *Server) CloseConnections() { s.closeConns.Store(true) }
 
 // StopAt refuses new requests whose time limit ends after the given time, if RefusesLong reports so, or else those that usually end after it. From that time
-// on all new requests are refused.
-func (s *Server) StopAt(until time.Time) { s.stopAt.Store(until.UnixNano()) }
+// on all new requests are refused, and those whose body has not arrived.
+func (s *Server) StopAt(until time.Time) {
+	s.bodiesMu.Lock()
+	defer s.bodiesMu.Unlock()
+	s.stopAt.Store(until.UnixNano())
+	for c, limit := range s.bodies {
+		if until.Before(limit) {
+			_ = c.SetReadDeadline(until) // supported by HTTP/1.1 servers
+		}
+	}
+}
+
+// beginBody limits the time to read the body of a request, which ends when the server stops.
+func (s *Server) beginBody(c *http.ResponseController) {
+	s.bodiesMu.Lock()
+	defer s.bodiesMu.Unlock()
+	limit := time.Now().Add(bodyTimeout)
+	if s.bodies == nil {
+		s.bodies = map[*http.ResponseController]time.Time{}
+	}
+	s.bodies[c] = limit
+	if stopAt := s.stopAt.Load(); stopAt != 0 && stopAt < limit.UnixNano() {
+		limit = time.Unix(0, stopAt)
+	}
+	_ = c.SetReadDeadline(limit) // supported by HTTP/1.1 servers
+}
+
+// endBody ends the limit of beginBody.
+func (s *Server) endBody(c *http.ResponseController) {
+	s.bodiesMu.Lock()
+	defer s.bodiesMu.Unlock()
+	delete(s.bodies, c)
+	_ = c.SetReadDeadline(time.Time{})
+}
+
+// isStopped reports whether the time of a scheduled stop has passed.
+func (s *Server) isStopped() bool {
+	stopAt := s.stopAt.Load()
+	return stopAt != 0 && time.Now().UnixNano() >= stopAt
+}
 
 // refuseStopping refuses a request that arrived at a time if the server may stop before its time limit and another one takes it, or if it usually takes longer
 // than is left.
@@ -275,12 +317,16 @@
 	if s.bufferedBytes.Load()+max(r.ContentLength, 0) > s.MaxBufferedBytes {
 		return req, s.refuseBodyMemory()
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout)) // supported by HTTP/1.1 servers
+	controller := http.NewResponseController(w)
+	s.beginBody(controller)
 	counted := &countedBody{Reader: http.MaxBytesReader(w, r.Body, s.MaxBodyBytes), server: s}
 	body, refused := s.readBody(counted)
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	if refused == nil {
+	s.endBody(controller)
+	switch {
+	case refused == nil:
 		refused = s.refuseStopping(req, arrived) // The stop may have begun meanwhile.
+	case refused.Code == codes.BodyTimeout && s.isStopped():
+		refused = codes.Refuse(codes.Stopping, retryStopping, "the body did not arrive before the instance stopped; retry the request, another instance takes it")
 	}
 	if refused != nil {
 		s.bufferedBytes.Add(-counted.bytes)
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -123,6 +123,28 @@
 	assert.Assert(t, resp.Close)
 }
 
+// TestStopRefusesRequestsWithoutTheirBodies guards against requests whose body has not arrived when the instance stops, and whose connection is closed without an
+// answer: a stop waits until then, and must refuse them in time.
+func TestStopRefusesRequestsWithoutTheirBodies(t *testing.T) {
+	admitted := make(chan struct{})
+	s := startServer(t, func(s *entry.Server) { s.OnTraffic = func(int) { close(admitted) } }) // is called before the body is read
+	c, err := net.Dial("tcp", s.Addr())
+	assert.NilError(t, err)
+	defer c.Close()
+	assert.NilError(t, c.SetDeadline(time.Now().Add(5*time.Second)))
+	_, err = fmt.Fprint(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbo")
+	assert.NilError(t, err)
+	<-admitted
+	s.CloseConnections()
+	s.StopAt(time.Now().Add(time.Second / 2))
+	s.StopAt(time.Now().Add(time.Second / 10))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, resp.Close)
+}
+
 // TestLastResponsesAreSent guards against responses that are lost because the server closes their connections when no request is in flight any more, and net/http
 // has not written all of them yet.
 func TestLastResponsesAreSent(t *testing.T) {
