fix: a request that has arrived at the end of a planned stop is answered

Cause: at the end of a stop, http.Server.Shutdown closes the listener, which resets connections that the machine has accepted and the process has not, and net/http closes a connection without an answer on which a request is read after Shutdown was called. A process with a small share of a core stands still for tens of milliseconds, in which requests arrive.

--- a/io/httpd/accept_test.go
+++ b/io/httpd/accept_test.go
@@ -1,13 +1,17 @@
 package httpd
 
 import (
+	"bufio"
+	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
@@ -46,3 +50,51 @@
 		})
 	}
 }
+
+// TestAcceptedConnectionsAreServedAtTheEnd guards against requests that are reset without an answer at a planned stop, because the machine has accepted their
+// connections and the process, which is slow, has not.
+func TestAcceptedConnectionsAreServedAtTheEnd(t *testing.T) {
+	const callers = 8
+	s, accepting, resume := &Server{}, make(chan struct{}), make(chan struct{})
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Connection", "close") })
+	s.ConnContext = sync.OnceValue(func() func(context.Context, net.Conn) context.Context {
+		first := true
+		return func(ctx context.Context, _ net.Conn) context.Context { // called before the next connection is accepted
+			if first {
+				first = false
+				close(accepting)
+				<-resume
+			}
+			return ctx
+		}
+	})()
+	ctx, cancel := context.WithCancel(t.Context())
+	assert.NilError(t, s.Listen(ctx, "127.0.0.1:0"))
+	var server, group errgroup.Group
+	server.Go(func() error { return s.Run(ctx) })
+	var sent sync.WaitGroup
+	sent.Add(callers)
+	for range callers {
+		group.Go(func() error {
+			c, err := net.Dial("tcp", s.Address())
+			if err != nil {
+				return err
+			}
+			defer c.Close()
+			_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+			sent.Done()
+			if err != nil {
+				return err
+			}
+			_, err = http.ReadResponse(bufio.NewReader(c), nil)
+			return err
+		})
+	}
+	<-accepting
+	sent.Wait()
+	cancel()
+	time.Sleep(acceptTimeout / 5)
+	close(resume)
+	assert.NilError(t, group.Wait())
+	assert.NilError(t, server.Wait())
+}
--- a/io/httpd/conn.go
+++ b/io/httpd/conn.go
@@ -51,8 +51,19 @@
 }
 
 // setState is called by net/http when the state of a connection changes.
-func setState(c net.Conn, state http.ConnState) {
-	if c, ok := c.(*conn); ok && state == http.StateIdle {
+func (s *Server) setState(nc net.Conn, state http.ConnState) {
+	c, ok := nc.(*conn)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	if state == http.StateNew || state == http.StateIdle {
+		s.waiting[c] = struct{}{}
+	} else {
+		delete(s.waiting, c)
+	}
+	s.mu.Unlock()
+	if state == http.StateIdle {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.answering = false
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -27,6 +28,9 @@
 	OnClose func()
 
 	listener net.Listener
+	// mu protects waiting, which holds the connections on which no request was read since they were accepted or since the last response.
+	mu      sync.Mutex
+	waiting map[*conn]struct{}
 }
 
 // String returns the name of the server for logs.
@@ -38,7 +42,7 @@
 	if err != nil {
 		return fmt.Errorf("open listener for %s; check setting %s: %w", s.Clients, s.Setting, err)
 	}
-	s.listener, s.ConnState = listener{l}, setState
+	s.listener, s.ConnState, s.waiting = listener{l}, s.setState, map[*conn]struct{}{}
 	return nil
 }
 
@@ -87,6 +91,7 @@
 	})
 	g.Go(func() error {
 		<-ctx.Done()
+		s.awaitArrived(context.WithoutCancel(ctx))
 		flush, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushTimeout)
 		defer cancel()
 		if err := s.Shutdown(flush); err == nil || !errors.Is(err, context.DeadlineExceeded) {
