fix: an unframed response whose target crashed is not complete

Cause: a response with neither a length nor chunks ends with its connection, which the machine of a target ends in the same way when its process crashes, so that a truncated response reached its caller as complete. Change: at the end of such a response the relay, or the instance that sends the request for another one, checks whether the target refuses connections, as it does after broken ones, and fails the attempt if so. Measured: the three cases with a crash in TestUnframedResponseOfCrashedTargetIsNotComplete failed before; core/relay and io/router pass with the race detector.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -327,9 +327,12 @@
 			return false, errored
 		}
 		r.accept(ctx, a)
-		failed = r.relayLongBody(a, body)
+		failed = r.relayLongBody(ctx, a, body)
 		return failed == nil, failed
 	}
+	if r.endedByCrash(ctx, a) {
+		return false, r.recordFailure(newCrashEnd())
+	}
 	response := r.choose(&bufferedResponse{status: a.response.Status, header: a.response.Header, body: body})
 	if response == nil {
 		return false, errored
@@ -363,6 +366,16 @@
 	return response
 }
 
+var errCrashEnd = errors.New("the target has crashed, and the end of the connection ended its response")
+
+// newCrashEnd returns the failure of a response that ended with the process of its target.
+func newCrashEnd() *AttemptError { return &AttemptError{Kind: Broken, Sent: true, Err: errCrashEnd} }
+
+// endedByCrash reports whether a response that ends with its connection may have been ended by a crash of the target, which looks the same.
+func (r *relayedRequest) endedByCrash(ctx context.Context, a *attempt) bool {
+	return a.response.Unframed && !a.dispatch.Detour && r.HasCrashed(ctx, a.dispatch.Target)
+}
+
 // mayHaveRunBy reports whether the target of an attempt that failed may have run the request. A signed response with a status that implies that it did not is
 // believed, but only of this target.
 func (a *attempt) mayHaveRunBy(failed *AttemptError) bool {
@@ -426,7 +439,7 @@
 }
 
 // relayLongBody forwards a response that is too long to be buffered.
-func (r *relayedRequest) relayLongBody(a *attempt, prefix []byte) *AttemptError {
+func (r *relayedRequest) relayLongBody(ctx context.Context, a *attempt, prefix []byte) *AttemptError {
 	if failed := r.sendHead(a); failed != nil {
 		return failed
 	}
@@ -443,10 +456,12 @@
 		if failed := r.write(a, buffer[:n]); failed != nil {
 			return failed
 		}
-		if isEOF(err) {
+		switch {
+		case isEOF(err) && r.endedByCrash(ctx, a):
+			return r.recordFailure(newCrashEnd())
+		case isEOF(err):
 			return nil
-		}
-		if err != nil {
+		case err != nil:
 			return r.recordFailure(err)
 		}
 	}
@@ -477,6 +492,9 @@
 	if a.events == 0 && (a.response.Unframed || r.headSent) {
 		return &AttemptError{Kind: Broken, Sent: true, Err: errNoEvent}
 	}
+	if r.endedByCrash(ctx, a) {
+		return newCrashEnd()
+	}
 	r.accept(ctx, a)
 	if failed := r.sendHead(a); failed != nil {
 		return failed
--- a/core/relay/refusal_test.go
+++ b/core/relay/refusal_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +15,7 @@
 
 	"cranberryrail/core/codes"
 	"cranberryrail/core/relay"
+	"cranberryrail/core/roster"
 	"cranberryrail/core/table"
 	"cranberryrail/fake/script"
 )
@@ -47,3 +51,29 @@
 		}
 	}
 }
+
+// TestUnframedResponseOfCrashedTargetIsNotComplete guards against a truncated response that reaches its caller as complete, because the end of the connection ends it
+// and the target had crashed.
+func TestUnframedResponseOfCrashedTargetIsNotComplete(t *testing.T) {
+	unframed := func(text string, stream bool) script.Dispatch {
+		return func(context.Context, relay.Dispatch) (*relay.Response, error) {
+			return &relay.Response{
+				Status: http.StatusOK, Unframed: true, ResponseHead: relay.ResponseHead{HasSignature: true, IsEventStream: stream}, Close: func() {},
+				SetReadTimeout: func(time.Duration) {}, Read: script.Read(text, 1<<10, io.EOF),
+			}, nil
+		}
+	}
+	for name, target := range map[string]script.Dispatch{
+		"short": unframed("part", false), "long": unframed(strings.Repeat("x", 1<<20), false), "stream": unframed(script.EventText(1), true),
+	} {
+		for _, crashed := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, crashed %t", name, crashed), func(t *testing.T) {
+				_, result := serveUntil(t.Context(), t, 0, table.Streaming, 0, []script.Dispatch{target}, func(f *fixture) {
+					f.HasCrashed = func(context.Context, roster.Target) bool { return crashed }
+				})
+				assert.Equal(t, result.Refused != nil, crashed, "%v", result.Refused)
+				assert.Equal(t, result.Truncated, crashed && name != "short")
+			})
+		}
+	}
+}
--- a/io/router/detour.go
+++ b/io/router/detour.go
@@ -372,7 +372,9 @@
 			}
 		}
 		switch {
-		case err == io.EOF: //nolint:errorlint // Read returns io.EOF itself
+		case err == io.EOF && response.Unframed && r.hasCrashed(ctx, t): //nolint:errorlint // Read returns io.EOF itself
+			return peer.ForwardEnd{Failure: string(relay.Broken), Sent: true, Crashed: true, Detail: "the target crashed"}, route.Failed
+		case err == io.EOF: //nolint:errorlint // the same
 			return peer.ForwardEnd{Sent: true}, outcomeOf(response)
 		case err != nil:
 			return r.failedEnd(ctx, t, deadline, progressAt.Add(bound), err)
