fix: an answer whose caller stopped reading ends after its time limit

Cause: a write to a caller that no longer reads, and whose machine keeps the connection open, has no limit, so that such an answer never ended and kept its tokens and its exchange with the target. Change: 2 s after the time limit of an answer of unknown length a write that still waits is aborted, as it is to release memory, and the end counts as by the deadline. Answers with a length, which are short, are not limited here.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -480,6 +480,11 @@
 		return &AttemptError{Kind: Silent, Sent: true, Err: context.DeadlineExceeded}
 	}
 	r.expiry.Reset(time.Until(r.end))
+	r.writeEnd = time.AfterFunc(time.Until(r.end)+unreadTimeout, func() {
+		if writer := r.writer.Load(); writer != nil {
+			writer.releaseMemory(r.sink.Abort)
+		}
+	})
 	r.beginAnswer(a.response.Status)
 	r.sink.Head(a.response.Status, a.response.Header, -1)
 	return nil
--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -193,6 +193,7 @@
 
 // write writes a part of the response of an attempt to the caller. After an error that is Cancelled, nothing more can be written.
 func (r *relayedRequest) write(a *attempt, p []byte) *AttemptError {
+	r.writer.Store(a)
 	a.writing.Store(writing)
 	if a.memory.Ended() {
 		if !a.writing.CompareAndSwap(writing, notWriting) {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -130,6 +131,9 @@
 	deadline, end time.Time
 	// expiry ends the context of the request at deadline, or at end.
 	expiry *time.Timer
+	// writer is the attempt whose response was written last. writeEnd ends a write to a caller that does not read, after end.
+	writer   atomic.Pointer[attempt]
+	writeEnd *time.Timer
 	// traits are what the request may have in common with others.
 	traits poison.Traits
 	// tried holds the ids of the targets of failed attempts, and sentTo those of ended attempts that may have received the request.
@@ -209,6 +213,9 @@
 // run sends the request to targets. Its attempts end and its tokens are settled even if it panics, since the process goes on.
 func (r *relayedRequest) run(ctx context.Context) *codes.Error {
 	defer func() {
+		if r.writeEnd != nil {
+			r.writeEnd.Stop()
+		}
 		r.endAttempts(ctx)
 		r.pass.End()
 		r.settle()
@@ -229,6 +236,9 @@
 // has begun, so that the caller or the target ends it. It is several times the network latency to callers.
 const replyMargin = 15 * time.Millisecond
 
+// unreadTimeout is how long after the end of an answer its caller may take to read what was written: far longer than a link takes for what machines buffer.
+const unreadTimeout = 2 * time.Second
+
 // admit finds the route and the organisation of the request.
 func (r *relayedRequest) admit() *codes.Error {
 	t := r.Table()
@@ -476,12 +486,13 @@
 // interruptionRefusal returns the refusal of a request that timed out or whose caller disconnected,
 // nil if the fallback was sent instead.
 func (r *relayedRequest) interruptionRefusal(ctx context.Context, failed *AttemptError) *codes.Error {
-	if failed.Kind == Cancelled && errors.Is(failed.Err, memory.ErrUsedUp) {
+	ended := ctx.Err() != nil // The context may end in between; its cause is set if its error is.
+	timedOut := errors.Is(context.Cause(ctx), context.DeadlineExceeded)
+	if failed.Kind == Cancelled && errors.Is(failed.Err, memory.ErrUsedUp) && !timedOut {
 		r.endedBy(ByProcess)
 		return &codes.Error{Code: codes.AnswerCut, Run: r.execution(), Detail: "the caller did not read its response while memory was short", Err: failed}
 	}
-	// The context may end in between; its cause is set if its error is.
-	if ctx.Err() == nil && failed.Kind != Cancelled || errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+	if !ended && failed.Kind != Cancelled || timedOut {
 		if r.hasFallback() {
 			r.sendFallback()
 			return nil
--- a/core/relay/silence_test.go
+++ b/core/relay/silence_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -157,3 +158,25 @@
 		assert.Equal(t, len(f.outcomes), 1)
 	})
 }
+
+// TestStalledCallerEndsWithItsTimeLimit guards against a stream that never ends, with its tokens and its exchange, because the caller stopped reading and its machine
+// keeps the connection open.
+func TestStalledCallerEndsWithItsTimeLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(script.Stream{Parts: []script.Part{script.Until(0, 2), script.Until(time.Hour, 3)}}.Dispatch)
+		aborted := make(chan struct{})
+		req := &relay.Request{ID: "1", Host: "h", Path: "/x", Key: "key", Arrived: time.Now(), Timeout: time.Second}
+		result := f.Serve(t.Context(), req, relay.Sink{
+			Head: func(int, http.Header, int64) {}, Abort: sync.OnceFunc(func() { close(aborted) }),
+			Write: func([]byte) error {
+				select {
+				case <-aborted:
+				case <-time.After(time.Hour):
+				}
+				return context.DeadlineExceeded
+			},
+		})
+		assert.Assert(t, time.Since(req.Arrived) < 5*time.Second, "after %v", time.Since(req.Arrived))
+		assert.Assert(t, result.Truncated && result.EndedBy == relay.ByDeadline, "%s", result.EndedBy)
+	})
+}
