--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -326,28 +326,84 @@
 	if err != nil && !isEOF(err) {
 		return false, r.recordFailure(err)
 	}
+	errored := &AttemptError{Kind: Errored, Sent: true, Err: errStatus}
 	if err == nil {
+		if claimsNotRun(a.response.Status) && (len(r.inFlight) > 1 || r.ranElsewhere) {
+			return false, errored
+		}
 		r.accept(ctx, a)
-		failed = r.relayLongBody(a, body)
+		failed = r.relayLongBody(ctx, a, body)
 		return failed == nil, failed
 	}
-	response := &bufferedResponse{status: a.response.Status, header: a.response.Header, body: body}
-	if response.status >= http.StatusInternalServerError {
-		others := len(r.inFlight) > 1
+	if r.endedByCrash(ctx, a) {
+		return false, r.recordFailure(newCrashEnd())
+	}
+	response := r.choose(&bufferedResponse{status: a.response.Status, header: a.response.Header, body: body})
+	if response == nil {
+		return false, errored
+	}
+	r.accept(ctx, a)
+	if failed := r.sendBuffered(a, response); failed != nil {
+		return false, failed
+	}
+	return true, nil
+}
+
+// choose returns the response to send now that one has come: the same, or the one that was kept. It returns nil if a better one may come, or if none is true.
+func (r *relayedRequest) choose(response *bufferedResponse) *bufferedResponse {
+	others, refuses := len(r.inFlight) > 1, claimsNotRun(response.status)
+	if response.status >= http.StatusInternalServerError || refuses && others {
+		if r.fallback != nil && claimsNotRun(r.fallback.status) && !refuses {
+			r.dropFallback() // This target has run the request.
+		}
 		kept := r.fallback == nil && (others || r.mayReplace()) && r.keeps(response)
 		if kept {
 			r.fallback = response
 		}
 		if kept || others {
-			return false, &AttemptError{Kind: Errored, Sent: true, Err: errStatus}
+			return nil
 		}
 		response = cmp.Or(r.fallback, response)
 	}
-	r.accept(ctx, a)
-	if failed := r.sendBuffered(a, response); failed != nil {
-		return false, failed
+	if claimsNotRun(response.status) && r.ranElsewhere {
+		return nil
+	}
+	return response
+}
+
+var errCrashEnd = errors.New("the target has crashed, and the end of the connection ended its response")
+
+// newCrashEnd returns the failure of a response that ended with the process of its target.
+func newCrashEnd() *AttemptError { return &AttemptError{Kind: Broken, Sent: true, Err: errCrashEnd} }
+
+// endedByCrash reports whether a response that ends with its connection may have been ended by a crash of the target, which looks the same.
+func (r *relayedRequest) endedByCrash(ctx context.Context, a *attempt) bool {
+	return a.response.Unframed && !a.dispatch.Detour && r.HasCrashed(ctx, a.dispatch.Target)
+}
+
+// mayHaveRunBy reports whether the target of an attempt that failed may have run the request. A signed response with a status that implies that it did not is
+// believed, but only of this target.
+func (a *attempt) mayHaveRunBy(failed *AttemptError) bool {
+	switch failed.Kind {
+	case Shed, Misdirected:
+		return false
+	case Errored:
+		return a.response == nil || !claimsNotRun(a.response.Status)
+	default:
+		return failed.Sent
 	}
-	return true, nil
+}
+
+// hasFallback reports whether there is a response to send if no other attempt succeeds. One that implies that the request did not run is of no use once another
+// target may have run it: its caller would repeat the request.
+func (r *relayedRequest) hasFallback() bool {
+	return r.fallback != nil && !r.headSent && (!claimsNotRun(r.fallback.status) || !r.ranElsewhere)
+}
+
+// dropFallback removes the response that was kept.
+func (r *relayedRequest) dropFallback() {
+	r.fallback = nil
+	r.kept.Release()
 }
 
 // keeps reports whether there is memory to keep a response while another one is awaited, and counts it.
@@ -388,7 +444,7 @@
 }
 
 // relayLongBody forwards a response that is too long to be buffered.
-func (r *relayedRequest) relayLongBody(a *attempt, prefix []byte) *AttemptError {
+func (r *relayedRequest) relayLongBody(ctx context.Context, a *attempt, prefix []byte) *AttemptError {
 	if failed := r.sendHead(a); failed != nil {
 		return failed
 	}
@@ -405,10 +461,12 @@
 		if failed := r.write(a, buffer[:n]); failed != nil {
 			return failed
 		}
-		if isEOF(err) {
+		switch {
+		case isEOF(err) && r.endedByCrash(ctx, a):
+			return r.recordFailure(newCrashEnd())
+		case isEOF(err):
 			return nil
-		}
-		if err != nil {
+		case err != nil:
 			return r.recordFailure(err)
 		}
 	}
@@ -427,6 +485,11 @@
 		return &AttemptError{Kind: Silent, Sent: true, Err: context.DeadlineExceeded}
 	}
 	r.expiry.Reset(time.Until(r.end))
+	r.writeEnd = time.AfterFunc(time.Until(r.end)+unreadTimeout, func() {
+		if writer := r.writer.Load(); writer != nil {
+			writer.releaseMemory(r.sink.Abort)
+		}
+	})
 	r.beginAnswer(a.response.Status)
 	r.sink.Head(a.response.Status, a.response.Header, -1)
 	return nil
@@ -439,6 +502,9 @@
 	if a.events == 0 && (a.response.Unframed || r.headSent) {
 		return &AttemptError{Kind: Broken, Sent: true, Err: errNoEvent}
 	}
+	if r.endedByCrash(ctx, a) {
+		return newCrashEnd()
+	}
 	r.accept(ctx, a)
 	if failed := r.sendHead(a); failed != nil {
 		return failed
--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -193,6 +193,7 @@
 
 // write writes a part of the response of an attempt to the caller. After an error that is Cancelled, nothing more can be written.
 func (r *relayedRequest) write(a *attempt, p []byte) *AttemptError {
+	r.writer.Store(a)
 	a.writing.Store(writing)
 	if a.memory.Ended() {
 		if !a.writing.CompareAndSwap(writing, notWriting) {
@@ -465,6 +466,7 @@
 		r.SentFailures++
 		r.sentTo = append(r.sentTo, a.target.ID)
 		r.mayHaveRun = r.mayHaveRun || failed.Kind == Silent || failed.Kind == Cancelled
+		r.ranElsewhere = r.ranElsewhere || a.mayHaveRunBy(failed)
 	}
 	r.Done(a.choice.DispatchID, r.failureOutcome(ctx, a, failed))
 	failed.Events = a.events
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -133,6 +134,9 @@
 	deadline, end time.Time
 	// expiry ends the context of the request at deadline, or at end.
 	expiry *time.Timer
+	// writer is the attempt whose response was written last. writeEnd ends a write to a caller that does not read, after end.
+	writer   atomic.Pointer[attempt]
+	writeEnd *time.Timer
 	// traits are what the request may have in common with others.
 	traits poison.Traits
 	// homes are the regions in which the request may be processed, and mayDetour is set if that holds for each region, so that any instance may send it.
@@ -159,6 +163,8 @@
 	retryTaken bool
 	// mayHaveRun is set if a target may have run the request.
 	mayHaveRun bool
+	// ranElsewhere is set once an attempt has failed whose target may have run the request.
+	ranElsewhere bool
 	// headSent is set once the head of a response was forwarded.
 	headSent bool
 	// lastEventID is the last id that was forwarded. joinable is set if it is that of the last event, so that the events of another target may follow.
@@ -204,17 +210,26 @@
 	if refused := r.reserve(ctx); refused != nil {
 		return r.refuse(refused)
 	}
-	r.Retries.CountRequest(r.Service)
-	refused := r.attemptUntilResponse(ctx)
-	r.endAttempts(ctx)
-	r.pass.End()
-	r.settle()
-	if refused != nil {
+	if refused := r.run(ctx); refused != nil {
 		return r.refuse(refused)
 	}
 	return r.Result
 }
 
+// run sends the request to targets. Its attempts end and its tokens are settled even if it panics, since the process goes on.
+func (r *relayedRequest) run(ctx context.Context) *codes.Error {
+	defer func() {
+		if r.writeEnd != nil {
+			r.writeEnd.Stop()
+		}
+		r.endAttempts(ctx)
+		r.pass.End()
+		r.settle()
+	}()
+	r.Retries.CountRequest(r.Service)
+	return r.attemptUntilResponse(ctx)
+}
+
 func (r *relayedRequest) refuse(refused *codes.Error) Result {
 	r.Refused, r.Status = refused, refused.Code.Status
 	if r.headSent {
@@ -227,6 +242,9 @@
 // has begun, so that the caller or the target ends it. It is several times the network latency to callers.
 const replyMargin = 15 * time.Millisecond
 
+// unreadTimeout is how long after the end of an answer its caller may take to read what was written: far longer than a link takes for what machines buffer.
+const unreadTimeout = 2 * time.Second
+
 // admit finds the route and the organisation of the request.
 func (r *relayedRequest) admit() *codes.Error {
 	t := r.Table()
@@ -475,7 +493,7 @@
 
 // pickRefusal returns the refusal if no target could be chosen, nil if the fallback was sent instead.
 func (r *relayedRequest) pickRefusal(err error) *codes.Error {
-	if r.fallback != nil && !r.headSent {
+	if r.hasFallback() {
 		r.sendFallback()
 		return nil
 	}
@@ -494,13 +512,14 @@
 // interruptionRefusal returns the refusal of a request that timed out or whose caller disconnected,
 // nil if the fallback was sent instead.
 func (r *relayedRequest) interruptionRefusal(ctx context.Context, failed *AttemptError) *codes.Error {
-	if failed.Kind == Cancelled && errors.Is(failed.Err, memory.ErrUsedUp) {
+	ended := ctx.Err() != nil // The context may end in between; its cause is set if its error is.
+	timedOut := errors.Is(context.Cause(ctx), context.DeadlineExceeded)
+	if failed.Kind == Cancelled && errors.Is(failed.Err, memory.ErrUsedUp) && !timedOut {
 		r.endedBy(ByProcess)
 		return &codes.Error{Code: codes.AnswerCut, Run: r.execution(), Detail: "the caller did not read its response while memory was short", Err: failed}
 	}
-	// The context may end in between; its cause is set if its error is.
-	if ctx.Err() == nil && failed.Kind != Cancelled || errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		if r.fallback != nil && !r.headSent {
+	if !ended && failed.Kind != Cancelled || timedOut {
+		if r.hasFallback() {
 			r.sendFallback()
 			return nil
 		}
@@ -570,7 +589,7 @@
 
 // giveUp returns the refusal after the last attempt, nil if the fallback was sent instead.
 func (r *relayedRequest) giveUp(failed *AttemptError) *codes.Error {
-	if r.fallback != nil && !r.headSent {
+	if r.hasFallback() {
 		r.sendFallback()
 		return nil
 	}
