feat: targets can be chosen by the expected time to the first event

Requests that look alike need very different amounts of work, so that the number of requests at a target says little about when it answers. A model and a ledger (core/cost) learn outputs, speeds and remaining work from responses; the policy least_work of core/route uses them if target.choice asks for it. The default stays prefix.

--- a/core/relay/attempt.go
+++ b/core/relay/attempt.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"cranberryrail/core/cost"
 	"cranberryrail/core/memory"
 	"cranberryrail/core/origin"
 	"cranberryrail/core/poison"
@@ -64,7 +65,7 @@
 // start begins an attempt at a chosen target, or by way of another instance that chooses one.
 func (r *relayedRequest) start(ctx context.Context, pass *poison.Pass, choice route.Choice, request route.Request, detour bool) *attempt {
 	a := &attempt{
-		dispatch: r.newDispatch(choice.Target), choice: choice, target: choice.Target, pass: pass, progressAt: r.Now(),
+		dispatch: r.newDispatch(choice.Target), choice: choice, target: choice.Target, pass: pass, beganAt: r.Now(), progressAt: r.Now(),
 		steps: r.steps, abandoned: make(chan struct{}), ended: make(chan struct{}), joined: r.headSent,
 	}
 	if r.streamKey != "" && r.Events == 0 && r.Software == "" {
@@ -148,7 +149,7 @@
 func (r *relayedRequest) routeRequest() route.Request {
 	req := route.Request{
 		Organisation: r.Organisation, Service: r.Service, Zone: r.Zone, Priority: r.Priority, Avoid: r.tried,
-		Software: r.Software,
+		Software: r.Software, Work: r.work(),
 	}
 	if r.streamKey != "" && r.Software == "" {
 		req.Software = r.Origins.Restriction(r.Service)
@@ -159,6 +160,18 @@
 	return req
 }
 
+// work returns what is known of the work of the request.
+func (r *relayedRequest) work() *cost.Request {
+	w := &cost.Request{Route: r.Route, Organisation: r.Organisation, Service: r.Service, Resumed: r.lastEventID != ""}
+	if p := r.req.Prompt; p != nil {
+		w.Model, w.Prompt, w.MaxOutput, w.Hint = p.Model, p.Tokens, p.MaxOutput, p.Hint
+		for _, part := range p.Parts {
+			w.Parts = append(w.Parts, cost.Part{ID: part.ID, Tokens: part.Tokens})
+		}
+	}
+	return w
+}
+
 // sharedPrefix returns the id of the longest prefix of a prompt that other prompts share: that of
 // the last part before the request's own.
 func sharedPrefix(parts []Part) string {
@@ -446,6 +459,10 @@
 
 // relayEvent forwards one event. The head is sent with the first event, so that a target that fails earlier can be replaced.
 func (r *relayedRequest) relayEvent(ctx context.Context, a *attempt, e event) *AttemptError {
+	if a.first == 0 {
+		a.first = r.Now().Sub(a.beganAt)
+		r.Progress(a.choice.DispatchID, 0)
+	}
 	if r.streamKey != "" && r.Events == 0 && !r.beginStream(a) {
 		return nil
 	}
--- a/core/relay/hedge.go
+++ b/core/relay/hedge.go
@@ -44,6 +44,9 @@
 	events int
 	// progressAt is when the attempt began, or when its last event was forwarded.
 	progressAt time.Time
+	// beganAt is when the attempt began, and first the time from then to its first event; 0 before.
+	beganAt time.Time
+	first   time.Duration
 	// joined is set if its response follows events of another target.
 	joined bool
 	// silent is set once the target was silent for its bound.
@@ -427,9 +430,20 @@
 	if r.Status < http.StatusMultipleChoices {
 		a.pass.Answered()
 	}
+	r.observe(a)
 	r.Done(a.choice.DispatchID, r.responseOutcome())
 }
 
+// observe records how the attempt went whose response the caller has received.
+func (r *relayedRequest) observe(a *attempt) {
+	r.Expected, r.TargetFirst = a.choice.Expected, a.first
+	if a.events == 0 {
+		r.TargetFirst = r.Now().Sub(a.beganAt)
+		return
+	}
+	r.Progress(a.choice.DispatchID, int64(a.events)*int64(r.eventTokens[r.Service]))
+}
+
 // fail ends an attempt that failed while others may go on.
 func (r *relayedRequest) fail(ctx context.Context, a *attempt, failed *AttemptError) {
 	wasNewest := a == r.newest()
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -39,6 +39,8 @@
 	// Pick chooses a target. Done is called with the outcome of the attempt at it.
 	Pick func(r route.Request) (route.Choice, error)
 	Done func(dispatchID int64, o route.Outcome)
+	// Progress is called when the first event of an attempt has come, and before Done of a complete answer with the number of its output tokens. Optional.
+	Progress func(dispatchID, output int64)
 	// Retries is this instance's share of the retry budgets.
 	Retries *route.RetryWindow
 	// Dispatch sends a request to a target and returns its response. The error is an *AttemptError.
@@ -103,6 +105,9 @@
 	if s.HasCrashed == nil {
 		s.HasCrashed = func(context.Context, roster.Target) bool { return false }
 	}
+	if s.Progress == nil {
+		s.Progress = func(int64, int64) {}
+	}
 	if s.OnSilent == nil {
 		s.OnSilent = func(Dispatch, int64) {}
 	}
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -9,6 +9,7 @@
 	"cranberryrail/core/memory"
 	"cranberryrail/core/poison"
 	"cranberryrail/core/roster"
+	"cranberryrail/core/route"
 )
 
 // Part is a part of a prompt that other prompts may share.
@@ -22,6 +23,8 @@
 	Model string
 	// Tokens is the length of the prompt, and MaxOutput the maximum number of output tokens.
 	Tokens, MaxOutput int64
+	// Hint is the caller's estimate of the output tokens; 0 if there is none.
+	Hint int64
 	// Parts are the parts of the prompt in order. The last one is specific to the request.
 	Parts []Part
 }
@@ -259,6 +262,10 @@
 	Status int
 	// TimeToFirstByte is the time to the first byte of the response.
 	TimeToFirstByte time.Duration
+	// Expected is what was expected of the attempt whose response the caller received, and TargetFirst the time from its dispatch to the first event,
+	// or to the whole body; nil and 0 if nothing was expected.
+	Expected    *route.Expected
+	TargetFirst time.Duration
 	// Events is the number of forwarded events.
 	Events int
 	// Unframed is set if the response of the last target had neither a length nor chunks.
--- a/core/roster/types.go
+++ b/core/roster/types.go
@@ -77,6 +77,8 @@
 	Capacity int `json:"capacity"`
 	// CachedPrefixes counts the prompt prefixes that the engine has cached.
 	CachedPrefixes int `json:"cached_prefixes"`
+	// Pace is how long work takes at the target's machine now, as a multiple of the usual time; 0 if it is not stated.
+	Pace float64 `json:"pace,omitempty"`
 	// RateLimit is the number of requests a second that the target takes from all instances together; nil without a limit.
 	RateLimit *float64 `json:"rate_limit,omitempty"`
 	// AgeMS is the age of the report in milliseconds when it was sent.
--- a/core/route/actor.go
+++ b/core/route/actor.go
@@ -27,6 +27,8 @@
 		DispatchID int64
 		Outcome    Outcome
 	}
+	// ProgressMsg reports that the first event of a dispatch has come, and its output tokens once it is complete.
+	ProgressMsg struct{ DispatchID, Output int64 }
 	// SilentMsg reports that the target of a dispatch has sent nothing for long.
 	SilentMsg struct{ DispatchID int64 }
 	// ReportMsg holds the load report of a target.
@@ -115,6 +117,8 @@
 		c.Respond(&PickReply{Choice: choice, Err: err})
 	case *DoneMsg:
 		a.Balancer.Done(m.DispatchID, m.Outcome)
+	case *ProgressMsg:
+		a.Balancer.Progress(m.DispatchID, m.Output)
 	case *ReportMsg:
 		a.Balancer.Report(m.ID, m.Load, a.Balancer.Now())
 	case *SetTargetsMsg:
@@ -203,6 +207,11 @@
 	c.Root.Send(c.PID, &DoneMsg{DispatchID: dispatchID, Outcome: o})
 }
 
+// Progress reports the first event of a choice, and its output tokens once it is complete.
+func (c *Client) Progress(dispatchID, output int64) {
+	c.Root.Send(c.PID, &ProgressMsg{dispatchID, output})
+}
+
 // Silent reports that the target of a choice has sent nothing for long, while the dispatch goes on.
 func (c *Client) Silent(dispatchID int64) { c.Root.Send(c.PID, &SilentMsg{dispatchID}) }
 
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -58,14 +58,14 @@
 		return Choice{}, codes.Refuse(codes.Overloaded, b.retryAfter(usable, r.Priority, now),
 			"all %d usable targets are at their limit for priority %d; retry later, or add targets or raise the priority in the configuration", len(usable), r.Priority)
 	}
-	chosen := b.chooseTarget(r, b.drawShare(r, b.preferUnchecked(admissible)), now)
+	chosen, expected := b.chooseTarget(r, b.drawShare(r, b.preferUnchecked(admissible)), now)
 	b.lastDispatchID++
-	b.dispatches[b.lastDispatchID] = dispatch{target: chosen, incarnation: chosen.Incarnation, epoch: chosen.health.epoch, at: now}
+	b.dispatches[b.lastDispatchID] = dispatch{target: chosen, incarnation: chosen.Incarnation, epoch: chosen.health.epoch, at: now, course: b.beginWork(r, chosen, expected)}
 	b.Rates.Take(chosen.Incarnation)
 	b.recordBrittleDispatch(chosen, now)
 	chosen.load.recordDispatch(now)
 	chosen.health.recordDispatch(now)
-	return Choice{Target: chosen.Target, DispatchID: b.lastDispatchID}, nil
+	return Choice{Target: chosen.Target, DispatchID: b.lastDispatchID, Expected: expected}, nil
 }
 
 // serving returns the targets that serve the request and are not leaving.
@@ -239,7 +239,14 @@
 	return candidates
 }
 
-func (b *Balancer) chooseTarget(r Request, candidates []*target, now time.Time) *target {
+func (b *Balancer) chooseTarget(r Request, candidates []*target, now time.Time) (*target, *Expected) {
+	if b.Policy == LeastWork {
+		return b.byWork(r, candidates, now)
+	}
+	return b.byCount(r, candidates, now), nil
+}
+
+func (b *Balancer) byCount(r Request, candidates []*target, now time.Time) *target {
 	switch {
 	case b.Policy == Random:
 		return candidates[b.rand.IntN(len(candidates))]
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"cranberryrail/core/cost"
 	"cranberryrail/core/rate"
 	"cranberryrail/core/roster"
 )
@@ -35,6 +36,9 @@
 	// PrefixBounded chooses by rendezvous hashing of model and prefix with bounded loads. A request
 	// without a prefix is placed as by LeastEstimated.
 	PrefixBounded Policy = "prefix_bounded"
+	// LeastWork chooses the target with the shortest expected time to the first event among a few random ones and the one that PrefixBounded
+	// chooses. It chooses as PrefixBounded until enough was observed.
+	LeastWork Policy = "least_work"
 )
 
 // Defaults of Balancer.
@@ -95,6 +99,8 @@
 	Avoid []string
 	// Shares restrict and weight the targets; empty means all targets with equal weight.
 	Shares []Share
+	// Work is what is known of the work of the request, for LeastWork; nil if nothing is.
+	Work *cost.Request
 }
 
 // Choice is the target of one dispatch.
@@ -102,6 +108,8 @@
 	Target roster.Target
 	// DispatchID identifies the dispatch in Done.
 	DispatchID int64
+	// Expected is what LeastWork expects of the dispatch; nil with other policies.
+	Expected *Expected
 }
 
 // Balancer holds the state of the targets that requests are assigned to. It is not safe for
@@ -121,6 +129,8 @@
 	// MaxInFlightPerTarget is the maximum number of requests in flight from this instance to one target; 0 means no
 	// limit.
 	MaxInFlightPerTarget int
+	// Sample is the number of random targets that LeastWork compares.
+	Sample int
 	// Rates decides when a request may be sent to a target that has named a rate limit; optional.
 	Rates *rate.Tracker
 	// Seed seeds the random number generator.
@@ -136,6 +146,9 @@
 	dispatches      map[int64]dispatch
 	lastDispatchID  int64
 	meanServiceTime time.Duration
+	// costs and work are set with LeastWork.
+	costs *cost.Model
+	work  *cost.Ledger
 	// own and fleet are the hashes of the ids of this and of all instances that share brittle targets.
 	own   uint64
 	fleet []uint64
@@ -162,6 +175,8 @@
 	incarnation string
 	epoch       int
 	at          time.Time
+	// course is set with LeastWork.
+	course *course
 }
 
 // String returns the name of the balancer for logs.
@@ -186,6 +201,7 @@
 	if b.Now == nil {
 		b.Now = time.Now
 	}
+	b.initWork()
 	if b.rand == nil {
 		b.rand = rand.New(rand.NewPCG(b.Seed, 0))
 		b.leaving, _ = simplelru.NewLRU[string, struct{}](MaxLeavingIncarnations, nil)
@@ -251,6 +267,9 @@
 		}
 	}
 	entry.load.applyReport(l, now)
+	if b.work != nil {
+		b.work.Report(id, entry.Service, l)
+	}
 }
 
 // MarkLeaving marks an incarnation as leaving, whichever channel reported it. The mark is
@@ -293,6 +312,7 @@
 	}
 	delete(b.dispatches, dispatchID)
 	now := b.Now()
+	b.endWork(dispatchID, d, o, now)
 	if o == OK {
 		b.meanServiceTime += (now.Sub(d.at) - b.meanServiceTime) / serviceTimeDivisor
 	}
@@ -332,6 +352,7 @@
 	entry.health = health{}
 	entry.brittle = brittleness{}
 	entry.pausedUntil = time.Time{}
+	b.forgetWork(entry.ID)
 }
 
 func (b *Balancer) targetByID(id string) *target {
--- a/io/opts/router.go
+++ b/io/opts/router.go
@@ -92,8 +92,19 @@
 	ResponseMB float64 `toml:"response_mb" unit:"MB" default:"64" allowed:"1..1048576" doc:"Largest body of a response, or largest stream; a target that sends more is taken to send without end, and its response is cut."`
 
 	Bound float64 `toml:"bound" default:"3" allowed:"1..100" doc:"Multiple of the mean load up to which a target gets the requests whose prompts share a part that it has read."`
+
+	Choice TargetChoice `toml:"choice" default:"prefix" allowed:"prefix|least_work" doc:"How a target is chosen: by the shared parts of the prompt and the number of requests, or by the expected time to the first event, which is learned from responses."`
 }
 
+// TargetChoice is how a target is chosen.
+type TargetChoice string
+
+// Ways to choose a target.
+const (
+	ChoosePrefix    TargetChoice = "prefix"
+	ChooseLeastWork TargetChoice = "least_work"
+)
+
 // MaxResponseBytes returns the size of the largest response in bytes.
 func (t RouterTarget) MaxResponseBytes() int64 { return int64(t.ResponseMB * megabyte) }
 
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -186,6 +186,11 @@
 	r.initRates()
 	a := &route.Actor{}
 	a.Balancer.Seed, a.Balancer.Bound, a.Balancer.Rates = rand.Uint64(), s.Target.Bound, r.rates
+	progress := func(int64, int64) {}
+	if s.Target.Choice == opts.ChooseLeastWork {
+		a.Balancer.Policy = route.LeastWork
+		progress = func(id, output int64) { r.routeClient.Progress(id, output) }
+	}
 	r.routeClient = &route.Client{Root: r.system.Root, PID: r.system.Root.Spawn(a.Props())}
 	r.retries = &route.RetryWindow{Length: s.Retry.WindowS.Duration(), Ratio: s.Retry.Ratio, Slack: s.Retry.Slack}
 	r.retries.Default()
@@ -206,7 +211,7 @@
 	r.relay = &relay.Server{
 		Origins: r.origins, NeedsDetour: r.detours.Needed, DispatchBy: r.dispatchBy, Crashes: r.crashes, HasCrashed: r.hasCrashed, Abandoned: r.abandoned,
 		Table: r.table.Current, Reserve: r.budgets.Reserve, ReserveResumed: r.budgets.ReserveResumed, ReserveWait: r.budgetSync.ReserveWait,
-		Settle: r.budgets.Settle, Pick: r.routeClient.Pick, Done: r.routeClient.Done,
+		Settle: r.budgets.Settle, Pick: r.routeClient.Pick, Done: r.routeClient.Done, Progress: progress,
 		Retries: r.retries, Dispatch: r.dispatch, OnSilent: r.targetSilent, OnPanic: r.logPanic, OnAttemptFailed: r.attemptFailed, MaxResponseBytes: s.Target.MaxResponseBytes(),
 		Spans: &spans.Tracker{}, Memory: &memory.Pool{Bytes: s.Memory.Bytes(answerMemoryShare)}, Zone: s.Instance.Zone, Random: rand.IntN,
 	}
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -215,6 +215,14 @@
 	}
 }
 
+// addExpected adds what was expected of the answer and what was seen to the event of a finished request.
+func addExpected(event *zerolog.Event, result relay.Result) {
+	if e := result.Expected; e != nil {
+		event.Str("chosen_by", string(e.By)).Bool("cheapest", e.Cheapest).Dur("expected_first", e.First).Dur("target_first", result.TargetFirst).
+			Float64("expected_output", e.Output)
+	}
+}
+
 // logEarlyEnd logs and counts a request that ended without a whole answer after its head was sent or a target may have run it.
 func (r *Router) logEarlyEnd(result relay.Result, took time.Duration) {
 	event := events.Log(r.Log, events.AnswerEnded).Str("request", loggedID(result.Request.ID)).Str("target", result.Target.ID).Str("by", string(result.EndedBy))
@@ -258,6 +266,7 @@
 		r.Meter.Attempt(string(route.OK)) // each failed attempt was counted by attemptFailed
 	}
 	r.addStream(event, class, result)
+	addExpected(event, result)
 	if refused := result.Refused; refused != nil {
 		if refused.Code == codes.LogUnavailable || refused.Code == codes.LinkFull {
 			r.refusedAt.Store(time.Now().UnixNano())
