feat: least_work is measured against counting, and falls back to it when slots run out

The first version lost to counting once outputs grew until all slots were in use, or when all speeds changed at once, since learned speeds and waits were wrong.

The relay passes prompt tokens, parts, maximum, hint, route and organisation to the choice and reports first events and outputs; request_ended logs what was expected and seen.

--- a/core/cost/cost.go
+++ b/core/cost/cost.go
@@ -28,8 +28,8 @@
 	Resumed bool
 }
 
-// plain reports whether the request is for a plain service.
-func (r *Request) plain() bool { return r.Prompt <= 0 && r.MaxOutput <= 0 }
+// IsPlain reports whether the request is for a plain service.
+func (r *Request) IsPlain() bool { return r.Prompt <= 0 && r.MaxOutput <= 0 }
 
 // Estimate is what a request is expected to need on a target of usual speed with an empty cache.
 type Estimate struct {
@@ -41,6 +41,8 @@
 	Seen float64
 	// paceEffect is the exponent of the reported pace, and batchEffect the slowdown for each other request.
 	paceEffect, batchEffect float64
+	// speedEffect is how far learned speeds of targets are trusted, from 0 to 1.
+	speedEffect float64
 }
 
 // Decode returns the expected time from the first event to the last, in ms.
@@ -54,8 +56,8 @@
 	// Tokens is the number of prompt tokens that the target has not cached.
 	Tokens float64
 	Wait   Wait
-	// First and Total are the expected times to the first event and to the end, in ms.
-	First, Total float64
+	// First and Total are the expected times to the first event and to the end, in ms, and Slot is the part of them until a slot is free.
+	First, Total, Slot float64
 }
 
 // Outcome is the observed course of a request. First and Total are in ms. Output is the number of output tokens, 0 if it is unknown.
@@ -83,6 +85,14 @@
 	m.n, m.x, m.y, m.xx, m.xy, m.yy = m.n+1, m.x+x, m.y+y, m.xx+x*x, m.xy+x*y, m.yy+y*y
 }
 
+// limit lets the sums count as at most n pairs.
+func (m *moments) limit(n float64) {
+	if m.n > n {
+		f := n / m.n
+		m.n, m.x, m.y, m.xx, m.xy, m.yy = f*m.n, f*m.x, f*m.y, f*m.xx, f*m.xy, f*m.yy
+	}
+}
+
 // means returns the means of x and y, drawn towards priors that count as several observations.
 func (m *moments) means(weight, priorX, priorY float64) (x, y float64) {
 	return (m.x + weight*priorX) / (m.n + weight), (m.y + weight*priorY) / (m.n + weight)
--- a/core/cost/ledger.go
+++ b/core/cost/ledger.go
@@ -12,9 +12,13 @@
 // Times after which a report says little more than the mean of earlier ones.
 const (
 	// loadMemory is about the time that requests stay at a target.
-	loadMemory = 2 * time.Second
+	loadMemory = 6 * time.Second
 	// paceMemory is short because the pace of a machine changes many times a second.
 	paceMemory = 300 * time.Millisecond
+	// targetLoadDecay and serviceLoadDecay are the time constants of the means of reports. Each target reports rarely, but all targets of a service do
+	// so many times a second, and a load that rises everywhere must be seen soon.
+	targetLoadDecay  = 10 * time.Second
+	serviceLoadDecay = 3 * time.Second
 )
 
 // maxReported bounds the counts of a report; it is far above what one target can run.
@@ -62,7 +66,7 @@
 
 type entry struct {
 	account     *account
-	at          time.Time
+	at, readAt  time.Time // readAt is when the target is expected to read the prompt
 	begun       bool
 	tokens      float64
 	prefill, ms float64 // expected times to the first event and to the end, in ms
@@ -87,12 +91,15 @@
 // Begin records a request that is sent to its target, under an id for Began and End.
 func (l *Ledger) Begin(id int64, p *Plan, slots int) {
 	now, a := l.Now(), l.account(p.Target, p.Request.Service)
-	e := &entry{account: a, at: now, tokens: p.Tokens, prefill: p.First, ms: p.Total}
+	e := &entry{account: a, at: now, readAt: now, tokens: p.Tokens, prefill: p.First, ms: p.Total}
+	if p.Wait.SlotMS > 0 {
+		e.readAt = now.Add(time.Duration(p.Wait.SlotMS * float64(time.Millisecond)))
+	}
 	if a.slots == 0 {
 		a.slots = slots
 	}
 	a.service.work.decay(now, l.Decay)
-	a.service.work.add(p.Tokens, p.Total)
+	a.service.work.add(p.Tokens, p.usualWork())
 	a.own[id], l.entries[id] = e, e
 }
 
@@ -132,9 +139,9 @@
 	if r.Capacity > 0 {
 		a.slots = min(r.Capacity, maxReported)
 	}
-	a.means.decay(now, l.Decay)
+	a.means.decay(now, targetLoadDecay)
 	a.means.add(a.logPace, a.others)
-	a.service.load.decay(now, l.Decay)
+	a.service.load.decay(now, serviceLoadDecay)
 	a.service.load.add(a.logPace, a.others)
 }
 
@@ -148,25 +155,34 @@
 		return Wait{}
 	}
 	now := l.Now()
-	for _, m := range []*moments{&a.means, &a.service.load, &a.service.work} {
-		m.decay(now, l.Decay)
-	}
+	a.means.decay(now, targetLoadDecay)
+	a.service.load.decay(now, serviceLoadDecay)
+	a.service.work.decay(now, l.Decay)
 	w := Wait{LogPace: 0, Requests: float64(len(a.own))}
 	others, tokens, ms := a.othersNow(now, &w)
-	left := a.ownTokens(now, perToken)
 	w.Requests += others
-	queued := max(w.Requests-float64(a.slots), 0)
+	reading := 0.0
 	if ms > 0 {
-		reading := min(perToken*tokens/ms, 1) / 2 // The share of requests that are being read, which are half read.
-		left += tokens * (queued + reading*max(others-queued, 0))
-	}
-	w.Tokens = left
-	if a.slots > 0 && w.Requests >= float64(a.slots) {
-		w.SlotMS = (queued + 1) * ms / float64(a.slots)
+		reading = min(perToken*tokens/ms, 1) / 2 // The share of requests that are being read, which are half read.
+	}
+	w.Tokens = a.ownTokens(now, perToken) + reading*others*tokens
+	if slots := float64(a.slots); slots > 0 {
+		deviation := math.Sqrt(1 + others*(1-math.Exp(-2*max(now.Sub(a.reportedAt), 0).Seconds()/loadMemory.Seconds())))
+		w.SlotMS = excess(w.Requests-slots+1, deviation) * ms / slots
+		if w.Requests >= slots {
+			w.Requests, w.Tokens = slots, reading*slots*tokens // Those that wait are read while this one waits.
+		}
 	}
 	return w
 }
 
+// excess returns the mean of the positive part of a normal distribution. The number of requests is known the less the older the report is, and a wait
+// is likely before the expected number reaches that of the slots.
+func excess(mean, deviation float64) float64 {
+	z := mean / deviation
+	return mean*math.Erfc(-z/math.Sqrt2)/2 + deviation*math.Exp(-z*z/2)/math.Sqrt(2*math.Pi)
+}
+
 // othersNow returns the expected number of requests of other instances, and the usual prompt tokens and time of a request. It sets the pace.
 func (a *account) othersNow(now time.Time, w *Wait) (others, tokens, ms float64) {
 	allPace, allOthers := a.service.load.means(1, 0, 0)
@@ -186,8 +202,8 @@
 			continue
 		}
 		tokens += e.tokens
-		if e.at.Before(oldest) {
-			oldest = e.at
+		if e.readAt.Before(oldest) {
+			oldest = e.readAt
 		}
 	}
 	if perToken > 0 {
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -17,6 +17,7 @@
 
 	"cranberryrail/core/budget"
 	"cranberryrail/core/codes"
+	"cranberryrail/core/cost"
 	"cranberryrail/core/poison"
 	"cranberryrail/core/relay"
 	"cranberryrail/core/roster"
@@ -199,3 +200,33 @@
 	})
 	f.serve(t.Context())
 }
+
+// TestWorkIsObserved guards against targets that are chosen without what is known of a request, and against answers that nothing is learned from.
+func TestWorkIsObserved(t *testing.T) {
+	events := []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}
+	f := newFixture(func(context.Context, relay.Dispatch) (*relay.Response, error) {
+		return &relay.Response{
+			Status: http.StatusOK, ResponseHead: relay.ResponseHead{HasSignature: true, IsEventStream: true},
+			Read: func(p []byte) (int, error) {
+				if len(events) == 0 {
+					return 0, io.EOF
+				}
+				n := copy(p, events[0])
+				events = events[1:]
+				return n, nil
+			},
+			SetReadTimeout: func(time.Duration) {}, Close: func() {},
+		}, nil
+	})
+	var picked []*cost.Request
+	var progress [][2]int64
+	f.Pick = func(r route.Request) (route.Choice, error) {
+		picked = append(picked, r.Work)
+		return route.Choice{DispatchID: 7, Expected: &route.Expected{By: route.BySample}}, nil
+	}
+	f.Progress = func(id, output int64) { progress = append(progress, [2]int64{id, output}) }
+	result := f.serve(t.Context())
+	assert.DeepEqual(t, picked, []*cost.Request{{Route: "r", Organisation: "travel", Service: "draft", Prompt: 100, MaxOutput: 50}})
+	assert.DeepEqual(t, progress, [][2]int64{{7, 0}, {7, 10}})
+	assert.Assert(t, result.Expected.By == route.BySample && result.TargetFirst > 0)
+}
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -305,7 +305,7 @@
 }
 
 func filter(candidates []*target, keep func(*target) bool) []*target {
-	var kept []*target
+	kept := make([]*target, 0, len(candidates))
 	for _, c := range candidates {
 		if keep(c) {
 			kept = append(kept, c)
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -149,6 +149,8 @@
 	// costs and work are set with LeastWork.
 	costs *cost.Model
 	work  *cost.Ledger
+	// occupied is the fraction of slots in use by service and model.
+	occupied map[string]float64
 	// own and fleet are the hashes of the ids of this and of all instances that share brittle targets.
 	own   uint64
 	fleet []uint64
@@ -232,6 +234,7 @@
 	slices.SortFunc(next, func(a, b *target) int { return strings.Compare(a.ID, b.ID) })
 	b.targets = next
 	b.buildIndex()
+	clear(b.occupied)
 }
 
 // buildIndex groups the targets by the models and services that they serve, so that Pick
--- a/io/router/serve.go
+++ b/io/router/serve.go
@@ -218,8 +218,11 @@
 // addExpected adds what was expected of the answer and what was seen to the event of a finished request.
 func addExpected(event *zerolog.Event, result relay.Result) {
 	if e := result.Expected; e != nil {
-		event.Str("chosen_by", string(e.By)).Bool("cheapest", e.Cheapest).Dur("expected_first", e.First).Dur("target_first", result.TargetFirst).
+		event.Str("chosen_by", string(e.By)).Dur("expected_first", e.First).Dur("target_first", result.TargetFirst).
 			Float64("expected_output", e.Output)
+		if e.Compared {
+			event.Bool("cheapest", e.Cheapest)
+		}
 	}
 }
 
