--- a/core/route/route.go
+++ b/core/route/route.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"cranberryrail/core/cost"
 	"cranberryrail/core/rate"
 	"cranberryrail/core/roster"
 	"cranberryrail/core/zones"
@@ -36,6 +37,9 @@
 	// PrefixBounded chooses by rendezvous hashing of model and prefix with bounded loads. A request
 	// without a prefix is placed as by LeastEstimated.
 	PrefixBounded Policy = "prefix_bounded"
+	// LeastWork chooses the target with the shortest expected time to the first event among a few random ones and the one that PrefixBounded
+	// chooses. It chooses as PrefixBounded until enough was observed.
+	LeastWork Policy = "least_work"
 )
 
 // Defaults of Balancer.
@@ -98,6 +102,8 @@
 	Shares []Share
 	// Homes are the regions in which the request may be processed; nil for all.
 	Homes zones.Homes
+	// Work is what is known of the work of the request, for LeastWork; nil if nothing is.
+	Work *cost.Request
 }
 
 // Choice is the target of one dispatch.
@@ -105,6 +111,8 @@
 	Target roster.Target
 	// DispatchID identifies the dispatch in Done.
 	DispatchID int64
+	// Expected is what LeastWork expects of the dispatch; nil with other policies.
+	Expected *Expected
 }
 
 // Balancer holds the state of the targets that requests are assigned to. It is not safe for
@@ -127,6 +135,11 @@
 	// Regions maps availability zones to regions, for requests with homes.
 	Regions zones.Regions
 	// Rates decides when a request may be sent to a target that has named a rate limit, or is cold; optional.
+	// PacedOnly restricts LeastWork to requests for which a target has stated its pace; others are placed as by PrefixBounded.
+	PacedOnly bool
+	// Sample is the number of random targets that LeastWork compares.
+	Sample int
+	// Rates decides when a request may be sent to a target that has named a rate limit; optional.
 	Rates *rate.Tracker
 	// Seed seeds the random number generator.
 	Seed uint64
@@ -143,6 +156,11 @@
 	dispatches      map[int64]dispatch
 	lastDispatchID  int64
 	meanServiceTime time.Duration
+	// costs and work are set with LeastWork.
+	costs *cost.Model
+	work  *cost.Ledger
+	// occupied is the fraction of slots in use by service and model.
+	occupied map[string]float64
 	// own and fleet are the hashes of the ids of this and of all instances that share brittle targets.
 	own   uint64
 	fleet []uint64
@@ -169,6 +187,8 @@
 	incarnation string
 	epoch       int
 	at          time.Time
+	// course is set with LeastWork.
+	course *course
 }
 
 // String returns the name of the balancer for logs.
@@ -193,6 +213,7 @@
 	if b.Now == nil {
 		b.Now = time.Now
 	}
+	b.initWork()
 	if b.rand == nil {
 		b.rand = rand.New(rand.NewPCG(b.Seed, 0))
 		b.leaving, _ = simplelru.NewLRU[string, struct{}](MaxLeavingIncarnations, nil)
@@ -223,6 +244,7 @@
 	slices.SortFunc(next, func(a, b *target) int { return strings.Compare(a.ID, b.ID) })
 	b.targets = next
 	b.buildIndex()
+	clear(b.occupied)
 }
 
 // buildIndex groups the targets by the models and services that they serve, so that Pick
@@ -258,6 +280,9 @@
 		}
 	}
 	entry.load.applyReport(l, now)
+	if b.work != nil {
+		b.work.Report(id, entry.Service, l)
+	}
 }
 
 // MarkLeaving marks an incarnation as leaving, whichever channel reported it. The mark is
@@ -300,6 +325,7 @@
 	}
 	delete(b.dispatches, dispatchID)
 	now := b.Now()
+	b.endWork(dispatchID, d, o, now)
 	if o == OK {
 		b.meanServiceTime += (now.Sub(d.at) - b.meanServiceTime) / serviceTimeDivisor
 	}
@@ -339,6 +365,7 @@
 	entry.health = health{}
 	entry.brittle = brittleness{}
 	entry.pausedUntil = time.Time{}
+	b.forgetWork(entry.ID)
 }
 
 func (b *Balancer) targetByID(id string) *target {
--- a/io/opts/router.go
+++ b/io/opts/router.go
@@ -115,8 +115,20 @@
 	ColdSlack float64 `toml:"cold_slack" unit:"requests" default:"0" allowed:"0..1000" doc:"Requests in any second that all instances together may send a cold target beyond that."`
 
 	Bound float64 `toml:"bound" default:"3" allowed:"1..100" doc:"Multiple of the mean load up to which a target gets the requests whose prompts share a part that it has read."`
+
+	Choice TargetChoice `toml:"choice" default:"prefix" allowed:"prefix|least_work|paced" doc:"How a target is chosen: by the shared parts of the prompt and the number of requests, by the expected time to the first event, which is learned from responses, or in the second way where targets state how long work takes at present and in the first elsewhere."`
 }
 
+// TargetChoice is how a target is chosen.
+type TargetChoice string
+
+// Ways to choose a target.
+const (
+	ChoosePrefix    TargetChoice = "prefix"
+	ChooseLeastWork TargetChoice = "least_work"
+	ChoosePaced     TargetChoice = "paced"
+)
+
 // MaxResponseBytes returns the size of the largest response in bytes.
 func (t RouterTarget) MaxResponseBytes() int64 { return int64(t.ResponseMB * megabyte) }
 
