feat: one guard decides which callers end when capacity is short

Connections, heads and bodies of callers had no common limit: incomplete bodies and unread responses kept ordinary callers out for 15 s or for good, a head of many fields cost many times its size, and connections took all descriptors. core/guard now accounts for them and ends stalled ones first, then those of the address that holds most.

--- a/core/events/table.go
+++ b/core/events/table.go
@@ -17,6 +17,7 @@
 	LinesDropped      = Event{1011, "lines_dropped", Warn, "Log lines were dropped, because the log output did not accept them fast enough."}
 	StateUnsent       = Event{1012, "state_unsent", Warn, "The response to an operator's request for the state of the process could not be sent."}
 	SettingsIgnored   = Event{1013, "settings_ignored", Warn, "The settings have keys that this build does not know, for example those of a newer one; they are ignored. The field keys lists them."}
+	LimitUnknown      = Event{1014, "limit_unknown", Warn, "The limit of open descriptors could not be read; the connections of callers are limited by the memory only."}
 	LogUnreachable    = Event{2001, "log_unreachable", Warn, "The platform's log is unreachable, both directly and through other instances."}
 	LogBack           = Event{2002, "log_back", Info, "The platform's log is directly reachable again."}
 	RelayUsed         = Event{2003, "relay_used", Warn, "The platform's log is accessed through another instance."}
@@ -97,7 +98,7 @@
 func All() []Event {
 	return []Event{
 		Start, SettingsLoaded, Ready, NotReady, StopBegan, StopDone,
-		StopGaveUp, ListenFailed, Reloaded, ReloadFailed, LinesDropped, StateUnsent, SettingsIgnored,
+		StopGaveUp, ListenFailed, Reloaded, ReloadFailed, LinesDropped, StateUnsent, SettingsIgnored, LimitUnknown,
 		LogUnreachable, LogBack, RelayUsed, ListUnreachable, ListBack, FormatUnknown,
 		KindUnknown, Trimmed, SnapshotWritten, SnapshotLoaded,
 		StateFetched, SnapshotFailed, TopicLost, TopicBack, RecordUnreadable, LogRestored, EraInvalid, StateMissing,
--- a/io/entry/ending_test.go
+++ b/io/entry/ending_test.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
+	"cranberryrail/core/guard"
 	"cranberryrail/core/relay"
 	"cranberryrail/io/entry"
 )
@@ -26,7 +27,7 @@
 		t.Run(name, func(t *testing.T) {
 			serving, ended := make(chan struct{}), make(chan relay.Result, 1)
 			s := &entry.Server{
-				MaxBodyBytes: 1000, MaxBufferedBytes: 1000, SetRefusalHeaders: func(http.Header, string, time.Duration) {}, OnPanic: func(any) {},
+				MaxBodyBytes: 1000, Guard: &guard.Guard{MaxBodyBytes: 1000}, SetRefusalHeaders: func(http.Header, string, time.Duration) {}, OnPanic: func(any) {},
 				ParseRequest: func(*http.Request) (*relay.Request, error) { return &relay.Request{ID: "1"}, nil },
 				MaxTime:      func(*relay.Request) time.Duration { return time.Minute },
 				OnEnd:        func(r relay.Result, _ time.Duration) { ended <- r },
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"cranberryrail/core/codes"
+	"cranberryrail/core/guard"
 	"cranberryrail/core/relay"
 	"cranberryrail/io/httpd"
 )
@@ -54,9 +55,10 @@
 
 // Server is the listener for callers. Exported fields are set before Listen.
 type Server struct {
-	// MaxBodyBytes limits the body of one request. A request is refused if its declared length and what is buffered of other bodies
-	// exceed MaxBufferedBytes together, and while its body is read as soon as all bodies do.
-	MaxBodyBytes, MaxBufferedBytes int64
+	// MaxBodyBytes limits the body of one request.
+	MaxBodyBytes int64
+	// Guard accounts for connections, heads and bodies. A request is refused if there is no memory for its head, its declared length or what was read of its body.
+	Guard *guard.Guard
 	// ParseRequest parses a request except for its body.
 	ParseRequest func(r *http.Request) (*relay.Request, error)
 	// Serve relays a request.
@@ -87,9 +89,8 @@
 	// closeConns is set if every response closes its connection.
 	closeConns atomic.Bool
 	// closed is set once the connections of requests in flight are closed.
-	closed        atomic.Bool
-	inFlight      atomic.Int64
-	bufferedBytes atomic.Int64
+	closed   atomic.Bool
+	inFlight atomic.Int64
 }
 
 // String returns the name of the server for logs.
@@ -106,6 +107,7 @@
 	if s.OnTraffic == nil {
 		s.OnTraffic = func(int) {}
 	}
+	s.server.Guard = s.Guard
 	s.server.Clients, s.server.Setting = "callers", "caller.listen"
 	s.server.OnClose = func() { s.closed.Store(true) }
 	s.server.Server = http.Server{
@@ -173,14 +175,17 @@
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	defer s.recoverPanic(r, x)
-	req, refused := s.readRequest(w, r, x.started)
-	if req != nil {
-		defer s.bufferedBytes.Add(-int64(len(req.Body)))
-	}
+	account := httpd.Account(r.Context().Value(connKey{}))
+	req, refused := s.readRequest(w, r, account, x.started)
 	if refused != nil {
 		result := relay.Result{Request: req, Refused: refused, Status: refused.Code.Status}
-		// net/http reads the rest of a body before it replies.
-		_ = http.NewResponseController(w).SetReadDeadline(x.started.Add(bodyTimeout)) // supported by HTTP/1.1 servers
+		account.Refuse()
+		if account.Ended() {
+			w.Header().Set("Connection", "close")
+		} else {
+			// net/http reads the rest of a body before it replies.
+			_ = http.NewResponseController(w).SetReadDeadline(x.started.Add(bodyTimeout)) // supported by HTTP/1.1 servers
+		}
 		s.writeRefusal(w, req, refused)
 		s.reportEnd(x, result)
 		return
@@ -253,11 +258,15 @@
 	return result
 }
 
-// readRequest reads a request with its body. Unless it refuses the request, the size of the body stays in bufferedBytes, from which the caller
-// subtracts it. Only an invalid request gives no request; the other refusals (a
+// readRequest reads a request with its body. Only an invalid request, or one for whose head there is no memory, gives no request; the other refusals (a
 // stop of the instance is scheduled before the time limit of the request; the memory for bodies is used up;
 // the body is too large or incomplete) come with the request, without a body.
-func (s *Server) readRequest(w http.ResponseWriter, r *http.Request, arrived time.Time) (*relay.Request, *codes.Error) {
+func (s *Server) readRequest(w http.ResponseWriter, r *http.Request, account *guard.Conn, arrived time.Time) (*relay.Request, *codes.Error) {
+	controller := http.NewResponseController(w)
+	if err := account.BeginRequest(headBytes(r), func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) }); err != nil { // supported by HTTP/1.1 servers
+		w.Header().Set("Connection", "close") // The head would stay in memory until the rest of the body has arrived.
+		return nil, codes.Refuse(codes.TooManyInFlight, retryBodyMemory, "the heads of requests in flight leave too little memory for this one; retry later")
+	}
 	req, err := s.ParseRequest(r)
 	if err != nil {
 		return nil, codes.Refuse(codes.BadRequest, 0, "%v", err)
@@ -270,74 +279,120 @@
 	}
 	s.OnTraffic(int(max(r.ContentLength, 0)) + overheadBytes)
 	if r.ContentLength == 0 {
-		return req, nil
+		return req, s.process(account)
+	}
+	if r.ContentLength > s.MaxBodyBytes {
+		return req, s.refuseLargeBody()
 	}
-	if s.bufferedBytes.Load()+max(r.ContentLength, 0) > s.MaxBufferedBytes {
+	if !account.HasRoom(max(r.ContentLength, 0)) {
 		return req, s.refuseBodyMemory()
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout)) // supported by HTTP/1.1 servers
-	counted := &countedBody{Reader: http.MaxBytesReader(w, r.Body, s.MaxBodyBytes), server: s}
-	body, refused := s.readBody(counted)
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout)) // supported by HTTP/1.1 servers
+	body, refused := s.readBody(http.MaxBytesReader(w, r.Body, s.MaxBodyBytes), r.ContentLength, account)
 	if refused == nil {
 		refused = s.refuseStopping(req, arrived) // The stop may have begun meanwhile.
 	}
+	if refused == nil {
+		refused = s.process(account)
+	}
 	if refused != nil {
-		s.bufferedBytes.Add(-counted.bytes)
 		return req, refused
 	}
+	_ = controller.SetReadDeadline(time.Time{})
 	req.Body = body
 	return req, nil
 }
 
+// refuseLargeBody refuses a request whose body is over the limit.
+func (s *Server) refuseLargeBody() *codes.Error {
+	return codes.Refuse(codes.BodyTooLarge, 0, "at most %d bytes are allowed", s.MaxBodyBytes)
+}
+
+// process begins the processing of a request, unless it was ended.
+func (s *Server) process(account *guard.Conn) *codes.Error {
+	if account.Process() != nil {
+		return s.refuseBodyMemory()
+	}
+	return nil
+}
+
+// headBytes returns the memory that the head of a request uses.
+func headBytes(r *http.Request) int64 {
+	text, fields := len(r.RequestURI), 0
+	for name, values := range r.Header {
+		for _, value := range values {
+			text += len(name) + len(value)
+		}
+		fields += len(values)
+	}
+	return guard.HeadBytes(text, fields)
+}
+
 // ReserveBody counts a body of a request of another instance with the buffered ones, and reports whether there is memory for it. ReleaseBody must be called
 // if so.
 func (s *Server) ReserveBody(bytes int) bool {
-	if s.bufferedBytes.Add(int64(bytes)) > s.MaxBufferedBytes && bytes > 0 {
-		s.ReleaseBody(bytes)
-		return false
-	}
-	return true
+	return s.Guard.ReserveBody(int64(bytes))
 }
 
 // ReleaseBody ends what ReserveBody counted.
-func (s *Server) ReleaseBody(bytes int) { s.bufferedBytes.Add(-int64(bytes)) }
+func (s *Server) ReleaseBody(bytes int) { s.Guard.ReleaseBody(int64(bytes)) }
 
 // refuseBodyMemory refuses a request whose body does not fit into the memory for bodies.
 func (s *Server) refuseBodyMemory() *codes.Error {
-	return codes.Refuse(codes.TooManyInFlight, retryBodyMemory, "the buffered bodies of requests in flight use %d bytes, which leaves too little memory for this one; retry later", s.bufferedBytes.Load())
-}
-
-// countedBody adds what is read of a body to the buffered bytes of the server. Reading fails with errBodyMemory once they exceed the maximum.
-type countedBody struct {
-	io.Reader
-
-	server *Server
-	bytes  int64
+	return codes.Refuse(codes.TooManyInFlight, retryBodyMemory, "the buffered bodies of requests in flight use %d bytes, which leaves too little memory for this one; retry later", s.Guard.BodyBytes())
 }
 
-var errBodyMemory = errors.New("the memory for bodies is used up")
+const (
+	// firstBytes is the size of the first array of a body, and chunkedGrowth and growth are the factors by which it grows. A body of known length grows in
+	// few steps, since each array that is replaced uses memory until it is collected.
+	firstBytes    = 16 << 10
+	chunkedGrowth = 2
+	growth        = 16
+)
 
-// Read implements io.Reader.
-func (b *countedBody) Read(p []byte) (int, error) {
-	n, err := b.Reader.Read(p)
-	b.bytes += int64(n)
-	if b.server.bufferedBytes.Add(int64(n)) > b.server.MaxBufferedBytes {
-		return n, errBodyMemory
+// readAll reads a body of some length, -1 if it is not known, and at most maxBytes, into an array that the account holds. Reading more must fail.
+func readAll(r io.Reader, length, maxBytes int64, account *guard.Conn) ([]byte, error) {
+	var body []byte
+	most := maxBytes
+	if length >= 0 {
+		most = min(length, maxBytes)
+	}
+	for {
+		if len(body) == cap(body) {
+			size := max(int64(cap(body))*chunkedGrowth, firstBytes)
+			if length >= 0 {
+				size = max(int64(cap(body))*growth, firstBytes)
+			}
+			size = min(size, most+1) // The end is read into the last byte.
+			if err := account.HoldBody(size - int64(cap(body))); err != nil {
+				return nil, err
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case account.Ended():
+			return nil, guard.ErrShort
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
 	}
-	return n, err
 }
 
-func (s *Server) readBody(r io.Reader) ([]byte, *codes.Error) {
-	body, err := io.ReadAll(r)
+// readBody reads a body of some length, -1 if it is not known.
+func (s *Server) readBody(r io.Reader, length int64, account *guard.Conn) ([]byte, *codes.Error) {
+	body, err := readAll(r, length, s.MaxBodyBytes, account)
 	var large *http.MaxBytesError
 	switch {
 	case err == nil:
 		return body, nil
-	case errors.Is(err, errBodyMemory):
+	case errors.Is(err, guard.ErrShort):
 		return nil, s.refuseBodyMemory()
 	case errors.As(err, &large):
-		return nil, codes.Refuse(codes.BodyTooLarge, 0, "at most %d bytes are allowed", large.Limit)
+		return nil, s.refuseLargeBody()
 	default:
 		return nil, &codes.Error{Code: codes.BodyTimeout, Run: codes.NotRun, Detail: "the body could not be read in time, or the connection failed", Err: err}
 	}
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"cranberryrail/core/flow"
+	"cranberryrail/core/guard"
 	"cranberryrail/core/relay"
 	"cranberryrail/io/entry"
 )
@@ -26,7 +27,7 @@
 func startServer(t *testing.T, configure ...func(s *entry.Server)) *entry.Server {
 	t.Helper()
 	s := &entry.Server{
-		MaxBodyBytes: 1000, MaxBufferedBytes: 1000,
+		MaxBodyBytes: 1000, Guard: &guard.Guard{MaxBodyBytes: 1000},
 		ParseRequest: func(*http.Request) (*relay.Request, error) { return &relay.Request{Timeout: time.Second}, nil },
 		Serve: func(_ context.Context, _ *relay.Request, sink relay.Sink) relay.Result {
 			sink.Head(http.StatusOK, nil, 0)
@@ -129,7 +130,7 @@
 	const rounds, requests = 50, 32
 	for range rounds {
 		s := &entry.Server{
-			MaxBodyBytes: 1000, MaxBufferedBytes: 1000, SetRefusalHeaders: func(http.Header, string, time.Duration) {}, OnEnd: func(relay.Result, time.Duration) {},
+			MaxBodyBytes: 1000, Guard: &guard.Guard{MaxBodyBytes: 1000}, SetRefusalHeaders: func(http.Header, string, time.Duration) {}, OnEnd: func(relay.Result, time.Duration) {},
 			ParseRequest: func(*http.Request) (*relay.Request, error) { return &relay.Request{}, nil },
 		}
 		release := make(chan struct{})
@@ -224,7 +225,7 @@
 func TestBodiesThatAreReadCountAgainstMemory(t *testing.T) {
 	running, release := make(chan struct{}, 1), make(chan struct{})
 	s := startServer(t, func(s *entry.Server) {
-		s.MaxBodyBytes, s.MaxBufferedBytes = 600, 1000
+		s.MaxBodyBytes = 600
 		s.Serve = func(_ context.Context, _ *relay.Request, sink relay.Sink) relay.Result {
 			running <- struct{}{}
 			<-release
@@ -250,7 +251,7 @@
 func TestRefusalDoesNotAwaitTheBody(t *testing.T) {
 	t.Parallel()
 	const longest = 18 * time.Second // three more than a body may take
-	s := startServer(t, func(s *entry.Server) { s.MaxBodyBytes, s.MaxBufferedBytes = 5000, 1000 })
+	s := startServer(t, func(s *entry.Server) { s.MaxBodyBytes = 5000 })
 	var group errgroup.Group
 	for _, head := range []string{"Content-Length: 2000", "Transfer-Encoding: chunked"} {
 		group.Go(func() error {
--- a/io/httpd/conn.go
+++ b/io/httpd/conn.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"cranberryrail/core/guard"
 )
 
 const (
@@ -17,16 +19,36 @@
 	resetTimeout = 50 * time.Millisecond
 )
 
-// listener accepts connections as conn.
-type listener struct{ net.Listener }
+// listener accepts connections as conn and accounts for them.
+type listener struct {
+	net.Listener
+
+	guard *guard.Guard
+}
 
 // Accept implements net.Listener.
 func (l listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
-	if tcp, ok := c.(*net.TCPConn); ok {
-		return &conn{TCPConn: tcp}, err
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return c, err
 	}
-	return c, err
+	addr, _, splitErr := net.SplitHostPort(tcp.RemoteAddr().String())
+	if splitErr != nil {
+		addr = tcp.RemoteAddr().String()
+	}
+	return &conn{TCPConn: tcp, account: l.guard.Admit(addr, func() {
+		_ = tcp.SetLinger(0) // releases what the caller does not read
+		_ = tcp.Close()      // the same error is returned to net/http
+	})}, err
+}
+
+// Account returns the account of a connection that was accepted by a Server; nil for another one.
+func Account(c any) *guard.Conn {
+	if c, ok := c.(*conn); ok {
+		return c.account
+	}
+	return nil
 }
 
 // conn is a connection to a client. net/http cancels a request when it reads that the client has ended its sending direction, which is the same for a client
@@ -35,6 +57,8 @@
 type conn struct {
 	*net.TCPConn
 
+	account *guard.Conn
+
 	mu sync.Mutex
 	// answering is set once a part of the answer to the present request was written.
 	answering bool
@@ -53,6 +77,7 @@
 // setState is called by net/http when the state of a connection changes.
 func setState(c net.Conn, state http.ConnState) {
 	if c, ok := c.(*conn); ok && state == http.StateIdle {
+		c.account.EndRequest()
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.answering = false
@@ -62,6 +87,9 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
+	if short := c.account.Received(p[:n]); short != nil {
+		return 0, short
+	}
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
@@ -109,6 +137,8 @@
 
 // Write implements net.Conn. While the client may have left, it writes in two parts, so that its error shows whether the client has.
 func (c *conn) Write(p []byte) (int, error) {
+	c.account.BeginWrite()
+	defer c.account.EndWrite()
 	if !c.beginWrite() || len(p) < 2 {
 		return c.TCPConn.Write(p)
 	}
@@ -166,6 +196,7 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	err := c.TCPConn.Close()
+	c.account.Closed()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.bounded = true
--- a/io/httpd/httpd.go
+++ b/io/httpd/httpd.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"cranberryrail/core/guard"
 	"cranberryrail/core/pause"
 )
 
@@ -23,6 +24,8 @@
 	// Clients names the clients of the server, and Setting the setting with its address; both are for logs and
 	// errors.
 	Clients, Setting string
+	// Guard accounts for the connections; optional.
+	Guard *guard.Guard
 	// OnClose is called before Run closes connections with requests in flight; optional.
 	OnClose func()
 
@@ -38,7 +41,10 @@
 	if err != nil {
 		return fmt.Errorf("open listener for %s; check setting %s: %w", s.Clients, s.Setting, err)
 	}
-	s.listener, s.ConnState = listener{l}, setState
+	if s.Guard == nil {
+		s.Guard = &guard.Guard{}
+	}
+	s.listener, s.ConnState = listener{l, s.Guard}, setState
 	return nil
 }
 
@@ -75,6 +81,9 @@
 	return err
 }
 
+// sweepInterval is how often connections are looked for whose clients do not read.
+const sweepInterval = time.Second
+
 // Run serves until the context ends, and then closes all connections once the responses whose handlers have ended are
 // written. Call Shutdown first to let requests in flight finish.
 func (s *Server) Run(ctx context.Context) error {
@@ -85,6 +94,13 @@
 		}
 		return nil
 	})
+	g.Go(func() error {
+		for ctx.Err() == nil {
+			pause.For(ctx, sweepInterval)
+			s.Guard.Sweep()
+		}
+		return nil
+	})
 	g.Go(func() error {
 		<-ctx.Done()
 		flush, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushTimeout)
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -228,6 +228,9 @@
 // ConnectionOpened counts a connection that was established to a target.
 func (m *Meter) ConnectionOpened() { m.counter(connections).Inc(1) }
 
+// CallerClosed counts a connection that was closed, or a request that was refused, because a capacity was short.
+func (m *Meter) CallerClosed(short string) { m.counter(callersClosed, short).Inc(1) }
+
 // LinesDropped counts dropped log lines.
 func (m *Meter) LinesDropped(n int) { m.counter(droppedLines).Inc(int64(n)) }
 
--- a/io/meter/meter_test.go
+++ b/io/meter/meter_test.go
@@ -73,6 +73,7 @@
 	m.Quarantines(2)
 	m.RateLimits(4)
 	m.LinesDropped(3)
+	m.CallerClosed("heads")
 	m.AnswerEnded("target", "broken")
 	m.AnswerEnded("caller", "")
 	assert.NilError(t, m.Close())
--- a/io/meter/table.go
+++ b/io/meter/table.go
@@ -52,6 +52,7 @@
 	rateLimits      = Metric{"cranberryrail_rate_limits", Gauge, nil, "Targets that have named a limit on the rate of requests."}
 	quarantines     = Metric{"cranberryrail_quarantines", Gauge, nil, "Parts of prompts, and whole requests, that are not sent because targets crashed under them."}
 	answersEnded    = Metric{"cranberryrail_answers_ended_early_total", Counter, []string{"by", "kind"}, "Requests that ended without a whole answer after its head was sent or a target may have run them, by who ended them; the kind is that of the target's failure, or none."}
+	callersClosed   = Metric{"cranberryrail_callers_closed_total", Counter, []string{"short"}, "Connections that were closed, and requests that were refused while they were sent, because capacity was short, by what was: connections, heads, bodies, or read_time for callers that did not read."}
 	droppedLines    = Metric{"cranberryrail_log_lines_dropped_total", Counter, nil, "Lines of the log that were dropped, because they were not taken fast enough."}
 )
 
@@ -60,7 +61,7 @@
 	return []Metric{
 		requests, billedTokens, firstToken, reservations, draws, logAppends, violations, streamsResumed, streamsCut, logReached,
 		configVersion, configAge, ledgerOffset,
-		attempts, requestDuration, storeCalls, storeBytes, connections, rateLimits, quarantines, answersEnded, droppedLines,
+		attempts, requestDuration, storeCalls, storeBytes, connections, rateLimits, quarantines, answersEnded, callersClosed, droppedLines,
 	}
 }
 
--- a/io/opts/router.go
+++ b/io/opts/router.go
@@ -37,6 +37,11 @@
 	Listen    string `toml:"listen" allowed:"ip:port" doc:"Address that callers reach."`
 	Ready     string `toml:"ready" allowed:"ip:port" doc:"Address at which the platform asks whether the instance takes requests."`
 	BodyBytes int64  `toml:"body_bytes" unit:"bytes" default:"8388608" allowed:"1024..67108864" doc:"Largest body of a request; the operators' configuration may allow less."`
+
+	MaxConnections int     `toml:"max_connections" unit:"connections" default:"0" allowed:"0..1000000" doc:"Most connections of callers; beyond them, stalled or least recently used ones are closed. 0 derives it from the descriptors and the memory of the process."`
+	HeaderFields   int     `toml:"header_fields" unit:"fields" default:"0" allowed:"0..10000000" doc:"Most header fields of all requests in flight together, by the memory that they use with their text; when there are more, requests are refused. 0 derives it from the memory of the process."`
+	StallS         Seconds `toml:"stall_s" unit:"s" default:"2" allowed:"0.1..600" doc:"Time without progress after which a connection on which a request is sent, or a response is not read, is closed first when capacity is short."`
+	ReadS          Seconds `toml:"read_s" unit:"s" default:"30" allowed:"1..3600" doc:"Time after which a connection is closed whose caller does not read its response."`
 }
 
 // RouterMetrics configures the listener for metrics.
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -214,13 +214,13 @@
 	r.link = &flow.Meter{BytesPerSecond: s.Link.BytesPerSecond()}
 	r.entry = &entry.Server{
 		LinkDelay: r.link.Delay, OnTraffic: r.link.Add,
-		MaxBodyBytes: s.Caller.BodyBytes, MaxBufferedBytes: s.Memory.Bytes(bodyMemoryShare),
+		MaxBodyBytes: s.Caller.BodyBytes, Guard: r.newCallerGuard(),
 		ParseRequest: r.Platform.ParseRequest, Serve: r.relay.Serve, MaxTime: r.relay.MaxTime, RefusesLong: r.refusesLong, UsualTime: r.relay.UsualTime, StopRetryAfter: r.stopRetryAfter,
 		SetRefusalHeaders: r.Platform.SetRefusalHeaders, OnEnd: r.requestEnded, OnPanic: r.logPanic,
 	}
-	r.ready = &httpd.Server{Clients: "the platform", Setting: "caller.ready"}
+	r.ready = &httpd.Server{Clients: "the platform", Setting: "caller.ready", Guard: r.newReadyGuard()}
 	r.ready.Handler = http.HandlerFunc(r.serveReady)
-	r.ready.ReadHeaderTimeout = headerTimeout
+	r.ready.ReadHeaderTimeout, r.ready.IdleTimeout, r.ready.MaxHeaderBytes = headerTimeout, readyIdleTimeout, maxReadyHeader
 	r.metrics = &httpd.Server{Clients: "metrics", Setting: "metrics.listen"}
 	mux := http.NewServeMux()
 	mux.Handle("/", r.Meter.Handler())
@@ -306,6 +306,9 @@
 
 // serveReady serves the platform's readiness check.
 func (r *Router) serveReady(w http.ResponseWriter, req *http.Request) {
+	if req.ContentLength != 0 {
+		w.Header().Set("Connection", "close") // Its body is not read.
+	}
 	if req.URL.Path != r.Platform.ReadyPath {
 		http.NotFound(w, req)
 		return
--- a/io/router/serve_test.go
+++ b/io/router/serve_test.go
@@ -50,7 +50,7 @@
 		t.Run(name, func(t *testing.T) {
 			r, _ := start(t, settings, "")
 			r.running.Store(true)
-			r.entry.MaxBufferedBytes = limit
+			r.entry.Guard.MaxBodyBytes = limit
 			taken, refused := 0, 0
 			forward := func(left int) {
 				if left <= 0 {
@@ -70,7 +70,7 @@
 			forward(8)
 			assert.Equal(t, taken, c.expected)
 			assert.Equal(t, refused, min(1, 8-c.expected))
-			r.entry.MaxBufferedBytes = int64(c.bytes) // nothing is counted any more
+			r.entry.Guard.MaxBodyBytes = int64(c.bytes) // nothing is counted any more
 			forward(1)
 			assert.Assert(t, taken > c.expected)
 		})
