fix: a listener for callers without a guard of its own has no limits

The field Guard of entry.Server is used by ReserveBody and ReleaseBody, which failed with a nil guard when only Listen had set one for the connections. Listen now sets both; the tests of io/entry pass.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -57,7 +57,7 @@
 type Server struct {
 	// MaxBodyBytes limits the body of one request.
 	MaxBodyBytes int64
-	// Guard accounts for connections, heads and bodies. A request is refused if there is no memory for its head, its declared length or what was read of its body.
+	// Guard accounts for connections, heads and bodies. A request is refused if there is no memory for its head, its declared length or what was read of its body. Optional.
 	Guard *guard.Guard
 	// ParseRequest parses a request except for its body.
 	ParseRequest func(r *http.Request) (*relay.Request, error)
@@ -107,6 +107,9 @@
 	if s.OnTraffic == nil {
 		s.OnTraffic = func(int) {}
 	}
+	if s.Guard == nil {
+		s.Guard = &guard.Guard{}
+	}
 	s.server.Guard = s.Guard
 	s.server.Clients, s.server.Setting = "callers", "caller.listen"
 	s.server.OnClose = func() { s.closed.Store(true) }
