--- a/io/httpd/accept_test.go
+++ b/io/httpd/accept_test.go
@@ -15,6 +15,8 @@
 
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
+
+	"cranberryrail/core/guard"
 )
 
 // failingListener fails once with an error.
@@ -40,7 +42,7 @@
 			assert.NilError(t, err)
 			s := &http.Server{Handler: http.NotFoundHandler()}
 			var group errgroup.Group
-			group.Go(func() error { return s.Serve(listener{&failingListener{Listener: l, err: failure}}) })
+			group.Go(func() error { return s.Serve(listener{&failingListener{Listener: l, err: failure}, &guard.Guard{}}) })
 			resp, err := http.Get("http://" + l.Addr().String())
 			if assert.Check(t, err) {
 				assert.NilError(t, resp.Body.Close())
--- a/io/meter/meter_test.go
+++ b/io/meter/meter_test.go
@@ -75,6 +75,7 @@
 	m.Evacuated(1, 5)
 	m.ColdTargets(6)
 	m.LinesDropped(3)
+	m.CallerClosed("heads")
 	m.AnswerEnded("target", "broken")
 	m.AnswerEnded("caller", "")
 	assert.NilError(t, m.Close())
--- a/io/meter/table.go
+++ b/io/meter/table.go
@@ -55,6 +55,7 @@
 	coldTargets     = Metric{"cranberryrail_cold_targets", Gauge, nil, "Targets that have just started or become cold again, to which the rate of requests is limited."}
 	quarantines     = Metric{"cranberryrail_quarantines", Gauge, nil, "Parts of prompts, and whole requests, that are not sent because targets crashed under them."}
 	answersEnded    = Metric{"cranberryrail_answers_ended_early_total", Counter, []string{"by", "kind"}, "Requests that ended without a whole answer after its head was sent or a target may have run them, by who ended them; the kind is that of the target's failure, or none."}
+	callersClosed   = Metric{"cranberryrail_callers_closed_total", Counter, []string{"short"}, "Connections that were closed, and requests that were refused while they were sent, because capacity was short, by what was: connections, heads, bodies, or read_time for callers that did not read."}
 	droppedLines    = Metric{"cranberryrail_log_lines_dropped_total", Counter, nil, "Lines of the log that were dropped, because they were not taken fast enough."}
 )
 
@@ -63,7 +64,7 @@
 	return []Metric{
 		requests, billedTokens, firstToken, reservations, draws, logAppends, violations, streamsResumed, streamsCut, logReached,
 		configVersion, configAge, ledgerOffset,
-		attempts, requestDuration, storeCalls, storeBytes, connections, rateLimits, evacuatedZones, evacuatedBusy, coldTargets, quarantines, answersEnded, droppedLines,
+		attempts, requestDuration, storeCalls, storeBytes, connections, rateLimits, evacuatedZones, evacuatedBusy, coldTargets, quarantines, answersEnded, callersClosed, droppedLines,
 	}
 }
 
