--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -53,6 +53,8 @@
 	addrs map[string]*held
 	// total is what all connections and reserved bodies hold.
 	total held
+	// accepted is the number of connections that were accepted.
+	accepted int64
 }
 
 // held is what connections hold together.
@@ -82,6 +84,8 @@
 	// progressAt is when the last progress was made, and moved how many bytes have come or gone since.
 	progressAt time.Time
 	moved      int
+	// number is the number of the connection in the order in which they were accepted.
+	number int64
 	// writing is set while a write waits for the caller.
 	writing bool
 	// ended is set if the connection was ended or its request must be refused.
@@ -98,7 +102,8 @@
 	if g.conns == nil {
 		g.conns, g.addrs = map[*Conn]struct{}{}, map[string]*held{}
 	}
-	c := &Conn{guard: g, addr: addr, end: end, phase: Head, progressAt: time.Now()}
+	c := &Conn{guard: g, addr: addr, end: end, phase: Head, progressAt: time.Now(), number: g.accepted}
+	g.accepted++
 	if g.addrs[addr] == nil {
 		g.addrs[addr] = &held{}
 	}
@@ -154,13 +159,21 @@
 		if other.phase == Run && !g.stalled(other, now) {
 			continue
 		}
-		if first == nil || rank(other) < rank(first) || rank(other) == rank(first) && other.progressAt.Before(first.progressAt) {
+		if first == nil || rank(other) < rank(first) || rank(other) == rank(first) && other.isOlder(first) {
 			first = other
 		}
 	}
 	return first
 }
 
+// isOlder reports whether a connection made its last progress before another one, or was accepted first if that was at the same time.
+func (c *Conn) isOlder(other *Conn) bool {
+	if c.progressAt.Equal(other.progressAt) {
+		return c.number < other.number
+	}
+	return c.progressAt.Before(other.progressAt)
+}
+
 // stalled reports whether a connection has stalled. While a request is processed, it has if its caller does not read.
 func (g *Guard) stalled(c *Conn, now time.Time) bool {
 	waits := c.writing || c.phase == Head || c.phase == Body
