--- a/core/route/actor.go
+++ b/core/route/actor.go
@@ -123,8 +123,6 @@
 		c.Respond(&PickReply{Choice: choice, Err: err})
 	case *DoneMsg:
 		a.Balancer.Done(m.DispatchID, m.Outcome)
-	case *ProgressMsg:
-		a.Balancer.Progress(m.DispatchID, m.Output)
 	case *ReportMsg:
 		a.Balancer.Report(m.ID, m.Load, a.Balancer.Now())
 	case *SetTargetsMsg:
@@ -149,13 +147,15 @@
 	case *InFlightQuery:
 		c.Respond(&InFlightReply{a.Balancer.InFlightIn()})
 	default:
-		a.restrict(m)
+		a.observe(m)
 	}
 }
 
-// restrict applies what restricts the targets that this instance may send requests to, or ends that.
-func (a *Actor) restrict(msg any) {
+// observe applies what was observed of targets, and what restricts those that this instance may send requests to.
+func (a *Actor) observe(msg any) {
 	switch m := msg.(type) {
+	case *ProgressMsg:
+		a.Balancer.Progress(m.DispatchID, m.Output)
 	case *SilentMsg:
 		a.Balancer.Silent(m.DispatchID)
 	case *PauseMsg:
--- a/core/route/work.go
+++ b/core/route/work.go
@@ -17,6 +17,9 @@
 	// affineCredit is the fraction of the shared prompt parts that the target of their prefix is assumed to have cached, since other instances send
 	// it the same parts.
 	affineCredit = 0.5
+	// affineMargin is the part of the price at the target of the prefix below which another target must be to be chosen: it reads the shared parts again, which delays
+	// what it runs and takes the place of other parts.
+	affineMargin = 0.7
 	// endWeight is the weight of the time from the first event to the last, in proportion to that of the time to the first event.
 	endWeight = 0.1
 	// slotWeight is the weight of the wait for a slot. A request that waits also delays those behind it.
@@ -105,6 +108,9 @@
 	if !exceeds(affine) {
 		p := b.plan(r, &e, affine, b.credit(r, true))
 		lowest = price(&p)
+		if r.Prefix != "" {
+			lowest *= affineMargin
+		}
 	}
 	expected.By = ByPrefix
 	for i, c := range sample {
