--- a/core/audit/audit.go
+++ b/core/audit/audit.go
@@ -128,6 +128,7 @@
 		r.checkTimes(key, route)
 		r.checkAttempts(key, route)
 		r.checkRank(key+".rank", route.Rank)
+		r.checkHomes(key, route.Homes)
 	}
 }
 
@@ -233,6 +234,7 @@
 		if engine && s.MaxConns > 0 && s.Slots > s.MaxConns {
 			r.add(Warning, key+".max_conns", fmt.Sprintf("fewer connections (%d) than slots (%d)", s.MaxConns, s.Slots), "targets refuse connections while they have free slots")
 		}
+		r.checkCold(key, &c.Services[i])
 	}
 }
 
@@ -253,7 +255,9 @@
 			r.add(Warning, key+".prepaid", fmt.Sprintf("the budget of organisation %q is 0 or negative", o.Name), "its requests that need tokens are refused")
 		}
 		r.checkRank(key+".rank", o.Rank)
+		r.checkHomes(key, o.Homes)
 	}
+	r.checkHomesTogether(c)
 }
 
 // checkCallerKey reports a key that is empty or that another entry has. It doesn't quote the key.
--- a/core/audit/compare.go
+++ b/core/audit/compare.go
@@ -274,6 +274,7 @@
 				return pick(b.Affinity, "targets that have read a prompt are preferred", "targets are chosen regardless of prompts they have read")
 			}},
 			{"resumable", func(r *route) any { return r.Resumable }, repeatEffect},
+			{"homes", func(r *route) any { return describeHomes(r.Homes) }, always[route]("requests are processed in these regions only")},
 		},
 	}
 }
@@ -298,6 +299,10 @@
 			{"event_tokens", func(s *service) any { return s.EventTokens }, always[service]("another number of tokens is billed for each event of a stream")},
 			{"slots", func(s *service) any { return s.Slots }, always[service]("none; targets state their slots")},
 			{"max_conns", func(s *service) any { return s.MaxConns }, always[service]("targets accept another number of connections")},
+			{"cold_start", func(s *service) any { return s.ColdStart }, always[service]("targets that do not state how long they are cold count as cold for another time after a start")},
+			{"cold_per_second", func(s *service) any { return s.ColdPerSecond }, func(a, b *service) string {
+				return longer(b.ColdPerSecond, a.ColdPerSecond, b.ColdPerSecond == 0, "cold targets get more requests", "cold targets get fewer requests")
+			}},
 		},
 	}
 }
@@ -317,10 +322,21 @@
 			{"prepaid", func(o *organisation) any { return describePrepaid(o.Prepaid) }, func(a, b *organisation) string {
 				return longer(b.Prepaid, a.Prepaid, b.Prepaid == table.Unlimited, "the organisation may spend more tokens", "the organisation may spend fewer tokens; it is refused if it has spent them")
 			}},
+			{"homes", func(o *organisation) any { return describeHomes(o.Homes) }, always[organisation]("its requests are processed in these regions only")},
 		},
 	}
 }
 
+// describeHomes formats the regions of a route or an organisation.
+func describeHomes(homes []string) any {
+	if len(homes) == 0 {
+		return description("all")
+	}
+	sorted := slices.Clone(homes)
+	slices.Sort(sorted)
+	return description(fmt.Sprint(sorted))
+}
+
 // describePrepaid formats a budget.
 func describePrepaid(tokens int64) any {
 	if tokens == table.Unlimited {
@@ -344,7 +360,7 @@
 }
 
 // longer returns the first text if the value after is greater than before or unlimited, otherwise the second.
-func longer[V int | int64 | time.Duration](after, before V, unlimited bool, more, less string) string {
+func longer[V int | int64 | float64 | time.Duration](after, before V, unlimited bool, more, less string) string {
 	return pick(after > before || unlimited, more, less)
 }
 
