--- a/cmd/route_test.go
+++ b/cmd/route_test.go
@@ -30,8 +30,10 @@
 	assert.NilError(t, err)
 	template = regexp.MustCompile(`\{\{#bootstrap}}.*?\{\{/bootstrap}}`).ReplaceAll(template, nil)
 	template = regexp.MustCompile(`\{\{\^bootstrap}}(.*?)\{\{/bootstrap}}`).ReplaceAll(template, []byte("$1"))
+	template = regexp.MustCompile(`\{\{#zones}}.*?\{\{/zones}}`).ReplaceAll(template, []byte("a=north"))
+	template = regexp.MustCompile(`(?s)\{\{#bounds\.cold_over}}\n(.*?)\{\{/bounds\.cold_over}}\n`).ReplaceAll(template, []byte("$1"))
 	values := map[string]string{
-		"node_name|json": `"front-a-1"`, "zone|json": `"a"`, "ip": "127.0.0.1", "listen.front|json": `"127.0.0.1:8227"`,
+		"bounds.cold_over": "1.5", "bounds.cold_slack": "5", "node_name|json": `"front-a-1"`, "zone|json": `"a"`, "ip": "127.0.0.1", "listen.front|json": `"127.0.0.1:8227"`,
 		"listen.readiness|json": `"127.0.0.1:8220"`, "platform.address|json": `"127.0.0.1:8223"`, "bounds.retry_budget_ratio": "0.2",
 		"bounds.budget_window_s": "10", "limits.memory_mb": "134", "platform.parts": "12", "bounds.grace_s": "8", "bounds.drain_ms": "2000", "internal_ports.1": "7355", "limits.link_mbps": "1000.0",
 	}
