--- a/io/opts/router.go
+++ b/io/opts/router.go
@@ -73,10 +73,10 @@
 type RouterBudget struct {
 	Shards  int          `toml:"shards" unit:"partitions" default:"6" allowed:"1..64" doc:"Number of partitions that budgets are spread over; the same at every instance."`
 	CoverMS Milliseconds `toml:"cover_ms" unit:"ms" default:"12000" allowed:"0..600000" doc:"Time of usual use for which tokens are held ready."`
-	Outages Switch       `toml:"cover_outages" default:"off" allowed:"off|on" doc:"Whether tokens are held ready for an outage of the platform's store as long as the longest one lately, up to cover_ms, also once little of a budget is left."`
+	Outages Switch       `toml:"cover_outages" default:"on" allowed:"off|on" doc:"Whether tokens are held ready for an outage of the platform's store as long as the longest one lately, up to cover_ms, also once little of a budget is left."`
 	WaitMS  Milliseconds `toml:"wait_ms" unit:"ms" default:"200" allowed:"0..60000" doc:"Longest time that a request waits for tokens."`
 
-	HeavyPerS float64 `toml:"heavy_per_s" unit:"requests/s" default:"0" allowed:"0..100000" doc:"Requests a second of an organisation from which on an instance holds tokens for itself although it is not one of the holders of the budget; 0 for none."`
+	HeavyPerS float64 `toml:"heavy_per_s" unit:"requests/s" default:"4" allowed:"0..100000" doc:"Requests a second of an organisation from which on an instance holds tokens for itself although it is not one of the holders of the budget; 0 for none."`
 
 	CopyAgeMS Milliseconds `toml:"copy_age_ms" unit:"ms" default:"10000" allowed:"100..3600000" doc:"Greatest age of a copy from which the platform's store may be restored; in a store that announces this, no more than half of a budget is drawn in this time."`
 	Restored  RestoreMode  `toml:"restored" default:"settle" allowed:"write_off|settle" doc:"What becomes of the part of a budget that counts as granted because the store was restored from a copy: it stays written off, or comes back once all instances have stated their draws. No instance of build bcddc15 or an earlier one may join a fleet with settle."`
@@ -121,7 +121,7 @@
 
 	Bound float64 `toml:"bound" default:"3" allowed:"1..100" doc:"Multiple of the mean load up to which a target gets the requests whose prompts share a part that it has read."`
 
-	Choice TargetChoice `toml:"choice" default:"prefix" allowed:"prefix|least_work|paced" doc:"How a target is chosen: by the shared parts of the prompt and the number of requests, by the expected time to the first event, which is learned from responses, or in the second way where targets state how long work takes at present and in the first elsewhere."`
+	Choice TargetChoice `toml:"choice" default:"paced" allowed:"prefix|least_work|paced" doc:"How a target is chosen: by the shared parts of the prompt and the number of requests, by the expected time to the first event, which is learned from responses, or in the second way where targets state how long work takes at present and in the first elsewhere."`
 }
 
 // TargetChoice is how a target is chosen.
@@ -164,7 +164,7 @@
 // RouterLink describes the network link of the machine.
 type RouterLink struct {
 	MBPS   float64 `toml:"mbps" unit:"Mbit/s" default:"0" allowed:"0..1000000" doc:"Rate of the link in each direction; requests that it can't carry are refused. 0 if it is unknown."`
-	Ranked Switch  `toml:"ranked" default:"off" allowed:"off|on" doc:"Whether requests of less important routes are refused earlier than others when the link fills."`
+	Ranked Switch  `toml:"ranked" default:"on" allowed:"off|on" doc:"Whether requests of less important routes are refused earlier than others when the link fills."`
 }
 
 // linkShare is the share of the link's rate that is left by the headers of its packets.
