docs: wording of six comments

Change: six comments in plain words, no code. Measured: formatter, build and linter of the packages pass.

--- a/cmd/check.go
+++ b/cmd/check.go
@@ -106,7 +106,7 @@
 	Changes []audit.Change `json:"changes"`
 }
 
-// checkFile checks a configuration of either format, which is told by the first character, and prints the result.
+// checkFile checks a configuration of either format, which its first character shows, and prints the result.
 func (a *App) checkFile(ctx context.Context, f checkFlags) error {
 	data, err := readFile(f.file)
 	if err != nil {
--- a/core/cost/ledger.go
+++ b/core/cost/ledger.go
@@ -9,7 +9,7 @@
 	"cranberryrail/core/roster"
 )
 
-// Times after which a report says little more than the mean of earlier ones.
+// Ages at which a report has little more weight than the mean of earlier ones.
 const (
 	// loadMemory is about the time that requests stay at a target.
 	loadMemory = 6 * time.Second
--- a/core/cost/model.go
+++ b/core/cost/model.go
@@ -276,7 +276,7 @@
 	known.decay(now, m.Decay)
 	hint := logTokens(r.Hint)
 	if r.Hint <= 0 && known.n > 0 {
-		hint = known.x / known.n // Says nothing about what hints are worth.
+		hint = known.x / known.n // The mean hint: without one, the estimate does not depend on hints.
 	}
 	known.add(hint, logTokens(output))
 }
--- a/core/relay/refusal_test.go
+++ b/core/relay/refusal_test.go
@@ -25,8 +25,8 @@
 	return nil, &relay.AttemptError{Kind: relay.Broken, Sent: true, Err: errors.New("the connection was reset")}
 }
 
-// TestRefusalOfOneTargetIsNoneOfAnother guards against a caller that is told that its request did not run, by the status of one target, although another one
-// may have run it.
+// TestRefusalOfOneTargetIsNoneOfAnother guards against a refusal of one target that is forwarded, and promises that the request did not run, although another
+// target may have run it.
 func TestRefusalOfOneTargetIsNoneOfAnother(t *testing.T) {
 	late := script.Plain(http.StatusOK, "answer", 2*time.Second, 0)
 	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
--- a/core/route/zones_test.go
+++ b/core/route/zones_test.go
@@ -22,7 +22,7 @@
 	return list
 }
 
-// picked picks targets until none is left, and returns how often each zone was chosen.
+// picked makes up to n choices, and returns how often a target in each zone was chosen.
 func picked(b *route.Balancer, r route.Request, n int) map[string]int {
 	chosen := map[string]int{}
 	for range n {
--- a/io/conns/conn.go
+++ b/io/conns/conn.go
@@ -99,8 +99,8 @@
 // maxIDs is how many requests a connection remembers: several times maxForeignResponses, since a second response follows the first one closely.
 const maxIDs = 16
 
-// hasCarried reports whether one of the last requests on the connection had an id. Callers choose ids, so that a late second response to that request could not be
-// told from the response to another one with the same id.
+// hasCarried reports whether one of the last requests on the connection had an id. Callers choose ids, so that a late second response to that request would look
+// like the response to another one with the same id.
 func (cn *conn) hasCarried(id string) bool { return slices.Contains(cn.ids, xxhash.Sum64String(id)) }
 
 // carry records the id of a request that is sent.
