--- a/review/driver2/world.go
+++ b/review/driver2/world.go
@@ -45,6 +45,8 @@
 
 	log   *memlog.Server
 	store string
+	// storeFor returns the address at which an instance reaches the store; nil if all use the same.
+	storeFor func(instance int) string
 
 	mu        sync.Mutex
 	processes []*process
@@ -178,8 +180,8 @@
 	w                  *world
 	id                 string
 	front, ready, peer string
+	metrics, store     string
 	settings           string
-	boot               bool
 	starts             int
 	logFile            *os.File
 }
@@ -233,13 +235,15 @@
 
 // newInstance starts an instance.
 func (w *world) newInstance(n int) *instance {
-	i := &instance{w: w, id: fmt.Sprintf("front-lagos-ikeja-%d", n), front: freeAddr(), ready: freeAddr(), peer: freeAddr(), boot: true}
+	i := &instance{w: w, id: fmt.Sprintf("front-lagos-ikeja-%d", n), front: freeAddr(), ready: freeAddr(), peer: freeAddr()}
 	i.settings = filepath.Join(w.dir, i.id+".toml")
 	f, err := os.Create(filepath.Join(w.dir, i.id+".log"))
 	must(err)
 	i.logFile = f
-	metrics := freeAddr()
-	must(os.WriteFile(i.settings, fmt.Appendf(nil, settingsText, i.id, i.front, i.ready, metrics, i.peer, w.store, partitions, "new", memoryMB), 0o600))
+	i.metrics, i.store = freeAddr(), w.store
+	if w.storeFor != nil {
+		i.store = w.storeFor(n)
+	}
 	i.run()
 	return i
 }
@@ -247,6 +251,11 @@
 // run starts the instance's process.
 func (i *instance) run() {
 	i.starts++
+	fleet := "new" // bootstrap is true when the whole system starts for the first time
+	if i.starts > 1 {
+		fleet = "running"
+	}
+	must(os.WriteFile(i.settings, fmt.Appendf(nil, settingsText, i.id, i.front, i.ready, i.metrics, i.peer, i.store, partitions, fleet, memoryMB), 0o600))
 	i.process = i.w.start(i.id, func(text string) { fmt.Fprintln(i.logFile, text) }, "target/cranberryrail", "route", "--config", i.settings)
 	i.w.note("platform: started %s (start %d)", i.id, i.starts)
 }
