--- a/review/driver2/crowd.go
+++ b/review/driver2/crowd.go
@@ -12,7 +12,20 @@
 	"time"
 )
 
-func init() { scripts["crowd"] = crowdScript }
+func init() {
+	scripts["crowd"] = func(w *world) bool {
+		// A crowd of requesters sends requests of legal size whose prompts are in very many parts. The limit of a body is 4,194,304 bytes.
+		return crowdScript(w, 300, func(k int) request {
+			return request{method: http.MethodPost, path: fmt.Sprintf("/letter/%d", k), header: manyParts(), body: strings.Repeat("b", 130_000)}
+		})
+	}
+	scripts["many"] = func(w *world) bool {
+		// A larger crowd sends ordinary requests.
+		return crowdScript(w, 2000, func(k int) request {
+			return request{method: http.MethodPost, path: fmt.Sprintf("/letter/%d", k), header: prompt(3, 200, 420), body: strings.Repeat("b", 12_000)}
+		})
+	}
+}
 
 // restartDelay is the time until the platform starts a process again.
 const restartDelay = 500 * time.Millisecond
@@ -30,19 +43,17 @@
 	}
 }
 
-// crowdScript: a crowd of requesters sends requests of legal size whose prompts are in very many parts. The platform kills a process over its memory.
-func crowdScript(w *world) bool {
+// crowdScript: a crowd sends requests at each of two instances, each member one at a time. The platform kills a process over its memory.
+func crowdScript(w *world, crowd int, next func(k int) request) bool {
 	const (
 		instances, engines, desks = 2, 18, 3
-		crowd                     = 300
-		bodyBytes                 = 130_000 // the limit is 4,194,304
-		length                    = 60 * time.Second
+		length                    = 70 * time.Second
 		ends                      = 3
 	)
 	w.putConfig(configText(1, 1<<40))
 	onLine := func(r *runner, text string) { w.note("runner %s: %s", r.id, text) }
 	for n := range engines {
-		w.newRunner("engines", fmt.Sprintf("i-engine%02d", n), 64, onLine, "--events", "60", "--first", "14ms", "--gap", "50ms", "--read", "48.2")
+		w.newRunner("engines", fmt.Sprintf("i-engine%02d", n), 64, onLine, "--events", "60", "--first", "14ms", "--gap", "100ms", "--read", "48.2")
 	}
 	for n := range desks {
 		w.newRunner("desk", fmt.Sprintf("i-desk%d", n), 6, onLine, "--first", "15ms")
@@ -109,12 +120,10 @@
 		}
 		for k := range crowd {
 			group.Go(func() {
-				time.Sleep(time.Duration(k) * 2 * time.Millisecond)
+				time.Sleep(time.Duration(k) * time.Millisecond)
 				for ; !stopped(); time.Sleep(300 * time.Millisecond) {
-					r := request{
-						method: http.MethodPost, path: fmt.Sprintf("/letter/%d", k), id: fmt.Sprintf("%016x", rand.Uint64()), key: keyText,
-						header: manyParts(), body: strings.Repeat("b", bodyBytes), limit: 12 * time.Second,
-					}
+					r := next(k)
+					r.id, r.key, r.limit = fmt.Sprintf("%016x", rand.Uint64()), keyText, 12*time.Second
 					a := send(fleet[n].front, r)
 					w.note("crowd: %s has %d after %v, %v", r.id, a.status, a.took, a.err)
 					crowdSent.Add(1)
@@ -131,7 +140,9 @@
 		}
 	}
 	close(stop)
-	w.say("a head of the crowd has %d bytes, the limit of the config is 16384", len(request{method: http.MethodPost, path: "/letter/299", id: "0123456789abcdef", key: keyText, header: manyParts(), limit: 12 * time.Second}.bytes()))
+	example := next(crowd - 1)
+	example.id, example.key, example.limit = "0123456789abcdef", keyText, 12*time.Second
+	w.say("a head of the crowd has %d bytes, the limit of the config is 16384; a body %d", len(example.bytes())-len(example.body), len(example.body))
 	w.say("ordinary requests: %d, served %d; crowd: %d ended, %d with 200", sent.Load(), served.Load(), crowdSent.Load(), crowdServed.Load())
 	w.say("most memory: %d KB and %d KB; ends of processes: %d and %d", most[0].Load(), most[1].Load(), killed[0].Load(), killed[1].Load())
 	broken := killed[0].Load() >= ends && killed[1].Load() >= ends
--- a/review/driver2/declared.go
+++ b/review/driver2/declared.go
@@ -23,7 +23,7 @@
 // declaredScript: at the begin of traffic, one requester at each instance sends a request whose body is far over the limit. It has no key, and its path no route.
 func declaredScript(w *world) bool {
 	const instances, engines, desks = 2, 2, 3
-	const length = 60 * time.Second
+	const length = 40 * time.Second
 	w.putConfig(configText(1, 1<<40))
 	onLine := func(r *runner, text string) { w.note("runner %s: %s", r.id, text) }
 	for n := range engines {
--- a/review/driver2/parts.go
+++ b/review/driver2/parts.go
@@ -33,7 +33,7 @@
 func prompt(parts, tokens, output int) []string {
 	list := make([]string, parts)
 	for i := range list {
-		list[i] = fmt.Sprintf("%08x:%d", rand.Uint32(), tokens)
+		list[i] = fmt.Sprintf("%04x:%d", rand.IntN(1<<16), tokens)
 	}
 	return []string{"Cranberryrail-Model: m", fmt.Sprintf("Cranberryrail-Token-Usage: %d,%d", parts*tokens, output), "Cranberryrail-Prompt-Prefix: " + strings.Join(list, ",")}
 }
@@ -44,7 +44,7 @@
 		instances, engines, desks = 2, 18, 3
 		crashed                   = 3 // of 18: 0.167, the site names 0.17
 		letters                   = 240
-		parts, tokens             = 1400, 8
+		parts, tokens             = 2200, 5
 	)
 	w.putConfig(configText(1, 1<<40))
 	var runs atomic.Int64
@@ -124,7 +124,7 @@
 			}
 		})
 	}
-	time.Sleep(1000 * time.Millisecond)
+	time.Sleep(600 * time.Millisecond)
 	w.say("%d requests have run", runs.Load())
 	if w.trouble {
 		for _, r := range all[:crashed] {
@@ -147,5 +147,5 @@
 	})
 	w.say("plain requests: %d, served %d, unanswered at their timeout %d, of these unanswered half a second later %d", judged.Load(), served.Load(), unanswered.Load(), late.Load())
 	w.say("most memory: %d KB, %d KB", fleet[0].memoryKB("VmHWM"), fleet[1].memoryKB("VmHWM"))
-	return late.Load() >= 8 && 2*late.Load() > unanswered.Load()
+	return late.Load() >= 8 && 4*late.Load() > unanswered.Load()
 }
--- a/review/driver2/runner.go
+++ b/review/driver2/runner.go
@@ -9,10 +9,12 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -44,6 +46,7 @@
 	events := f.Int("events", 0, "events of a stream; 0 for a plain answer")
 	first := f.Duration("first", 20*time.Millisecond, "work until the first event, or the answer")
 	gap := f.Duration("gap", 20*time.Millisecond, "pause between events")
+	pause := f.Int("pause", 12, "seconds in Retry-After")
 	perMS := f.Float64("read", 0, "prompt tokens that are read in a millisecond, one prompt after the other; 0 if there are no prompts")
 	_ = f.Parse(args) // exits on errors
 	l, err := net.Listen("tcp", *listen)
@@ -52,6 +55,9 @@
 		os.Exit(2)
 	}
 	places := make(chan struct{}, *slots)
+	// SIGUSR1 makes the runner turn away requests with 503 and Retry-After once, and then all that come meanwhile without it.
+	pauses := make(chan os.Signal, 1)
+	signal.Notify(pauses, syscall.SIGUSR1)
 	var running, waiting atomic.Int64
 	var reading reader
 	var out sync.Mutex
@@ -86,6 +92,15 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
+		say("arrival %s", attempt)
+		select {
+		case <-pauses:
+			w.Header().Set("Retry-After", strconv.Itoa(*pause))
+			refuse(http.StatusServiceUnavailable)
+			say("paused %s", attempt)
+			return
+		default:
+		}
 		limit := 30 * time.Second
 		if ms, err := strconv.Atoi(r.Header.Get("Cranberryrail-Request-Deadline")); err == nil {
 			limit = time.Duration(ms) * time.Millisecond
@@ -114,7 +129,7 @@
 		}()
 		say("run %s %s", attempt, strings.TrimSpace(r.Header.Get("Cranberryrail-Token-Usage")))
 		defer say("end %s", attempt)
-		pause := func(d time.Duration) bool {
+		work := func(d time.Duration) bool {
 			select {
 			case <-time.After(d):
 				return true
@@ -123,12 +138,12 @@
 			}
 			return false
 		}
-		work := *first
+		until := *first
 		if tokens, _, _ := strings.Cut(r.Header.Get("Cranberryrail-Token-Usage"), ","); *perMS > 0 {
 			n, _ := strconv.Atoi(tokens)
-			work += reading.take(time.Duration(float64(n) / *perMS * float64(time.Millisecond)))
+			until += reading.take(time.Duration(float64(n) / *perMS * float64(time.Millisecond)))
 		}
-		if !pause(work) {
+		if !work(until) {
 			if r.Context().Err() != nil {
 				panic(http.ErrAbortHandler)
 			}
@@ -148,7 +163,7 @@
 		w.Header().Set("Content-Type", "text/event-stream")
 		from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 		for n := from + 1; n <= *events; n++ {
-			if n > from+1 && !pause(*gap) {
+			if n > from+1 && !work(*gap) {
 				panic(http.ErrAbortHandler)
 			}
 			if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", n, n, attempt); err != nil {
--- a/review/driver2/world.go
+++ b/review/driver2/world.go
@@ -27,6 +27,7 @@
 // Bounds and settings of the site ndukwe-claims.
 const (
 	memoryMB    = 134
+	descriptors = 4100
 	heartbeat   = 1200 * time.Millisecond
 	drain       = 2 * time.Second
 	partitions  = 12
@@ -256,7 +257,8 @@
 		fleet = "running"
 	}
 	must(os.WriteFile(i.settings, fmt.Appendf(nil, settingsText, i.id, i.front, i.ready, i.metrics, i.peer, i.store, partitions, fleet, memoryMB), 0o600))
-	i.process = i.w.start(i.id, func(text string) { fmt.Fprintln(i.logFile, text) }, "target/cranberryrail", "route", "--config", i.settings)
+	i.process = i.w.start(i.id, func(text string) { fmt.Fprintln(i.logFile, text) },
+		"bash", "-c", `ulimit -n "$1"; exec target/cranberryrail route --config "$0"`, i.settings, strconv.Itoa(descriptors))
 	i.w.note("platform: started %s (start %d)", i.id, i.starts)
 }
 
