--- a/review/driver2/parts.go
+++ b/review/driver2/parts.go
@@ -147,5 +147,5 @@
 	})
 	w.say("plain requests: %d, served %d, unanswered at their timeout %d, of these unanswered half a second later %d", judged.Load(), served.Load(), unanswered.Load(), late.Load())
 	w.say("most memory: %d KB, %d KB", fleet[0].memoryKB("VmHWM"), fleet[1].memoryKB("VmHWM"))
-	return late.Load() >= 8 && 4*late.Load() > unanswered.Load()
+	return late.Load() >= 8 && 2*late.Load() > unanswered.Load() // both sentences of the rule
 }
