--- a/review/driver2/runner.go
+++ b/review/driver2/runner.go
@@ -9,12 +9,10 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
@@ -46,7 +44,6 @@
 	events := f.Int("events", 0, "events of a stream; 0 for a plain answer")
 	first := f.Duration("first", 20*time.Millisecond, "work until the first event, or the answer")
 	gap := f.Duration("gap", 20*time.Millisecond, "pause between events")
-	pause := f.Int("pause", 12, "seconds in Retry-After")
 	perMS := f.Float64("read", 0, "prompt tokens that are read in a millisecond, one prompt after the other; 0 if there are no prompts")
 	_ = f.Parse(args) // exits on errors
 	l, err := net.Listen("tcp", *listen)
@@ -55,9 +52,6 @@
 		os.Exit(2)
 	}
 	places := make(chan struct{}, *slots)
-	// SIGUSR1 makes the runner turn away requests with 503 and Retry-After once, and then all that come meanwhile without it.
-	pauses := make(chan os.Signal, 1)
-	signal.Notify(pauses, syscall.SIGUSR1)
 	var running, waiting atomic.Int64
 	var reading reader
 	var out sync.Mutex
@@ -92,15 +86,6 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
-		say("arrival %s", attempt)
-		select {
-		case <-pauses:
-			w.Header().Set("Retry-After", strconv.Itoa(*pause))
-			refuse(http.StatusServiceUnavailable)
-			say("paused %s", attempt)
-			return
-		default:
-		}
 		limit := 30 * time.Second
 		if ms, err := strconv.Atoi(r.Header.Get("Cranberryrail-Request-Deadline")); err == nil {
 			limit = time.Duration(ms) * time.Millisecond
