review: each script names its record, which a run that ends early leaves too

The record was written at the end of a run only, under a path that no script named. It now holds each request when it is sent. Rules and bounds are as they were.

--- a/review/driver2/crowd.go
+++ b/review/driver2/crowd.go
@@ -107,6 +107,7 @@
 			for k := 0; !stopped(); k++ {
 				time.Sleep(50 * time.Millisecond)
 				r := request{method: http.MethodGet, path: fmt.Sprintf("/status/%d", k), id: fmt.Sprintf("%016x", rand.Uint64()), key: keyText, limit: time.Second}
+				w.note("requester: %s sends %s %s to %s", r.id, r.method, r.path, fleet[n].id)
 				a := send(fleet[n].front, r)
 				w.note("requester: %s %s %s has %d after %v, %v", r.id, r.method, r.path, a.status, a.took, a.err)
 				sent.Add(1)
@@ -124,6 +125,7 @@
 				for ; !stopped(); time.Sleep(300 * time.Millisecond) {
 					r := next(k)
 					r.id, r.key, r.limit = fmt.Sprintf("%016x", rand.Uint64()), keyText, 12*time.Second
+					w.note("crowd: %s sends %s %s to %s", r.id, r.method, r.path, fleet[n].id)
 					a := send(fleet[n].front, r)
 					w.note("crowd: %s has %d after %v, %v", r.id, a.status, a.took, a.err)
 					crowdSent.Add(1)
--- a/review/driver2/declared.go
+++ b/review/driver2/declared.go
@@ -58,6 +58,7 @@
 				if k%3 > 0 {
 					r.method, r.path, r.body = http.MethodPost, fmt.Sprintf("/file/%d", k), strings.Repeat("b", 600)
 				}
+				w.note("requester: %s sends %s %s to %s", r.id, r.method, r.path, fleet[n].id)
 				a := send(fleet[n].front, r)
 				w.note("requester: %s %s %s has %d after %v, %v", r.id, r.method, r.path, a.status, a.took, a.err)
 				sent.Add(1)
@@ -89,6 +90,7 @@
 	must(err)
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(2 * time.Second))
+	w.note("requester: sends POST /upload to %s, and announces %d bytes", i.id, int64(declaredBytes))
 	fmt.Fprintf(c, "POST /upload HTTP/1.1\r\nHost: %s\r\nCranberryrail-Attempt-Id: %016x\r\nContent-Length: %d\r\n\r\n", host, rand.Uint64(), int64(declaredBytes))
 	_, _ = io.WriteString(c, strings.Repeat("b", 16<<10))
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
--- a/review/driver2/drills.go
+++ b/review/driver2/drills.go
@@ -72,7 +72,9 @@
 			method: http.MethodPost, path: "/letter/x", id: fmt.Sprintf("%016x", rand.Uint64()), key: fmt.Sprintf("key%02d", n), limit: 12 * time.Second,
 			header: []string{"Cranberryrail-Model: m", fmt.Sprintf("Cranberryrail-Token-Usage: %d,%d", drillPrompt, drillOutput), fmt.Sprintf("Cranberryrail-Prompt-Prefix: aa:200,%08x:200", rand.Uint32())},
 		}
-		a := send(fleet[rand.IntN(instances)].front, r)
+		i := fleet[rand.IntN(instances)]
+		w.note("requester: %s of tenant%02d sends %s %s to %s", r.id, n, r.method, r.path, i.id)
+		a := send(i.front, r)
 		w.note("requester: %s of tenant%02d has %d after %v, %v", r.id, n, a.status, a.took, a.err)
 		mu.Lock()
 		defer mu.Unlock()
--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -6,7 +6,6 @@
 	"bufio"
 	"fmt"
 	"os"
-	"path/filepath"
 	"time"
 )
 
@@ -19,20 +18,20 @@
 		return
 	}
 	if len(os.Args) != 3 || scripts[os.Args[1]] == nil {
-		fmt.Println("usage: driver2 SCRIPT FOLDER")
+		fmt.Println("usage: driver2 SCRIPT RECORD")
 		os.Exit(2)
 	}
 	os.Exit(runScript(scripts[os.Args[1]], os.Args[2]))
 }
 
 // runScript runs a script and returns the exit status: 1 if the rule was broken, 0 if it held, 2 if the script could not run.
-func runScript(script func(w *world) bool, folder string) (status int) {
+func runScript(script func(w *world) bool, record string) (status int) {
 	dir, err := os.MkdirTemp("", "review-")
 	if err != nil {
 		fmt.Println(err)
 		return 2
 	}
-	f, err := os.Create(filepath.Join(folder, "record.txt"))
+	f, err := os.Create(record)
 	if err != nil {
 		fmt.Println(err)
 		return 2
@@ -57,10 +56,17 @@
 		}
 	}()
 	timer := time.AfterFunc(115*time.Second, func() {
+		w.say("the script could not run: it took too long")
+		w.flush()
 		w.end()
 		os.Exit(2)
 	})
 	defer timer.Stop()
+	go func() { // A run that is ended from outside leaves its record. This ends with the process.
+		for range time.Tick(time.Second) {
+			w.flush()
+		}
+	}()
 	w.startStore()
 	if script(w) {
 		return 1
--- a/review/driver2/world.go
+++ b/review/driver2/world.go
@@ -60,6 +60,13 @@
 	fmt.Fprintf(w.record, format+"\n", args...)
 }
 
+// flush writes what was noted to the file.
+func (w *world) flush() {
+	w.recordMu.Lock()
+	defer w.recordMu.Unlock()
+	_ = w.record.Flush()
+}
+
 // say writes a line to the record and to standard output.
 func (w *world) say(format string, args ...any) {
 	w.note(format, args...)
